--- /dev/null
+++ b/internal/errkind/errkind.go
@@ -0,0 +1,223 @@
+// Package errkind holds the closed list of error kinds that a caller or an
+// operator can see, and the one table from kind to answer.
+//
+// Every error that leaves a process carries a Kind. An error without one is
+// answered as Internal, whose class is Unknown, because nothing is known of
+// what it left behind.
+package errkind
+
+import (
+	"fmt"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+)
+
+// Kind names one way in which a request can fail.
+type Kind uint8
+
+// The closed list of kinds. The order is part of the protocol between
+// processes: append only.
+const (
+	// Internal is a fault of the proxy itself.
+	Internal Kind = iota
+	// ProtocolViolation is a message that breaks the PostgreSQL protocol.
+	ProtocolViolation
+	// MessageTooLarge is a message over the configured size.
+	MessageTooLarge
+	// Unauthorized is a wrong, unknown or withdrawn key.
+	Unauthorized
+	// UnknownRoute is a route that the configuration does not hold.
+	UnknownRoute
+	// RouteForbidden is a route that the customer may not use.
+	RouteForbidden
+	// BadToken is a session token that is forged, foreign or malformed.
+	BadToken
+	// KeyInStatement is a statement that carries the caller's key as text.
+	KeyInStatement
+	// Unsupported is a feature that the proxy refuses by design.
+	Unsupported
+	// OverRate is a request beyond the customer's rate and burst.
+	OverRate
+	// QueueFull is a request that found the instance's queue full.
+	QueueFull
+	// QueueTimeout is a request whose admission deadline passed in the queue.
+	QueueTimeout
+	// NoPrimary means that no primary can be proved to lead at present.
+	NoPrimary
+	// NotEligible means that the chosen instance is behind the request.
+	NotEligible
+	// Unreachable means that no process or instance could be connected.
+	Unreachable
+	// ConfigStale means that the node holds no valid proof of its configuration.
+	ConfigStale
+	// ShuttingDown is a request that met a process in its planned stop.
+	ShuttingDown
+	// ReadOnly is a write on a read-only route or transaction.
+	ReadOnly
+	// StatementFailed is an error of the instance itself, passed through.
+	StatementFailed
+	// TransactionLost is an open transaction whose connection broke before COMMIT was sent.
+	TransactionLost
+	// OutcomeUnknown is a write whose fate could not be learned.
+	OutcomeUnknown
+	// AnswerIncomplete is a read whose answer broke off; nothing was changed.
+	AnswerIncomplete
+	// VersionConflict is a patch on a version that is no longer the newest.
+	VersionConflict
+	// InvalidPatch is a patch that does not parse or refers to what does not exist.
+	InvalidPatch
+	// InvalidSettings is a settings file with faults.
+	InvalidSettings
+	// PatchRefused is a patch that a domain or VM blocked; it was not applied.
+	PatchRefused
+	// PlatformUnavailable is a platform call that surely had no effect.
+	PlatformUnavailable
+	// PlatformUnknown is a platform call whose effect could not be learned.
+	PlatformUnknown
+	// NotFound is a row, object or id that does not exist.
+	NotFound
+	// Conflict is a compare-and-set that lost.
+	Conflict
+	// Fenced is an instance command refused because of a higher term.
+	Fenced
+	// Canceled is a statement ended by the caller's cancel request.
+	Canceled
+	kindCount
+)
+
+// Class tells what is known of the effect of a failed request.
+type Class uint8
+
+// The three classes.
+const (
+	// NotRun means that nothing of the request ran.
+	NotRun Class = iota
+	// Failed means that it ran and left no effect.
+	Failed
+	// Unknown means that it may or may not have taken effect.
+	Unknown
+)
+
+// String returns the class as written in logs and pages.
+func (c Class) String() string {
+	return [...]string{"not run", "failed", "unknown"}[c]
+}
+
+// Retry is the advice given to the caller.
+type Retry uint8
+
+// Kinds of advice.
+const (
+	// RetryNever means that the same request will fail again.
+	RetryNever Retry = iota
+	// RetryNow means that the same request may be sent again at once.
+	RetryNow
+	// RetryLater means that the same request may be sent again after a pause.
+	RetryLater
+	// CheckFirst means that the caller has to find out what happened first.
+	CheckFirst
+)
+
+// String returns the advice as written in logs and pages.
+func (r Retry) String() string {
+	return [...]string{"never", "now", "later", "check first"}[r]
+}
+
+// Answer is what the table gives for one kind.
+type Answer struct {
+	Name     string
+	SQLState string
+	Class    Class
+	Retry    Retry
+	Level    logrus.Level
+	Text     string
+}
+
+var table = [kindCount]Answer{
+	Internal:            {"internal", "XX000", Unknown, CheckFirst, logrus.ErrorLevel, "internal error"},
+	ProtocolViolation:   {"protocol_violation", "08P01", NotRun, RetryNever, logrus.InfoLevel, "protocol violation"},
+	MessageTooLarge:     {"message_too_large", "54000", NotRun, RetryNever, logrus.InfoLevel, "message too large"},
+	Unauthorized:        {"unauthorized", "28P01", NotRun, RetryNever, logrus.InfoLevel, "key is not valid for this customer"},
+	UnknownRoute:        {"unknown_route", "3D000", NotRun, RetryNever, logrus.InfoLevel, "route does not exist"},
+	RouteForbidden:      {"route_forbidden", "42501", NotRun, RetryNever, logrus.InfoLevel, "route is not open to this customer"},
+	BadToken:            {"bad_token", "22023", NotRun, RetryNever, logrus.InfoLevel, "session token is not valid"},
+	KeyInStatement:      {"key_in_statement", "22000", NotRun, RetryNever, logrus.WarnLevel, "statement contains the caller's key"},
+	Unsupported:         {"unsupported", "0A000", NotRun, RetryNever, logrus.InfoLevel, "feature is not supported"},
+	OverRate:            {"over_rate", "53400", NotRun, RetryLater, logrus.InfoLevel, "rate of the customer is used up"},
+	QueueFull:           {"queue_full", "53300", NotRun, RetryLater, logrus.WarnLevel, "queue of the backend server is full"},
+	QueueTimeout:        {"queue_timeout", "57014", NotRun, RetryLater, logrus.WarnLevel, "no execution slot before the deadline"},
+	NoPrimary:           {"no_primary", "57P03", NotRun, RetryLater, logrus.WarnLevel, "no primary can be reached"},
+	NotEligible:         {"not_eligible", "57P04", NotRun, RetryNow, logrus.DebugLevel, "backend server is behind the request"},
+	Unreachable:         {"unreachable", "08001", NotRun, RetryNow, logrus.WarnLevel, "backend cannot be connected"},
+	ConfigStale:         {"config_stale", "57P05", NotRun, RetryLater, logrus.WarnLevel, "configuration cannot be proved current here"},
+	ShuttingDown:        {"shutting_down", "57P01", NotRun, RetryNow, logrus.InfoLevel, "proxy is stopping"},
+	ReadOnly:            {"read_only", "25006", NotRun, RetryNever, logrus.InfoLevel, "write on a read-only route or transaction"},
+	StatementFailed:     {"statement_failed", "XX001", Failed, RetryNever, logrus.DebugLevel, "statement failed"},
+	TransactionLost:     {"transaction_lost", "40003", Failed, RetryNow, logrus.WarnLevel, "transaction was rolled back"},
+	OutcomeUnknown:      {"outcome_unknown", "08007", Unknown, CheckFirst, logrus.WarnLevel, "outcome of the write is unknown"},
+	AnswerIncomplete:    {"answer_incomplete", "08006", Failed, RetryNow, logrus.WarnLevel, "answer of a read broke off"},
+	VersionConflict:     {"version_conflict", "40001", NotRun, RetryNever, logrus.InfoLevel, "patch is based on an old version"},
+	InvalidPatch:        {"invalid_patch", "22P02", NotRun, RetryNever, logrus.InfoLevel, "patch is not valid"},
+	InvalidSettings:     {"invalid_settings", "F0000", NotRun, RetryNever, logrus.ErrorLevel, "settings are not valid"},
+	PatchRefused:        {"patch_refused", "55000", NotRun, RetryLater, logrus.WarnLevel, "patch was refused"},
+	PlatformUnavailable: {"platform_unavailable", "58000", NotRun, RetryLater, logrus.WarnLevel, "platform is not available"},
+	PlatformUnknown:     {"platform_unknown", "58030", Unknown, CheckFirst, logrus.WarnLevel, "answer of the platform was lost"},
+	NotFound:            {"not_found", "02000", NotRun, RetryNever, logrus.InfoLevel, "not found"},
+	Conflict:            {"conflict", "40002", NotRun, RetryNow, logrus.DebugLevel, "another writer was first"},
+	Fenced:              {"fenced", "55006", NotRun, RetryNever, logrus.InfoLevel, "a higher term is in force"},
+	Canceled:            {"canceled", "57014", Failed, RetryNever, logrus.InfoLevel, "statement was canceled"},
+}
+
+// All returns every kind in the order of the list.
+func All() []Kind {
+	kinds := make([]Kind, kindCount)
+	for i := range kinds {
+		kinds[i] = Kind(i)
+	}
+	return kinds
+}
+
+// Answer returns the row of the table; an unknown kind gets Internal's.
+func (k Kind) Answer() Answer {
+	if k >= kindCount {
+		return table[Internal]
+	}
+	return table[k]
+}
+
+// String returns the kind's name in the table.
+func (k Kind) String() string { return k.Answer().Name }
+
+// Error is an error with a kind. Detail never holds a key or statement text.
+type Error struct {
+	Kind   Kind
+	Detail string
+}
+
+// Error returns the table's text and the detail.
+func (e *Error) Error() string {
+	text := e.Kind.Answer().Text
+	if e.Detail == "" {
+		return text
+	}
+	return text + ": " + e.Detail
+}
+
+// New returns an error of the kind with a formatted detail and its origin.
+func New(kind Kind, format string, args ...any) error {
+	err := errors.Trace(&Error{Kind: kind, Detail: fmt.Sprintf(format, args...)})
+	return err
+}
+
+// KindOf returns the kind in the error's chain, or Internal if there is none.
+func KindOf(err error) Kind {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Kind
+	}
+	return Internal
+}
+
+// Is reports whether the error carries the kind.
+func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
