--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -210,10 +210,16 @@
 	return err
 }
 
+// As returns the Error in the error's chain.
+func As(err error) (*Error, bool) {
+	var e *Error
+	ok := errors.As(err, &e)
+	return e, ok
+}
+
 // KindOf returns the kind in the error's chain, or Internal if there is none.
 func KindOf(err error) Kind {
-	var e *Error
-	if errors.As(err, &e) {
+	if e, ok := As(err); ok {
 		return e.Kind
 	}
 	return Internal
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,239 @@
+// Package peer carries calls between the system's own processes over net/rpc.
+//
+// Error kinds cross the wire: the server writes the kind's number in front of
+// the text, and Client.Call restores it.
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"io"
+	"net"
+	"net/rpc"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"chicoryline/internal/errkind"
+)
+
+// DialTimeout bounds the opening of a connection to another process.
+const DialTimeout = 500 * time.Millisecond
+
+// Caller sends one call to the process at the address (host:port). The method
+// is "Service.Method". Errors: errkind.Unreachable when the call surely did not
+// reach the process, errkind.OutcomeUnknown when its answer was lost or the
+// context ended first, else the kind that the other process returned.
+type Caller interface {
+	Call(ctx context.Context, address, method string, args, reply any) error
+}
+
+// DialFunc opens a connection; tests replace it to cut links.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Client keeps one multiplexed connection to each process it has called. Its
+// mutex guards the map of connections.
+type Client struct {
+	dial DialFunc
+
+	mu    sync.Mutex
+	links map[string]*link
+}
+
+type link struct {
+	mu     sync.Mutex
+	client *rpc.Client
+}
+
+// NewClient returns a client. A nil dial uses TCP; a non-nil config adds TLS.
+func NewClient(dial DialFunc, config *tls.Config) *Client {
+	if dial == nil {
+		dialer := &net.Dialer{Timeout: DialTimeout}
+		dial = dialer.DialContext
+	}
+	if config != nil {
+		plain := dial
+		dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := plain(ctx, network, address)
+			if err != nil {
+				return nil, err
+			}
+			secure := tls.Client(conn, config)
+			if err := secure.HandshakeContext(ctx); err != nil {
+				_ = conn.Close()
+				return nil, err
+			}
+			return secure, nil
+		}
+	}
+	return &Client{dial: dial, links: map[string]*link{}}
+}
+
+// Call implements Caller.
+func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
+	l := c.link(address)
+	client, err := l.open(ctx, c.dial, address)
+	if err != nil {
+		return errkind.New(errkind.Unreachable, "%s: %v", address, err)
+	}
+	call := client.Go(method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "%s %s: %v", address, method, ctx.Err())
+	case done := <-call.Done:
+		return l.result(client, done.Error, address, method)
+	}
+}
+
+// Close ends all connections.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, l := range c.links {
+		l.drop(nil)
+	}
+}
+
+func (c *Client) link(address string) *link {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	l := c.links[address]
+	if l == nil {
+		l = &link{}
+		c.links[address] = l
+	}
+	return l
+}
+
+func (l *link) open(ctx context.Context, dial DialFunc, address string) (*rpc.Client, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil {
+		return l.client, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
+	defer cancel()
+	conn, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l.client = rpc.NewClient(conn)
+	return l.client, nil
+}
+
+// drop closes the client if it still is the given one (nil: any).
+func (l *link) drop(client *rpc.Client) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.client != nil && (client == nil || l.client == client) {
+		_ = l.client.Close()
+		l.client = nil
+	}
+}
+
+func (l *link) result(client *rpc.Client, err error, address, method string) error {
+	if err == nil {
+		return nil
+	}
+	if remote, ok := err.(rpc.ServerError); ok {
+		return decodeError(string(remote))
+	}
+	l.drop(client)
+	if err == rpc.ErrShutdown {
+		return errkind.New(errkind.Unreachable, "%s %s: connection was closed", address, method)
+	}
+	return errkind.New(errkind.OutcomeUnknown, "%s %s: %v", address, method, err)
+}
+
+// Encode gives a service method's error the form that carries its kind.
+func Encode(err error) error {
+	if err == nil {
+		return nil
+	}
+	var detail string
+	if e, ok := errkind.As(err); ok {
+		detail = e.Detail
+	} else {
+		detail = err.Error()
+	}
+	return fmt.Errorf("%d %s", errkind.KindOf(err), detail)
+}
+
+func decodeError(text string) error {
+	number, detail, ok := strings.Cut(text, " ")
+	kind, err := strconv.Atoi(number)
+	if !ok || err != nil || kind < 0 || kind >= len(errkind.All()) {
+		return errkind.New(errkind.Internal, "%s", text)
+	}
+	return errkind.New(errkind.Kind(kind), "%s", detail)
+}
+
+// Server answers the calls of other processes.
+type Server struct {
+	rpc      *rpc.Server
+	listener net.Listener
+
+	mu     sync.Mutex
+	conns  map[io.Closer]bool
+	closed bool
+}
+
+// NewServer returns a server on the listener; a non-nil config adds TLS.
+func NewServer(listener net.Listener, config *tls.Config) *Server {
+	if config != nil {
+		listener = tls.NewListener(listener, config)
+	}
+	return &Server{rpc: rpc.NewServer(), listener: listener, conns: map[io.Closer]bool{}}
+}
+
+// Register adds a service: a value whose exported methods have net/rpc's form.
+func (s *Server) Register(name string, service any) error {
+	return s.rpc.RegisterName(name, service)
+}
+
+// Serve accepts connections until Close.
+func (s *Server) Serve() {
+	for {
+		conn, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		if !s.track(conn) {
+			return
+		}
+		go func() {
+			s.rpc.ServeConn(conn)
+			s.untrack(conn)
+		}()
+	}
+}
+
+func (s *Server) track(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = conn.Close()
+		return false
+	}
+	s.conns[conn] = true
+	return true
+}
+
+func (s *Server) untrack(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close stops listening and closes all connections.
+func (s *Server) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	_ = s.listener.Close()
+	for conn := range s.conns {
+		_ = conn.Close()
+	}
+}
