--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,9 +42,13 @@
 	links map[string]*link
 }
 
+// link is the connection to one process. It is ended by closing conn, never by
+// client.Close: so rpc.ErrShutdown is returned only to calls that were not sent,
+// and a call that was sent gets the reader's error.
 type link struct {
 	mu     sync.Mutex
 	client *rpc.Client
+	conn   net.Conn
 }
 
 // NewClient returns a client. A nil dial uses TCP; a non-nil config adds TLS.
@@ -119,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l.client = rpc.NewClient(conn)
+	l.client, l.conn = rpc.NewClient(conn), conn
 	return l.client, nil
 }
 
@@ -128,7 +132,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil && (client == nil || l.client == client) {
-		_ = l.client.Close()
+		_ = l.conn.Close()
 		l.client = nil
 	}
 }
