--- /dev/null
+++ b/internal/caller/batch.go
@@ -0,0 +1,203 @@
+package caller
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/pool"
+)
+
+// batch is one request of a caller: all messages up to Query or Sync, with
+// statement names rewritten so that they mean the same on every connection.
+type batch struct {
+	messages   []byte
+	statements []pool.Statement
+	parsed     map[string]bool
+	classes    []statementClass
+	executions int
+	simple     bool
+	// steps lists what an answer of the proxy's own has to hold.
+	steps []step
+	// err refuses the batch as a whole; nothing of it runs.
+	err error
+	// fatal ends the connection after err was answered.
+	fatal bool
+}
+
+// step is one message of an extended request that needs an answer.
+type step struct {
+	kind byte
+	sql  string
+}
+
+// closedStatement is a name that no statement has; closing it is answered like
+// any other Close and leaves the pooled connection's statements alone.
+const closedStatement = "chicoryline_none"
+
+func (b *batch) refuse(err error) {
+	if b.err == nil {
+		b.err = err
+	}
+}
+
+// addQuery takes a simple query, which may hold several statements.
+func (b *batch) addQuery(m *pgproto3.Query) {
+	b.simple = true
+	for _, sql := range splitStatements(m.String) {
+		b.addExecution(sql)
+	}
+	b.encode(m)
+}
+
+func (b *batch) addExecution(sql string) {
+	class := classify(sql)
+	if class.refused != "" {
+		b.refuse(errkind.New(errkind.Unsupported, "%s", class.refused))
+	}
+	b.classes = append(b.classes, class)
+	b.executions++
+	b.steps = append(b.steps, step{kind: 'E', sql: sql})
+}
+
+func (b *batch) encode(m pgproto3.FrontendMessage) {
+	out, err := m.Encode(b.messages)
+	if err != nil {
+		b.refuse(errkind.New(errkind.ProtocolViolation, "%v", err))
+		return
+	}
+	b.messages = out
+}
+
+// addExtended takes one message of the extended protocol. The map holds the
+// connection's prepared statements by the caller's names.
+func (b *batch) addExtended(message pgproto3.FrontendMessage, prepared map[string]pool.Statement) {
+	switch m := message.(type) {
+	case *pgproto3.Parse:
+		b.addParse(m, prepared)
+	case *pgproto3.Bind:
+		m.PreparedStatement = b.refer(m.PreparedStatement, prepared)
+		b.steps = append(b.steps, step{kind: 'B'})
+		b.encode(m)
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			name := m.Name
+			m.Name = b.refer(name, prepared)
+			b.steps = append(b.steps, step{kind: 'S', sql: prepared[name].Query})
+		} else {
+			b.steps = append(b.steps, step{kind: 'P', sql: b.lastQuery(prepared)})
+		}
+		b.encode(m)
+	case *pgproto3.Execute:
+		b.addExecute(m, prepared)
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(prepared, m.Name)
+			m.Name = closedStatement
+		}
+		b.steps = append(b.steps, step{kind: 'C'})
+		b.encode(m)
+	case *pgproto3.Flush:
+		b.refuse(errkind.New(errkind.Unsupported, "Flush without Sync"))
+	}
+}
+
+func (b *batch) addParse(m *pgproto3.Parse, prepared map[string]pool.Statement) {
+	s := pool.Statement{Query: m.Query, Types: append([]uint32(nil), m.ParameterOIDs...)}
+	s.Name = statementName(s)
+	prepared[m.Name] = s
+	m.Name = s.Name
+	if b.parsed == nil {
+		b.parsed = map[string]bool{}
+	}
+	b.parsed[s.Name] = true
+	if class := classify(s.Query); class.refused != "" {
+		b.refuse(errkind.New(errkind.Unsupported, "%s", class.refused))
+	}
+	if b.executions == 0 && len(b.classes) == 0 {
+		b.classes = append(b.classes, classify(s.Query))
+	}
+	b.steps = append(b.steps, step{kind: '1'})
+	b.encode(m)
+}
+
+// addExecute counts one statement. The portal's statement is the one that the
+// batch referred to last; a portal kept from an earlier batch lives in an open
+// transaction and inherits its class.
+func (b *batch) addExecute(m *pgproto3.Execute, prepared map[string]pool.Statement) {
+	if b.executions == 0 {
+		b.classes = nil
+	}
+	b.addExecution(b.lastQuery(prepared))
+	b.encode(m)
+}
+
+func (b *batch) lastQuery(prepared map[string]pool.Statement) string {
+	if len(b.statements) == 0 {
+		return ""
+	}
+	return b.statements[len(b.statements)-1].Query
+}
+
+// refer turns a caller's statement name into the common one.
+func (b *batch) refer(name string, prepared map[string]pool.Statement) string {
+	s, ok := prepared[name]
+	if !ok {
+		return name
+	}
+	b.statements = append(b.statements, s)
+	return s.Name
+}
+
+// statementName derives the common name from the text and the types.
+func statementName(s pool.Statement) string {
+	h := sha256.New()
+	for _, oid := range s.Types {
+		_ = binary.Write(h, binary.BigEndian, oid)
+	}
+	h.Write([]byte{0})
+	h.Write([]byte(s.Query))
+	return "c" + hex.EncodeToString(h.Sum(nil)[:12])
+}
+
+// missing returns the statements that the batch refers to but does not parse.
+func (b *batch) missing() []pool.Statement {
+	var list []pool.Statement
+	for _, s := range b.statements {
+		if !b.parsed[s.Name] {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
+// all reports whether every statement of the batch has the property.
+func (b *batch) all(has func(statementClass) bool) bool {
+	for _, class := range b.classes {
+		if !has(class) {
+			return false
+		}
+	}
+	return true
+}
+
+// any reports whether some statement of the batch has the property.
+func (b *batch) any(has func(statementClass) bool) bool {
+	for _, class := range b.classes {
+		if has(class) {
+			return true
+		}
+	}
+	return false
+}
+
+func isRead(c statementClass) bool          { return c.read }
+func isBegin(c statementClass) bool         { return c.begin }
+func isReadOnlyBegin(c statementClass) bool { return c.readOnlyBegin }
+func isEnd(c statementClass) bool           { return c.end }
+func mayCommit(c statementClass) bool       { return c.end && !c.rollback }
+func isLocal(c statementClass) bool         { return c.local != notLocal }
+func leavesState(c statementClass) bool     { return c.leavesState }
--- /dev/null
+++ b/internal/caller/classify.go
@@ -0,0 +1,271 @@
+package caller
+
+import (
+	"strings"
+)
+
+// statementClass is what the proxy has to know of a statement before it runs.
+type statementClass struct {
+	// read marks a statement that a replica can run.
+	read bool
+	// begin, readOnlyBegin and end mark transaction control.
+	begin         bool
+	readOnlyBegin bool
+	end           bool
+	// rollback marks an end that cannot commit.
+	rollback bool
+	// local names a statement that the proxy answers itself.
+	local localStatement
+	// refused holds the reason why the proxy does not take the statement.
+	refused string
+	// leavesState marks a statement after which the connection is reset.
+	leavesState bool
+}
+
+// localStatement names what the proxy answers itself.
+type localStatement uint8
+
+const (
+	notLocal localStatement = iota
+	localSetSession
+	localSetIgnored
+	localShowSession
+	localDiscard
+)
+
+// ignoredSettings are session settings that drivers send and that have no
+// effect on a pooled connection's answers.
+var ignoredSettings = map[string]bool{
+	"application_name": true, "client_encoding": true, "extra_float_digits": true,
+	"datestyle": true, "intervalstyle": true, "client_min_messages": true, "timezone": true,
+}
+
+// classify looks at the leading keywords of one statement.
+func classify(sql string) statementClass {
+	words := leadingWords(sql, 4)
+	if len(words) == 0 {
+		return statementClass{read: true}
+	}
+	switch words[0] {
+	case "SELECT", "VALUES", "TABLE":
+		return classifySelect(sql)
+	case "SHOW":
+		if len(words) > 1 && words[1] == "CHICORYLINE" {
+			return statementClass{local: localShowSession}
+		}
+		return statementClass{read: true}
+	case "BEGIN", "START":
+		return statementClass{begin: true, readOnlyBegin: hasReadOnly(sql), read: hasReadOnly(sql)}
+	case "COMMIT", "END":
+		return statementClass{end: true}
+	case "ROLLBACK", "ABORT":
+		if len(words) > 1 && (words[1] == "TO") {
+			return statementClass{}
+		}
+		return statementClass{end: true, rollback: true}
+	case "SET", "RESET":
+		return classifySet(sql, words)
+	case "DISCARD":
+		return statementClass{local: localDiscard}
+	case "COPY", "LISTEN", "UNLISTEN", "NOTIFY", "PREPARE", "EXECUTE", "DEALLOCATE", "DECLARE", "LOAD":
+		return statementClass{refused: words[0] + " needs a connection of its own"}
+	case "CREATE":
+		if len(words) > 1 && (words[1] == "TEMP" || words[1] == "TEMPORARY") {
+			return statementClass{refused: "temporary tables need a connection of their own"}
+		}
+	case "WITH":
+		return statementClass{read: !changesData(sql)}
+	case "INSERT", "UPDATE", "DELETE", "SAVEPOINT", "RELEASE", "ALTER", "DROP", "TRUNCATE", "MERGE":
+	default:
+		return statementClass{leavesState: true}
+	}
+	return statementClass{}
+}
+
+func classifySelect(sql string) statementClass {
+	upper := strings.ToUpper(sql)
+	locks := strings.Contains(upper, "FOR UPDATE") || strings.Contains(upper, "FOR SHARE") ||
+		strings.Contains(upper, "FOR NO KEY") || strings.Contains(upper, "FOR KEY")
+	if locks || strings.Contains(upper, " INTO ") {
+		return statementClass{}
+	}
+	if strings.Contains(upper, "ADVISORY_LOCK") || strings.Contains(upper, "SET_CONFIG") {
+		return statementClass{refused: "session-level locks and settings need a connection of their own"}
+	}
+	if strings.Contains(upper, "INSTANCE_") {
+		return statementClass{refused: "instance control is not open to callers"}
+	}
+	return statementClass{read: true}
+}
+
+// changesData reports whether a WITH statement names a word of data change. A
+// wrong yes sends a read to the primary; a wrong no is refused by the replica.
+func changesData(sql string) bool {
+	upper := strings.ToUpper(sql)
+	for _, word := range []string{"INSERT", "UPDATE", "DELETE", "MERGE"} {
+		if strings.Contains(upper, word) {
+			return true
+		}
+	}
+	return false
+}
+
+func classifySet(sql string, words []string) statementClass {
+	if len(words) < 2 {
+		return statementClass{}
+	}
+	switch {
+	case words[1] == "CHICORYLINE":
+		return statementClass{local: localSetSession}
+	case words[1] == "LOCAL", words[1] == "TRANSACTION":
+		return statementClass{}
+	}
+	name := strings.ToLower(words[1])
+	if name == "session" && len(words) > 2 {
+		name = strings.ToLower(words[2])
+	}
+	if ignoredSettings[name] || words[0] == "RESET" {
+		return statementClass{local: localSetIgnored}
+	}
+	return statementClass{refused: "SET of " + name + " outside SET LOCAL"}
+}
+
+func hasReadOnly(sql string) bool {
+	return strings.Contains(strings.Join(leadingWords(sql, 12), " "), "READ ONLY")
+}
+
+// leadingWords returns up to n words in upper case; comments are skipped.
+func leadingWords(sql string, n int) []string {
+	var words []string
+	for len(words) < n {
+		sql = skipBlank(sql)
+		end := 0
+		for end < len(sql) && isWordByte(sql[end]) {
+			end++
+		}
+		if end == 0 {
+			if sql == "" || len(words) == 0 && sql[0] != '(' {
+				return words
+			}
+			sql = sql[1:]
+			continue
+		}
+		words = append(words, strings.ToUpper(sql[:end]))
+		sql = sql[end:]
+	}
+	return words
+}
+
+func isWordByte(c byte) bool {
+	return c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
+}
+
+// skipBlank drops white space and comments at the start.
+func skipBlank(sql string) string {
+	for {
+		trimmed := strings.TrimLeft(sql, " \t\r\n\f")
+		switch {
+		case strings.HasPrefix(trimmed, "--"):
+			_, rest, found := strings.Cut(trimmed, "\n")
+			if !found {
+				return ""
+			}
+			sql = rest
+		case strings.HasPrefix(trimmed, "/*"):
+			sql = skipComment(trimmed)
+		default:
+			return trimmed
+		}
+	}
+}
+
+// skipComment drops one block comment, which may nest.
+func skipComment(sql string) string {
+	depth := 0
+	for i := 0; i+1 < len(sql); i++ {
+		switch sql[i : i+2] {
+		case "/*":
+			depth++
+			i++
+		case "*/":
+			depth--
+			i++
+		}
+		if depth == 0 {
+			return sql[i+1:]
+		}
+	}
+	return ""
+}
+
+// splitStatements cuts a simple query at semicolons that stand outside of
+// quotes, dollar quotes and comments. Empty statements are dropped.
+func splitStatements(sql string) []string {
+	var list []string
+	start := 0
+	for i := 0; i < len(sql); {
+		if sql[i] == ';' {
+			list = appendStatement(list, sql[start:i])
+			i++
+			start = i
+			continue
+		}
+		i = skipToken(sql, i)
+	}
+	return appendStatement(list, sql[start:])
+}
+
+func appendStatement(list []string, sql string) []string {
+	if skipBlank(sql) == "" {
+		return list
+	}
+	return append(list, sql)
+}
+
+// skipToken returns the index after the quoted text, comment or byte at i.
+func skipToken(sql string, i int) int {
+	rest := sql[i:]
+	switch {
+	case rest[0] == '\'' || rest[0] == '"':
+		return i + quotedLen(rest, i > 0 && (sql[i-1] == 'e' || sql[i-1] == 'E'))
+	case strings.HasPrefix(rest, "--"):
+		if n := strings.IndexByte(rest, '\n'); n >= 0 {
+			return i + n
+		}
+		return len(sql)
+	case strings.HasPrefix(rest, "/*"):
+		return len(sql) - len(skipComment(rest))
+	case rest[0] == '$':
+		return i + dollarLen(rest)
+	}
+	return i + 1
+}
+
+func quotedLen(s string, escapes bool) int {
+	quote := s[0]
+	for i := 1; i < len(s); i++ {
+		switch {
+		case escapes && s[i] == '\\':
+			i++
+		case s[i] == quote:
+			return i + 1
+		}
+	}
+	return len(s)
+}
+
+// dollarLen returns the length of a dollar-quoted text, or 1.
+func dollarLen(s string) int {
+	end := 1
+	for end < len(s) && isWordByte(s[end]) {
+		end++
+	}
+	if end >= len(s) || s[end] != '$' {
+		return 1
+	}
+	tag := s[:end+1]
+	if n := strings.Index(s[end+1:], tag); n >= 0 {
+		return end + 1 + n + len(tag)
+	}
+	return len(s)
+}
--- /dev/null
+++ b/internal/caller/server.go
@@ -0,0 +1,237 @@
+// Package caller is the front towards callers: it speaks the PostgreSQL
+// protocol, checks the key and the route, keeps the session's positions,
+// admits by rate, and hands whole requests to the router.
+//
+// A connection's way reads as the files: server, startup, reader, batch,
+// execute, answer.
+package caller
+
+import (
+	"context"
+	"crypto/tls"
+	"hash/fnv"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/pool"
+	"chicoryline/internal/position"
+	"chicoryline/internal/router"
+)
+
+const (
+	// DefaultMaxMessageBytes bounds one message of a caller, in bytes.
+	DefaultMaxMessageBytes = 1 << 20
+	// revokeInterval is the pause between two checks of the keys of open connections.
+	revokeInterval = time.Second
+	// startupTimeout bounds startup and login.
+	startupTimeout = 10 * time.Second
+)
+
+// Access is the present configuration as a caller's connection needs it.
+type Access interface {
+	// Authorize returns the customer and the route if the key allows it. An
+	// open route returns the zero Customer.
+	Authorize(customer, key, route string) (catalog.Customer, catalog.Route, error)
+	// Sealer returns the sealer of session tokens.
+	Sealer() *position.Sealer
+}
+
+// Limiter admits statements by rate and burst over all VMs.
+type Limiter interface {
+	AdmitWait(ctx context.Context, resource string, n float64) error
+}
+
+// Router runs requests; router.Router is one.
+type Router interface {
+	Execute(ctx context.Context, r *router.Request) (*router.Result, error)
+	Continue(ctx context.Context, pin router.Pin, r *router.Request) (*router.Result, error)
+	Fetch(ctx context.Context, pin router.Pin, args pool.FetchArgs) (*pool.ExecuteReply, error)
+	Abort(pin router.Pin, session pool.SessionID)
+	Cancel(ctx context.Context, pin router.Pin, session pool.SessionID) error
+}
+
+// Observer takes what callers see, for the time line and the metrics.
+type Observer interface {
+	// Request reports one finished request; err is nil when it succeeded.
+	Request(customer, group string, read, replica bool, took time.Duration, err error)
+	// CallerEvent reports an event of a connection.
+	CallerEvent(kind, customer, route, detail string)
+}
+
+// CancelForwarder passes a cancel request on to the VM with the tag.
+type CancelForwarder interface {
+	ForwardCancel(tag uint16, number uint16, secret uint32)
+}
+
+// Config describes the front of one VM.
+type Config struct {
+	VM              string
+	Incarnation     int64
+	Access          func() Access
+	Limiter         Limiter
+	Router          Router
+	Observer        Observer
+	Cancels         CancelForwarder
+	TLS             *tls.Config
+	MaxMessageBytes int
+	QueueTimeout    time.Duration
+	Log             *logrus.Entry
+}
+
+// Server accepts callers. The mutex guards conns and stopping.
+type Server struct {
+	cfg      Config
+	listener net.Listener
+	next     atomic.Uint64
+	done     chan struct{}
+
+	mu       sync.Mutex
+	conns    map[uint16]*conn
+	stopping bool
+}
+
+// NewServer returns a server on the listener.
+func NewServer(listener net.Listener, cfg Config) *Server {
+	if cfg.MaxMessageBytes == 0 {
+		cfg.MaxMessageBytes = DefaultMaxMessageBytes
+	}
+	return &Server{cfg: cfg, listener: listener, done: make(chan struct{}), conns: map[uint16]*conn{}}
+}
+
+// Serve accepts callers until Drain or Close.
+func (s *Server) Serve() {
+	go s.revokeLoop()
+	for {
+		socket, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		go s.serveConn(socket)
+	}
+}
+
+func (s *Server) serveConn(socket net.Conn) {
+	c := newConn(s, socket)
+	defer c.close()
+	if !c.startup() {
+		return
+	}
+	if !s.add(c) {
+		c.refuseStopping()
+		return
+	}
+	defer s.remove(c)
+	c.greet()
+	c.run()
+}
+
+// add gives the connection a free number; the numbers are 16 bits because they
+// travel in the cancel key.
+func (s *Server) add(c *conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopping || len(s.conns) >= maxConns {
+		return false
+	}
+	for {
+		number := uint16(s.next.Add(1))
+		if _, taken := s.conns[number]; !taken {
+			c.number = number
+			s.conns[number] = c
+			return true
+		}
+	}
+}
+
+// maxConns is the number of caller connections that one process takes.
+const maxConns = 60000
+
+func (s *Server) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c.number)
+}
+
+// Count returns the number of callers logged in.
+func (s *Server) Count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns)
+}
+
+// revokeLoop ends idle connections whose key or route is no longer allowed.
+// Busy ones are checked at their next statement.
+func (s *Server) revokeLoop() {
+	ticker := time.NewTicker(revokeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.done:
+			return
+		case <-ticker.C:
+			s.revoke()
+		}
+	}
+}
+
+func (s *Server) revoke() {
+	access := s.cfg.Access()
+	for _, c := range s.list() {
+		if _, _, err := access.Authorize(c.customer, c.key, c.route); isRevoked(err) {
+			c.signal(c.revoked, err)
+		}
+	}
+}
+
+func (s *Server) list() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*conn, 0, len(s.conns))
+	for _, c := range s.conns {
+		list = append(list, c)
+	}
+	return list
+}
+
+// Drain stops accepting and asks every connection to end after its transaction.
+func (s *Server) Drain() {
+	s.mu.Lock()
+	s.stopping = true
+	s.mu.Unlock()
+	_ = s.listener.Close()
+	for _, c := range s.list() {
+		c.signal(c.stopped, nil)
+	}
+}
+
+// Close ends all connections at once.
+func (s *Server) Close() {
+	s.Drain()
+	close(s.done)
+	for _, c := range s.list() {
+		_ = c.net.Close()
+	}
+}
+
+// Cancel carries out a cancel request that names a connection of this VM.
+func (s *Server) Cancel(number uint16, secret uint32) {
+	s.mu.Lock()
+	c := s.conns[number]
+	s.mu.Unlock()
+	if c != nil && c.secret == secret {
+		c.cancelRunning()
+	}
+}
+
+// VMTag shortens a VM's id to the 16 bits that a cancel key has room for.
+func VMTag(vm string) uint16 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(vm))
+	sum := h.Sum32()
+	return uint16(sum>>16) ^ uint16(sum)
+}
--- /dev/null
+++ b/internal/pool/conn.go
@@ -0,0 +1,240 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+const (
+	// connectTimeout bounds the opening of a backend connection.
+	connectTimeout = 2 * time.Second
+	// maxPrepared is the number of prepared statements kept on a connection.
+	maxPrepared = 256
+	// readBufferBytes is the size of a connection's read buffer.
+	readBufferBytes = 16 << 10
+
+	statusIdle        = 'I'
+	positionParameter = "log_position"
+)
+
+// Credentials are the proxy's own towards backend servers. No caller's key is
+// ever sent there.
+type Credentials struct {
+	User     string
+	Password string
+	Database string
+	// Application names this process as "chicoryline/VM/DOMAIN".
+	Application string
+}
+
+// conn is one connection to a backend server. The transaction that holds it
+// owns it; there is no lock.
+type conn struct {
+	net      net.Conn
+	reader   *bufio.Reader
+	buf      []byte
+	prepared map[string]bool
+	key      cancelKey
+	status   byte
+	position position.Position
+	broken   bool
+	lastUse  time.Time
+}
+
+type cancelKey struct {
+	pid    uint32
+	secret []byte
+}
+
+// openConn connects and logs in.
+func openConn(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error), address string, cred Credentials) (*conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	socket, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return nil, errkind.New(errkind.Unreachable, "%s: %v", address, err)
+	}
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = socket.SetDeadline(deadline)
+	}
+	c := &conn{net: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), prepared: map[string]bool{}}
+	if err := c.login(cred); err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	_ = socket.SetDeadline(time.Time{})
+	return c, nil
+}
+
+func (c *conn) login(cred Credentials) error {
+	front := pgproto3.NewFrontend(c.reader, c.net)
+	front.Send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters: map[string]string{
+			"user": cred.User, "database": cred.Database, "application_name": cred.Application,
+		},
+	})
+	if err := front.Flush(); err != nil {
+		return errkind.New(errkind.Unreachable, "startup: %v", err)
+	}
+	for {
+		message, err := front.Receive()
+		if err != nil {
+			return errkind.New(errkind.Unreachable, "startup: %v", err)
+		}
+		done, err := c.loginStep(front, message, cred)
+		if done || err != nil {
+			return err
+		}
+	}
+}
+
+func (c *conn) loginStep(front *pgproto3.Frontend, message pgproto3.BackendMessage, cred Credentials) (bool, error) {
+	switch m := message.(type) {
+	case *pgproto3.AuthenticationCleartextPassword:
+		front.Send(&pgproto3.PasswordMessage{Password: cred.Password})
+		if err := front.Flush(); err != nil {
+			return false, errkind.New(errkind.Unreachable, "password: %v", err)
+		}
+	case *pgproto3.BackendKeyData:
+		c.key = cancelKey{pid: m.ProcessID, secret: append([]byte(nil), m.SecretKey...)}
+	case *pgproto3.ErrorResponse:
+		return false, errkind.New(errkind.Unreachable, "startup refused: %s", m.Code)
+	case *pgproto3.ReadyForQuery:
+		c.status = m.TxStatus
+		return true, nil
+	}
+	return false, nil
+}
+
+func (c *conn) close() {
+	c.broken = true
+	_ = c.net.Close()
+}
+
+// reusable reports whether the next transaction may have the connection.
+func (c *conn) reusable() bool { return !c.broken && c.status == statusIdle }
+
+// read returns the next message that concerns the caller. It keeps the commit
+// position and drops other parameter reports.
+func (c *conn) read() (frame, error) {
+	for {
+		f, err := readFrame(c.reader, c.buf)
+		if err != nil {
+			return nil, err
+		}
+		c.buf = f
+		switch f.kind() {
+		case 'S':
+			c.noteParameter(f.body())
+		case 'A':
+		default:
+			return f, nil
+		}
+	}
+}
+
+func (c *conn) noteParameter(body []byte) {
+	name := cString(body)
+	if name != positionParameter {
+		return
+	}
+	if p, err := position.Parse(cString(body[len(name)+1:])); err == nil {
+		c.position = p
+	}
+}
+
+// query runs one simple query of the proxy's own and returns its first row.
+func (c *conn) query(sql string, timeout time.Duration) ([]string, error) {
+	_ = c.net.SetDeadline(time.Now().Add(timeout))
+	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
+	data, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := c.net.Write(data); err != nil {
+		c.broken = true
+		return nil, errkind.New(errkind.Unreachable, "%v", err)
+	}
+	var row []string
+	var failure error
+	for {
+		f, err := c.read()
+		if err != nil {
+			c.broken = true
+			return nil, errkind.New(errkind.Unreachable, "%v", err)
+		}
+		switch f.kind() {
+		case 'D':
+			row, err = dataRow(f.body())
+			if err != nil {
+				failure = err
+			}
+		case 'E':
+			failure = errkind.New(errkind.StatementFailed, "SQLSTATE %s", errorCode(f.body()))
+		case 'Z':
+			c.status = f.body()[0]
+			return row, failure
+		}
+	}
+}
+
+func dataRow(body []byte) ([]string, error) {
+	var m pgproto3.DataRow
+	if err := m.Decode(body); err != nil {
+		return nil, err
+	}
+	row := make([]string, len(m.Values))
+	for i, v := range m.Values {
+		row[i] = string(v)
+	}
+	return row, nil
+}
+
+// errorCode returns the SQLSTATE of an ErrorResponse body.
+func errorCode(body []byte) string {
+	for len(body) > 1 {
+		value := cString(body[1:])
+		if body[0] == 'C' {
+			return value
+		}
+		body = body[len(value)+2:]
+	}
+	return ""
+}
+
+// reset clears what a transaction left on the connection.
+func (c *conn) reset() {
+	if _, err := c.query("DISCARD ALL", connectTimeout); err != nil {
+		c.broken = true
+	}
+	c.prepared = map[string]bool{}
+}
+
+// sendCancel asks the server to end the statement that runs on the connection.
+func (k cancelKey) sendCancel(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error), address string) error {
+	socket, err := dial(ctx, "tcp", address)
+	if err != nil {
+		return errkind.New(errkind.Unreachable, "%s: %v", address, err)
+	}
+	defer func() { _ = socket.Close() }()
+	_ = socket.SetDeadline(time.Now().Add(connectTimeout))
+	data, err := (&pgproto3.CancelRequest{ProcessID: k.pid, SecretKey: k.secret}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	_, err = socket.Write(data)
+	return err
+}
+
+// isReadOnlyRefusal reports whether the SQLSTATE says that the server refused a
+// write before it ran anything of it.
+func isReadOnlyRefusal(code string) bool { return strings.EqualFold(code, "25006") }
--- /dev/null
+++ b/internal/pool/exchange.go
@@ -0,0 +1,158 @@
+package pool
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"chicoryline/internal/errkind"
+)
+
+// chunkBytes is the size at which a part of an answer is sent on, in bytes.
+const chunkBytes = 128 << 10
+
+// ack is one ParseComplete or CloseComplete that the server still owes.
+type ack struct {
+	statement string // name that becomes prepared; empty for a Close
+	injected  bool   // the caller did not send it and must not see it
+	replaced  bool   // the caller's Parse went out as a Close
+}
+
+// exchange is one request on a connection, from the first byte sent to
+// ReadyForQuery. The connection is unusable for others until done is true.
+type exchange struct {
+	conn *conn
+	acks []ack
+	// sent tells that a byte may have reached the server.
+	sent bool
+	// done tells that ReadyForQuery was read.
+	done bool
+	// readOnlyRefused tells that the only answer was SQLSTATE 25006.
+	readOnlyRefused bool
+	rows            int
+	errorCode       string
+	deadline        time.Time
+}
+
+// start rewrites the request for this connection and sends it.
+func (e *exchange) start(args *ExecuteArgs) error {
+	out, err := e.rewrite(args)
+	if err != nil {
+		return err
+	}
+	_ = e.conn.net.SetWriteDeadline(e.deadline)
+	e.sent = true
+	if _, err := e.conn.net.Write(out); err != nil {
+		e.conn.close()
+		return errkind.New(errkind.OutcomeUnknown, "send: %v", err)
+	}
+	return nil
+}
+
+// rewrite puts missing prepared statements in front and turns the Parse of a
+// statement that the connection already has into the Close of a name that does
+// not exist, whose answer takes the place of ParseComplete.
+func (e *exchange) rewrite(args *ExecuteArgs) ([]byte, error) {
+	frames, err := splitFrames(args.Messages)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]byte, 0, len(args.Messages)+64)
+	pending := map[string]bool{}
+	for _, s := range args.Statements {
+		if e.conn.prepared[s.Name] || pending[s.Name] {
+			continue
+		}
+		out, err = (&pgproto3.Parse{Name: s.Name, Query: s.Query, ParameterOIDs: s.Types}).Encode(out)
+		if err != nil {
+			return nil, errkind.New(errkind.ProtocolViolation, "%v", err)
+		}
+		e.acks = append(e.acks, ack{statement: s.Name, injected: true})
+		pending[s.Name] = true
+	}
+	for _, f := range frames {
+		out, err = e.rewriteFrame(out, f, pending)
+		if err != nil {
+			return nil, err
+		}
+	}
+	return out, nil
+}
+
+func (e *exchange) rewriteFrame(out []byte, f frame, pending map[string]bool) ([]byte, error) {
+	switch f.kind() {
+	case 'C':
+		e.acks = append(e.acks, ack{})
+	case 'P':
+		name := cString(f.body())
+		if name != "" && (e.conn.prepared[name] || pending[name]) {
+			e.acks = append(e.acks, ack{replaced: true})
+			return (&pgproto3.Close{ObjectType: 'S', Name: closedName}).Encode(out)
+		}
+		e.acks = append(e.acks, ack{statement: name})
+		pending[name] = name != ""
+	}
+	return append(out, f...), nil
+}
+
+// closedName is a statement name that no caller's statement ever gets.
+const closedName = "chicoryline_none"
+
+// receive appends messages to answer until ReadyForQuery or a full chunk.
+func (e *exchange) receive(answer []byte) ([]byte, error) {
+	_ = e.conn.net.SetReadDeadline(e.deadline)
+	for len(answer) < chunkBytes {
+		f, err := e.conn.read()
+		if err != nil {
+			e.conn.close()
+			return answer, errkind.New(errkind.OutcomeUnknown, "receive: %v", err)
+		}
+		switch f.kind() {
+		case 'Z':
+			e.finish(f)
+			return answer, nil
+		case 'G', 'H', 'W':
+			e.conn.close()
+			return answer, errkind.New(errkind.Unsupported, "COPY")
+		case '1', '3':
+			answer = e.acknowledge(answer, f)
+			continue
+		case 'E':
+			e.noteError(f)
+		case 'D':
+			e.rows++
+		}
+		answer = append(answer, f...)
+	}
+	return answer, nil
+}
+
+func (e *exchange) finish(ready frame) {
+	e.done = true
+	e.conn.status = ready.body()[0]
+	_ = e.conn.net.SetDeadline(time.Time{})
+}
+
+func (e *exchange) noteError(f frame) {
+	e.errorCode = errorCode(f.body())
+	e.readOnlyRefused = e.rows == 0 && isReadOnlyRefusal(e.errorCode)
+}
+
+// acknowledge matches a ParseComplete or CloseComplete to what was sent.
+func (e *exchange) acknowledge(answer []byte, f frame) []byte {
+	if len(e.acks) == 0 {
+		return append(answer, f...)
+	}
+	a := e.acks[0]
+	e.acks = e.acks[1:]
+	if a.statement != "" {
+		e.conn.prepared[a.statement] = true
+	}
+	switch {
+	case a.injected:
+		return answer
+	case a.replaced:
+		return append(answer, '1', 0, 0, 0, 4)
+	}
+	return append(answer, f...)
+}
--- /dev/null
+++ b/internal/pool/manager.go
@@ -0,0 +1,305 @@
+package pool
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+const (
+	// statementTimeout bounds one statement, from sending to the end of its answer.
+	statementTimeout = 60 * time.Second
+	// confirmTimeout bounds the wait of a commit for a majority.
+	confirmTimeout = 5 * time.Second
+	// fetchTimeout is how long a part of an answer waits to be fetched.
+	fetchTimeout = 15 * time.Second
+	// idleTransactionTimeout ends a transaction without requests.
+	idleTransactionTimeout = 2 * time.Minute
+	// sweepInterval is the pause between two looks for abandoned sessions.
+	sweepInterval = time.Second
+	// defaultQueueTimeout is the admission deadline of a request without one.
+	defaultQueueTimeout = 2 * time.Second
+)
+
+// Observer takes what the pool does for the time line and the metrics.
+type Observer interface {
+	// PoolEvent reports an event of a request.
+	PoolEvent(kind string, session SessionID, group, instance string, detail string)
+}
+
+// Manager serves the requests of entries at the instances that this VM owns.
+// The mutex guards owners and sessions.
+type Manager struct {
+	log      *logrus.Entry
+	observer Observer
+	stop     chan struct{}
+
+	mu       sync.Mutex
+	owners   map[string]*Owner
+	sessions map[SessionID]*session
+	draining bool
+}
+
+// session is a caller's open transaction or unfinished answer at this VM. Its
+// mutex is held while one of its requests runs; cancel reads target under
+// keyMu only.
+type session struct {
+	id SessionID
+
+	mu       sync.Mutex
+	owner    *Owner
+	conn     *conn
+	exchange *exchange
+	args     *ExecuteArgs
+	index    <-chan indexResult
+	part     int
+	release  func() // place in the connection queue
+	slot     func() // execution slot
+	lastUse  time.Time
+	ended    bool
+
+	keyMu  sync.Mutex
+	target *cancelTarget
+}
+
+type cancelTarget struct {
+	key   cancelKey
+	owner *Owner
+}
+
+type indexResult struct {
+	position position.Position
+	err      error
+}
+
+// NewManager returns a manager without owners.
+func NewManager(log *logrus.Entry, observer Observer) *Manager {
+	m := &Manager{
+		log: log, observer: observer, stop: make(chan struct{}),
+		owners: map[string]*Owner{}, sessions: map[SessionID]*session{},
+	}
+	go m.sweep()
+	return m
+}
+
+// SetOwner makes this VM an owner of the instance; nil ends the ownership.
+func (m *Manager) SetOwner(instance string, owner *Owner) {
+	m.mu.Lock()
+	old := m.owners[instance]
+	if owner == nil {
+		delete(m.owners, instance)
+	} else {
+		m.owners[instance] = owner
+	}
+	m.mu.Unlock()
+	if old != nil && old != owner {
+		old.Close()
+	}
+}
+
+// Owner returns this VM's owner of the instance.
+func (m *Manager) Owner(instance string) (*Owner, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	o, ok := m.owners[instance]
+	return o, ok
+}
+
+// Drain refuses new transactions from now on; open ones go on.
+func (m *Manager) Drain() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.draining = true
+}
+
+// Busy returns the number of open transactions and unfinished answers.
+func (m *Manager) Busy() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.sessions)
+}
+
+// DropVM ends the sessions of the VM that are older than the incarnation:
+// their entry process is gone. Open transactions roll back.
+func (m *Manager) DropVM(vm string, incarnation int64) {
+	for _, s := range m.list(func(id SessionID) bool { return id.VM == vm && id.Incarnation < incarnation }) {
+		m.abort(s, "entry is gone")
+	}
+}
+
+// Close ends everything.
+func (m *Manager) Close() {
+	close(m.stop)
+	for _, s := range m.list(func(SessionID) bool { return true }) {
+		m.abort(s, "process stops")
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, o := range m.owners {
+		o.Close()
+	}
+}
+
+func (m *Manager) list(match func(SessionID) bool) []*session {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []*session
+	for id, s := range m.sessions {
+		if match(id) {
+			found = append(found, s)
+		}
+	}
+	return found
+}
+
+func (m *Manager) sweep() {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-m.stop:
+			return
+		case now := <-ticker.C:
+			m.sweepOnce(now)
+		}
+	}
+}
+
+func (m *Manager) sweepOnce(now time.Time) {
+	for _, s := range m.list(func(SessionID) bool { return true }) {
+		if !s.mu.TryLock() {
+			continue
+		}
+		limit := idleTransactionTimeout
+		if s.exchange != nil {
+			limit = fetchTimeout
+		}
+		stale := now.Sub(s.lastUse) > limit
+		s.mu.Unlock()
+		if stale {
+			m.abort(s, "no request in time")
+		}
+	}
+	m.mu.Lock()
+	owners := make([]*Owner, 0, len(m.owners))
+	for _, o := range m.owners {
+		owners = append(owners, o)
+	}
+	m.mu.Unlock()
+	for _, o := range owners {
+		o.CloseIdle(now)
+	}
+}
+
+// abort closes the session's connection, which rolls its transaction back.
+func (m *Manager) abort(s *session, why string) {
+	s.keyMu.Lock()
+	target := s.target
+	s.keyMu.Unlock()
+	if target != nil {
+		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+		_ = target.key.sendCancel(ctx, target.owner.cfg.Dial, target.owner.cfg.Instance.Address)
+		cancel()
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended {
+		return
+	}
+	s.conn.close()
+	m.end(s)
+	m.observer.PoolEvent("session_aborted", s.id, s.owner.cfg.Group.Name, s.owner.cfg.Instance.ID, why)
+}
+
+// end gives back what the session holds. The caller holds s.mu.
+func (m *Manager) end(s *session) {
+	if s.ended {
+		return
+	}
+	s.ended = true
+	s.freeSlot()
+	s.setTarget(nil)
+	if s.conn != nil {
+		s.owner.put(s.conn)
+	}
+	if s.release != nil {
+		s.release()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.sessions[s.id] == s {
+		delete(m.sessions, s.id)
+	}
+}
+
+func (s *session) freeSlot() {
+	if s.slot != nil {
+		s.slot()
+		s.slot = nil
+	}
+}
+
+func (s *session) setTarget(t *cancelTarget) {
+	s.keyMu.Lock()
+	s.target = t
+	s.keyMu.Unlock()
+}
+
+// begin makes the session of a request that is not part of an open transaction.
+func (m *Manager) begin(ctx context.Context, args *ExecuteArgs) (*session, error) {
+	m.mu.Lock()
+	owner, ok := m.owners[args.Instance]
+	draining := m.draining
+	_, open := m.sessions[args.Session]
+	m.mu.Unlock()
+	switch {
+	case draining:
+		return nil, errkind.New(errkind.ShuttingDown, "pool owner")
+	case !ok:
+		return nil, errkind.New(errkind.NotEligible, "not an owner of %s", args.Instance)
+	case open:
+		return nil, errkind.New(errkind.ProtocolViolation, "session has an open transaction here")
+	}
+	if err := owner.admit(args); err != nil {
+		return nil, err
+	}
+	s := &session{id: args.Session, owner: owner, lastUse: time.Now()}
+	release, err := owner.conns.Acquire(ctx, args.Customer, args.Weight, queueDeadline(args))
+	if err != nil {
+		return nil, err
+	}
+	s.release = release
+	s.conn, err = owner.take(ctx)
+	if err != nil {
+		release()
+		return nil, err
+	}
+	m.mu.Lock()
+	m.sessions[s.id] = s
+	m.mu.Unlock()
+	return s, nil
+}
+
+func queueDeadline(args *ExecuteArgs) time.Time {
+	timeout := args.QueueTimeout
+	if timeout <= 0 {
+		timeout = defaultQueueTimeout
+	}
+	return time.Now().Add(timeout)
+}
+
+// find returns the session of an open transaction.
+func (m *Manager) find(id SessionID) (*session, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	s, ok := m.sessions[id]
+	if !ok {
+		return nil, errkind.New(errkind.TransactionLost, "no open transaction here")
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/pool/owner.go
@@ -0,0 +1,281 @@
+package pool
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/fairqueue"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/position"
+)
+
+// GroupWatcher is what an owner needs to know of the group of its instance.
+// internal/proxy adapts groupview.Watcher to it.
+type GroupWatcher interface {
+	// Primary returns the id and term of the proved primary.
+	Primary() (id string, term uint64, ok bool)
+	// ReadIndex returns the primary's position of a round that began after the
+	// call, or errkind.NoPrimary.
+	ReadIndex(ctx context.Context) (position.Position, error)
+	// Confirm returns when a majority confirms the position.
+	Confirm(ctx context.Context, p position.Position) error
+	// Log returns the last known position of the instance.
+	Log(instance string) position.Position
+	// Age returns an upper bound of the age of the instance's data.
+	Age(instance string) (time.Duration, bool)
+}
+
+const (
+	// reachTimeout bounds the wait until a replica has reached a position.
+	reachTimeout = 40 * time.Millisecond
+	// reachInterval is the pause between two looks at a replica's position.
+	reachInterval = 2 * time.Millisecond
+	// idleLifetime is the age at which an unused connection is closed.
+	idleLifetime = 5 * time.Minute
+)
+
+// OwnerConfig describes the pool of one instance.
+type OwnerConfig struct {
+	Instance    platform.Instance
+	Group       platform.Group
+	Watcher     GroupWatcher
+	Credentials Credentials
+	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
+	Log         *logrus.Entry
+}
+
+// Owner holds this VM's connections to one instance. Two fair queues stand in
+// front: one for connections, which a transaction holds to its end, and one
+// for execution slots, which a statement holds until its answer is read. The
+// mutex guards idle, open, limit and closed.
+type Owner struct {
+	cfg   OwnerConfig
+	conns *fairqueue.Gate
+	slots *fairqueue.Gate
+
+	mu     sync.Mutex
+	idle   []*conn
+	open   int
+	limit  int
+	closed bool
+}
+
+// NewOwner returns an owner with the budget of connections.
+func NewOwner(cfg OwnerConfig, budget int) *Owner {
+	return &Owner{
+		cfg:   cfg,
+		conns: fairqueue.NewGate(fairqueue.GateConfig{Slots: budget}),
+		slots: fairqueue.NewGate(fairqueue.GateConfig{Slots: cfg.Group.Slots}),
+		limit: budget,
+	}
+}
+
+// SetBudget changes the number of connections that the owner may hold. Idle
+// connections over it are closed at once, busy ones when their transaction ends.
+func (o *Owner) SetBudget(budget int) {
+	o.mu.Lock()
+	o.limit = budget
+	surplus := o.takeSurplus()
+	o.mu.Unlock()
+	o.conns.SetSlots(budget)
+	closeAll(surplus)
+}
+
+func (o *Owner) takeSurplus() []*conn {
+	var surplus []*conn
+	for o.open > o.limit && len(o.idle) > 0 {
+		surplus = append(surplus, o.idle[0])
+		o.idle = o.idle[1:]
+		o.open--
+	}
+	return surplus
+}
+
+// Warm opens connections ahead of need until n are open or one fails.
+func (o *Owner) Warm(ctx context.Context, n int) {
+	for {
+		o.mu.Lock()
+		enough := o.closed || o.open >= min(n, o.limit)
+		if !enough {
+			o.open++
+		}
+		o.mu.Unlock()
+		if enough {
+			return
+		}
+		c, err := openConn(ctx, o.cfg.Dial, o.cfg.Instance.Address, o.cfg.Credentials)
+		if err != nil {
+			o.forget()
+			return
+		}
+		o.put(c)
+	}
+}
+
+// Open returns the number of open connections.
+func (o *Owner) Open() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.open
+}
+
+// take returns an idle connection or opens one. The caller holds a place of
+// the connection queue.
+func (o *Owner) take(ctx context.Context) (*conn, error) {
+	if c := o.takeIdle(); c != nil {
+		return c, nil
+	}
+	c, err := openConn(ctx, o.cfg.Dial, o.cfg.Instance.Address, o.cfg.Credentials)
+	if err != nil {
+		return nil, err
+	}
+	o.mu.Lock()
+	o.open++
+	o.mu.Unlock()
+	return c, nil
+}
+
+func (o *Owner) takeIdle() *conn {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for len(o.idle) > 0 {
+		c := o.idle[len(o.idle)-1]
+		o.idle = o.idle[:len(o.idle)-1]
+		if alive(c) {
+			return c
+		}
+		c.close()
+		o.open--
+	}
+	return nil
+}
+
+// alive looks for a closed socket or unread bytes without waiting: either
+// makes an idle connection unfit.
+func alive(c *conn) bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	_ = c.net.SetReadDeadline(time.Now().Add(-time.Second))
+	_, err := c.reader.Peek(1)
+	_ = c.net.SetReadDeadline(time.Time{})
+	timeout, ok := err.(net.Error)
+	return ok && timeout.Timeout()
+}
+
+// put takes a connection back after its transaction.
+func (o *Owner) put(c *conn) {
+	if c.reusable() && len(c.prepared) > maxPrepared {
+		c.reset()
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !c.reusable() || o.closed || o.open > o.limit {
+		c.close()
+		o.open--
+		return
+	}
+	c.lastUse = time.Now()
+	o.idle = append(o.idle, c)
+}
+
+func (o *Owner) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.open--
+}
+
+// CloseIdle closes connections that were not used for idleLifetime.
+func (o *Owner) CloseIdle(now time.Time) {
+	o.mu.Lock()
+	var old []*conn
+	for len(o.idle) > 0 && now.Sub(o.idle[0].lastUse) > idleLifetime {
+		old = append(old, o.idle[0])
+		o.idle = o.idle[1:]
+		o.open--
+	}
+	o.mu.Unlock()
+	closeAll(old)
+}
+
+// Close closes the idle connections; busy ones follow when they are put back.
+func (o *Owner) Close() {
+	o.mu.Lock()
+	idle := o.idle
+	o.idle = nil
+	o.open -= len(idle)
+	o.closed = true
+	o.mu.Unlock()
+	closeAll(idle)
+}
+
+func closeAll(list []*conn) {
+	for _, c := range list {
+		c.close()
+	}
+}
+
+// admit checks whether the instance may serve the request at present.
+func (o *Owner) admit(args *ExecuteArgs) error {
+	id := o.cfg.Instance.ID
+	primary, _, ok := o.cfg.Watcher.Primary()
+	if args.Write {
+		if !ok || primary != id {
+			return errkind.New(errkind.NoPrimary, "%s is not the proved primary", id)
+		}
+		return nil
+	}
+	if args.Current || primary == id {
+		return nil
+	}
+	if age, known := o.cfg.Watcher.Age(id); !known || age > args.MaxAge {
+		return errkind.New(errkind.NotEligible, "%s is older than %s", id, args.MaxAge)
+	}
+	return nil
+}
+
+// reach waits until the instance holds the position.
+func (o *Owner) reach(ctx context.Context, c *conn, p position.Position) error {
+	id := o.cfg.Instance.ID
+	if p.IsZero() || o.cfg.Watcher.Log(id).AtLeast(p) {
+		return nil
+	}
+	deadline := time.Now().Add(reachTimeout)
+	for {
+		at, err := c.logPosition()
+		if err != nil {
+			return err
+		}
+		if at.AtLeast(p) {
+			return nil
+		}
+		if time.Now().After(deadline) || ctx.Err() != nil {
+			return errkind.New(errkind.NotEligible, "%s is at %s, before %s", id, at, p)
+		}
+		time.Sleep(reachInterval)
+	}
+}
+
+// logPosition asks the server for the position of its last log entry.
+func (c *conn) logPosition() (position.Position, error) {
+	row, err := c.query("SELECT * FROM instance_status()", connectTimeout)
+	if err != nil {
+		return position.Position{}, err
+	}
+	if len(row) < statusColumns {
+		return position.Position{}, errkind.New(errkind.Unreachable, "status row of %d columns", len(row))
+	}
+	return position.Parse(row[statusTerm] + "/" + row[statusOffset])
+}
+
+// Columns of the row that instance_status returns.
+const (
+	statusTerm    = 3
+	statusOffset  = 4
+	statusColumns = 5
+)
--- /dev/null
+++ b/internal/pool/service.go
@@ -0,0 +1,284 @@
+package pool
+
+import (
+	"context"
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/position"
+)
+
+// Service is the net/rpc face of a Manager, registered as "Pool".
+type Service struct{ manager *Manager }
+
+// NewService returns the service.
+func NewService(m *Manager) *Service { return &Service{manager: m} }
+
+// Execute runs one request and returns its answer, or the first part of it.
+//
+// Errors of class not run are returned only if no byte of the request was sent
+// to the backend server, or the server's own answer proves that nothing ran.
+func (s *Service) Execute(args *ExecuteArgs, reply *ExecuteReply) error {
+	reply.Session, reply.Seq = args.Session, args.Seq
+	return peer.Encode(s.manager.execute(context.Background(), args, reply))
+}
+
+// Fetch returns the next part of an answer.
+func (s *Service) Fetch(args *FetchArgs, reply *ExecuteReply) error {
+	reply.Session, reply.Seq = args.Session, args.Seq
+	return peer.Encode(s.manager.fetch(args, reply))
+}
+
+// Abort ends the session's open transaction and unfinished answer.
+func (s *Service) Abort(args *SessionArgs, _ *Empty) error {
+	if found, err := s.manager.find(args.Session); err == nil {
+		s.manager.abort(found, "caller is gone")
+	}
+	return nil
+}
+
+// Cancel asks the backend server to end the session's running statement.
+func (s *Service) Cancel(args *SessionArgs, _ *Empty) error {
+	return peer.Encode(s.manager.cancel(args.Session))
+}
+
+func (m *Manager) execute(ctx context.Context, args *ExecuteArgs, reply *ExecuteReply) error {
+	s, err := m.open(ctx, args)
+	if err != nil {
+		return err
+	}
+	defer s.mu.Unlock()
+	s.lastUse = time.Now()
+	if err := m.run(ctx, s, args, reply); err != nil {
+		if !args.Continue || s.conn.broken {
+			m.end(s)
+		}
+		return err
+	}
+	return nil
+}
+
+// open returns the session of the request, locked.
+func (m *Manager) open(ctx context.Context, args *ExecuteArgs) (*session, error) {
+	if args.Continue {
+		s, err := m.find(args.Session)
+		if err != nil {
+			return nil, err
+		}
+		s.mu.Lock()
+		if s.ended {
+			s.mu.Unlock()
+			return nil, errkind.New(errkind.TransactionLost, "transaction was ended")
+		}
+		return s, nil
+	}
+	s, err := m.begin(ctx, args)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	return s, nil
+}
+
+func (m *Manager) run(ctx context.Context, s *session, args *ExecuteArgs, reply *ExecuteReply) error {
+	slot, err := s.owner.slots.Acquire(ctx, args.Customer, args.Weight, queueDeadline(args))
+	if err != nil {
+		return err
+	}
+	s.slot = slot
+	if err := m.prepareRead(ctx, s, args, reply); err != nil {
+		s.freeSlot()
+		return err
+	}
+	s.args, s.part = args, 0
+	s.conn.position = position.Position{}
+	s.exchange = &exchange{conn: s.conn, deadline: time.Now().Add(statementTimeout)}
+	s.setTarget(&cancelTarget{key: s.conn.key, owner: s.owner})
+	if err := s.exchange.start(args); err != nil {
+		sent := s.exchange.sent
+		m.stopExchange(s)
+		return lostKind(args, sent, err)
+	}
+	return m.receive(s, reply)
+}
+
+// prepareRead brings about that a request for current data sees all that was
+// acknowledged before it arrived. At the primary the read index is learned
+// while the request runs; at a replica it must be known and reached before.
+func (m *Manager) prepareRead(ctx context.Context, s *session, args *ExecuteArgs, reply *ExecuteReply) error {
+	s.index = nil
+	if args.Write && !args.Current {
+		return nil
+	}
+	primary, _, ok := s.owner.cfg.Watcher.Primary()
+	atPrimary := ok && primary == s.owner.cfg.Instance.ID
+	if !args.Current {
+		return s.owner.reach(ctx, s.conn, args.Min)
+	}
+	if atPrimary {
+		s.index = readIndex(ctx, s.owner.cfg.Watcher)
+		return nil
+	}
+	at, err := s.owner.cfg.Watcher.ReadIndex(ctx)
+	if err != nil {
+		return err
+	}
+	if args.Min.Compare(at) > 0 {
+		at = args.Min
+	}
+	reply.Position = at
+	return s.owner.reach(ctx, s.conn, at)
+}
+
+func readIndex(ctx context.Context, w GroupWatcher) <-chan indexResult {
+	result := make(chan indexResult, 1)
+	go func() {
+		p, err := w.ReadIndex(ctx)
+		result <- indexResult{position: p, err: err}
+	}()
+	return result
+}
+
+// receive reads the next part of the answer and, at its end, settles the
+// request: the commit's confirmation, the read index, the connection's fate.
+func (m *Manager) receive(s *session, reply *ExecuteReply) error {
+	answer, err := s.exchange.receive(nil)
+	s.lastUse = time.Now()
+	if err != nil {
+		m.stopExchange(s)
+		return lostKind(s.args, true, err)
+	}
+	reply.Answer = answer
+	if !s.exchange.done {
+		reply.More = true
+		return nil
+	}
+	reply.Status = s.conn.status
+	return m.settle(s, reply)
+}
+
+func (m *Manager) settle(s *session, reply *ExecuteReply) error {
+	x, args, owner, index := s.exchange, s.args, s.owner, s.index
+	committed := s.conn.position
+	s.exchange = nil
+	s.freeSlot()
+	s.setTarget(nil)
+	if s.conn.status == statusIdle {
+		if args.ResetAfter {
+			s.conn.reset()
+		}
+		m.end(s)
+	}
+	if x.readOnlyRefused && !args.Continue && s.part == 0 {
+		m.discard(s)
+		return refusedWrite(args)
+	}
+	if !committed.IsZero() {
+		return m.confirm(s, owner, committed, reply)
+	}
+	if err := awaitIndex(index, reply); err != nil {
+		m.discard(s)
+		return err
+	}
+	return nil
+}
+
+// refusedWrite gives the kind of a request that the server refused because it
+// is a replica. The refusal proves that nothing took effect.
+func refusedWrite(args *ExecuteArgs) error {
+	if args.Write {
+		return errkind.New(errkind.NoPrimary, "%s has become a replica", args.Instance)
+	}
+	return errkind.New(errkind.ReadOnly, "%s is a replica", args.Instance)
+}
+
+// discard ends the session without reuse of its connection.
+func (m *Manager) discard(s *session) {
+	if s.ended {
+		return
+	}
+	s.conn.close()
+	m.end(s)
+}
+
+func (m *Manager) confirm(s *session, owner *Owner, p position.Position, reply *ExecuteReply) error {
+	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+	defer cancel()
+	if err := owner.cfg.Watcher.Confirm(ctx, p); err != nil {
+		m.observer.PoolEvent("commit_unconfirmed", s.id, owner.cfg.Group.Name, owner.cfg.Instance.ID, err.Error())
+		m.discard(s)
+		return errkind.New(errkind.OutcomeUnknown, "commit at %s was not confirmed by a majority", p)
+	}
+	reply.Position, reply.Committed = p, true
+	return nil
+}
+
+// awaitIndex holds an answer of the primary back until it is proved that the
+// primary still led after the request arrived. Without the proof the answer is
+// dropped: it may be that of a replaced primary.
+func awaitIndex(index <-chan indexResult, reply *ExecuteReply) error {
+	if index == nil {
+		return nil
+	}
+	result := <-index
+	if result.err != nil {
+		return errkind.New(errkind.AnswerIncomplete, "the primary's leadership was not proved")
+	}
+	reply.Position = result.position
+	return nil
+}
+
+// stopExchange ends the session after its connection broke.
+func (m *Manager) stopExchange(s *session) {
+	s.exchange = nil
+	m.discard(s)
+}
+
+// lostKind gives the kind of a request whose connection broke: nothing is
+// known of one that could commit, an open transaction is rolled back by the
+// server, and a read has changed nothing.
+func lostKind(args *ExecuteArgs, sent bool, err error) error {
+	if errkind.Is(err, errkind.Unsupported) || errkind.Is(err, errkind.ProtocolViolation) {
+		return err
+	}
+	switch {
+	case !sent:
+		return errkind.New(errkind.Unreachable, "%v", err)
+	case args.ReadOnly:
+		return errkind.New(errkind.AnswerIncomplete, "connection broke")
+	case args.Continue && !args.MayCommit:
+		return errkind.New(errkind.TransactionLost, "connection broke")
+	}
+	return errkind.New(errkind.OutcomeUnknown, "connection broke")
+}
+
+func (m *Manager) fetch(args *FetchArgs, reply *ExecuteReply) error {
+	s, err := m.find(args.Session)
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ended || s.exchange == nil || s.args.Seq != args.Seq || s.part+1 != args.Part {
+		return errkind.New(errkind.AnswerIncomplete, "part %d is not next", args.Part)
+	}
+	s.part = args.Part
+	return m.receive(s, reply)
+}
+
+func (m *Manager) cancel(id SessionID) error {
+	s, err := m.find(id)
+	if err != nil {
+		return err
+	}
+	s.keyMu.Lock()
+	target := s.target
+	s.keyMu.Unlock()
+	if target == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	return target.key.sendCancel(ctx, target.owner.cfg.Dial, target.owner.cfg.Instance.Address)
+}
--- /dev/null
+++ b/internal/router/router.go
@@ -0,0 +1,293 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/pool"
+	"chicoryline/internal/position"
+)
+
+const (
+	// DefaultRetryWindow is how long a request that surely did not run is tried
+	// again before the caller is refused. It covers an unplanned failover.
+	DefaultRetryWindow = 3 * time.Second
+	// retryPause is the pause before a try at the same place.
+	retryPause = 20 * time.Millisecond
+	// callTimeout bounds one request at a pool owner, queue and answer included.
+	callTimeout = 75 * time.Second
+	// controlTimeout bounds a cancel or abort.
+	controlTimeout = 2 * time.Second
+)
+
+// Config describes the router of one VM.
+type Config struct {
+	Domain      string
+	Topology    Topology
+	Peers       peer.Caller
+	RetryWindow time.Duration
+	Rand        *rand.Rand
+}
+
+// Router sends requests to pool owners. The mutex guards the random source.
+type Router struct {
+	cfg   Config
+	views *groupViews
+
+	mu sync.Mutex
+}
+
+// New returns a router.
+func New(cfg Config) *Router {
+	if cfg.RetryWindow == 0 {
+		cfg.RetryWindow = DefaultRetryWindow
+	}
+	return &Router{cfg: cfg, views: newGroupViews(cfg.Topology, cfg.Peers, cfg.Domain)}
+}
+
+// Close stops the reading of views.
+func (r *Router) Close() { r.views.close() }
+
+// attempt is the state of one request over its tries.
+type attempt struct {
+	request *Request
+	group   platform.Group
+	view    *groupView
+	// excluded lists replicas that refused this request.
+	excluded []string
+	// toPrimary tells that the request must run at the primary.
+	toPrimary bool
+	// atPrimary tells where the last try went.
+	atPrimary bool
+	deadline  time.Time
+}
+
+// Execute runs a request outside of a transaction. It tries again, here or
+// elsewhere, only after an error of class not run.
+func (r *Router) Execute(ctx context.Context, request *Request) (*Result, error) {
+	group, ok := r.cfg.Topology.Group(request.Group)
+	if !ok {
+		return nil, errkind.New(errkind.Unreachable, "group %s is not known to the platform", request.Group)
+	}
+	a := &attempt{
+		request: request, group: group, view: r.views.get(request.Group),
+		toPrimary: !request.Read || request.PrimaryOnly,
+		deadline:  time.Now().Add(r.cfg.RetryWindow),
+	}
+	r.awaitView(ctx, a)
+	for {
+		result, err := r.try(ctx, a)
+		if err == nil || !r.again(ctx, a, err) {
+			return result, err
+		}
+	}
+}
+
+// awaitView waits for the first reading of a group's view.
+func (r *Router) awaitView(ctx context.Context, a *attempt) {
+	select {
+	case <-a.view.first:
+		return
+	default:
+	}
+	timer := time.NewTimer(time.Until(a.deadline))
+	defer timer.Stop()
+	select {
+	case <-a.view.first:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// try sends the request once to each owner of the chosen instance until one
+// has taken it.
+func (r *Router) try(ctx context.Context, a *attempt) (*Result, error) {
+	instance, atPrimary, err := r.target(a)
+	if err != nil {
+		return nil, err
+	}
+	a.atPrimary = atPrimary
+	err = errkind.New(errkind.Unreachable, "no pool owner of %s", instance.ID)
+	for _, vm := range r.cfg.Topology.Owners(instance) {
+		pin := Pin{VM: vm.ID, Address: vm.Address, Instance: instance.ID, Primary: atPrimary}
+		var result *Result
+		a.view.enter(instance.ID)
+		result, err = r.send(ctx, a.request, pin, false)
+		a.view.leave(instance.ID)
+		if err == nil || !moveOn(err, atPrimary) {
+			return result, err
+		}
+	}
+	if !atPrimary {
+		a.excluded = append(a.excluded, instance.ID)
+	}
+	return nil, err
+}
+
+// moveOn reports whether another owner of the same instance may do better.
+func moveOn(err error, atPrimary bool) bool {
+	switch errkind.KindOf(err) {
+	case errkind.Unreachable, errkind.NotEligible, errkind.ShuttingDown:
+		return true
+	case errkind.AnswerIncomplete:
+		return !atPrimary
+	}
+	return false
+}
+
+// target chooses the instance of the next try.
+func (r *Router) target(a *attempt) (platform.Instance, bool, error) {
+	if !a.toPrimary {
+		need := Need{Current: a.request.Current, Min: a.request.Min, MaxAge: a.request.MaxAge}
+		candidates := without(a.view.candidates(a.group, r.cfg.Domain, need.MaxAge), a.excluded)
+		r.mu.Lock()
+		chosen, ok := Choose(candidates, need, r.cfg.Rand)
+		r.mu.Unlock()
+		if instance, found := findInstance(a.group, chosen.Instance); ok && found {
+			return instance, false, nil
+		}
+	}
+	if instance, found := findInstance(a.group, a.view.primary()); found {
+		return instance, true, nil
+	}
+	return platform.Instance{}, false, errkind.New(errkind.NoPrimary, "group %s", a.group.Name)
+}
+
+func findInstance(group platform.Group, id string) (platform.Instance, bool) {
+	for _, i := range group.Instances {
+		if i.ID == id {
+			return i, true
+		}
+	}
+	return platform.Instance{}, false
+}
+
+// again decides whether the request may be tried once more and where.
+func (r *Router) again(ctx context.Context, a *attempt, err error) bool {
+	if ctx.Err() != nil || time.Now().After(a.deadline) {
+		return false
+	}
+	switch errkind.KindOf(err) {
+	case errkind.AnswerIncomplete:
+		// A replica changes nothing, so its read may run again elsewhere.
+		return !a.atPrimary
+	case errkind.ReadOnly:
+		if a.toPrimary || !a.request.WriteAllowed || a.request.ReadOnly {
+			return false
+		}
+		a.toPrimary = true
+		return true
+	case errkind.NotEligible, errkind.Unreachable, errkind.ShuttingDown, errkind.NoPrimary:
+		a.view.poke()
+		if a.toPrimary || len(a.excluded) == 0 {
+			time.Sleep(retryPause)
+		}
+		return true
+	}
+	return false
+}
+
+// Continue runs a request inside the session's open transaction.
+func (r *Router) Continue(ctx context.Context, pin Pin, request *Request) (*Result, error) {
+	result, err := r.send(ctx, request, pin, true)
+	if errkind.Is(err, errkind.Unreachable) {
+		return nil, errkind.New(errkind.TransactionLost, "pool owner %s is gone", pin.VM)
+	}
+	return result, err
+}
+
+// send makes one call. An answer that is not the request's own is an error of
+// unknown outcome.
+func (r *Router) send(ctx context.Context, request *Request, pin Pin, inside bool) (*Result, error) {
+	args := executeArgs(request, pin, inside)
+	if request.OnTarget != nil {
+		request.OnTarget(pin)
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	result := &Result{Pin: pin}
+	if err := r.cfg.Peers.Call(ctx, pin.Address, "Pool.Execute", args, &result.ExecuteReply); err != nil {
+		return nil, r.lost(pin, args, err)
+	}
+	if result.Session != request.Session || result.Seq != request.Seq {
+		return nil, errkind.New(errkind.OutcomeUnknown, "answer of another request")
+	}
+	return result, nil
+}
+
+// lost gives the true kind of a call whose answer did not come, and makes the
+// owner end what may still run.
+func (r *Router) lost(pin Pin, args *pool.ExecuteArgs, err error) error {
+	if !errkind.Is(err, errkind.OutcomeUnknown) {
+		return err
+	}
+	r.Abort(pin, args.Session)
+	switch {
+	case args.ReadOnly:
+		return errkind.New(errkind.AnswerIncomplete, "pool owner %s did not answer", pin.VM)
+	case args.Continue && !args.MayCommit:
+		return errkind.New(errkind.TransactionLost, "pool owner %s did not answer", pin.VM)
+	}
+	return err
+}
+
+func executeArgs(request *Request, pin Pin, inside bool) *pool.ExecuteArgs {
+	args := &pool.ExecuteArgs{
+		Session: request.Session, Seq: request.Seq, Group: request.Group, Instance: pin.Instance,
+		Customer: request.Customer, Weight: request.Weight,
+		Write:    pin.Primary,
+		ReadOnly: request.ReadOnly || !pin.Primary,
+		Current:  request.Read && (pin.Primary || request.Current),
+		Min:      request.Min, MaxAge: request.MaxAge,
+		Continue: inside, MayCommit: request.MayCommit, ResetAfter: request.ResetAfter,
+		Messages: request.Messages, Statements: request.Statements,
+	}
+	if !pin.Primary && inside {
+		args.Min, args.Current = position.Position{}, false
+	}
+	return args
+}
+
+// Fetch returns the next part of an answer.
+func (r *Router) Fetch(ctx context.Context, pin Pin, args pool.FetchArgs) (*pool.ExecuteReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	reply := &pool.ExecuteReply{}
+	err := r.cfg.Peers.Call(ctx, pin.Address, "Pool.Fetch", &args, reply)
+	if err != nil {
+		r.Abort(pin, args.Session)
+		return nil, brokenAnswer(pin, err)
+	}
+	if reply.Session != args.Session || reply.Seq != args.Seq {
+		return nil, errkind.New(errkind.OutcomeUnknown, "answer of another request")
+	}
+	return reply, nil
+}
+
+// brokenAnswer gives the kind of an answer that broke off between two parts.
+// At a replica nothing can have changed; at the primary the commit may follow.
+func brokenAnswer(pin Pin, err error) error {
+	if !pin.Primary {
+		return errkind.New(errkind.AnswerIncomplete, "%v", err)
+	}
+	return errkind.New(errkind.OutcomeUnknown, "%v", err)
+}
+
+// Abort ends the session's transaction and unfinished answer at the owner.
+func (r *Router) Abort(pin Pin, session pool.SessionID) {
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
+		defer cancel()
+		_ = r.cfg.Peers.Call(ctx, pin.Address, "Pool.Abort", &pool.SessionArgs{Session: session}, &pool.Empty{})
+	}()
+}
+
+// Cancel ends the session's running statement at the owner.
+func (r *Router) Cancel(ctx context.Context, pin Pin, session pool.SessionID) error {
+	return r.cfg.Peers.Call(ctx, pin.Address, "Pool.Cancel", &pool.SessionArgs{Session: session}, &pool.Empty{})
+}
--- /dev/null
+++ b/internal/router/views.go
@@ -0,0 +1,229 @@
+package router
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/pool"
+)
+
+const (
+	// viewInterval is the pause between two reads of the view of a group in use.
+	viewInterval = 50 * time.Millisecond
+	// viewIdle is the time without requests after which a view is let go.
+	viewIdle = 10 * time.Second
+	// viewTimeout bounds the call to one owner.
+	viewTimeout = 300 * time.Millisecond
+)
+
+// Topology is what the router needs to know of the fleet and of the platform.
+type Topology interface {
+	// Group returns the group of the name.
+	Group(name string) (platform.Group, bool)
+	// Owners returns the VMs that own the instance's pool, best first.
+	Owners(instance platform.Instance) []platform.VM
+}
+
+// groupViews keeps a view of each group in use, read from its owners. The
+// mutex guards the map.
+type groupViews struct {
+	topology Topology
+	peers    peer.Caller
+	local    string
+	stop     chan struct{}
+
+	mu    sync.Mutex
+	views map[string]*groupView
+}
+
+// groupView is the present view of one group. The mutex guards view, at and dropped.
+type groupView struct {
+	lastUse atomic.Int64
+	refresh chan struct{}
+	first   chan struct{}
+
+	mu      sync.Mutex
+	view    pool.ViewReply
+	at      time.Time
+	dropped map[string]bool
+
+	outMu       sync.Mutex
+	outstanding map[string]int
+}
+
+func newGroupViews(topology Topology, peers peer.Caller, local string) *groupViews {
+	return &groupViews{topology: topology, peers: peers, local: local, stop: make(chan struct{}), views: map[string]*groupView{}}
+}
+
+// get returns the group's view and starts reading it if nobody did.
+func (g *groupViews) get(group string) *groupView {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	v := g.views[group]
+	if v == nil {
+		v = &groupView{
+			refresh: make(chan struct{}, 1), first: make(chan struct{}),
+			dropped: map[string]bool{}, outstanding: map[string]int{},
+		}
+		g.views[group] = v
+		go g.follow(group, v)
+	}
+	v.lastUse.Store(time.Now().UnixNano())
+	return v
+}
+
+// follow reads the view until nobody has used it for viewIdle.
+func (g *groupViews) follow(group string, v *groupView) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	started := false
+	for {
+		select {
+		case <-g.stop:
+			return
+		case <-v.refresh:
+		case <-timer.C:
+		}
+		if g.read(group, v) && !started {
+			started = true
+			close(v.first)
+		}
+		if time.Since(time.Unix(0, v.lastUse.Load())) > viewIdle && g.forget(group, v) {
+			return
+		}
+		timer.Reset(viewInterval)
+	}
+}
+
+func (g *groupViews) forget(group string, v *groupView) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if time.Since(time.Unix(0, v.lastUse.Load())) <= viewIdle {
+		return false
+	}
+	delete(g.views, group)
+	return true
+}
+
+// read asks the group's owners for their views. An answer that names a primary
+// of a higher term wins; the owners of this failure domain are asked first.
+func (g *groupViews) read(group string, v *groupView) bool {
+	described, ok := g.topology.Group(group)
+	if !ok {
+		return false
+	}
+	best, found := pool.ViewReply{}, false
+	at := time.Now()
+	for _, vm := range g.viewers(described) {
+		var reply pool.ViewReply
+		ctx, cancel := context.WithTimeout(context.Background(), viewTimeout)
+		err := g.peers.Call(ctx, vm.Address, "Pool.View", &pool.ViewArgs{Group: group}, &reply)
+		cancel()
+		if err != nil {
+			continue
+		}
+		if !found || reply.Term > best.Term {
+			best, found = reply, true
+		}
+		if best.Primary != "" {
+			break
+		}
+	}
+	if !found {
+		return false
+	}
+	v.mu.Lock()
+	v.view, v.at = best, at
+	v.mu.Unlock()
+	return true
+}
+
+// viewers lists the first owners of the group's instances, those of this
+// failure domain first.
+func (g *groupViews) viewers(group platform.Group) []platform.VM {
+	var near, far []platform.VM
+	seen := map[string]bool{}
+	for _, instance := range group.Instances {
+		for _, vm := range g.topology.Owners(instance) {
+			if seen[vm.ID] {
+				continue
+			}
+			seen[vm.ID] = true
+			if vm.Domain == g.local {
+				near = append(near, vm)
+			} else {
+				far = append(far, vm)
+			}
+		}
+	}
+	return append(near, far...)
+}
+
+func (g *groupViews) close() { close(g.stop) }
+
+// poke asks for a new reading at once.
+func (v *groupView) poke() {
+	select {
+	case v.refresh <- struct{}{}:
+	default:
+	}
+}
+
+// primary returns the primary's instance id, or "".
+func (v *groupView) primary() string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.view.Primary
+}
+
+// candidates lists the replicas as they stand now; ages have grown since the
+// reading.
+func (v *groupView) candidates(group platform.Group, domain string, maxAge time.Duration) []Candidate {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	since := time.Since(v.at)
+	domains := map[string]string{}
+	leaving := map[string]bool{}
+	for _, i := range group.Instances {
+		domains[i.ID] = i.Domain
+		leaving[i.ID] = i.Leaving
+	}
+	var list []Candidate
+	for _, r := range v.view.Replicas {
+		if leaving[r.Instance] {
+			continue
+		}
+		c := Candidate{
+			Instance: r.Instance, Local: domains[r.Instance] == domain, Log: r.Log,
+			Age: r.Age + since, AgeKnown: r.AgeKnown, Dropped: v.dropped[r.Instance],
+			Outstanding: v.load(r.Instance),
+		}
+		if maxAge > 0 {
+			v.dropped[r.Instance] = !c.AgeKnown || !(Candidate{Age: c.Age, AgeKnown: true, Dropped: c.Dropped}).eligible(Need{MaxAge: maxAge})
+		}
+		list = append(list, c)
+	}
+	return list
+}
+
+func (v *groupView) load(instance string) int {
+	v.outMu.Lock()
+	defer v.outMu.Unlock()
+	return v.outstanding[instance]
+}
+
+func (v *groupView) enter(instance string) {
+	v.outMu.Lock()
+	v.outstanding[instance]++
+	v.outMu.Unlock()
+}
+
+func (v *groupView) leave(instance string) {
+	v.outMu.Lock()
+	v.outstanding[instance]--
+	v.outMu.Unlock()
+}
