Platform: memory, client and stand-in

What: Memory is the in-memory platform with fault switches, Client speaks to the platform over HTTP, and platformd serves a Memory over HTTP with the same switches.

Why: tests and demonstrations need the platform's failures without a platform.

--- /dev/null
+++ b/internal/platform/faults.go
@@ -0,0 +1,129 @@
+package platform
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"time"
+
+	"chicoryline/internal/errkind"
+)
+
+// objectKey stands for the key of object writes in LoseAnswers.Prefix.
+const objectKey = "object/"
+
+// Faults are the fault switches of a Memory. The zero value is no fault.
+type Faults struct {
+	// Down refuses every call; it has no effect.
+	Down bool
+	// Delay is added to each call. A write takes effect after half of it.
+	Delay time.Duration
+	// LoseAnswers is the number of table and object writes whose answer will be
+	// lost after they took effect. Registrations do not count.
+	LoseAnswers int
+	// LosePrefix limits LoseAnswers to keys with the prefix; objects have the
+	// key "object/".
+	LosePrefix string
+	// CutVMs and CutDomains name the VMs and failure domains that cannot reach
+	// the platform.
+	CutVMs     []string
+	CutDomains []string
+}
+
+// Cuts reports whether the faults cut the VM off.
+func (f Faults) Cuts(vm VM) bool {
+	return vm.ID != "" && slices.Contains(f.CutVMs, vm.ID) ||
+		vm.Domain != "" && slices.Contains(f.CutDomains, vm.Domain)
+}
+
+func (f Faults) clone() Faults {
+	f.CutVMs = slices.Clone(f.CutVMs)
+	f.CutDomains = slices.Clone(f.CutDomains)
+	return f
+}
+
+// Faults returns the switches as they stand.
+func (m *Memory) Faults() Faults {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.faults.clone()
+}
+
+// ChangeFaults lets change set the switches in one step.
+func (m *Memory) ChangeFaults(change func(*Faults)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	faults := m.faults.clone()
+	change(&faults)
+	m.faults = faults.clone()
+}
+
+// read runs a call that changes no row. It fails with PlatformUnavailable.
+func read[T any](ctx context.Context, m *Memory, caller VM, run func() (T, error)) (T, error) {
+	var none T
+	if err := wait(ctx, m.Faults().Delay); err != nil {
+		return none, errkind.New(errkind.PlatformUnavailable, "%v", err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.Reads++
+	if err := m.refusal(caller); err != nil {
+		return none, err
+	}
+	return run()
+}
+
+// write runs a call that changes a row or an object. It fails with
+// PlatformUnavailable before the effect and with PlatformUnknown after it.
+func write[T any](ctx context.Context, m *Memory, caller VM, key string, run func() (T, error)) (T, error) {
+	var none T
+	delay := m.Faults().Delay
+	if err := wait(ctx, delay/2); err != nil {
+		return none, errkind.New(errkind.PlatformUnavailable, "%v", err)
+	}
+	result, err := effect(m, caller, key, run)
+	if waitErr := wait(ctx, delay-delay/2); waitErr != nil {
+		return none, errkind.New(errkind.PlatformUnknown, "%v", waitErr)
+	}
+	return result, err
+}
+
+func effect[T any](m *Memory, caller VM, key string, run func() (T, error)) (T, error) {
+	var none T
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.counts.Writes++
+	if err := m.refusal(caller); err != nil {
+		return none, err
+	}
+	result, err := run()
+	if m.faults.LoseAnswers > 0 && strings.HasPrefix(key, m.faults.LosePrefix) {
+		m.faults.LoseAnswers--
+		return none, errkind.New(errkind.PlatformUnknown, "answer lost")
+	}
+	return result, err
+}
+
+func (m *Memory) refusal(caller VM) error {
+	if m.faults.Down {
+		return errkind.New(errkind.PlatformUnavailable, "down")
+	}
+	if m.faults.Cuts(caller) {
+		return errkind.New(errkind.PlatformUnavailable, "VM %s is cut off", caller.ID)
+	}
+	return nil
+}
+
+func wait(ctx context.Context, delay time.Duration) error {
+	if delay <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-timer.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/standin/platformd/platformd.go
@@ -0,0 +1,181 @@
+// Package platformd is the stand-in platform for tests and demonstrations: an
+// HTTP server over platform.Memory with fault switches. docs/PLATFORM.md
+// describes its protocol.
+package platformd
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+)
+
+const (
+	// closeTimeout bounds the end of running calls in Close.
+	closeTimeout = time.Second
+	// maxBody is the largest request body, in bytes.
+	maxBody = 64 << 20
+)
+
+// Options are the settings of a Server.
+type Options struct {
+	// Groups are the database groups at the start.
+	Groups []platform.Group
+	// ListLag is the time after which a registration shows in the VM list.
+	ListLag time.Duration
+	// ForgetAfter is the time after its last registration at which a VM leaves
+	// the list; platform.DefaultForgetAfter when 0.
+	ForgetAfter time.Duration
+	// Now is the clock of the VM list; time.Now when nil.
+	Now func() time.Time
+}
+
+// Server is a running stand-in platform.
+type Server struct {
+	memory   *platform.Memory
+	listener net.Listener
+	http     *http.Server
+	done     chan struct{}
+
+	mu        sync.Mutex
+	mode      Mode
+	listLag   time.Duration
+	forgetLag time.Duration
+}
+
+// Start listens on the address (host:port) and serves until Close.
+func Start(listen string, options Options) (*Server, error) {
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	if options.ForgetAfter == 0 {
+		options.ForgetAfter = platform.DefaultForgetAfter
+	}
+	listener, err := net.Listen("tcp", listen)
+	if err != nil {
+		return nil, errors.Annotate(err, "stand-in platform")
+	}
+	s := &Server{
+		memory:   platform.NewMemory(options.Now),
+		listener: listener,
+		done:     make(chan struct{}),
+		mode:     ModeRefuse,
+	}
+	s.memory.SetGroups(options.Groups)
+	s.SetListLag(options.ListLag, options.ForgetAfter)
+	s.http = &http.Server{Handler: s.handler(), ReadHeaderTimeout: closeTimeout}
+	go func() { _ = s.http.Serve(listener) }()
+	return s, nil
+}
+
+// Addr returns the address that the server listens on, as host:port.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
+// URL returns the base URL for platform.NewClient.
+func (s *Server) URL() string { return "http://" + s.Addr() }
+
+// Memory returns the platform behind the server, for use in the same process.
+func (s *Server) Memory() *platform.Memory { return s.memory }
+
+// Close ends the server and its connections.
+func (s *Server) Close() {
+	close(s.done)
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if s.http.Shutdown(ctx) != nil {
+		_ = s.http.Close()
+	}
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+platform.PathRow, s.serve(getRow))
+	mux.HandleFunc("GET "+platform.PathRows, s.serve(listRows))
+	mux.HandleFunc("POST "+platform.PathSet, s.serve(compareAndSet))
+	mux.HandleFunc("POST "+platform.PathDelete, s.serve(deleteRow))
+	mux.HandleFunc("GET "+platform.PathObject, s.serve(getObject))
+	mux.HandleFunc("POST "+platform.PathObject, s.serve(putObject))
+	mux.HandleFunc("GET "+platform.PathGroups, s.serve(getGroups))
+	mux.HandleFunc("GET "+platform.PathVMs, s.serve(getVMs))
+	mux.HandleFunc("POST "+platform.PathVMs, s.serve(register))
+	mux.HandleFunc("PUT "+platform.PathGroups, s.putGroups)
+	mux.HandleFunc("GET "+PathFault, s.getFaults)
+	mux.HandleFunc("POST "+PathFault, s.postFault)
+	mux.HandleFunc("GET "+PathCounts, s.getCounts)
+	return mux
+}
+
+// endpoint carries out one call of the protocol and returns the answer's body.
+type endpoint func(ctx context.Context, services platform.Services, r *http.Request) (any, error)
+
+// serve answers with the endpoint under the fault switches. A call that has
+// been taken goes on when its caller gives up, as the real service's does.
+func (s *Server) serve(run endpoint) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		vm := platform.VM{ID: r.Header.Get(platform.HeaderVM), Domain: r.Header.Get(platform.HeaderDomain)}
+		s.obstruct(vm, r)
+		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
+		answer, err := run(context.WithoutCancel(r.Context()), s.memory.For(vm), r)
+		if errkind.Is(err, errkind.PlatformUnknown) {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			writeError(w, err)
+			return
+		}
+		writeJSON(w, http.StatusOK, answer)
+	}
+}
+
+// obstruct ends the connection without an answer when a fault asks for it.
+func (s *Server) obstruct(vm platform.VM, r *http.Request) {
+	faults, mode := s.memory.Faults(), s.Mode()
+	if !faults.Cuts(vm) && (!faults.Down || mode == ModeRefuse) {
+		return
+	}
+	if mode == ModeHang {
+		select {
+		case <-r.Context().Done():
+		case <-s.done:
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+func writeJSON(w http.ResponseWriter, status int, body any) {
+	data, err := json.Marshal(body)
+	if err != nil {
+		status, data = http.StatusInternalServerError, nil
+	}
+	w.Header().Set("Content-Type", platform.ContentJSON)
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+func writeError(w http.ResponseWriter, err error) {
+	body := platform.ErrorBody{Kind: errkind.KindOf(err).String(), Detail: err.Error()}
+	if e, ok := errkind.As(err); ok {
+		body.Detail = e.Detail
+	}
+	writeJSON(w, statusOf(errkind.KindOf(err)), body)
+}
+
+func statusOf(kind errkind.Kind) int {
+	switch kind {
+	case errkind.NotFound:
+		return http.StatusNotFound
+	case errkind.Conflict:
+		return http.StatusConflict
+	case errkind.PlatformUnavailable:
+		return http.StatusServiceUnavailable
+	default:
+		return http.StatusBadRequest
+	}
+}
