--- /dev/null
+++ b/internal/backend/fake.go
@@ -0,0 +1,222 @@
+package backend
+
+import (
+	"sync"
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/position"
+)
+
+// FakeEntry is one entry of a fake instance's log. Data names the write; the
+// mark of a promotion has none.
+type FakeEntry struct {
+	Term uint64
+	Data string
+}
+
+// FakeGroup is an in-memory database group for tests: instances with logs,
+// fences and replication, and links that can be cut. Its mutex guards all
+// state. A cut names two places, each an instance, a caller or a failure
+// domain, and loses what the first sends to the second.
+type FakeGroup struct {
+	mu        sync.Mutex
+	order     []string
+	instances map[string]*fakeInstance
+	domains   map[string]string
+	cuts      map[[2]string]bool
+	manual    bool
+	delay     time.Duration
+	changed   chan struct{} // closed and replaced at every change
+}
+
+type fakeInstance struct {
+	id         string
+	role       Role
+	fence      uint64
+	log        []FakeEntry
+	source     string
+	sourceTerm uint64
+	down       bool
+	lag        int
+}
+
+// NewFakeGroup returns a group of empty replicas at fence 0.
+func NewFakeGroup(instances []platform.Instance) *FakeGroup {
+	g := &FakeGroup{
+		instances: map[string]*fakeInstance{},
+		domains:   map[string]string{},
+		cuts:      map[[2]string]bool{},
+		changed:   make(chan struct{}),
+	}
+	for _, i := range instances {
+		g.order = append(g.order, i.ID)
+		g.instances[i.ID] = &fakeInstance{id: i.ID, role: Replica}
+		g.domains[i.ID] = i.Domain
+	}
+	return g
+}
+
+// Bootstrap makes the instance primary at term 1 with all others following.
+func (g *FakeGroup) Bootstrap(primary string) {
+	for _, id := range g.order {
+		_, _ = g.Apply(id, FakeCommand{Op: OpFence, Term: 1})
+	}
+	_, _ = g.Apply(primary, FakeCommand{Op: OpPromote, Term: 1})
+	for _, id := range g.order {
+		if id != primary {
+			_, _ = g.Apply(id, FakeCommand{Op: OpFollow, Term: 1, Primary: primary})
+		}
+	}
+}
+
+// Place puts a caller into a failure domain.
+func (g *FakeGroup) Place(caller, domain string) {
+	g.update(func() { g.domains[caller] = domain })
+}
+
+// Cut loses everything that from sends to to.
+func (g *FakeGroup) Cut(from, to string) { g.update(func() { g.cuts[[2]string{from, to}] = true }) }
+
+// CutBoth loses everything between the two places.
+func (g *FakeGroup) CutBoth(a, b string) {
+	g.Cut(a, b)
+	g.Cut(b, a)
+}
+
+// Heal ends all cuts.
+func (g *FakeGroup) Heal() { g.update(func() { clear(g.cuts) }) }
+
+// SetDown stops or starts the instance; its log and fence survive.
+func (g *FakeGroup) SetDown(id string, down bool) {
+	g.update(func() { g.instances[id].down = down })
+}
+
+// SetLag keeps the instance the given number of entries behind its source.
+func (g *FakeGroup) SetLag(id string, entries int) {
+	g.update(func() { g.instances[id].lag = entries })
+}
+
+// SetDelay makes every command of a Control take the given time, half of it
+// before the command takes effect.
+func (g *FakeGroup) SetDelay(d time.Duration) { g.update(func() { g.delay = d }) }
+
+// SetManual turns off replication except by Replicate.
+func (g *FakeGroup) SetManual(manual bool) { g.update(func() { g.manual = manual }) }
+
+// Connected reports whether what from sends reaches to.
+func (g *FakeGroup) Connected(from, to string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.connected(from, to)
+}
+
+func (g *FakeGroup) connected(from, to string) bool {
+	if from == to {
+		return true
+	}
+	for _, a := range []string{from, g.domains[from]} {
+		for _, b := range []string{to, g.domains[to]} {
+			if a != "" && b != "" && g.cuts[[2]string{a, b}] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Write appends an entry at the instance if it believes that it leads.
+func (g *FakeGroup) Write(id, data string) (position.Position, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := g.instances[id]
+	if i.down {
+		return position.Position{}, errkind.New(errkind.Unreachable, "%s", id)
+	}
+	if !i.status().Leads() {
+		return position.Position{}, errkind.New(errkind.ReadOnly, "%s", id)
+	}
+	i.log = append(i.log, FakeEntry{i.fence, data})
+	p := i.position()
+	g.notify()
+	return p, nil
+}
+
+// Holds reports whether the instance's log holds a write of the name.
+func (g *FakeGroup) Holds(id, data string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, e := range g.instances[id].log {
+		if e.Data == data {
+			return true
+		}
+	}
+	return false
+}
+
+// Peek returns the status of the instance whatever its links are.
+func (g *FakeGroup) Peek(id string) Status {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.instances[id].status()
+}
+
+// Replicate lets the instance read its source once.
+func (g *FakeGroup) Replicate(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.replicate(g.instances[id])
+	g.broadcast()
+}
+
+func (g *FakeGroup) update(change func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	change()
+	g.notify()
+}
+
+// notify replicates, unless that is manual, and wakes the waiters.
+func (g *FakeGroup) notify() {
+	if !g.manual {
+		for _, id := range g.order {
+			g.replicate(g.instances[id])
+		}
+	}
+	g.broadcast()
+}
+
+func (g *FakeGroup) broadcast() {
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// replicate cuts the replica's log back to the part it shares with its source
+// and copies what follows, all but the last lag entries.
+func (g *FakeGroup) replicate(r *fakeInstance) {
+	s := g.instances[r.source]
+	if s == nil || r.down || s.down || r.fence != r.sourceTerm || s.fence != r.sourceTerm || !s.status().Leads() {
+		return
+	}
+	if !g.connected(r.id, s.id) || !g.connected(s.id, r.id) {
+		return
+	}
+	shared := 0
+	for shared < len(r.log) && shared < len(s.log) && r.log[shared] == s.log[shared] {
+		shared++
+	}
+	end := max(shared, len(s.log)-r.lag)
+	r.log = append(r.log[:shared:shared], s.log[shared:end]...)
+}
+
+func (i *fakeInstance) position() position.Position {
+	if len(i.log) == 0 {
+		return position.Position{}
+	}
+	return position.Position{Term: i.log[len(i.log)-1].Term, Offset: uint64(len(i.log))}
+}
+
+func (i *fakeInstance) status() Status {
+	return Status{Instance: i.id, Role: i.role, Fence: i.fence, Log: i.position(), Source: i.source}
+}
--- /dev/null
+++ b/internal/backend/fakecontrol.go
@@ -0,0 +1,155 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+// FakeOp names a command of Control.
+type FakeOp uint8
+
+// The commands that a FakeGroup applies.
+const (
+	OpStatus FakeOp = iota
+	OpFence
+	OpPromote
+	OpFollow
+)
+
+// FakeCommand is one command to a fake instance.
+type FakeCommand struct {
+	Op      FakeOp
+	Term    uint64
+	Primary string
+}
+
+// Apply carries out the command at the instance, whatever its links are.
+func (g *FakeGroup) Apply(id string, c FakeCommand) (Status, error) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	i := g.instances[id]
+	if i.down {
+		return Status{}, errkind.New(errkind.Unreachable, "%s is down", id)
+	}
+	if err := i.apply(c); err != nil {
+		return Status{}, err
+	}
+	if c.Op != OpStatus {
+		g.notify()
+	}
+	return i.status(), nil
+}
+
+func (i *fakeInstance) apply(c FakeCommand) error {
+	if c.Op == OpStatus {
+		return nil
+	}
+	if c.Term < i.fence {
+		return errkind.New(errkind.Fenced, "%s: term %d, fence %d", i.id, c.Term, i.fence)
+	}
+	switch c.Op {
+	case OpFence:
+		if c.Term > i.fence {
+			i.demote(c.Term)
+		}
+	case OpPromote:
+		if c.Term != i.fence {
+			return errkind.New(errkind.Conflict, "%s: promotion at %d, fence %d", i.id, c.Term, i.fence)
+		}
+		if !i.status().Leads() {
+			i.role, i.source, i.sourceTerm = Primary, "", 0
+			i.log = append(i.log, FakeEntry{Term: c.Term})
+		}
+	case OpFollow:
+		i.demote(c.Term)
+		i.source, i.sourceTerm = c.Primary, c.Term
+	}
+	return nil
+}
+
+func (i *fakeInstance) demote(fence uint64) {
+	i.role, i.fence, i.source, i.sourceTerm = Replica, fence, "", 0
+}
+
+// Control returns the caller's control of the instance. A command or answer
+// that is lost on a cut link ends with the context as errkind.OutcomeUnknown.
+func (g *FakeGroup) Control(caller, id string) Control { return &fakeControl{g, caller, id} }
+
+type fakeControl struct {
+	group  *FakeGroup
+	caller string
+	id     string
+}
+
+func (c *fakeControl) do(ctx context.Context, command FakeCommand) (Status, error) {
+	if !c.group.Connected(c.caller, c.id) {
+		return c.lost(ctx)
+	}
+	c.travel()
+	status, err := c.group.Apply(c.id, command)
+	c.travel()
+	if !c.group.Connected(c.id, c.caller) {
+		return c.lost(ctx)
+	}
+	return status, err
+}
+
+// travel takes the time of one direction.
+func (c *fakeControl) travel() {
+	c.group.mu.Lock()
+	d := c.group.delay / 2
+	c.group.mu.Unlock()
+	if d > 0 {
+		time.Sleep(d)
+	}
+}
+
+func (c *fakeControl) lost(ctx context.Context) (Status, error) {
+	<-ctx.Done()
+	return Status{}, errkind.New(errkind.OutcomeUnknown, "%s: %v", c.id, ctx.Err())
+}
+
+// Status implements Control.
+func (c *fakeControl) Status(ctx context.Context) (Status, error) {
+	return c.do(ctx, FakeCommand{Op: OpStatus})
+}
+
+// Wait implements Control.
+func (c *fakeControl) Wait(ctx context.Context, p position.Position, timeout time.Duration) (Status, error) {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		c.group.mu.Lock()
+		changed := c.group.changed
+		c.group.mu.Unlock()
+		status, err := c.do(ctx, FakeCommand{Op: OpStatus})
+		if err != nil || status.Confirms(p) || status.Fence > p.Term {
+			return status, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return status, nil
+		case <-ctx.Done():
+			return c.lost(ctx)
+		}
+	}
+}
+
+// Fence implements Control.
+func (c *fakeControl) Fence(ctx context.Context, term uint64) (Status, error) {
+	return c.do(ctx, FakeCommand{Op: OpFence, Term: term})
+}
+
+// Promote implements Control.
+func (c *fakeControl) Promote(ctx context.Context, term uint64) (Status, error) {
+	return c.do(ctx, FakeCommand{Op: OpPromote, Term: term})
+}
+
+// Follow implements Control.
+func (c *fakeControl) Follow(ctx context.Context, term uint64, primary string) (Status, error) {
+	return c.do(ctx, FakeCommand{Op: OpFollow, Term: term, Primary: primary})
+}
--- /dev/null
+++ b/internal/groupview/watcher.go
@@ -0,0 +1,333 @@
+// Package groupview watches one database group: which instance provably leads
+// it, how old the data of each replica is at most, and which commits a majority
+// holds.
+//
+// Every instance is probed by a goroutine of its own, so that an instance that
+// hangs delays no other. A proof that a primary leads rests on the newest
+// reports of a majority and is dated by the oldest probe among them; see Prove.
+//
+// The instances of a group are fixed for the life of a Watcher, and all of them,
+// also leaving ones, count towards a majority.
+package groupview
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/position"
+)
+
+// Defaults of Config.
+const (
+	DefaultInterval      = 50 * time.Millisecond
+	DefaultProbeTimeout  = 250 * time.Millisecond
+	DefaultProofLifetime = 500 * time.Millisecond
+)
+
+const (
+	// waitTimeout bounds one Wait command at an instance.
+	waitTimeout = 100 * time.Millisecond
+	// waitPause separates Wait commands that brought nothing new.
+	waitPause = 5 * time.Millisecond
+)
+
+// Config sets up a Watcher.
+type Config struct {
+	Group platform.Group
+	// Controls and WaitControls hold one connection each to every instance, by
+	// id: the first for probes, the second for the waits of commits.
+	Controls     map[string]backend.Control
+	WaitControls map[string]backend.Control
+	// Interval separates the probes of an instance; a probe that took longer is
+	// followed by the next at once.
+	Interval time.Duration
+	// ProbeTimeout bounds one probe.
+	ProbeTimeout time.Duration
+	// ProofLifetime bounds the age of the proof behind View.Primary.
+	ProofLifetime time.Duration
+	// Now is the clock; nil means time.Now.
+	Now func() time.Time
+	Log *logrus.Entry
+}
+
+// Watcher watches one group. It is safe for concurrent use.
+type Watcher struct {
+	config  Config
+	commits *commitSet
+	kicks   []chan struct{} // capacity 1: probe the instance now
+	wakes   []chan struct{} // capacity 1: commits wait
+	view    atomic.Pointer[View]
+	ctx     context.Context
+	cancel  context.CancelFunc
+	loops   sync.WaitGroup
+
+	sequence atomic.Uint64
+
+	mu        sync.Mutex
+	started   time.Time
+	instances []Instance
+	proof     Proof
+	proved    bool
+	ages      *ageTracker
+	readers   map[*reader]bool
+}
+
+// reader is a ReadIndex call that waits for a proof newer than its sequence.
+type reader struct {
+	sequence uint64
+	done     chan View // capacity 1
+}
+
+// New returns a Watcher; Start begins the probes. It fails if an instance has
+// no Control.
+func New(config Config) (*Watcher, error) {
+	config.setDefaults()
+	w := &Watcher{config: config, ages: newAgeTracker(), readers: map[*reader]bool{}}
+	w.commits = newCommitSet(len(config.Group.Instances))
+	for _, i := range config.Group.Instances {
+		if config.Controls[i.ID] == nil || config.WaitControls[i.ID] == nil {
+			return nil, errors.NotValidf("group %s: instance %s without control", config.Group.Name, i.ID)
+		}
+		w.instances = append(w.instances, Instance{Instance: i})
+		w.kicks = append(w.kicks, make(chan struct{}, 1))
+		w.wakes = append(w.wakes, make(chan struct{}, 1))
+	}
+	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.publish()
+	return w, nil
+}
+
+func (c *Config) setDefaults() {
+	if c.Interval == 0 {
+		c.Interval = DefaultInterval
+	}
+	if c.ProbeTimeout == 0 {
+		c.ProbeTimeout = DefaultProbeTimeout
+	}
+	if c.ProofLifetime == 0 {
+		c.ProofLifetime = DefaultProofLifetime
+	}
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+	if c.Log == nil {
+		c.Log = logrus.NewEntry(logrus.StandardLogger())
+	}
+}
+
+// Start begins to probe.
+func (w *Watcher) Start() {
+	w.mu.Lock()
+	w.started = w.config.Now()
+	w.mu.Unlock()
+	for i := range w.config.Group.Instances {
+		w.loops.Go(func() { w.probeLoop(i) })
+		w.loops.Go(func() { w.waitLoop(i) })
+	}
+}
+
+// Close ends all probes and waits. Calls that still wait fail.
+func (w *Watcher) Close() {
+	w.cancel()
+	w.loops.Wait()
+}
+
+// View returns the present snapshot without locking.
+func (w *Watcher) View() View {
+	v := *w.view.Load()
+	v.TakenAt = w.config.Now()
+	return v
+}
+
+// ReadIndex returns once a proof rests only on probes sent after the call. All
+// concurrent calls share the same probes. It fails with errkind.NoPrimary when
+// the context or the Watcher ends first.
+func (w *Watcher) ReadIndex(ctx context.Context) (View, error) {
+	r := &reader{sequence: w.sequence.Load(), done: make(chan View, 1)}
+	w.mu.Lock()
+	w.readers[r] = true
+	w.mu.Unlock()
+	defer w.forget(r)
+	for _, kick := range w.kicks {
+		signal(kick)
+	}
+	select {
+	case v := <-r.done:
+		return v, nil
+	case <-ctx.Done():
+		return View{}, errkind.New(errkind.NoPrimary, "group %s: %v", w.config.Group.Name, ctx.Err())
+	case <-w.ctx.Done():
+		return View{}, errkind.New(errkind.NoPrimary, "group %s: watcher closed", w.config.Group.Name)
+	}
+}
+
+func (w *Watcher) forget(r *reader) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	delete(w.readers, r)
+}
+
+// Confirm returns nil once a majority of the instances holds the write at p in
+// p's term with no higher fence. It fails with errkind.OutcomeUnknown when the
+// context or the Watcher ends first, or when higher fences make a majority
+// impossible.
+func (w *Watcher) Confirm(ctx context.Context, p position.Position) error {
+	c := w.commits.add(p)
+	defer w.commits.remove(c)
+	for _, wake := range w.wakes {
+		signal(wake)
+	}
+	select {
+	case err := <-c.done:
+		return err
+	case <-ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "write at %s: %v", p, ctx.Err())
+	case <-w.ctx.Done():
+		return errkind.New(errkind.OutcomeUnknown, "write at %s: watcher closed", p)
+	}
+}
+
+// probeLoop probes one instance until Close.
+func (w *Watcher) probeLoop(i int) {
+	control := w.config.Controls[w.config.Group.Instances[i].ID]
+	for w.ctx.Err() == nil {
+		report := Report{Sequence: w.sequence.Add(1), Sent: w.config.Now()}
+		ctx, cancel := context.WithTimeout(w.ctx, w.config.ProbeTimeout)
+		status, err := control.Status(ctx)
+		cancel()
+		report.Status, report.Received = status, w.config.Now()
+		kick := w.kicks[i]
+		if err != nil {
+			w.recordFailure(i, err)
+			kick = nil // an instance that refuses at once is not asked in a tight loop
+		} else {
+			w.record(i, report)
+		}
+		w.pause(w.config.Interval-w.config.Now().Sub(report.Sent), kick)
+	}
+}
+
+// waitLoop asks one instance to wait for the lowest commit that it has not
+// decided on. One answer serves all commits.
+func (w *Watcher) waitLoop(i int) {
+	control := w.config.WaitControls[w.config.Group.Instances[i].ID]
+	for w.ctx.Err() == nil {
+		p, ok := w.commits.lowest(i)
+		if !ok {
+			select {
+			case <-w.wakes[i]:
+			case <-w.ctx.Done():
+			}
+			continue
+		}
+		ctx, cancel := context.WithTimeout(w.ctx, waitTimeout+w.config.ProbeTimeout)
+		status, err := control.Wait(ctx, p, waitTimeout)
+		cancel()
+		if err != nil || !w.commits.observe(i, status) {
+			w.pause(waitPause, nil)
+		}
+	}
+}
+
+// record takes a newer report of one instance. Reports of one instance arrive
+// in the order in which they were sent.
+func (w *Watcher) record(i int, report Report) {
+	w.commits.observe(i, report.Status)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	report.Status.Instance = w.instances[i].ID
+	w.instances[i].Report = report
+	w.instances[i].Reachable = true
+	w.prove()
+	w.ages.addReport(w.instances[i].ID, report.Status.Log)
+	w.publish()
+	w.serveReaders()
+}
+
+func (w *Watcher) recordFailure(i int, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.instances[i].Reachable {
+		w.config.Log.WithFields(logrus.Fields{
+			"event": "instance_unreachable", "group": w.config.Group.Name, "instance": w.instances[i].ID, "error": err,
+		}).Warn("instance unreachable")
+	}
+	w.instances[i].Reachable = false
+	w.publish()
+}
+
+// prove updates the proof; w.mu is held.
+func (w *Watcher) prove() {
+	reports := make([]Report, len(w.instances))
+	for i := range w.instances {
+		reports[i] = w.instances[i].Report
+	}
+	proof, ok := Prove(reports, len(reports))
+	if !ok || w.proved && (proof.Term < w.proof.Term || proof.Term == w.proof.Term && proof.Sequence < w.proof.Sequence) {
+		return
+	}
+	w.proof, w.proved = proof, true
+	w.ages.addProof(proof)
+}
+
+// publish stores a new snapshot; w.mu is held or w is not shared yet.
+func (w *Watcher) publish() {
+	v := &View{
+		Group:     w.config.Group.Name,
+		Started:   w.started,
+		Instances: make([]Instance, len(w.instances)),
+		proof:     w.proof,
+		proved:    w.proved,
+		lifetime:  w.config.ProofLifetime,
+	}
+	copy(v.Instances, w.instances)
+	for i := range v.Instances {
+		v.Instances[i].ReachedAt = w.ages.reached[v.Instances[i].ID].at
+	}
+	w.view.Store(v)
+}
+
+// serveReaders answers the calls that the proof is new enough for; w.mu is held.
+func (w *Watcher) serveReaders() {
+	if !w.proved {
+		return
+	}
+	for r := range w.readers {
+		if w.proof.Sequence > r.sequence {
+			v := *w.view.Load()
+			v.TakenAt = w.config.Now()
+			r.done <- v
+			delete(w.readers, r)
+		}
+	}
+}
+
+// pause waits for the duration, a signal on kick (which may be nil) or Close.
+func (w *Watcher) pause(d time.Duration, kick <-chan struct{}) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-kick:
+	case <-w.ctx.Done():
+	}
+}
+
+// signal puts a token into a channel of capacity 1 if it is empty.
+func signal(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
+}
