Catalog: documents and patches

Patches are INI sections that add, change or delete customers, keys, groups and routes. View answers what may be served while a patch is pending: only what both documents allow, with key, route and limits checked at each admission.

--- /dev/null
+++ b/internal/catalog/fields.go
@@ -0,0 +1,150 @@
+package catalog
+
+import (
+	"encoding/hex"
+	"fmt"
+	"math"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Limits of values.
+const (
+	// MaxRate bounds rates (statements a second), bursts (statements) and weights.
+	MaxRate = 1e9
+	// MaxAgeLimit bounds a route's stated age.
+	MaxAgeLimit = 24 * time.Hour
+	// MinSecretBytes is the least length of the token secret.
+	MinSecretBytes = 16
+	// MaxSecretBytes is the greatest length of the token secret.
+	MaxSecretBytes = 256
+)
+
+// keyPrefix starts the entries of a customer's keys; withdrawn removes a key.
+const (
+	keyPrefix = "key."
+	withdrawn = "withdrawn"
+)
+
+// customerFields sets one plain field of a customer from its text.
+var customerFields = map[string]func(*Customer, string) error{
+	"rate":   func(c *Customer, v string) error { return positive(v, &c.Rate) },
+	"burst":  func(c *Customer, v string) error { return positive(v, &c.Burst) },
+	"weight": func(c *Customer, v string) error { return positive(v, &c.Weight) },
+}
+
+// routeFields sets one field of a route from its text.
+var routeFields = map[string]func(*Route, string) error{
+	"group":         func(r *Route, v string) error { return name(v, &r.Group) },
+	"mode":          setMode,
+	"max_age":       setMaxAge,
+	"read_only":     func(r *Route, v string) error { return boolean(v, &r.ReadOnly) },
+	"open":          func(r *Route, v string) error { return boolean(v, &r.Open) },
+	"serve_cut_off": func(r *Route, v string) error { return boolean(v, &r.ServeCutOff) },
+	"customers":     setCustomers,
+}
+
+func positive(text string, to *float64) error {
+	f, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(f) || f <= 0 || f > MaxRate {
+		return fmt.Errorf("want a number above 0 and up to %g", float64(MaxRate))
+	}
+	*to = f
+	return nil
+}
+
+func boolean(text string, to *bool) error {
+	if text != "true" && text != "false" {
+		return fmt.Errorf("want true or false")
+	}
+	*to = text == "true"
+	return nil
+}
+
+func name(text string, to *string) error {
+	if !namePattern.MatchString(text) {
+		return fmt.Errorf("name %q: want 1 to 63 letters, digits, '_', '.', '-'", text)
+	}
+	*to = text
+	return nil
+}
+
+func setMode(r *Route, text string) error {
+	mode := ReadMode(text)
+	if mode != ReadPrimary && mode != ReadSession {
+		return fmt.Errorf("want %s or %s", ReadPrimary, ReadSession)
+	}
+	r.Mode = mode
+	return nil
+}
+
+func setMaxAge(r *Route, text string) error {
+	age, err := time.ParseDuration(text)
+	if err != nil || age < 0 || age > MaxAgeLimit {
+		return fmt.Errorf("want a duration from 0s to %s", MaxAgeLimit)
+	}
+	r.MaxAge = age
+	return nil
+}
+
+func setCustomers(r *Route, text string) error {
+	seen := map[string]bool{}
+	var list []string
+	for _, field := range strings.FieldsFunc(text, func(c rune) bool { return c == ',' || c == ' ' }) {
+		var customer string
+		if err := name(field, &customer); err != nil {
+			return err
+		}
+		if seen[customer] {
+			return fmt.Errorf("customer %s is listed twice", customer)
+		}
+		seen[customer] = true
+		list = append(list, customer)
+	}
+	slices.Sort(list)
+	r.Customers = list
+	return nil
+}
+
+func setSecret(text string, to *[]byte) error {
+	secret, err := hex.DecodeString(text)
+	if err != nil || len(secret) < MinSecretBytes || len(secret) > MaxSecretBytes {
+		return fmt.Errorf("want %d to %d bytes in hex", MinSecretBytes, MaxSecretBytes)
+	}
+	*to = secret
+	return nil
+}
+
+// setCustomerEntry sets one entry of a customer's section, keys included.
+func setCustomerEntry(c *Customer, e entry) error {
+	if set, ok := customerFields[e.key]; ok {
+		return set(c, e.value)
+	}
+	keyName, ok := strings.CutPrefix(e.key, keyPrefix)
+	if !ok {
+		return fmt.Errorf("unknown key")
+	}
+	if err := name(keyName, &keyName); err != nil {
+		return err
+	}
+	if e.value == withdrawn {
+		delete(c.Keys, keyName)
+		return nil
+	}
+	hash, err := ParseKeyHash(e.value)
+	if err != nil {
+		return err
+	}
+	c.Keys[keyName] = hash
+	return nil
+}
+
+func setRouteEntry(r *Route, e entry) error {
+	set, ok := routeFields[e.key]
+	if !ok {
+		return fmt.Errorf("unknown key")
+	}
+	return set(r, e.value)
+}
--- /dev/null
+++ b/internal/catalog/view.go
@@ -0,0 +1,198 @@
+package catalog
+
+import (
+	"encoding/hex"
+	"slices"
+	"strings"
+
+	"chicoryline/internal/errkind"
+)
+
+// Anonymous is the customer that callers of open routes without a valid key
+// count as. Operators may set its limits in a section of this name; without one
+// AnonymousRate and AnonymousBurst hold.
+const Anonymous = "public"
+
+// Limits of the Anonymous customer where the document has none.
+const (
+	// AnonymousRate is in statements a second over all VMs.
+	AnonymousRate = 100
+	// AnonymousBurst is in statements.
+	AnonymousBurst = 200
+)
+
+// View is what a node may serve at one moment. While a patch is pending only
+// what both documents allow is allowed. A View is immutable; its methods may be
+// called from any goroutine.
+type View struct {
+	// Current is the document in force as far as this node knows; nil is empty.
+	Current *Document
+	// Pending is the document of a patch under way, or nil.
+	Pending *Document
+	// Expired says that the node cannot prove Current: only routes marked
+	// serve_cut_off may be used, and only as Anonymous.
+	Expired bool
+}
+
+// KeyRef names one key of a customer with its hash, so that a key replaced
+// under the same name does not pass for the old one.
+type KeyRef string
+
+func newKeyRef(name string, hash KeyHash) KeyRef {
+	return KeyRef(name + ":" + hex.EncodeToString(hash.Hash))
+}
+
+// documents returns the documents that have to agree.
+func (v View) documents() []*Document {
+	current := v.Current
+	if current == nil {
+		current = &Document{}
+	}
+	if v.Pending == nil {
+		return []*Document{current}
+	}
+	return []*Document{current, v.Pending}
+}
+
+// Authorize decides whether a caller with this key may use the route now, and
+// returns the customer and route with the limits that hold. It is called at
+// each admission, not only at connect. Errors: errkind.Unauthorized,
+// UnknownRoute, RouteForbidden, or ConfigStale when the answer depends on a
+// pending patch or the view has expired.
+func (v View) Authorize(customer, key, route string) (Customer, Route, error) {
+	r, err := v.Route(route)
+	if err != nil {
+		return Customer{}, Route{}, err
+	}
+	if v.Expired && !r.ServeCutOff {
+		return Customer{}, Route{}, errkind.New(errkind.ConfigStale, "route %s", route)
+	}
+	ref, ok := v.MatchKey(customer, key)
+	return v.admit(customer, ref, ok, r)
+}
+
+// AuthorizeKey is Authorize for a connection that has shown its key before: it
+// checks that the key still is valid without hashing it again.
+func (v View) AuthorizeKey(customer string, ref KeyRef, route string) (Customer, Route, error) {
+	r, err := v.Route(route)
+	if err != nil {
+		return Customer{}, Route{}, err
+	}
+	if v.Expired && !r.ServeCutOff {
+		return Customer{}, Route{}, errkind.New(errkind.ConfigStale, "route %s", route)
+	}
+	return v.admit(customer, ref, v.KeyValid(customer, ref), r)
+}
+
+func (v View) admit(customer string, ref KeyRef, valid bool, r Route) (Customer, Route, error) {
+	if !valid || v.Expired {
+		if !r.Open {
+			return Customer{}, Route{}, errkind.New(errkind.Unauthorized, "customer %s", customer)
+		}
+		customer = Anonymous
+	}
+	if len(r.Customers) > 0 && !r.Open && !slices.Contains(r.Customers, customer) {
+		return Customer{}, Route{}, errkind.New(errkind.RouteForbidden, "route %s, customer %s", r.Name, customer)
+	}
+	c := Customer{Name: customer}
+	c.Rate, c.Burst, c.Weight = v.Limits(customer)
+	return c, r, nil
+}
+
+// MatchKey returns the reference of the customer's key that all documents
+// accept, or false. Its time does not depend on where the key differs.
+func (v View) MatchKey(customer, key string) (KeyRef, bool) {
+	documents := v.documents()
+	for name, hash := range documents[0].Customers[customer].Keys {
+		ref := newKeyRef(name, hash)
+		if hash.Matches(key) && v.KeyValid(customer, ref) {
+			return ref, true
+		}
+	}
+	return "", false
+}
+
+// KeyValid reports whether all documents still hold the key.
+func (v View) KeyValid(customer string, ref KeyRef) bool {
+	name, _, ok := strings.Cut(string(ref), ":")
+	if !ok {
+		return false
+	}
+	for _, d := range v.documents() {
+		hash, found := d.Customers[customer].Keys[name]
+		if !found || newKeyRef(name, hash) != ref {
+			return false
+		}
+	}
+	return true
+}
+
+// Limits returns the lower rate (statements a second), burst (statements) and
+// weight of all documents; zeros for a customer that one of them lacks.
+func (v View) Limits(customer string) (rate, burst, weight float64) {
+	for i, d := range v.documents() {
+		c, ok := d.Customers[customer]
+		if !ok && customer == Anonymous {
+			c = Customer{Rate: AnonymousRate, Burst: AnonymousBurst, Weight: 1}
+		}
+		if i == 0 {
+			rate, burst, weight = c.Rate, c.Burst, c.Weight
+			continue
+		}
+		rate, burst, weight = min(rate, c.Rate), min(burst, c.Burst), min(weight, c.Weight)
+	}
+	return rate, burst, weight
+}
+
+// Route returns the route as all documents allow it. Errors:
+// errkind.UnknownRoute, or errkind.ConfigStale when a pending patch adds,
+// removes or moves the route; the caller waits briefly for the outcome.
+func (v View) Route(name string) (Route, error) {
+	documents := v.documents()
+	r, ok := documents[0].Routes[name]
+	for _, d := range documents[1:] {
+		other, inOther := d.Routes[name]
+		if ok != inOther || r.Group != other.Group || r.Mode != other.Mode {
+			return Route{}, errkind.New(errkind.ConfigStale, "route %s changes", name)
+		}
+		var disjoint bool
+		if r, disjoint = joinRoutes(r, other); disjoint {
+			return Route{}, errkind.New(errkind.ConfigStale, "route %s changes its customers", name)
+		}
+	}
+	if !ok {
+		return Route{}, errkind.New(errkind.UnknownRoute, "%s", name)
+	}
+	return r, nil
+}
+
+// joinRoutes returns the route that both allow; disjoint says that both list
+// customers and share none, which an empty list could not express.
+func joinRoutes(a, b Route) (joined Route, disjoint bool) {
+	a.MaxAge = min(a.MaxAge, b.MaxAge)
+	a.ReadOnly = a.ReadOnly || b.ReadOnly
+	a.Open = a.Open && b.Open
+	a.ServeCutOff = a.ServeCutOff && b.ServeCutOff
+	switch {
+	case len(a.Customers) == 0:
+		a.Customers = b.Customers
+	case len(b.Customers) > 0:
+		both := slices.DeleteFunc(slices.Clone(a.Customers), func(c string) bool { return !slices.Contains(b.Customers, c) })
+		a.Customers, disjoint = both, len(both) == 0
+	}
+	return a, disjoint
+}
+
+// TokenSecrets returns the secret that seals new session tokens and all that
+// are accepted on received ones.
+func (v View) TokenSecrets() (seal []byte, accept [][]byte) {
+	for i, d := range v.documents() {
+		if i == 0 {
+			seal = d.TokenSecret
+		}
+		if len(d.TokenSecret) > 0 {
+			accept = append(accept, d.TokenSecret)
+		}
+	}
+	return seal, accept
+}
