--- a/cmd/chicoryline/main.go
+++ b/cmd/chicoryline/main.go
@@ -1,4 +1,68 @@
-// Command chicoryline is a database proxy with session consistency.
+// Command chicoryline is a database proxy with session consistency. One binary
+// holds the server, the operators' commands, and the stand-ins for trials.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+)
+
+// Exit statuses.
+const (
+	exitFailed  = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+func main() {
+	parser := flags.NewParser(nil, flags.Default&^flags.PrintErrors)
+	parser.Name = "chicoryline"
+	for _, c := range commands() {
+		if _, err := parser.AddCommand(c.name, c.short, c.long, c.data); err != nil {
+			panic(err)
+		}
+	}
+	_, err := parser.Parse()
+	os.Exit(status(err))
+}
+
+// command is one command of the binary; data holds its flags and Execute.
+type command struct {
+	name, short, long string
+	data              any
+}
+
+// status prints the error, if any, and returns the exit status.
+func status(err error) int {
+	var usage *flags.Error
+	switch {
+	case err == nil:
+		return 0
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		if usage.Type == flags.ErrHelp {
+			return 0
+		}
+		return exitUsage
+	}
+	fmt.Fprintf(os.Stderr, "error=%s text=%q\n", errkind.KindOf(err), err.Error())
+	if errkind.KindOf(err).Answer().Class == errkind.Unknown && errkind.KindOf(err) != errkind.Internal {
+		return exitUnknown
+	}
+	return exitFailed
+}
+
+// newLogger returns a logger that writes one key=value line for each event.
+func newLogger(level logrus.Level) *logrus.Entry {
+	log := logrus.New()
+	log.SetOutput(os.Stderr)
+	log.SetLevel(level)
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	return logrus.NewEntry(log)
+}
--- /dev/null
+++ b/internal/inifile/inifile.go
@@ -0,0 +1,142 @@
+// Package inifile reads INI files with the line of every section and key, and
+// gathers all faults of a file instead of the first one.
+package inifile
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+
+	"gopkg.in/ini.v1"
+
+	"chicoryline/internal/errkind"
+)
+
+// Section is one section of a file in the order of the file.
+type Section struct {
+	Title string
+	Line  int
+	Keys  []Key
+}
+
+// Key is one "name = value" line.
+type Key struct {
+	Name  string
+	Value string
+	Line  int
+}
+
+// Fault is one mistake in a file. Line is 0 when it belongs to no line.
+type Fault struct {
+	Section string
+	Key     string
+	Line    int
+	Text    string
+}
+
+// String returns "line N: [section] key: text" without the parts that are absent.
+func (f Fault) String() string {
+	var b strings.Builder
+	if f.Line > 0 {
+		fmt.Fprintf(&b, "line %d: ", f.Line)
+	}
+	if f.Section != "" {
+		fmt.Fprintf(&b, "[%s] ", f.Section)
+	}
+	if f.Key != "" {
+		fmt.Fprintf(&b, "%s: ", f.Key)
+	}
+	return b.String() + f.Text
+}
+
+// Faults gathers faults in the order in which they are found.
+type Faults []Fault
+
+// Add notes a fault of the key; a zero Key is a fault of the section itself.
+func (l *Faults) Add(s Section, k Key, format string, args ...any) {
+	line := k.Line
+	if line == 0 {
+		line = s.Line
+	}
+	*l = append(*l, Fault{Section: s.Title, Key: k.Name, Line: line, Text: fmt.Sprintf(format, args...)})
+}
+
+// Err returns nil or one error of the kind that lists every fault.
+func (l Faults) Err(kind errkind.Kind) error {
+	if len(l) == 0 {
+		return nil
+	}
+	texts := make([]string, len(l))
+	for i, f := range l {
+		texts[i] = f.String()
+	}
+	return errkind.New(kind, "%s", strings.Join(texts, "; "))
+}
+
+type place struct{ section, key string }
+
+// Parse reads the file's sections and the faults of its form: repeated
+// sections and keys, keys outside of sections, quoted values.
+func Parse(data []byte) ([]Section, Faults) {
+	lines, faults := scan(data)
+	if len(faults) > 0 {
+		return nil, faults
+	}
+	file, err := ini.LoadSources(ini.LoadOptions{
+		IgnoreContinuation: true, IgnoreInlineComment: true, KeyValueDelimiters: "=",
+		ChildSectionDelimiter: "\x00", PreserveSurroundedQuote: true,
+	}, data)
+	if err != nil {
+		faults.Add(Section{}, Key{}, "%v", err)
+		return nil, faults
+	}
+	var sections []Section
+	for _, loaded := range file.Sections() {
+		if loaded.Name() == ini.DefaultSection && len(loaded.Keys()) == 0 {
+			continue
+		}
+		s := Section{Title: loaded.Name(), Line: lines[place{section: loaded.Name()}]}
+		for _, k := range loaded.Keys() {
+			s.Keys = append(s.Keys, Key{Name: k.Name(), Value: k.Value(), Line: lines[place{s.Title, k.Name()}]})
+		}
+		sections = append(sections, s)
+	}
+	return sections, faults
+}
+
+// scan maps sections and keys to their lines. The INI library gives no line
+// numbers and merges repeated sections and keys.
+func scan(data []byte) (map[place]int, Faults) {
+	lines := map[place]int{}
+	var faults Faults
+	title := ""
+	for i, raw := range bytes.Split(data, []byte("\n")) {
+		text := strings.TrimSpace(string(raw))
+		if text == "" || text[0] == '#' || text[0] == ';' {
+			continue
+		}
+		k := Key{Line: i + 1}
+		if text[0] == '[' {
+			title = strings.TrimSpace(text[1:max(1, strings.LastIndexByte(text, ']'))])
+		} else {
+			name, value, _ := strings.Cut(text, "=")
+			k.Name, k.Value = strings.TrimSpace(name), strings.TrimSpace(value)
+		}
+		checkLine(title, k, lines, &faults)
+		lines[place{title, k.Name}] = k.Line
+	}
+	return lines, faults
+}
+
+func checkLine(title string, k Key, lines map[place]int, faults *Faults) {
+	s := Section{Title: title, Line: k.Line}
+	if first, twice := lines[place{title, k.Name}]; twice {
+		faults.Add(s, k, "already given in line %d", first)
+	}
+	if title == "" {
+		faults.Add(s, k, "stands in no section")
+	}
+	if strings.ContainsAny(k.Name, "`\"") || strings.HasPrefix(k.Value, "`") || strings.HasPrefix(k.Value, `"`) {
+		faults.Add(s, k, "quotes are not allowed")
+	}
+}
--- /dev/null
+++ b/internal/peer/codec.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"bufio"
+	"encoding/gob"
+	"io"
+	"net/rpc"
+	"sync"
+
+	"chicoryline/internal/timeline"
+)
+
+// header precedes the body of each call and answer. Its stamp carries the
+// sender's hybrid logical clock, so that the time line orders causes before
+// effects over all processes.
+type header struct {
+	Method string
+	Seq    uint64
+	Error  string
+	Stamp  timeline.Stamp
+}
+
+// codec writes calls and answers with gob. It is the client's and the server's
+// half alike; net/rpc serializes the writes of each half.
+type codec struct {
+	closer  io.Closer
+	decoder *gob.Decoder
+	encoder *gob.Encoder
+	buffer  *bufio.Writer
+	clock   *timeline.Clock
+	in      header
+	closed  sync.Once
+}
+
+func newCodec(conn io.ReadWriteCloser, clock *timeline.Clock) *codec {
+	buffer := bufio.NewWriter(conn)
+	return &codec{
+		closer: conn, decoder: gob.NewDecoder(bufio.NewReader(conn)),
+		encoder: gob.NewEncoder(buffer), buffer: buffer, clock: clock,
+	}
+}
+
+func (c *codec) write(h header, body any) error {
+	h.Stamp = c.clock.Now()
+	err := c.encoder.Encode(&h)
+	if err == nil {
+		err = c.encoder.Encode(body)
+	}
+	if err == nil {
+		err = c.buffer.Flush()
+	}
+	if err != nil {
+		_ = c.Close()
+	}
+	return err
+}
+
+func (c *codec) readHeader() error {
+	c.in = header{}
+	if err := c.decoder.Decode(&c.in); err != nil {
+		return err
+	}
+	c.clock.Observe(c.in.Stamp)
+	return nil
+}
+
+func (c *codec) readBody(body any) error { return c.decoder.Decode(body) }
+
+// Close ends the connection.
+func (c *codec) Close() error {
+	var err error
+	c.closed.Do(func() { err = c.closer.Close() })
+	return err
+}
+
+// clientCodec is the calling half; it implements rpc.ClientCodec.
+type clientCodec struct{ *codec }
+
+func (c clientCodec) WriteRequest(r *rpc.Request, body any) error {
+	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq}, body)
+}
+
+func (c clientCodec) ReadResponseHeader(r *rpc.Response) error {
+	err := c.readHeader()
+	r.ServiceMethod, r.Seq, r.Error = c.in.Method, c.in.Seq, c.in.Error
+	return err
+}
+
+func (c clientCodec) ReadResponseBody(body any) error { return c.readBody(body) }
+
+// serverCodec is the answering half; it implements rpc.ServerCodec.
+type serverCodec struct{ *codec }
+
+func (c serverCodec) ReadRequestHeader(r *rpc.Request) error {
+	err := c.readHeader()
+	r.ServiceMethod, r.Seq = c.in.Method, c.in.Seq
+	return err
+}
+
+func (c serverCodec) ReadRequestBody(body any) error { return c.readBody(body) }
+
+func (c serverCodec) WriteResponse(r *rpc.Response, body any) error {
+	return c.write(header{Method: r.ServiceMethod, Seq: r.Seq, Error: r.Error}, body)
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"time"
 
 	"chicoryline/internal/errkind"
+	"chicoryline/internal/timeline"
 )
 
 // DialTimeout bounds the opening of a connection to another process.
@@ -36,7 +37,8 @@
 // Client keeps one multiplexed connection to each process it has called. Its
 // mutex guards the map of connections.
 type Client struct {
-	dial DialFunc
+	dial  DialFunc
+	clock *timeline.Clock
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -52,7 +54,7 @@
 }
 
 // NewClient returns a client. A nil dial uses TCP; a non-nil config adds TLS.
-func NewClient(dial DialFunc, config *tls.Config) *Client {
+func NewClient(clock *timeline.Clock, dial DialFunc, config *tls.Config) *Client {
 	if dial == nil {
 		dialer := &net.Dialer{Timeout: DialTimeout}
 		dial = dialer.DialContext
@@ -72,13 +74,13 @@
 			return secure, nil
 		}
 	}
-	return &Client{dial: dial, links: map[string]*link{}}
+	return &Client{dial: dial, clock: clock, links: map[string]*link{}}
 }
 
 // Call implements Caller.
 func (c *Client) Call(ctx context.Context, address, method string, args, reply any) error {
 	l := c.link(address)
-	client, err := l.open(ctx, c.dial, address)
+	client, err := l.open(ctx, c, address)
 	if err != nil {
 		return errkind.New(errkind.Unreachable, "%s: %v", address, err)
 	}
@@ -111,7 +113,7 @@
 	return l
 }
 
-func (l *link) open(ctx context.Context, dial DialFunc, address string) (*rpc.Client, error) {
+func (l *link) open(ctx context.Context, c *Client, address string) (*rpc.Client, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.client != nil {
@@ -119,11 +121,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, DialTimeout)
 	defer cancel()
-	conn, err := dial(ctx, "tcp", address)
+	conn, err := c.dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
-	l.client, l.conn = rpc.NewClient(conn), conn
+	l.client, l.conn = rpc.NewClientWithCodec(clientCodec{newCodec(conn, c.clock)}), conn
 	return l.client, nil
 }
 
@@ -178,6 +180,7 @@
 type Server struct {
 	rpc      *rpc.Server
 	listener net.Listener
+	clock    *timeline.Clock
 
 	mu     sync.Mutex
 	conns  map[io.Closer]bool
@@ -185,11 +188,11 @@
 }
 
 // NewServer returns a server on the listener; a non-nil config adds TLS.
-func NewServer(listener net.Listener, config *tls.Config) *Server {
+func NewServer(clock *timeline.Clock, listener net.Listener, config *tls.Config) *Server {
 	if config != nil {
 		listener = tls.NewListener(listener, config)
 	}
-	return &Server{rpc: rpc.NewServer(), listener: listener, conns: map[io.Closer]bool{}}
+	return &Server{rpc: rpc.NewServer(), listener: listener, clock: clock, conns: map[io.Closer]bool{}}
 }
 
 // Register adds a service: a value whose exported methods have net/rpc's form.
@@ -208,7 +211,7 @@
 			return
 		}
 		go func() {
-			s.rpc.ServeConn(conn)
+			s.rpc.ServeCodec(serverCodec{newCodec(conn, s.clock)})
 			s.untrack(conn)
 		}()
 	}
--- a/internal/position/token.go
+++ b/internal/position/token.go
@@ -24,15 +24,23 @@
 // secret of the configuration and is safe for concurrent use.
 type Sealer struct {
 	secret []byte
+	accept [][]byte
 }
 
-// NewSealer returns a sealer with the secret (bytes, any length above zero).
-func NewSealer(secret []byte) *Sealer { return &Sealer{secret: secret} }
+// NewSealer returns a sealer that seals with the secret and opens what any of
+// the accepted secrets sealed. With no secret it seals empty tokens and opens
+// none.
+func NewSealer(secret []byte, accept [][]byte) *Sealer {
+	return &Sealer{secret: secret, accept: accept}
+}
 
 // Seal returns the token for the customer. A vector with more than
 // MaxTokenGroups entries keeps the first in the order of names; a group that
 // was left out gets the safe treatment of an unknown past.
 func (s *Sealer) Seal(customer string, v Vector) string {
+	if len(s.secret) == 0 {
+		return ""
+	}
 	names := make([]string, 0, len(v))
 	for name := range v {
 		names = append(names, name)
@@ -48,7 +56,7 @@
 		body = binary.AppendUvarint(body, v[name].Term)
 		body = binary.AppendUvarint(body, v[name].Offset)
 	}
-	return base64.RawURLEncoding.EncodeToString(append(body, s.mac(customer, body)...))
+	return base64.RawURLEncoding.EncodeToString(append(body, mac(s.secret, customer, body)...))
 }
 
 // Open checks the token and returns its vector. A forged token, one of another
@@ -61,15 +69,17 @@
 	if err != nil || len(raw) < 1+macBytes || raw[0] != tokenFormat {
 		return nil, errkind.New(errkind.BadToken, "malformed")
 	}
-	body, mac := raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
-	if !hmac.Equal(mac, s.mac(customer, body)) {
-		return nil, errkind.New(errkind.BadToken, "seal does not match")
+	body, seal := raw[:len(raw)-macBytes], raw[len(raw)-macBytes:]
+	for _, secret := range s.accept {
+		if len(secret) > 0 && hmac.Equal(seal, mac(secret, customer, body)) {
+			return decodeVector(body[1:])
+		}
 	}
-	return decodeVector(body[1:])
+	return nil, errkind.New(errkind.BadToken, "seal does not match")
 }
 
-func (s *Sealer) mac(customer string, body []byte) []byte {
-	h := hmac.New(sha256.New, s.secret)
+func mac(secret []byte, customer string, body []byte) []byte {
+	h := hmac.New(sha256.New, secret)
 	h.Write(binary.AppendUvarint(nil, uint64(len(customer))))
 	h.Write([]byte(customer))
 	h.Write(body)
--- /dev/null
+++ b/internal/proxy/duty.go
@@ -0,0 +1,237 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/failover"
+	"chicoryline/internal/groupview"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/pool"
+	"chicoryline/internal/timeline"
+)
+
+const (
+	// reconcileInterval is the pause between two looks at which instances this
+	// VM owns.
+	reconcileInterval = 200 * time.Millisecond
+	// confirmConnections is the number of VMs that hold a second control
+	// connection to each instance, to wait for the confirmation of commits: the
+	// owners of the primary.
+	confirmConnections = ownersPerInstance
+	// firstOwnerPart is the part of an instance's connections that its first
+	// owner may hold before shares are leased; the second has the rest.
+	firstOwnerPart = 0.7
+	// warmConnections is the number of connections that an owner opens ahead.
+	warmConnections = 2
+)
+
+// groupDuty is what this VM does for one database group while it owns one of
+// its instances: it watches the group and stands by as steward.
+type groupDuty struct {
+	group   platform.Group
+	watcher *groupview.Watcher
+	runner  *failover.Runner
+	clients []*backend.Client
+}
+
+// newGroupDuty connects to all instances of the group and starts to watch them.
+func (p *Proxy) newGroupDuty(group platform.Group) (*groupDuty, error) {
+	d := &groupDuty{group: group}
+	controls := d.connect(p)
+	waits := d.connect(p)
+	watcher, err := groupview.New(groupview.Config{
+		Group: group, Controls: controls, WaitControls: waits,
+		Interval: p.settings.ProbeInterval, ProofLifetime: p.settings.ProofLifetime, Log: p.log,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	d.watcher = watcher
+	d.runner, err = failover.NewRunner(failover.Config{
+		Group: group, Controls: controls, Watcher: watcher, Table: p.services, VM: p.vm,
+		Peers: failover.NewPeers(p.peers, p.groupPeers(group.Name)), Rank: p.stewardRank(group),
+		System: p.system, Rand: p.newRand(), Log: p.log,
+		OnEvent: func(kind string, fields map[string]string) { p.note(kind, timeline.Event{Group: group.Name}, fields) },
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	watcher.Start()
+	d.runner.Start()
+	return d, nil
+}
+
+// connect returns one control client for each instance.
+func (d *groupDuty) connect(p *Proxy) map[string]backend.Control {
+	controls := map[string]backend.Control{}
+	for _, i := range d.group.Instances {
+		client := backend.NewClient(i.ID, i.Address, p.settings.BackendUser, p.settings.BackendPassword, p.applicationName(), p.dial)
+		d.clients = append(d.clients, client)
+		controls[i.ID] = client
+	}
+	return controls
+}
+
+func (d *groupDuty) close() {
+	d.runner.Close()
+	d.watcher.Close()
+	for _, c := range d.clients {
+		c.Close()
+	}
+}
+
+// reconcileLoop brings the duties into line with the members and the groups.
+func (p *Proxy) reconcileLoop() {
+	ticker := time.NewTicker(reconcileInterval)
+	defer ticker.Stop()
+	for {
+		p.reconcile()
+		select {
+		case <-p.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *Proxy) reconcile() {
+	groups := p.topology.all()
+	for name, group := range groups {
+		p.reconcileGroup(name, group)
+	}
+	for _, name := range p.dutyNames() {
+		if _, listed := groups[name]; !listed && len(groups) > 0 {
+			p.endDuty(name)
+		}
+	}
+}
+
+func (p *Proxy) reconcileGroup(name string, group platform.Group) {
+	owned := false
+	for _, instance := range group.Instances {
+		if rank := p.topology.rank(instance, p.vm.ID); rank >= 0 && !instance.Leaving {
+			owned = true
+		}
+	}
+	duty := p.duty(name)
+	if owned && duty != nil && !sameInstances(duty.group, group) {
+		p.endDuty(name)
+		duty = nil
+	}
+	if owned && duty == nil {
+		duty = p.startDuty(name, group)
+	}
+	if !owned && duty != nil {
+		p.endDuty(name)
+		duty = nil
+	}
+	if duty != nil {
+		p.reconcileOwners(duty, group)
+	}
+}
+
+// sameInstances reports whether two descriptions name the same instances at
+// the same addresses.
+func sameInstances(a, b platform.Group) bool {
+	if len(a.Instances) != len(b.Instances) {
+		return false
+	}
+	for i := range a.Instances {
+		if a.Instances[i].ID != b.Instances[i].ID || a.Instances[i].Address != b.Instances[i].Address {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Proxy) startDuty(name string, group platform.Group) *groupDuty {
+	duty, err := p.newGroupDuty(group)
+	if err != nil {
+		p.log.WithError(err).WithField("group", name).WithField("event", "duty_failed").Error("group")
+		return nil
+	}
+	p.mu.Lock()
+	p.duties[name] = duty
+	p.mu.Unlock()
+	p.note("duty_started", timeline.Event{Group: name}, nil)
+	return duty
+}
+
+func (p *Proxy) endDuty(name string) {
+	p.mu.Lock()
+	duty := p.duties[name]
+	delete(p.duties, name)
+	p.mu.Unlock()
+	if duty == nil {
+		return
+	}
+	for _, i := range duty.group.Instances {
+		p.pool.SetOwner(i.ID, nil)
+	}
+	duty.close()
+	p.note("duty_ended", timeline.Event{Group: name}, nil)
+}
+
+func (p *Proxy) duty(name string) *groupDuty {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.duties[name]
+}
+
+func (p *Proxy) dutyNames() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	names := make([]string, 0, len(p.duties))
+	for name := range p.duties {
+		names = append(names, name)
+	}
+	return names
+}
+
+// reconcileOwners gives this VM the pools of the instances that it owns now.
+func (p *Proxy) reconcileOwners(duty *groupDuty, group platform.Group) {
+	for _, instance := range group.Instances {
+		rank := p.topology.rank(instance, p.vm.ID)
+		owner, owned := p.pool.Owner(instance.ID)
+		switch {
+		case rank < 0 && owned:
+			p.pool.SetOwner(instance.ID, nil)
+		case rank >= 0 && !owned:
+			owner = p.newOwner(duty, instance)
+			owner.SetBudget(budget(group, rank))
+			p.pool.SetOwner(instance.ID, owner)
+			if rank == 0 {
+				go owner.Warm(context.Background(), warmConnections)
+			}
+		case rank >= 0:
+			owner.SetBudget(budget(group, rank))
+		}
+	}
+}
+
+func (p *Proxy) newOwner(duty *groupDuty, instance platform.Instance) *pool.Owner {
+	return pool.NewOwner(pool.OwnerConfig{
+		Instance: instance, Group: duty.group, Watcher: groupWatcher{duty.watcher},
+		Credentials: pool.Credentials{
+			User: p.settings.BackendUser, Password: p.settings.BackendPassword,
+			Database: p.settings.BackendDatabase, Application: p.applicationName(),
+		},
+		Dial: p.dial, Log: p.log,
+	})
+}
+
+// budget splits an instance's connections between its owners, less the control
+// connections of all VMs that watch the group.
+func budget(group platform.Group, rank int) int {
+	watchers := ownersPerInstance * len(group.Instances)
+	data := max(group.Connections-watchers-confirmConnections, ownersPerInstance)
+	first := max(1, int(float64(data)*firstOwnerPart))
+	if rank == 0 {
+		return first
+	}
+	return max(1, data-first)
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,259 @@
+// Package proxy assembles one serve process: the entry role, the pool role,
+// and the duties that this VM has for database groups, customers and the
+// configuration. It starts them in the order of their dependencies and ends
+// them in a planned stop that cuts no request.
+package proxy
+
+import (
+	"context"
+	"crypto/tls"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/caller"
+	"chicoryline/internal/configsync"
+	"chicoryline/internal/fleet"
+	"chicoryline/internal/frame"
+	"chicoryline/internal/metrics"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/pool"
+	"chicoryline/internal/quota"
+	"chicoryline/internal/router"
+	"chicoryline/internal/settings"
+	"chicoryline/internal/timeline"
+)
+
+// DialFunc opens a connection; the demo replaces it to cut links.
+type DialFunc = func(ctx context.Context, network, address string) (net.Conn, error)
+
+// dialTimeout bounds the opening of one connection.
+const dialTimeout = 2 * time.Second
+
+// Options are what a process is built from besides its settings.
+type Options struct {
+	Settings settings.Settings
+	// Dial replaces TCP dialing; nil uses it as it is.
+	Dial DialFunc
+	Log  *logrus.Entry
+}
+
+// Proxy is one serve process. The mutex guards duties.
+type Proxy struct {
+	settings settings.Settings
+	vm       platform.VM
+	started  time.Time
+	dial     DialFunc
+	log      *logrus.Entry
+	stop     chan struct{}
+
+	clock    *timeline.Clock
+	ring     *timeline.Ring
+	measures *metrics.Measures
+	system   *frame.System
+
+	services *platform.Client
+	peers    *peer.Client
+	server   *peer.Server
+	fleet    *fleet.Fleet
+	config   *configsync.Node
+	quota    *quota.Node
+	topology *topology
+	pool     *pool.Manager
+	router   *router.Router
+	callers  *caller.Server
+
+	callerListener  net.Listener
+	metricsListener net.Listener
+
+	mu     sync.Mutex
+	duties map[string]*groupDuty
+}
+
+// New listens on the addresses of the settings and builds the process; Start
+// sets it to work.
+func New(options Options) (*Proxy, error) {
+	s := options.Settings
+	p := &Proxy{
+		settings: s, started: time.Now(), dial: options.Dial, log: options.Log,
+		stop: make(chan struct{}), duties: map[string]*groupDuty{},
+	}
+	if p.dial == nil {
+		p.dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	p.log = p.log.WithField("vm", s.VM)
+	peerListener, err := p.listen()
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	p.vm = platform.VM{ID: s.VM, Domain: s.Domain, Address: peerListener.Addr().String()}
+	p.clock = timeline.NewClock(time.Now)
+	p.ring = timeline.NewRing(p.clock, s.VM, s.Domain, timeline.DefaultRingSize)
+	p.measures = metrics.New(time.Now)
+	p.system = frame.New(p.log)
+	return p, errors.Trace(p.build(peerListener))
+}
+
+// listen opens the listeners of the settings and returns the one for peers.
+func (p *Proxy) listen() (net.Listener, error) {
+	callers, err := net.Listen("tcp", p.settings.CallerListen)
+	if err != nil {
+		return nil, errors.Annotate(err, "caller_listen")
+	}
+	p.callerListener = callers
+	if p.settings.MetricsListen != "" {
+		p.metricsListener, err = net.Listen("tcp", p.settings.MetricsListen)
+		if err != nil {
+			return nil, errors.Annotate(err, "metrics_listen")
+		}
+	}
+	peers, err := net.Listen("tcp", p.settings.PeerListen)
+	return peers, errors.Annotate(err, "peer_listen")
+}
+
+// build makes the parts and registers their services.
+func (p *Proxy) build(peerListener net.Listener) error {
+	serverTLS, clientTLS, err := peerTLS(p.settings)
+	if err != nil {
+		return err
+	}
+	callerTLS, err := callerTLS(p.settings)
+	if err != nil {
+		return err
+	}
+	p.services, err = platform.NewClient(p.settings.PlatformURLs, p.vm, platform.WithDial(p.dial))
+	if err != nil {
+		return err
+	}
+	p.peers = peer.NewClient(p.clock, p.dial, clientTLS)
+	p.server = peer.NewServer(p.clock, peerListener, serverTLS)
+	if err := p.buildControl(); err != nil {
+		return err
+	}
+	p.pool = pool.NewManager(p.log, p)
+	p.router = router.New(router.Config{
+		Domain: p.vm.Domain, Topology: p.topology, Peers: p.peers,
+		RetryWindow: p.settings.RetryWindow, Rand: p.newRand(),
+	})
+	p.buildCallers(callerTLS)
+	return p.register()
+}
+
+// buildControl makes the parts that agree with other VMs.
+func (p *Proxy) buildControl() error {
+	var err error
+	p.fleet, err = fleet.New(fleet.Config{
+		Self: p.vm, Services: p.services, Caller: p.peers, System: p.system, Log: p.log,
+	})
+	if err != nil {
+		return errors.Annotate(err, "membership")
+	}
+	p.topology = newTopology(p.services, p.fleet.Directory(), p.log)
+	p.config = configsync.New(configsync.Config{
+		VM: p.vm, Incarnation: p.started.UnixNano(), Services: p.services, Caller: p.peers, System: p.system,
+		Now: time.Now, Rand: p.newRand(), Log: p.log, GrantLength: p.settings.GrantLength, OnEvent: p.onEvent,
+	})
+	p.quota = quota.NewNode(quota.Config{
+		VM: p.vm, Holders: p.holders, Caller: p.peers, System: p.system,
+		Now: time.Now, Rand: p.newRand(), Log: p.log, ShareLease: p.settings.ShareLease, OnEvent: p.onEvent,
+	})
+	p.config.Watch(p.applyConfig)
+	return nil
+}
+
+func (p *Proxy) buildCallers(config *tls.Config) {
+	p.callers = caller.NewServer(p.callerListener, caller.Config{
+		VM: p.vm.ID, Incarnation: p.started.UnixNano(), Access: p.access, Limiter: p.quota,
+		Router: p.router, Observer: p, Cancels: p, TLS: config,
+		MaxMessageBytes: p.settings.MaxMessageBytes, QueueTimeout: p.settings.QueueTimeout, Log: p.log,
+	})
+}
+
+func (p *Proxy) register() error {
+	services := map[string]any{
+		"Pool": &poolService{Service: pool.NewService(p.pool), proxy: p}, "Fleet": p.fleet.Service(),
+		"Config": p.config.Service(), "Quota": p.quota.Service(),
+		"Failover": &failoverService{proxy: p}, "Timeline": timeline.NewService(p.ring), "Proxy": &Service{proxy: p},
+	}
+	for name, service := range services {
+		if err := p.server.Register(name, service); err != nil {
+			return errors.Annotatef(err, "service %s", name)
+		}
+	}
+	return nil
+}
+
+// newRand returns a random source of this process.
+func (p *Proxy) newRand() *rand.Rand {
+	return rand.New(rand.NewPCG(uint64(p.started.UnixNano()), rand.Uint64()))
+}
+
+// applicationName names this process to backend servers.
+func (p *Proxy) applicationName() string { return "chicoryline/" + p.vm.ID + "/" + p.vm.Domain }
+
+// Start sets the process to work and returns.
+func (p *Proxy) Start() {
+	go p.server.Serve()
+	p.fleet.Start()
+	p.config.Start()
+	p.quota.Start()
+	go p.topology.run(p.stop)
+	go p.reconcileLoop()
+	if p.metricsListener != nil {
+		go p.measures.Serve(p.metricsListener)
+	}
+	go p.callers.Serve()
+	p.note("started", timeline.Event{}, nil)
+	p.log.WithField("event", "started").WithField("callers", p.CallerAddress()).WithField("peers", p.vm.Address).Info("serve")
+}
+
+// CallerAddress returns the address for callers.
+func (p *Proxy) CallerAddress() string { return p.callerListener.Addr().String() }
+
+// PeerAddress returns the address for other processes.
+func (p *Proxy) PeerAddress() string { return p.vm.Address }
+
+// MetricsAddress returns the address of the metrics, or "".
+func (p *Proxy) MetricsAddress() string {
+	if p.metricsListener == nil {
+		return ""
+	}
+	return p.metricsListener.Addr().String()
+}
+
+// Measures returns the process's counters.
+func (p *Proxy) Measures() *metrics.Measures { return p.measures }
+
+// Close ends the process at once, as a crash would but for closed sockets.
+func (p *Proxy) Close() {
+	p.mu.Lock()
+	select {
+	case <-p.stop:
+		p.mu.Unlock()
+		return
+	default:
+		close(p.stop)
+	}
+	p.mu.Unlock()
+	p.callers.Close()
+	p.server.Close()
+	p.router.Close()
+	for _, name := range p.dutyNames() {
+		p.endDuty(name)
+	}
+	p.pool.Close()
+	p.quota.Close()
+	p.config.Close()
+	p.fleet.Close()
+	p.peers.Close()
+	p.services.Close()
+	if p.metricsListener != nil {
+		_ = p.metricsListener.Close()
+	}
+	p.system.Shutdown()
+}
--- /dev/null
+++ b/internal/proxy/service.go
@@ -0,0 +1,132 @@
+package proxy
+
+import (
+	"context"
+	"fmt"
+	"sort"
+	"strings"
+	"time"
+
+	"chicoryline/internal/caller"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/pool"
+)
+
+// poolService adds the views of groups to the pool's service.
+type poolService struct {
+	*pool.Service
+	proxy *Proxy
+}
+
+// View returns this VM's view of a group that it watches.
+func (s *poolService) View(args *pool.ViewArgs, reply *pool.ViewReply) error {
+	duty := s.proxy.duty(args.Group)
+	if duty == nil {
+		return peer.Encode(errkind.New(errkind.NotEligible, "group %s is not watched here", args.Group))
+	}
+	*reply = groupWatcher{duty.watcher}.view()
+	return nil
+}
+
+// Service answers calls that concern the process as a whole; it is registered
+// as "Proxy".
+type Service struct{ proxy *Proxy }
+
+// CancelArgs names a caller's connection by its cancel key.
+type CancelArgs struct {
+	Number uint16
+	Secret uint32
+}
+
+// Cancel carries out a cancel request that reached another VM.
+func (s *Service) Cancel(args *CancelArgs, _ *pool.Empty) error {
+	s.proxy.callers.Cancel(args.Number, args.Secret)
+	return nil
+}
+
+// StatusReply describes one process to operators.
+type StatusReply struct {
+	VM            string
+	Domain        string
+	CallerAddress string
+	Uptime        time.Duration
+	Callers       int
+	Busy          int
+	Version       uint64
+	Expired       bool
+	Members       []string
+	Groups        []GroupStatus
+	Measures      []string
+}
+
+// Line returns the reply as one key=value line.
+func (r *StatusReply) Line() string {
+	groups := make([]string, len(r.Groups))
+	for i, g := range r.Groups {
+		groups[i] = fmt.Sprintf("%s:%s@%d", g.Name, g.Primary, g.Term)
+	}
+	sort.Strings(groups)
+	return fmt.Sprintf("vm=%s failure_domain=%s callers_at=%s uptime=%s callers=%d busy=%d version=%d expired=%t members=%s groups=%s",
+		r.VM, r.Domain, r.CallerAddress, r.Uptime.Round(time.Second), r.Callers, r.Busy, r.Version, r.Expired,
+		strings.Join(r.Members, ","), strings.Join(groups, ","))
+}
+
+// GroupStatus describes one group as this process sees it.
+type GroupStatus struct {
+	Name    string
+	Primary string
+	Term    uint64
+}
+
+// Status returns the state of the process.
+func (s *Service) Status(_ *pool.Empty, reply *StatusReply) error {
+	p := s.proxy
+	view := p.config.View()
+	*reply = StatusReply{
+		VM: p.vm.ID, Domain: p.vm.Domain, CallerAddress: p.CallerAddress(), Uptime: time.Since(p.started),
+		Callers: p.callers.Count(), Busy: p.pool.Busy(), Expired: view.Expired, Measures: p.measures.Lines(),
+	}
+	if view.Current != nil {
+		reply.Version = view.Current.Version
+	}
+	for _, m := range p.fleet.Directory().Members() {
+		reply.Members = append(reply.Members, m.VM.ID+"="+m.State.String())
+	}
+	for _, name := range p.dutyNames() {
+		if duty := p.duty(name); duty != nil {
+			primary, term, _ := duty.watcher.View().Primary()
+			reply.Groups = append(reply.Groups, GroupStatus{Name: name, Primary: primary, Term: term})
+		}
+	}
+	return nil
+}
+
+// HandoverArgs asks for a planned hand-over of a group's primary.
+type HandoverArgs struct {
+	Group  string
+	Target string
+}
+
+// Handover moves the primary of a group to the target instance.
+func (s *Service) Handover(args *HandoverArgs, _ *pool.Empty) error {
+	duty := s.proxy.duty(args.Group)
+	if duty == nil {
+		return peer.Encode(errkind.New(errkind.NotEligible, "group %s is not watched here", args.Group))
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+	defer cancel()
+	return peer.Encode(duty.runner.Handover(ctx, args.Target))
+}
+
+// ForwardCancel implements caller.CancelForwarder.
+func (p *Proxy) ForwardCancel(tag uint16, number uint16, secret uint32) {
+	for _, m := range p.fleet.Directory().Members() {
+		if caller.VMTag(m.VM.ID) != tag {
+			continue
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
+		_ = p.peers.Call(ctx, m.VM.Address, "Proxy.Cancel", &CancelArgs{Number: number, Secret: secret}, &pool.Empty{})
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/proxy/stop.go
@@ -0,0 +1,115 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"chicoryline/internal/statechart"
+	"chicoryline/internal/timeline"
+)
+
+const (
+	// announceTime is how long a leaving VM still takes new work, so that the
+	// others learn of it first.
+	announceTime = time.Second
+	// drainInterval is the pause between two looks at the open transactions.
+	drainInterval = 20 * time.Millisecond
+	// handOverTimeout bounds each hand-over of leases and duties.
+	handOverTimeout = 3 * time.Second
+)
+
+// Stop carries out a planned stop by the chart "stop": the VM is announced as
+// leaving, takes no new work, lets open transactions end, hands over what it
+// holds, and closes. It returns when the process may exit.
+func (p *Proxy) Stop(ctx context.Context) error {
+	machine := statechart.MustLoad("stop").Start()
+	s := &stopper{proxy: p, deadline: time.Now().Add(p.settings.DrainTimeout)}
+	event := "stop_requested"
+	for !machine.Done() {
+		actions, err := machine.Fire(event)
+		if err != nil {
+			return err
+		}
+		for _, action := range actions {
+			p.note("stop", timeline.Event{Detail: action}, nil)
+			s.act(ctx, action)
+		}
+		event = s.next(ctx, machine.State())
+	}
+	return nil
+}
+
+// stopper carries out the actions of the stop chart.
+type stopper struct {
+	proxy    *Proxy
+	deadline time.Time
+}
+
+func (s *stopper) act(ctx context.Context, action string) {
+	p := s.proxy
+	switch action {
+	case "announce_leaving":
+		limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+		defer cancel()
+		if err := p.fleet.Leave(limited); err != nil {
+			p.log.WithError(err).WithField("event", "leave_unannounced").Warn("stop")
+		}
+	case "refuse_new_work":
+		p.callers.Drain()
+		p.pool.Drain()
+	case "end_open_transactions":
+		p.log.WithField("event", "transactions_ended").WithField("open", p.busy()).Warn("stop")
+	case "hand_over_leases":
+		s.handOver(ctx)
+	case "close_listeners":
+		p.Close()
+	}
+}
+
+func (s *stopper) handOver(ctx context.Context) {
+	p := s.proxy
+	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	for name, leave := range map[string]func(context.Context) error{"shares": p.quota.Leave, "grant": p.config.Leave} {
+		if err := leave(limited); err != nil {
+			p.log.WithError(err).WithField("event", "not_handed_over").WithField("what", name).Warn("stop")
+		}
+	}
+}
+
+// next waits for the event that the state needs.
+func (s *stopper) next(ctx context.Context, state string) string {
+	switch state {
+	case "announcing":
+		return s.wait(ctx, announceTime, func() bool { return false }, "announced", "announced")
+	case "draining":
+		return s.wait(ctx, time.Until(s.deadline), func() bool { return s.proxy.busy() == 0 }, "transactions_ended", "deadline_passed")
+	case "handing_over":
+		return "handed_over"
+	}
+	return "deadline_passed"
+}
+
+// wait returns done when the condition holds and late when the time is over.
+func (s *stopper) wait(ctx context.Context, limit time.Duration, ready func() bool, done, late string) string {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	ticker := time.NewTicker(drainInterval)
+	defer ticker.Stop()
+	for {
+		if ready() {
+			return done
+		}
+		select {
+		case <-ctx.Done():
+			return "deadline_passed"
+		case <-timer.C:
+			return late
+		case <-ticker.C:
+		}
+	}
+}
+
+// busy returns the number of callers still connected and of transactions that
+// other VMs have open here.
+func (p *Proxy) busy() int { return p.callers.Count() + p.pool.Busy() }
--- /dev/null
+++ b/internal/proxy/tls.go
@@ -0,0 +1,65 @@
+package proxy
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/settings"
+)
+
+// callerTLS returns the configuration towards callers, or nil without a
+// certificate.
+func callerTLS(s settings.Settings) (*tls.Config, error) {
+	if s.CallerCertificate == "" {
+		return nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.CallerCertificate, s.CallerKey)
+	if err != nil {
+		return nil, errors.Annotate(err, "caller_certificate")
+	}
+	return &tls.Config{Certificates: []tls.Certificate{certificate}, MinVersion: tls.VersionTLS12}, nil
+}
+
+// peerName is the name that the certificates between processes carry. Peers
+// are addressed by IP numbers that change, so the name stands for the fleet.
+const peerName = "chicoryline"
+
+// peerTLS returns the server's and the client's configuration between
+// processes, both nil without a certificate. Both sides show a certificate of
+// the fleet's own authority.
+func peerTLS(s settings.Settings) (server, client *tls.Config, err error) {
+	if s.PeerCertificate == "" {
+		return nil, nil, nil
+	}
+	certificate, err := tls.LoadX509KeyPair(s.PeerCertificate, s.PeerKey)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "peer_certificate")
+	}
+	pem, err := os.ReadFile(s.PeerCA)
+	if err != nil {
+		return nil, nil, errors.Annotate(err, "peer_ca")
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.Errorf("peer_ca: no certificate in the file")
+	}
+	server = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, ClientCAs: pool,
+		ClientAuth: tls.RequireAndVerifyClientCert, MinVersion: tls.VersionTLS13,
+	}
+	client = &tls.Config{
+		Certificates: []tls.Certificate{certificate}, RootCAs: pool,
+		ServerName: peerName, MinVersion: tls.VersionTLS13,
+	}
+	return server, client, nil
+}
+
+// ClientTLS returns the configuration of an operator's client towards the
+// processes, or nil without certificates.
+func ClientTLS(s settings.Settings) (*tls.Config, error) {
+	_, client, err := peerTLS(s)
+	return client, err
+}
--- /dev/null
+++ b/internal/proxy/topology.go
@@ -0,0 +1,94 @@
+package proxy
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/fleet"
+	"chicoryline/internal/platform"
+)
+
+const (
+	// groupsInterval is the pause between two reads of the platform's groups.
+	groupsInterval = time.Second
+	// ownersPerInstance is the number of VMs that hold connections to an
+	// instance: one that serves and one that takes over without a gap.
+	ownersPerInstance = 2
+)
+
+// topology knows the database groups as the platform last showed them and
+// asks the fleet for the owners of an instance. An outage of the platform
+// leaves the last list in place.
+type topology struct {
+	services  platform.Groups
+	directory *fleet.Directory
+	log       *logrus.Entry
+	groups    atomic.Pointer[map[string]platform.Group]
+}
+
+func newTopology(services platform.Groups, directory *fleet.Directory, log *logrus.Entry) *topology {
+	t := &topology{services: services, directory: directory, log: log}
+	t.groups.Store(&map[string]platform.Group{})
+	return t
+}
+
+// run reads the groups until stop is closed.
+func (t *topology) run(stop <-chan struct{}) {
+	ticker := time.NewTicker(groupsInterval)
+	defer ticker.Stop()
+	for {
+		t.read()
+		select {
+		case <-stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+func (t *topology) read() {
+	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	defer cancel()
+	list, err := t.services.Groups(ctx)
+	if err != nil {
+		t.log.WithError(err).WithField("event", "groups_unread").Debug("platform")
+		return
+	}
+	groups := make(map[string]platform.Group, len(list))
+	for _, g := range list {
+		groups[g.Name] = g
+	}
+	t.groups.Store(&groups)
+}
+
+// all returns the groups as last read. The map is not to be changed.
+func (t *topology) all() map[string]platform.Group { return *t.groups.Load() }
+
+// Group implements router.Topology.
+func (t *topology) Group(name string) (platform.Group, bool) {
+	g, ok := t.all()[name]
+	return g, ok
+}
+
+// Owners implements router.Topology.
+func (t *topology) Owners(instance platform.Instance) []platform.VM {
+	members := t.directory.Owners(instance, ownersPerInstance)
+	vms := make([]platform.VM, len(members))
+	for i, m := range members {
+		vms[i] = m.VM
+	}
+	return vms
+}
+
+// rank returns this VM's place among the owners of the instance, or -1.
+func (t *topology) rank(instance platform.Instance, vm string) int {
+	for i, owner := range t.Owners(instance) {
+		if owner.ID == vm {
+			return i
+		}
+	}
+	return -1
+}
