Stand-in instance: thin

The proxy needs a PostgreSQL instance with terms, fences and replication to be tested against. dbinstance holds a store with transactions and a replicated log, and a server that speaks the PostgreSQL protocol. backend.Client commands one instance over two connections: one for commands, one that all waits share.

--- /dev/null
+++ b/internal/backend/client.go
@@ -0,0 +1,236 @@
+package backend
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+const (
+	// DialTimeout bounds the opening of a control connection.
+	DialTimeout = 2 * time.Second
+	// CommandTimeout bounds a command whose context has no earlier deadline.
+	CommandTimeout = 5 * time.Second
+	// ControlConnections is the number of connections that a Client opens at most.
+	ControlConnections = 2
+)
+
+// SQLSTATE codes that an instance answers to control commands.
+const (
+	codeNotReady = "55000"
+	codeFenced   = "55006"
+)
+
+// DialFunc opens a connection; tests replace it to cut links.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// ClientConfig says how to reach one instance.
+type ClientConfig struct {
+	// ID is the instance's id.
+	ID string
+	// Address is the instance's host:port.
+	Address string
+	// User and Password are the proxy's own credentials.
+	User     string
+	Password string
+	// ApplicationName is reported to the instance.
+	ApplicationName string
+	// Dial opens connections; nil uses TCP.
+	Dial DialFunc
+}
+
+// Client implements Control for one instance over the PostgreSQL protocol. It
+// keeps one connection for commands and one for waits, and reopens them after a
+// failure. It is safe for concurrent use.
+type Client struct {
+	commands *controlConn
+	waiter   *waiter
+}
+
+var _ Control = (*Client)(nil)
+
+// NewClient returns a client; it connects at the first command.
+func NewClient(cfg ClientConfig) *Client {
+	return &Client{
+		commands: newControlConn(cfg),
+		waiter:   newWaiter(newControlConn(cfg)),
+	}
+}
+
+// Close closes the connections.
+func (c *Client) Close() {
+	c.waiter.close()
+	c.commands.close()
+}
+
+// Status implements Control.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	return c.commands.call(ctx, "SELECT * FROM instance_status()")
+}
+
+// Wait implements Control. Waits that run at the same time share a connection.
+func (c *Client) Wait(ctx context.Context, p position.Position, timeout time.Duration) (Status, error) {
+	return c.waiter.wait(ctx, p, timeout)
+}
+
+// Fence implements Control.
+func (c *Client) Fence(ctx context.Context, term uint64) (Status, error) {
+	return c.commands.call(ctx, fmt.Sprintf("SELECT * FROM instance_fence(%d)", term))
+}
+
+// Promote implements Control.
+func (c *Client) Promote(ctx context.Context, term uint64) (Status, error) {
+	return c.commands.call(ctx, fmt.Sprintf("SELECT * FROM instance_promote(%d)", term))
+}
+
+// Follow implements Control.
+func (c *Client) Follow(ctx context.Context, term uint64, primary string) (Status, error) {
+	return c.commands.call(ctx, fmt.Sprintf("SELECT * FROM instance_follow(%d, %s)", term, quote(primary)))
+}
+
+func quote(s string) string { return "'" + strings.ReplaceAll(s, "'", "''") + "'" }
+
+// controlConn is one connection to an instance, opened when it is needed. The
+// token in turn is held by the call that uses the connection.
+type controlConn struct {
+	cfg  ClientConfig
+	turn chan struct{}
+	conn *pgconn.PgConn
+
+	closeOnce sync.Once
+	closed    chan struct{}
+}
+
+func newControlConn(cfg ClientConfig) *controlConn {
+	c := &controlConn{cfg: cfg, turn: make(chan struct{}, 1), closed: make(chan struct{})}
+	c.turn <- struct{}{}
+	return c
+}
+
+// call sends one command and returns the status in its answer.
+func (c *controlConn) call(ctx context.Context, command string) (Status, error) {
+	return c.callFor(ctx, command, CommandTimeout)
+}
+
+func (c *controlConn) callFor(ctx context.Context, command string, timeout time.Duration) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	select {
+	case <-c.turn:
+		defer func() { c.turn <- struct{}{} }()
+	case <-ctx.Done():
+		return Status{}, errkind.New(errkind.Unreachable, "instance %s: no turn before the deadline", c.cfg.ID)
+	}
+	reused := c.conn != nil && !c.conn.IsClosed()
+	status, err := c.try(ctx, command)
+	if !reused || !errkind.Is(err, errkind.OutcomeUnknown) || ctx.Err() != nil {
+		return status, err
+	}
+	// The instance may have closed the connection long ago. Commands are
+	// idempotent, so one more attempt does no harm; if it does not get through,
+	// the first one's outcome stays unknown.
+	status, again := c.try(ctx, command)
+	if errkind.Is(again, errkind.Unreachable) {
+		return status, err
+	}
+	return status, again
+}
+
+// try sends the command once. The caller holds the turn.
+func (c *controlConn) try(ctx context.Context, command string) (Status, error) {
+	if err := c.open(ctx); err != nil {
+		return Status{}, errkind.New(errkind.Unreachable, "instance %s: %v", c.cfg.ID, err)
+	}
+	results, err := c.conn.Exec(ctx, command).ReadAll()
+	if err != nil {
+		return Status{}, c.commandError(err)
+	}
+	return c.parse(results)
+}
+
+// open makes sure that there is a connection. The caller holds the turn.
+func (c *controlConn) open(ctx context.Context) error {
+	select {
+	case <-c.closed:
+		return errors.New("client is closed")
+	default:
+	}
+	if c.conn != nil && !c.conn.IsClosed() {
+		return nil
+	}
+	cfg, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", c.cfg.Address))
+	if err != nil {
+		return errors.Trace(err)
+	}
+	cfg.User, cfg.Password, cfg.Database = c.cfg.User, c.cfg.Password, "control"
+	cfg.ConnectTimeout, cfg.Fallbacks = DialTimeout, nil
+	cfg.RuntimeParams = map[string]string{"application_name": c.cfg.ApplicationName}
+	if c.cfg.Dial != nil {
+		cfg.DialFunc = pgconn.DialFunc(c.cfg.Dial)
+	}
+	c.conn, err = pgconn.ConnectConfig(ctx, cfg)
+	return errors.Trace(err)
+}
+
+// discard closes the connection at once. The caller holds the turn.
+func (c *controlConn) discard() {
+	if c.conn == nil {
+		return
+	}
+	_ = c.conn.Conn().Close()
+	c.conn = nil
+}
+
+func (c *controlConn) close() {
+	c.closeOnce.Do(func() {
+		close(c.closed)
+		<-c.turn
+		c.discard()
+		c.turn <- struct{}{}
+	})
+}
+
+// commandError gives a failed command its kind.
+func (c *controlConn) commandError(err error) error {
+	var answer *pgconn.PgError
+	if errors.As(err, &answer) {
+		return errkind.New(kindOfCode(answer.Code), "instance %s: %s", c.cfg.ID, answer.Message)
+	}
+	kind := errkind.OutcomeUnknown
+	if pgconn.SafeToRetry(err) {
+		kind = errkind.Unreachable
+	}
+	c.discard()
+	return errkind.New(kind, "instance %s: %v", c.cfg.ID, err)
+}
+
+func kindOfCode(code string) errkind.Kind {
+	switch code {
+	case codeFenced:
+		return errkind.Fenced
+	case codeNotReady:
+		return errkind.Conflict
+	}
+	return errkind.StatementFailed
+}
+
+// parse reads the one row of a control command's answer.
+func (c *controlConn) parse(results []*pgconn.Result) (Status, error) {
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return Status{}, errkind.New(errkind.OutcomeUnknown, "instance %s: answer is not one row", c.cfg.ID)
+	}
+	s, err := parseStatus(results[0].Rows[0])
+	if err != nil {
+		return Status{}, errkind.New(errkind.OutcomeUnknown, "instance %s: %v", c.cfg.ID, err)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/internal/standin/dbinstance/control.go
@@ -0,0 +1,120 @@
+package dbinstance
+
+import (
+	"context"
+	"time"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/position"
+)
+
+// Status returns the instance's report of itself.
+func (s *Store) Status() backend.Status {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.status()
+}
+
+func (s *Store) status() backend.Status {
+	return backend.Status{Instance: s.id, Role: s.role, Fence: s.fence, Log: s.log.last(), Source: s.source}
+}
+
+// Wait returns the status as soon as it confirms p or a higher fence stands,
+// and when the timeout has passed or the context ends.
+func (s *Store) Wait(ctx context.Context, p position.Position, timeout time.Duration) backend.Status {
+	timer := time.NewTimer(timeout)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		status, changed := s.status(), s.changed
+		s.mu.Unlock()
+		if status.Confirms(p) || status.Fence > p.Term {
+			return status
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return s.Status()
+		case <-ctx.Done():
+			return s.Status()
+		}
+	}
+}
+
+// Fence raises the fence. Raising it ends replication, makes a primary a
+// replica and aborts its open write transactions.
+func (s *Store) Fence(term uint64) (backend.Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.checkFence(term); err != nil {
+		return s.status(), err
+	}
+	s.raise(term)
+	return s.status(), nil
+}
+
+func (s *Store) checkFence(term uint64) error {
+	if s.fence > term {
+		return sqlErrorf(codeFenced, "instance is fenced at a higher term")
+	}
+	return nil
+}
+
+// raise moves the fence up to the term, if it is lower. The caller holds mu.
+func (s *Store) raise(term uint64) {
+	if s.fence >= term {
+		return
+	}
+	s.fence, s.role, s.source = term, backend.Replica, ""
+	for tx := range s.writers {
+		tx.kill(errReplaced())
+	}
+	s.broadcast()
+}
+
+// Promote makes the instance the primary of the term and writes the marker
+// entry. The fence must stand at the term, and the instance must not have
+// followed another primary of the term.
+func (s *Store) Promote(term uint64) (backend.Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.fence > term:
+		return s.status(), s.checkFence(term)
+	case s.fence < term:
+		return s.status(), sqlErrorf(codeNotReady, "instance is not fenced at the term")
+	case s.role == backend.Primary:
+		return s.status(), nil
+	case s.source != "" || s.log.last().Term == term:
+		return s.status(), sqlErrorf(codeNotReady, "another instance is the primary of the term")
+	}
+	s.role = backend.Primary
+	s.append(nil)
+	return s.status(), nil
+}
+
+// Follow makes the instance a replica of the named primary of the term.
+// Replication starts in the background.
+func (s *Store) Follow(term uint64, primary string) (backend.Status, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := s.checkFence(term); err != nil {
+		return s.status(), err
+	}
+	if primary == s.id || s.role == backend.Primary && s.fence == term {
+		return s.status(), sqlErrorf(codeNotReady, "the primary of a term cannot follow in that term")
+	}
+	s.raise(term)
+	if s.source != primary {
+		s.source = primary
+		s.broadcast()
+	}
+	return s.status(), nil
+}
+
+// writable reports whether the instance takes writes.
+func (s *Store) writable() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role == backend.Primary
+}
--- /dev/null
+++ b/internal/standin/dbinstance/lock.go
@@ -0,0 +1,89 @@
+package dbinstance
+
+import (
+	"context"
+	"time"
+)
+
+// lockKey names a lockable thing: a row by its primary key, a row without one
+// by its id, or a table if both are zero.
+type lockKey struct {
+	table string
+	key   Value
+	row   uint64
+}
+
+// rowLock is a held lock; released is closed when its holder ends.
+type rowLock struct {
+	holder   *Tx
+	released chan struct{}
+}
+
+// lock takes the lock for the transaction. The caller holds the store's mutex;
+// lock gives it up while it waits, and reports whether it did.
+func (tx *Tx) lock(ctx context.Context, key lockKey) (waited bool, err error) {
+	s := tx.store
+	timeout := time.NewTimer(s.lockTimeout)
+	defer timeout.Stop()
+	for {
+		held, ok := s.locks[key]
+		if ok && held.holder == tx {
+			return waited, nil
+		}
+		if !ok {
+			s.locks[key] = &rowLock{holder: tx, released: make(chan struct{})}
+			tx.locks = append(tx.locks, key)
+			return waited, nil
+		}
+		if tx.wouldDeadlock(held.holder) {
+			return waited, sqlErrorf(codeDeadlock, "deadlock detected")
+		}
+		waited = true
+		if err := tx.await(ctx, held, timeout.C); err != nil {
+			return waited, err
+		}
+	}
+}
+
+// await waits until the lock is released. The caller holds the store's mutex.
+func (tx *Tx) await(ctx context.Context, held *rowLock, timeout <-chan time.Time) error {
+	s := tx.store
+	tx.waitsFor = held.holder
+	s.mu.Unlock()
+	var err error
+	select {
+	case <-held.released:
+	case <-tx.killed:
+	case <-ctx.Done():
+		err = sqlErrorf(codeCanceled, "canceling statement due to user request")
+	case <-timeout:
+		err = sqlErrorf(codeLockTimeout, "canceling statement due to lock timeout")
+	}
+	s.mu.Lock()
+	tx.waitsFor = nil
+	if tx.failure != nil {
+		return tx.failure
+	}
+	return err
+}
+
+// wouldDeadlock follows the waits from the holder back to the transaction.
+func (tx *Tx) wouldDeadlock(holder *Tx) bool {
+	for holder != nil {
+		if holder == tx {
+			return true
+		}
+		holder = holder.waitsFor
+	}
+	return false
+}
+
+// release gives up all locks. The caller holds the store's mutex.
+func (tx *Tx) release() {
+	for _, key := range tx.locks {
+		close(tx.store.locks[key].released)
+		delete(tx.store.locks, key)
+	}
+	tx.locks = nil
+	delete(tx.store.writers, tx)
+}
--- /dev/null
+++ b/internal/standin/dbinstance/log.go
@@ -0,0 +1,66 @@
+package dbinstance
+
+import (
+	"chicoryline/internal/position"
+)
+
+// Entry is one entry of the replicated log: a committed transaction, or the
+// marker of a promotion if it has no changes.
+type Entry struct {
+	Position position.Position `json:"p"`
+	Changes  []Change          `json:"c,omitempty"`
+}
+
+// ChangeKind tells what a Change does.
+type ChangeKind uint8
+
+// The kinds of changes.
+const (
+	// CreateTable creates the table with Columns.
+	CreateTable ChangeKind = iota + 1
+	// DropTable removes the table.
+	DropTable
+	// PutRow inserts or replaces the row with the id.
+	PutRow
+	// DeleteRow removes the row with the id.
+	DeleteRow
+)
+
+// Change is one change of a table. Replaying changes in order gives the same tables.
+type Change struct {
+	Kind    ChangeKind  `json:"k"`
+	Table   string      `json:"t"`
+	Columns []columnDef `json:"d,omitempty"`
+	Row     uint64      `json:"r,omitempty"`
+	Values  []Value     `json:"v,omitempty"`
+}
+
+// entryLog is the log of an instance. The entry with offset n is at index n-1.
+type entryLog []Entry
+
+// last returns the position of the last entry.
+func (l entryLog) last() position.Position {
+	if len(l) == 0 {
+		return position.Position{}
+	}
+	return l[len(l)-1].Position
+}
+
+// holds reports whether the log holds an entry at p; every log holds the zero position.
+func (l entryLog) holds(p position.Position) bool {
+	if p.Offset == 0 {
+		return p.Term == 0
+	}
+	return p.Offset <= uint64(len(l)) && l[p.Offset-1].Position == p
+}
+
+// floor returns the greatest position of the log whose offset and term are both
+// no greater than those of p. Two logs that differ at p agree at or before it.
+func (l entryLog) floor(p position.Position) position.Position {
+	for n := min(p.Offset, uint64(len(l))); n > 0; n-- {
+		if l[n-1].Position.Term <= p.Term {
+			return l[n-1].Position
+		}
+	}
+	return position.Position{}
+}
--- /dev/null
+++ b/internal/standin/dbinstance/parser.go
@@ -0,0 +1,152 @@
+package dbinstance
+
+import "slices"
+
+// parser is a recursive descent parser over the tokens of one message.
+type parser struct {
+	tokens []token
+	pos    int
+}
+
+// parseSQL returns the statements of the text; empty ones are left out.
+func parseSQL(text string) ([]Statement, error) {
+	tokens, err := scan(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{tokens: tokens}
+	var list []Statement
+	for {
+		for p.takeSymbol(";") {
+		}
+		if p.peek().kind == tokenEnd {
+			return list, nil
+		}
+		s, err := p.statement()
+		if err != nil {
+			return nil, err
+		}
+		if p.peek().kind != tokenEnd && !p.isSymbol(";") {
+			return nil, p.syntaxError()
+		}
+		list = append(list, s)
+	}
+}
+
+func (p *parser) peek() token { return p.tokens[p.pos] }
+
+func (p *parser) next() token {
+	t := p.tokens[p.pos]
+	if t.kind != tokenEnd {
+		p.pos++
+	}
+	return t
+}
+
+func (p *parser) syntaxError() error {
+	if t := p.peek(); t.kind == tokenSymbol || t.kind == tokenIdent {
+		return sqlErrorf(codeSyntax, "syntax error at or near %q", t.text)
+	}
+	return sqlErrorf(codeSyntax, "syntax error")
+}
+
+func (p *parser) isWord(words ...string) bool {
+	t := p.peek()
+	return t.kind == tokenIdent && slices.Contains(words, t.text)
+}
+
+// takeWords takes the words if all of them come next.
+func (p *parser) takeWords(words ...string) bool {
+	for i, w := range words {
+		if p.pos+i >= len(p.tokens) || p.tokens[p.pos+i] != (token{tokenIdent, w}) {
+			return false
+		}
+	}
+	p.pos += len(words)
+	return true
+}
+
+func (p *parser) isSymbol(s string) bool { return p.peek() == token{tokenSymbol, s} }
+
+func (p *parser) takeSymbol(s string) bool {
+	if !p.isSymbol(s) {
+		return false
+	}
+	p.pos++
+	return true
+}
+
+func (p *parser) wantSymbol(s string) error {
+	if !p.takeSymbol(s) {
+		return p.syntaxError()
+	}
+	return nil
+}
+
+func (p *parser) wantWord(w string) error {
+	if !p.takeWords(w) {
+		return p.syntaxError()
+	}
+	return nil
+}
+
+// name reads an identifier; of a qualified name it returns the last part.
+func (p *parser) name() (string, error) {
+	t := p.peek()
+	if t.kind != tokenIdent && t.kind != tokenQuoted {
+		return "", p.syntaxError()
+	}
+	p.pos++
+	if p.takeSymbol(".") {
+		return p.name()
+	}
+	return t.text, nil
+}
+
+// list reads items separated by commas.
+func (p *parser) list(item func() error) error {
+	for {
+		if err := item(); err != nil {
+			return err
+		}
+		if !p.takeSymbol(",") {
+			return nil
+		}
+	}
+}
+
+// parens reads a list in parentheses.
+func (p *parser) parens(item func() error) error {
+	if err := p.wantSymbol("("); err != nil {
+		return err
+	}
+	if err := p.list(item); err != nil {
+		return err
+	}
+	return p.wantSymbol(")")
+}
+
+// skipStatement moves to the end of the present statement.
+func (p *parser) skipStatement() {
+	for p.peek().kind != tokenEnd && !p.isSymbol(";") {
+		p.pos++
+	}
+}
+
+func (p *parser) statement() (Statement, error) {
+	switch {
+	case p.takeWords("select"):
+		return p.selectOrCall()
+	case p.takeWords("insert"):
+		return p.insert()
+	case p.takeWords("update"):
+		return p.update()
+	case p.takeWords("delete"):
+		return p.delete()
+	case p.takeWords("create"):
+		return p.create()
+	case p.takeWords("drop"):
+		return p.drop()
+	}
+	return p.sessionStatement()
+}
--- /dev/null
+++ b/internal/standin/dbinstance/pull.go
@@ -0,0 +1,215 @@
+package dbinstance
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+
+	"chicoryline/internal/position"
+)
+
+const (
+	// pullWait is how long a primary holds back an answer without entries.
+	pullWait = 500 * time.Millisecond
+	// pullTimeout bounds one read of the primary's log.
+	pullTimeout = 5 * time.Second
+	// pullRetry is the pause after a failed run of replication.
+	pullRetry = 50 * time.Millisecond
+	// pullQueue bounds the batches that wait for the replication lag.
+	pullQueue = 256
+)
+
+// dialLog opens the log of the named instance and returns a function to close it.
+type dialLog func(ctx context.Context, id string) (LogSource, func(), error)
+
+// puller keeps a store's log up to date with its source.
+type puller struct {
+	store *Store
+	dial  dialLog
+	lag   func() time.Duration
+	// report takes the error that ended a run.
+	report func(Stream, error)
+}
+
+// received is a batch and when it arrived.
+type received struct {
+	at    time.Time
+	after position.Position
+	batch Batch
+}
+
+// run replicates until the context ends.
+func (p *puller) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		st, changed := p.store.Stream()
+		if st.Source == "" {
+			select {
+			case <-changed:
+			case <-ctx.Done():
+			}
+			continue
+		}
+		err := p.runStream(ctx, st)
+		if now, _ := p.store.Stream(); now == st && ctx.Err() == nil {
+			p.report(st, err)
+			_ = pause(ctx, pullRetry)
+		}
+	}
+}
+
+// runStream replicates one stream until it fails or is no longer the store's.
+func (p *puller) runStream(parent context.Context, st Stream) error {
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	go p.watch(ctx, cancel, st)
+	source, closeSource, err := p.dial(ctx, st.Source)
+	if err != nil {
+		return err
+	}
+	defer closeSource()
+	queue := make(chan received, pullQueue)
+	applied := make(chan error, 1)
+	go func() {
+		applied <- p.apply(ctx, st, queue)
+		cancel()
+	}()
+	err = p.fetch(ctx, st, source, queue)
+	cancel()
+	if applyErr := <-applied; applyErr != nil {
+		return applyErr
+	}
+	return err
+}
+
+// watch ends the run when the store's stream changes.
+func (p *puller) watch(ctx context.Context, cancel context.CancelFunc, st Stream) {
+	for {
+		now, changed := p.store.Stream()
+		if now != st {
+			cancel()
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// fetch reads the primary's log from the common prefix on.
+func (p *puller) fetch(ctx context.Context, st Stream, source LogSource, queue chan<- received) error {
+	c := newCursor(p.store)
+	for {
+		b, err := source.ReadLog(ctx, st.Term, c.at, pullWait)
+		if err != nil {
+			return err
+		}
+		if !b.Match {
+			c.back(p.store, b.Floor)
+			continue
+		}
+		if len(b.Entries) == 0 {
+			if ctx.Err() != nil {
+				return nil
+			}
+			continue
+		}
+		select {
+		case queue <- received{time.Now(), c.at, b}:
+		case <-ctx.Done():
+			return nil
+		}
+		c.at = b.Entries[len(b.Entries)-1].Position
+	}
+}
+
+// apply takes each batch when the replication lag has passed.
+func (p *puller) apply(ctx context.Context, st Stream, queue <-chan received) error {
+	for {
+		select {
+		case r := <-queue:
+			if pause(ctx, p.lag()-time.Since(r.at)) != nil {
+				return nil
+			}
+			if err := p.store.Accept(st, r.after, r.batch.Entries); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// replicate runs the server's puller.
+func (s *Server) replicate(ctx context.Context) {
+	p := &puller{
+		store: s.store,
+		dial:  s.dialPeer,
+		lag:   func() time.Duration { return time.Duration(s.replicationLag.Load()) },
+		report: func(st Stream, err error) {
+			s.log.WithError(err).WithField("source", st.Source).WithField("term", st.Term).Debug("event=replication_failed")
+		},
+	}
+	p.run(ctx)
+}
+
+// dialPeer opens the log of another instance.
+func (s *Server) dialPeer(ctx context.Context, id string) (LogSource, func(), error) {
+	address := ""
+	if s.cfg.Peers != nil {
+		address = s.cfg.Peers(id)
+	}
+	if address == "" {
+		return nil, nil, errors.Errorf("instance %s has no address", id)
+	}
+	cfg, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", address))
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "address of instance %s", id)
+	}
+	cfg.User, cfg.Password, cfg.Database = s.cfg.User, s.cfg.Password, s.cfg.Group
+	cfg.RuntimeParams["application_name"] = peerPrefix + s.cfg.ID + "/" + s.cfg.Domain
+	cfg.ConnectTimeout = pullTimeout
+	cfg.Fallbacks = nil
+	conn, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, nil, errors.Annotatef(err, "connect to instance %s", id)
+	}
+	closeConn := func() {
+		ended, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = conn.Close(ended)
+	}
+	return &remoteLog{conn}, closeConn, nil
+}
+
+// remoteLog is the log of an instance behind a connection.
+type remoteLog struct{ conn *pgconn.PgConn }
+
+// ReadLog implements LogSource.
+func (r *remoteLog) ReadLog(ctx context.Context, term uint64, after position.Position, wait time.Duration) (Batch, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+pullTimeout)
+	defer cancel()
+	query := fmt.Sprintf("SELECT * FROM %s(%d, %d, %d, %d)", callLog, term, after.Term, after.Offset, wait.Milliseconds())
+	results, err := r.conn.Exec(ctx, query).ReadAll()
+	if err != nil {
+		return Batch{}, errors.Annotate(err, "read log")
+	}
+	b := Batch{Match: true}
+	for _, row := range results[0].Rows {
+		if string(row[0]) == logRowFloor {
+			floor, err := position.Parse(string(row[1]))
+			return Batch{Floor: floor}, errors.Trace(err)
+		}
+		var e Entry
+		if err := json.Unmarshal(row[1], &e); err != nil {
+			return Batch{}, errors.Annotate(err, "log entry")
+		}
+		b.Entries = append(b.Entries, e)
+	}
+	return b, nil
+}
--- /dev/null
+++ b/internal/standin/dbinstance/session.go
@@ -0,0 +1,286 @@
+package dbinstance
+
+import (
+	"context"
+	"crypto/rand"
+	"net"
+	"strings"
+	"sync"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+
+	"chicoryline/internal/position"
+)
+
+// peerPrefix starts the application_name of another instance's connection:
+// "chicoryline-instance/ID/DOMAIN".
+const peerPrefix = "chicoryline-instance/"
+
+// secretBytes is the length of the secret of a cancel request.
+const secretBytes = 4
+
+// errEnd ends a session without an answer.
+var errEnd = errors.New("session ended")
+
+// session serves one connection. Its goroutine owns all fields but cancel.
+type session struct {
+	srv    *Server
+	conn   net.Conn
+	be     *pgproto3.Backend
+	pid    uint32
+	secret []byte
+	// peer is set for the connection of another instance.
+	peer bool
+
+	tx *Tx
+	// explicit is set between BEGIN and the end of the transaction.
+	explicit bool
+	// failed is set in an explicit transaction after an error.
+	failed bool
+	// committed is the position of the last commit that was not reported yet.
+	committed position.Position
+	settings  map[string]string
+	prepared  map[string]*prepared
+	portals   map[string]*portal
+	// skipping is set after an error in the extended protocol, until Sync.
+	skipping bool
+
+	// mu guards cancel, which ends the running statement.
+	mu     sync.Mutex
+	cancel context.CancelFunc
+}
+
+func newSession(srv *Server, conn net.Conn) *session {
+	return &session{
+		srv:      srv,
+		conn:     conn,
+		be:       pgproto3.NewBackend(conn, conn),
+		settings: map[string]string{},
+		prepared: map[string]*prepared{},
+		portals:  map[string]*portal{},
+	}
+}
+
+// serve runs the session until the connection ends.
+func (s *session) serve() {
+	defer s.rollback()
+	params, err := s.startup()
+	if err != nil {
+		return
+	}
+	defer s.srv.dismiss(s)
+	if err := s.login(params); err != nil {
+		s.sendError(err, "FATAL")
+		_ = s.be.Flush()
+		return
+	}
+	if s.ready() != nil {
+		return
+	}
+	for {
+		msg, err := s.be.Receive()
+		if err != nil {
+			return
+		}
+		if err := s.handle(msg); err != nil {
+			return
+		}
+	}
+}
+
+// startup answers requests for encryption and returns the startup parameters.
+func (s *session) startup() (map[string]string, error) {
+	for {
+		msg, err := s.be.ReceiveStartupMessage()
+		if err != nil {
+			return nil, errors.Trace(err)
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.StartupMessage:
+			return msg.Parameters, nil
+		case *pgproto3.CancelRequest:
+			s.srv.cancel(msg.ProcessID, msg.SecretKey)
+			return nil, errEnd
+		default:
+			if _, err := s.conn.Write([]byte{'N'}); err != nil {
+				return nil, errors.Trace(err)
+			}
+		}
+	}
+}
+
+func (s *session) login(params map[string]string) error {
+	s.peer = strings.HasPrefix(params["application_name"], peerPrefix)
+	if err := pause(s.srv.ctx, s.srv.cfg.ConnectDelay); err != nil {
+		return err
+	}
+	if err := s.password(params["user"]); err != nil {
+		return err
+	}
+	if err := s.srv.admit(s); err != nil {
+		return err
+	}
+	s.secret = make([]byte, secretBytes)
+	if _, err := rand.Read(s.secret); err != nil {
+		return errors.Trace(err)
+	}
+	s.be.Send(&pgproto3.AuthenticationOk{})
+	for _, p := range [][2]string{
+		{"server_version", serverVersion}, {"client_encoding", "UTF8"}, {"DateStyle", "ISO, MDY"},
+		{"integer_datetimes", "on"}, {"standard_conforming_strings", "on"}, {"TimeZone", "UTC"},
+	} {
+		s.be.Send(&pgproto3.ParameterStatus{Name: p[0], Value: p[1]})
+	}
+	s.be.Send(&pgproto3.BackendKeyData{ProcessID: s.pid, SecretKey: s.secret})
+	return nil
+}
+
+func (s *session) password(user string) error {
+	s.be.Send(&pgproto3.AuthenticationCleartextPassword{})
+	if err := s.be.Flush(); err != nil {
+		return errors.Trace(err)
+	}
+	if err := s.be.SetAuthType(pgproto3.AuthTypeCleartextPassword); err != nil {
+		return errors.Trace(err)
+	}
+	msg, err := s.be.Receive()
+	if err != nil {
+		return errors.Trace(err)
+	}
+	answer, ok := msg.(*pgproto3.PasswordMessage)
+	cfg := s.srv.cfg
+	if !ok || cfg.User != "" && (user != cfg.User || answer.Password != cfg.Password) {
+		return sqlErrorf(codeBadPassword, "password authentication failed")
+	}
+	return nil
+}
+
+// handle serves one message. An error ends the session.
+func (s *session) handle(msg pgproto3.FrontendMessage) error {
+	switch msg := msg.(type) {
+	case *pgproto3.Terminate:
+		return errEnd
+	case *pgproto3.Query:
+		return s.simpleQuery(msg.String)
+	case *pgproto3.Sync:
+		return s.sync()
+	case *pgproto3.Flush:
+		return errors.Trace(s.be.Flush())
+	}
+	if s.skipping {
+		return nil
+	}
+	if err := s.extended(msg); err != nil {
+		if errors.Cause(err) == errEnd {
+			return err
+		}
+		s.skipping = true
+		s.fail()
+		s.sendError(err, "ERROR")
+	}
+	return nil
+}
+
+// simpleQuery answers a Query message.
+func (s *session) simpleQuery(text string) error {
+	err := s.runAll(text)
+	if errors.Cause(err) == errEnd {
+		return err
+	}
+	if err != nil {
+		s.fail()
+		s.sendError(err, "ERROR")
+	}
+	return s.ready()
+}
+
+func (s *session) runAll(text string) error {
+	list, err := parseSQL(text)
+	if err != nil {
+		return err
+	}
+	if len(list) == 0 {
+		s.be.Send(&pgproto3.EmptyQueryResponse{})
+		return nil
+	}
+	if err := s.refuseWrites(list); err != nil {
+		return err
+	}
+	for i, stmt := range list {
+		res, err := s.run(stmt, nil, nil)
+		if err != nil {
+			return err
+		}
+		if i == len(list)-1 {
+			if err := s.endImplicit(); err != nil {
+				return err
+			}
+		}
+		if err := s.sendResult(res); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// refuseWrites refuses a message with a write on a replica before any of it runs.
+func (s *session) refuseWrites(list []Statement) error {
+	if s.failed || s.srv.store.writable() {
+		return nil
+	}
+	for _, stmt := range list {
+		if isWrite(stmt) {
+			return sqlErrorf(codeReadOnly, "cannot write on a replica")
+		}
+	}
+	return nil
+}
+
+// ready ends the answer to a message.
+func (s *session) ready() error {
+	if !s.committed.IsZero() {
+		s.be.Send(&pgproto3.ParameterStatus{Name: "log_position", Value: s.committed.String()})
+		s.committed = position.Position{}
+	}
+	s.be.Send(&pgproto3.ReadyForQuery{TxStatus: s.status()})
+	return errors.Trace(s.be.Flush())
+}
+
+func (s *session) status() byte {
+	switch {
+	case s.failed:
+		return 'E'
+	case s.explicit:
+		return 'T'
+	}
+	return 'I'
+}
+
+func (s *session) sendError(err error, severity string) {
+	e := asSQLError(err)
+	s.be.Send(&pgproto3.ErrorResponse{Severity: severity, SeverityUnlocalized: severity, Code: e.Code, Message: e.Message})
+}
+
+// cancelStatement ends the running statement, if any.
+func (s *session) cancelStatement() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cancel != nil {
+		s.cancel()
+	}
+}
+
+// statementContext returns the context of one statement and a function to end it.
+func (s *session) statementContext() (context.Context, func()) {
+	ctx, cancel := context.WithCancel(s.srv.ctx)
+	s.mu.Lock()
+	s.cancel = cancel
+	s.mu.Unlock()
+	return ctx, func() {
+		s.mu.Lock()
+		s.cancel = nil
+		s.mu.Unlock()
+		cancel()
+	}
+}
--- /dev/null
+++ b/internal/standin/dbinstance/sqlerror.go
@@ -0,0 +1,63 @@
+package dbinstance
+
+import (
+	"fmt"
+
+	"github.com/juju/errors"
+)
+
+// SQLSTATE codes that the instance answers with.
+const (
+	codeProtocol          = "08P01"
+	codeUnsupported       = "0A000"
+	codeInvalidText       = "22P02"
+	codeNotNull           = "23502"
+	codeUnique            = "23505"
+	codeReadOnly          = "25006"
+	codeInTransaction     = "25001"
+	codeAborted           = "25P02"
+	codeNoStatement       = "26000"
+	codeBadPassword       = "28P01"
+	codeNoPortal          = "34000"
+	codeSerialization     = "40001"
+	codeDeadlock          = "40P01"
+	codeSyntax            = "42601"
+	codeUndefinedColumn   = "42703"
+	codeUndefinedFunction = "42883"
+	codeUndefinedTable    = "42P01"
+	codeUndefinedParam    = "42P02"
+	codeDuplicateTable    = "42P07"
+	codeDuplicatePrepared = "42P05"
+	codeDatatype          = "42804"
+	codeConnections       = "53300"
+	codeNotReady          = "55000"
+	codeFenced            = "55006"
+	codeLockTimeout       = "55P03"
+	codeCanceled          = "57014"
+	codeAdminShutdown     = "57P01"
+	codeInternal          = "XX000"
+)
+
+// Error is an error that the instance answers to its client.
+type Error struct {
+	// Code is the SQLSTATE.
+	Code string
+	// Message is the text without any value of the statement.
+	Message string
+}
+
+// Error returns the message and the code.
+func (e *Error) Error() string { return e.Message + " (SQLSTATE " + e.Code + ")" }
+
+func sqlErrorf(code, format string, args ...any) error {
+	return errors.Trace(&Error{Code: code, Message: fmt.Sprintf(format, args...)})
+}
+
+// asSQLError returns the Error in the chain, or one with the internal code.
+func asSQLError(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{Code: codeInternal, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/standin/dbinstance/tx.go
@@ -0,0 +1,197 @@
+package dbinstance
+
+import (
+	"context"
+	"maps"
+	"slices"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/position"
+)
+
+// Tx is one transaction. It reads committed rows and its own changes, locks the
+// rows it writes, and publishes its changes at Commit. One goroutine uses it;
+// the fields are guarded by the store's mutex.
+type Tx struct {
+	store    *Store
+	readOnly bool
+	// term is the term of the primary when the transaction first wrote.
+	term    uint64
+	changes []Change
+	// overlay holds the transaction's view of the tables it has changed.
+	overlay map[string]*overlayTable
+	locks   []lockKey
+
+	// waitsFor is the holder of the lock that the transaction waits for.
+	waitsFor *Tx
+	// failure is set, and killed closed, when the instance aborts the transaction.
+	failure error
+	killed  chan struct{}
+	ended   bool
+}
+
+// overlayTable is a table as changed by one transaction. A nil row is deleted.
+type overlayTable struct {
+	// base is the table whose committed rows show through; nil if dropped.
+	base *table
+	// origin is the committed table when the transaction first changed it.
+	origin *table
+	rows   map[uint64][]Value
+}
+
+// Begin opens a transaction.
+func (s *Store) Begin(readOnly bool) *Tx {
+	return &Tx{store: s, readOnly: readOnly, overlay: map[string]*overlayTable{}, killed: make(chan struct{})}
+}
+
+// Commit makes the changes durable on this instance and returns their position,
+// which is zero if there were none.
+func (tx *Tx) Commit() (position.Position, error) {
+	s := tx.store
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if tx.ended {
+		return position.Position{}, sqlErrorf(codeInternal, "transaction has ended")
+	}
+	tx.ended = true
+	defer tx.release()
+	if tx.failure != nil {
+		return position.Position{}, tx.failure
+	}
+	if len(tx.changes) == 0 {
+		return position.Position{}, nil
+	}
+	if s.role != backend.Primary || s.fence != tx.term {
+		return position.Position{}, errReplaced()
+	}
+	for name, o := range tx.overlay {
+		if s.tables[name] != o.origin {
+			return position.Position{}, sqlErrorf(codeSerialization, "relation was changed by a concurrent transaction")
+		}
+	}
+	return s.append(tx.changes), nil
+}
+
+// Rollback ends the transaction without effect. It may follow Commit.
+func (tx *Tx) Rollback() {
+	tx.store.mu.Lock()
+	defer tx.store.mu.Unlock()
+	if !tx.ended {
+		tx.ended = true
+		tx.release()
+	}
+}
+
+// kill aborts the transaction from outside. The caller holds the store's mutex.
+func (tx *Tx) kill(err error) {
+	if tx.failure == nil {
+		tx.failure = err
+		close(tx.killed)
+	}
+	tx.release()
+}
+
+func errReplaced() error {
+	return sqlErrorf(codeAdminShutdown, "terminating transaction because the instance was fenced")
+}
+
+// startWrite checks that the transaction may write. The caller holds the mutex.
+func (tx *Tx) startWrite() error {
+	s := tx.store
+	switch {
+	case tx.failure != nil:
+		return tx.failure
+	case s.role != backend.Primary:
+		return sqlErrorf(codeReadOnly, "cannot write on a replica")
+	case tx.readOnly:
+		return sqlErrorf(codeReadOnly, "cannot write in a read-only transaction")
+	}
+	if _, ok := s.writers[tx]; !ok {
+		s.writers[tx] = struct{}{}
+		tx.term = s.fence
+	}
+	return nil
+}
+
+// view returns the transaction's view of the table.
+func (tx *Tx) view(name string) (*overlayTable, error) {
+	if o, ok := tx.overlay[name]; ok {
+		if o.base == nil {
+			return nil, errNoTable(name)
+		}
+		return o, nil
+	}
+	if t, ok := tx.store.tables[name]; ok {
+		return &overlayTable{base: t}, nil
+	}
+	return nil, errNoTable(name)
+}
+
+func errNoTable(name string) error {
+	return sqlErrorf(codeUndefinedTable, "relation %q does not exist", name)
+}
+
+// record adds a change to the transaction and to its view.
+func (tx *Tx) record(c Change) {
+	tx.changes = append(tx.changes, c)
+	o, ok := tx.overlay[c.Table]
+	if !ok {
+		t := tx.store.tables[c.Table]
+		o = &overlayTable{base: t, origin: t, rows: map[uint64][]Value{}}
+		tx.overlay[c.Table] = o
+	}
+	switch c.Kind {
+	case CreateTable:
+		o.base, o.rows = newTable(c.Table, c.Columns), map[uint64][]Value{}
+	case DropTable:
+		o.base, o.rows = nil, nil
+	case PutRow:
+		o.rows[c.Row] = c.Values
+	case DeleteRow:
+		o.rows[c.Row] = nil
+	}
+}
+
+// get returns the row with the id as the transaction sees it, or nil.
+func (o *overlayTable) get(id uint64) []Value {
+	if row, ok := o.rows[id]; ok {
+		return row
+	}
+	return o.base.rows[id]
+}
+
+// byKey returns the id of the visible row with the primary key, or zero.
+func (o *overlayTable) byKey(key Value) uint64 {
+	for id, row := range o.rows {
+		if row != nil && row[o.base.key] == key {
+			return id
+		}
+	}
+	id, ok := o.base.byKey[key]
+	if _, changed := o.rows[id]; !ok || changed {
+		return 0
+	}
+	return id
+}
+
+// ids returns the ids of the visible rows in order.
+func (o *overlayTable) ids() []uint64 {
+	set := maps.Clone(o.base.rows)
+	for id, row := range o.rows {
+		if row == nil {
+			delete(set, id)
+			continue
+		}
+		set[id] = row
+	}
+	return slices.Sorted(maps.Keys(set))
+}
+
+// lockRow locks a visible row. The caller holds the mutex.
+func (tx *Tx) lockRow(ctx context.Context, o *overlayTable, id uint64, row []Value) (waited bool, err error) {
+	key := lockKey{table: o.base.name, row: id}
+	if o.base.key >= 0 {
+		key = lockKey{table: o.base.name, key: row[o.base.key]}
+	}
+	return tx.lock(ctx, key)
+}
--- /dev/null
+++ b/internal/standin/dbinstance/types.go
@@ -0,0 +1,264 @@
+package dbinstance
+
+import (
+	"math"
+
+	"github.com/jackc/pgx/v5/pgtype"
+)
+
+// ResultColumn describes one column of a result.
+type ResultColumn struct {
+	Name string
+	OID  uint32
+}
+
+// Result is the outcome of one statement. Columns is nil if it returns no rows.
+type Result struct {
+	Columns []ResultColumn
+	Rows    [][]Value
+	Tag     string
+}
+
+// typer finds the types of expressions and parameters of one statement.
+type typer struct {
+	table  *table
+	params []uint32
+}
+
+// infer notes the type of a parameter, unless it is known already.
+func (t *typer) infer(x expr, oid uint32) {
+	switch x := x.(type) {
+	case *parameter:
+		for len(t.params) < x.number {
+			t.params = append(t.params, 0)
+		}
+		if t.params[x.number-1] == 0 {
+			t.params[x.number-1] = oid
+		}
+	case *binaryOp:
+		if x.op == "||" {
+			oid = pgtype.TextOID
+		} else if oid == pgtype.TextOID {
+			oid = t.operandOID(x)
+		}
+		t.infer(x.left, oid)
+		t.infer(x.right, oid)
+	case *castOp:
+		t.infer(x.value, x.oid)
+	case *funcCall:
+		for _, a := range x.args {
+			t.infer(a, argumentOID(x.name))
+		}
+	}
+}
+
+func argumentOID(function string) uint32 {
+	if function == "pg_sleep" {
+		return pgtype.Float8OID
+	}
+	return pgtype.TextOID
+}
+
+// operandOID returns the type of the column that a sum refers to, or bigint.
+func (t *typer) operandOID(x *binaryOp) uint32 {
+	for _, side := range []expr{x.left, x.right} {
+		if _, ok := side.(*columnRef); ok {
+			return t.oid(side)
+		}
+	}
+	return pgtype.Int8OID
+}
+
+func (t *typer) columnOID(name string) uint32 {
+	if t.table == nil {
+		return pgtype.TextOID
+	}
+	i, err := t.table.column(name)
+	if err != nil {
+		return pgtype.TextOID
+	}
+	return t.table.columns[i].OID
+}
+
+// oid returns the type of an expression's value.
+func (t *typer) oid(x expr) uint32 {
+	switch x := x.(type) {
+	case *literal:
+		if x.value.Kind == Int && x.value.I >= math.MinInt32 && x.value.I <= math.MaxInt32 {
+			return pgtype.Int4OID
+		}
+		return x.value.oid()
+	case *parameter:
+		if x.number <= len(t.params) && t.params[x.number-1] != 0 {
+			return t.params[x.number-1]
+		}
+	case *columnRef:
+		return t.columnOID(x.name)
+	case *castOp:
+		return x.oid
+	case *binaryOp:
+		return t.sumOID(x)
+	case *funcCall:
+		return callOID(x.name)
+	}
+	return pgtype.TextOID
+}
+
+func (t *typer) sumOID(x *binaryOp) uint32 {
+	left, right := t.oid(x.left), t.oid(x.right)
+	switch {
+	case x.op == "||":
+		return pgtype.TextOID
+	case left == pgtype.Float8OID || right == pgtype.Float8OID:
+		return pgtype.Float8OID
+	case left == pgtype.Int4OID && right == pgtype.Int4OID:
+		return pgtype.Int4OID
+	}
+	return pgtype.Int8OID
+}
+
+func callOID(name string) uint32 {
+	switch name {
+	case "count", "sum":
+		return pgtype.Int8OID
+	case "pg_is_in_recovery":
+		return pgtype.BoolOID
+	}
+	return pgtype.TextOID
+}
+
+func (t *typer) inferWhere(where []condition) {
+	for _, c := range where {
+		for _, v := range c.values {
+			t.infer(v, t.columnOID(c.column))
+		}
+	}
+}
+
+func (t *typer) inferItems(items []selectItem) {
+	for _, item := range items {
+		t.infer(item.value, pgtype.TextOID)
+	}
+}
+
+// inferStatement finds the types of all parameters of the statement.
+func (t *typer) inferStatement(s Statement) {
+	switch s := s.(type) {
+	case *insertStatement:
+		names := s.names(t.table)
+		for _, row := range s.rows {
+			for i, v := range row {
+				if i < len(names) {
+					t.infer(v, t.columnOID(names[i]))
+				}
+			}
+		}
+		t.inferItems(s.returning)
+	case *updateStatement:
+		for _, a := range s.set {
+			t.infer(a.value, t.columnOID(a.column))
+		}
+		t.inferWhere(s.where)
+		t.inferItems(s.returning)
+	case *deleteStatement:
+		t.inferWhere(s.where)
+		t.inferItems(s.returning)
+	case *selectStatement:
+		t.inferWhere(s.where)
+		t.infer(s.limit, pgtype.Int8OID)
+		t.inferItems(s.items)
+	case *callStatement:
+		for _, a := range s.args {
+			t.infer(a, pgtype.TextOID)
+		}
+	}
+	for i, oid := range t.params {
+		if oid == 0 {
+			t.params[i] = pgtype.TextOID
+		}
+	}
+}
+
+// names returns the columns that an INSERT fills.
+func (s *insertStatement) names(t *table) []string {
+	if s.columns != nil || t == nil {
+		return s.columns
+	}
+	var names []string
+	for _, c := range t.columns {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+// columns returns the output columns of the items.
+func (t *typer) columns(items []selectItem) ([]ResultColumn, error) {
+	var list []ResultColumn
+	for _, item := range items {
+		if !item.star {
+			list = append(list, ResultColumn{itemName(item), t.oid(item.value)})
+			continue
+		}
+		if t.table == nil {
+			return nil, sqlErrorf(codeSyntax, "SELECT * with no tables specified is not valid")
+		}
+		for _, c := range t.table.columns {
+			list = append(list, ResultColumn{c.Name, c.OID})
+		}
+	}
+	return list, nil
+}
+
+// tableOf returns the name of the statement's table, or "".
+func tableOf(s Statement) string {
+	switch s := s.(type) {
+	case *insertStatement:
+		return s.table
+	case *updateStatement:
+		return s.table
+	case *deleteStatement:
+		return s.table
+	case *selectStatement:
+		return s.table
+	}
+	return ""
+}
+
+// outputOf returns the output items of the statement.
+func outputOf(s Statement) []selectItem {
+	switch s := s.(type) {
+	case *insertStatement:
+		return s.returning
+	case *updateStatement:
+		return s.returning
+	case *deleteStatement:
+		return s.returning
+	case *selectStatement:
+		return s.items
+	}
+	return nil
+}
+
+// Describe returns the parameter types and the output columns of a statement,
+// as far as declared types (zero for none) do not set them.
+func (tx *Tx) Describe(s Statement, declared []uint32) ([]uint32, []ResultColumn, error) {
+	tx.store.mu.Lock()
+	defer tx.store.mu.Unlock()
+	t := &typer{params: append([]uint32(nil), declared...)}
+	if name := tableOf(s); name != "" {
+		view, err := tx.view(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		t.table = view.base
+	}
+	t.inferStatement(s)
+	switch s := s.(type) {
+	case *callStatement:
+		return t.params, callColumns(s.function), nil
+	case *showStatement:
+		return t.params, []ResultColumn{{s.name, pgtype.TextOID}}, nil
+	}
+	columns, err := t.columns(outputOf(s))
+	return t.params, columns, err
+}
