--- /dev/null
+++ b/cmd/chicoryline/commands.go
@@ -0,0 +1,15 @@
+package main
+
+// commands lists the commands of the binary.
+func commands() []command {
+	return []command{
+		{"serve", "run one proxy process", "Runs one proxy process until SIGINT or SIGTERM, which begin a planned stop.", &serveCommand{}},
+		{"check", "check a settings file", "Checks a settings file whole and reports every fault with section, key and line.", &checkCommand{}},
+		{"patch", "submit a patch of the configuration", "Submits a patch that is based on a numbered version. It ends in force, refused or unknown.", &patchCommand{}},
+		{"config", "show or release the configuration", "Shows the configuration in force or its history, or releases a failure domain.", &configCommand{}},
+		{"key", "make or withdraw customers' keys", "Makes a key with the patch line that grants it, or withdraws one.", &keyCommand{}},
+		{"status", "print the state of every process", "Prints one key=value line for each process.", &statusCommand{}},
+		{"timeline", "print the events of all processes", "Gathers the events of all processes and merges them, causes before effects.", &timelineCommand{}},
+		{"standin", "run a stand-in for trials", "Runs a stand-in of the platform or of one backend server.", &standinCommand{}},
+	}
+}
--- a/internal/proxy/duty.go
+++ b/internal/proxy/duty.go
@@ -42,9 +42,8 @@
 func (p *Proxy) newGroupDuty(group platform.Group) (*groupDuty, error) {
 	d := &groupDuty{group: group}
 	controls := d.connect(p)
-	waits := d.connect(p)
 	watcher, err := groupview.New(groupview.Config{
-		Group: group, Controls: controls, WaitControls: waits,
+		Group: group, Controls: controls, WaitControls: controls,
 		Interval: p.settings.ProbeInterval, ProofLifetime: p.settings.ProofLifetime, Log: p.log,
 	})
 	if err != nil {
@@ -69,7 +68,10 @@
 func (d *groupDuty) connect(p *Proxy) map[string]backend.Control {
 	controls := map[string]backend.Control{}
 	for _, i := range d.group.Instances {
-		client := backend.NewClient(i.ID, i.Address, p.settings.BackendUser, p.settings.BackendPassword, p.applicationName(), p.dial)
+		client := backend.NewClient(backend.ClientConfig{
+			ID: i.ID, Address: i.Address, User: p.settings.BackendUser, Password: p.settings.BackendPassword,
+			ApplicationName: p.applicationName(), Dial: p.dial,
+		})
 		d.clients = append(d.clients, client)
 		controls[i.ID] = client
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -226,6 +226,26 @@
 	return p.metricsListener.Addr().String()
 }
 
+// Ready reports whether the process has a configuration that it may serve and
+// sees a primary in each group that it watches.
+func (p *Proxy) Ready() bool {
+	view := p.config.View()
+	if view.Current == nil || view.Current.Version == 0 || view.Expired || len(p.topology.all()) == 0 {
+		return false
+	}
+	if !p.fleet.Directory().Ready() {
+		return false
+	}
+	for _, name := range p.dutyNames() {
+		if duty := p.duty(name); duty != nil {
+			if _, _, ok := duty.watcher.View().Primary(); !ok {
+				return false
+			}
+		}
+	}
+	return true
+}
+
 // Measures returns the process's counters.
 func (p *Proxy) Measures() *metrics.Measures { return p.measures }
 
--- /dev/null
+++ b/internal/site/link.go
@@ -0,0 +1,220 @@
+package site
+
+import (
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// queueChunks bounds the chunks under way in one direction.
+	queueChunks = 256
+	// chunkSize is the size of a read, in bytes.
+	chunkSize = 16 << 10
+)
+
+// chunk is a piece of a stream that may be delivered at its due time.
+type chunk struct {
+	data []byte
+	due  time.Time
+	err  error
+}
+
+// link is a connection with delay. Two goroutines carry the bytes, one for
+// each direction; both stop delivering while the ends are cut off.
+type link struct {
+	net.Conn
+	network  *Network
+	from, to Place
+	delay    time.Duration
+
+	out    chan chunk
+	in     chan chunk
+	closed chan struct{}
+	once   sync.Once
+
+	readMu   sync.Mutex
+	rest     []byte
+	readErr  error
+	deadline *deadline
+}
+
+func newLink(n *Network, from, to Place, conn net.Conn) *link {
+	l := &link{
+		Conn: conn, network: n, from: from, to: to, delay: n.delay(from, to),
+		out: make(chan chunk, queueChunks), in: make(chan chunk, queueChunks),
+		closed: make(chan struct{}), deadline: newDeadline(),
+	}
+	go l.send()
+	go l.receive()
+	return l
+}
+
+// send writes queued chunks when they are due.
+func (l *link) send() {
+	for {
+		select {
+		case <-l.closed:
+			return
+		case c := <-l.out:
+			if !l.await(c.due) {
+				return
+			}
+			if _, err := l.Conn.Write(c.data); err != nil {
+				_ = l.Close()
+				return
+			}
+		}
+	}
+}
+
+// receive reads ahead and queues what came.
+func (l *link) receive() {
+	for {
+		buf := make([]byte, chunkSize)
+		count, err := l.Conn.Read(buf)
+		c := chunk{data: buf[:count], due: time.Now().Add(l.delay), err: err}
+		if !l.await(c.due) {
+			return
+		}
+		select {
+		case l.in <- c:
+		case <-l.closed:
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+// await waits for the due time and until the link is not cut; false means that
+// the link was closed.
+func (l *link) await(due time.Time) bool {
+	if wait := time.Until(due); wait > 0 {
+		timer := time.NewTimer(wait)
+		defer timer.Stop()
+		select {
+		case <-timer.C:
+		case <-l.closed:
+			return false
+		}
+	}
+	for {
+		cut, changed := l.network.state(l.from, l.to)
+		if !cut {
+			return true
+		}
+		select {
+		case <-changed:
+		case <-l.closed:
+			return false
+		}
+	}
+}
+
+// Write queues the bytes; it fails only when the link is closed.
+func (l *link) Write(b []byte) (int, error) {
+	c := chunk{data: append([]byte(nil), b...), due: time.Now().Add(l.delay)}
+	select {
+	case <-l.closed:
+		return 0, net.ErrClosed
+	case l.out <- c:
+		return len(b), nil
+	}
+}
+
+// Read returns delivered bytes.
+func (l *link) Read(b []byte) (int, error) {
+	l.readMu.Lock()
+	defer l.readMu.Unlock()
+	if len(l.rest) == 0 && l.readErr == nil {
+		select {
+		case c := <-l.in:
+			l.rest, l.readErr = c.data, c.err
+		default:
+			if err := l.awaitChunk(); err != nil {
+				return 0, err
+			}
+		}
+	}
+	if len(l.rest) > 0 {
+		n := copy(b, l.rest)
+		l.rest = l.rest[n:]
+		return n, nil
+	}
+	return 0, l.readErr
+}
+
+func (l *link) awaitChunk() error {
+	select {
+	case <-l.closed:
+		return io.EOF
+	case <-l.deadline.passed():
+		return os.ErrDeadlineExceeded
+	case c := <-l.in:
+		l.rest, l.readErr = c.data, c.err
+	}
+	return nil
+}
+
+// Close ends both directions.
+func (l *link) Close() error {
+	l.once.Do(func() {
+		close(l.closed)
+		_ = l.Conn.Close()
+	})
+	return nil
+}
+
+// SetDeadline sets the deadline of reads; writes only queue.
+func (l *link) SetDeadline(t time.Time) error { return l.SetReadDeadline(t) }
+
+// SetReadDeadline sets the deadline of reads.
+func (l *link) SetReadDeadline(t time.Time) error {
+	l.deadline.set(t)
+	return nil
+}
+
+// SetWriteDeadline does nothing: writes only queue.
+func (l *link) SetWriteDeadline(time.Time) error { return nil }
+
+// deadline closes a channel when its time has passed. The mutex guards both fields.
+type deadline struct {
+	mu    sync.Mutex
+	timer *time.Timer
+	done  chan struct{}
+}
+
+func newDeadline() *deadline { return &deadline{done: make(chan struct{})} }
+
+func (d *deadline) set(t time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.timer != nil && !d.timer.Stop() {
+		d.done = make(chan struct{})
+	}
+	d.timer = nil
+	select {
+	case <-d.done:
+		d.done = make(chan struct{})
+	default:
+	}
+	if t.IsZero() {
+		return
+	}
+	done := d.done
+	if wait := time.Until(t); wait > 0 {
+		d.timer = time.AfterFunc(wait, func() { close(done) })
+		return
+	}
+	close(done)
+}
+
+func (d *deadline) passed() <-chan struct{} {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.done
+}
--- /dev/null
+++ b/internal/site/network.go
@@ -0,0 +1,128 @@
+// Package site runs a whole installation inside one process on loopback: the
+// stand-in platform, stand-in backend servers and proxies, joined by a network
+// with delays between failure domains that can be cut. The demo, the bench and
+// in-process tests run on it.
+package site
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// Network gives every connection the delay of its two ends and holds its bytes
+// back while the ends are cut off from each other. The mutex guards places and cuts.
+type Network struct {
+	// OneWay is the delay between two failure domains.
+	OneWay time.Duration
+	// Client is the delay between a caller and a proxy.
+	Client time.Duration
+
+	mu      sync.Mutex
+	places  map[string]Place
+	cuts    map[[2]string]bool
+	changed chan struct{}
+}
+
+// Place is where an address is.
+type Place struct {
+	Name   string
+	Domain string
+}
+
+// clients is the place of all callers.
+var clients = Place{Name: "clients", Domain: "clients"}
+
+// NewNetwork returns a network without cuts.
+func NewNetwork(oneWay, client time.Duration) *Network {
+	return &Network{OneWay: oneWay, Client: client, places: map[string]Place{}, cuts: map[[2]string]bool{}, changed: make(chan struct{})}
+}
+
+// Locate says where the address (host:port) is.
+func (n *Network) Locate(address string, place Place) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.places[address] = place
+}
+
+// Cut separates two places or domains, both ways.
+func (n *Network) Cut(a, b string) { n.set(a, b, true) }
+
+// Heal joins them again.
+func (n *Network) Heal(a, b string) { n.set(a, b, false) }
+
+func (n *Network) set(a, b string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cuts[[2]string{a, b}] = cut
+	n.cuts[[2]string{b, a}] = cut
+	close(n.changed)
+	n.changed = make(chan struct{})
+}
+
+// state tells whether the places are cut off and returns a channel that is
+// closed at the next change.
+func (n *Network) state(a, b Place) (bool, <-chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	cut := n.cuts[[2]string{a.Name, b.Name}] || n.cuts[[2]string{a.Domain, b.Domain}] ||
+		n.cuts[[2]string{a.Name, b.Domain}] || n.cuts[[2]string{a.Domain, b.Name}]
+	return cut, n.changed
+}
+
+func (n *Network) delay(a, b Place) time.Duration {
+	switch {
+	case a.Domain == clients.Domain || b.Domain == clients.Domain:
+		return n.Client
+	case a.Domain != b.Domain:
+		return n.OneWay
+	}
+	return 0
+}
+
+// Dial returns the dial function of a process at the place.
+func (n *Network) Dial(from Place) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n.mu.Lock()
+		to := n.places[address]
+		n.mu.Unlock()
+		if err := n.awaitLink(ctx, from, to); err != nil {
+			return nil, err
+		}
+		conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return newLink(n, from, to, conn), nil
+	}
+}
+
+// DialClient is the dial function of callers.
+func (n *Network) DialClient() func(ctx context.Context, network, address string) (net.Conn, error) {
+	return n.Dial(clients)
+}
+
+// awaitLink waits for a round trip; a dial across a cut hangs until the
+// context ends.
+func (n *Network) awaitLink(ctx context.Context, a, b Place) error {
+	for {
+		cut, changed := n.state(a, b)
+		if !cut {
+			break
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	timer := time.NewTimer(2 * n.delay(a, b))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/site/site.go
@@ -0,0 +1,327 @@
+package site
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/configsync"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/proxy"
+	"chicoryline/internal/settings"
+	"chicoryline/internal/standin/dbinstance"
+	"chicoryline/internal/standin/platformd"
+)
+
+// Customer is a customer of the site.
+type Customer struct {
+	Name string
+	// Rate is in statements a second, Burst in statements.
+	Rate  float64
+	Burst float64
+}
+
+// Spec describes a site.
+type Spec struct {
+	Name         string
+	Domains      int
+	Proxies      int
+	Groups       int
+	Instances    int
+	Slots        int
+	Connections  int
+	ConnectDelay time.Duration
+	// OneWay is the delay between failure domains, ClientDelay to callers.
+	OneWay         time.Duration
+	ClientDelay    time.Duration
+	StatementDelay time.Duration
+	ReplicationLag time.Duration
+	// MaxAge is the stated age of the route for reads with an age.
+	MaxAge    time.Duration
+	Customers []Customer
+}
+
+// DefaultCustomers are a few large and several small customers.
+func DefaultCustomers() []Customer {
+	customers := []Customer{{"large1", 400, 400}, {"large2", 300, 300}}
+	for i := 1; i <= 6; i++ {
+		customers = append(customers, Customer{fmt.Sprintf("small%d", i), 60, 60})
+	}
+	return customers
+}
+
+// Kremstal is the site of the brief's first user.
+func Kremstal() Spec {
+	return Spec{
+		Name: "kremstal", Domains: 3, Proxies: 8, Groups: 3, Instances: 3, Slots: 5, Connections: 35,
+		ConnectDelay: 10 * time.Millisecond, OneWay: 1500 * time.Microsecond, ClientDelay: 3 * time.Millisecond,
+		ReplicationLag: 2 * time.Millisecond, MaxAge: time.Second, Customers: DefaultCustomers(),
+	}
+}
+
+// Fogas is the site of the brief's second user.
+func Fogas() Spec {
+	return Spec{
+		Name: "fogas", Domains: 4, Proxies: 8, Groups: 3, Instances: 3, Slots: 3, Connections: 40,
+		ConnectDelay: 30 * time.Millisecond, OneWay: time.Millisecond, ClientDelay: 3 * time.Millisecond,
+		ReplicationLag: 2 * time.Millisecond, MaxAge: time.Second, Customers: DefaultCustomers(),
+	}
+}
+
+// Demo is the small site of the demo.
+func Demo() Spec {
+	s := Kremstal()
+	s.Name, s.Proxies, s.Groups = "demo", 6, 2
+	return s
+}
+
+const (
+	// password is the proxies' own towards the stand-in backend servers.
+	password = "backend-password"
+	// readyTimeout bounds the start of a site.
+	readyTimeout = 20 * time.Second
+	// readyInterval is the pause between two looks at a starting site.
+	readyInterval = 20 * time.Millisecond
+)
+
+// Site is a running installation. The slices and maps are fixed after Start;
+// a stopped proxy keeps its place.
+type Site struct {
+	Spec      Spec
+	Network   *Network
+	Platform  *platformd.Server
+	Instances map[string]*dbinstance.Server
+	Proxies   []*proxy.Proxy
+	// Keys maps customers to their keys.
+	Keys map[string]string
+
+	groups  []platform.Group
+	log     *logrus.Entry
+	stopped map[int]bool
+}
+
+// Start builds the site and waits until every proxy serves its configuration.
+func Start(ctx context.Context, spec Spec, log *logrus.Entry) (*Site, error) {
+	s := &Site{
+		Spec: spec, Network: NewNetwork(spec.OneWay, spec.ClientDelay), Instances: map[string]*dbinstance.Server{},
+		Keys: map[string]string{}, log: log, stopped: map[int]bool{},
+	}
+	if err := s.start(ctx); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Site) start(ctx context.Context) error {
+	if err := s.startInstances(); err != nil {
+		return err
+	}
+	var err error
+	s.Platform, err = platformd.Start("127.0.0.1:0", platformd.Options{Groups: s.groups, ListLag: 500 * time.Millisecond})
+	if err != nil {
+		return err
+	}
+	s.Network.Locate(s.Platform.Addr(), Place{Name: "platform", Domain: "platform"})
+	if err := s.createTables(ctx); err != nil {
+		return err
+	}
+	if err := s.configure(ctx); err != nil {
+		return err
+	}
+	for i := range s.Spec.Proxies {
+		if err := s.startProxy(i); err != nil {
+			return err
+		}
+	}
+	return s.awaitReady(ctx)
+}
+
+// DomainName returns the name of the i-th failure domain.
+func DomainName(i int) string { return fmt.Sprintf("domain%d", i+1) }
+
+// GroupName returns the name of the i-th database group.
+func GroupName(i int) string { return fmt.Sprintf("group%d", i+1) }
+
+func (s *Site) startInstances() error {
+	addresses := map[string]string{}
+	for g := range s.Spec.Groups {
+		group := platform.Group{Name: GroupName(g), Connections: s.Spec.Connections, Slots: s.Spec.Slots}
+		first := fmt.Sprintf("%s-db%d", group.Name, 1)
+		for i := range s.Spec.Instances {
+			id := fmt.Sprintf("%s-db%d", group.Name, i+1)
+			domain := DomainName((g + i) % s.Spec.Domains)
+			source := first
+			if i == 0 {
+				source = ""
+			}
+			server, err := dbinstance.Start(dbinstance.Config{
+				ID: id, Group: group.Name, Domain: domain, Listen: "127.0.0.1:0",
+				Peers:          func(id string) string { return addresses[id] },
+				InitialPrimary: i == 0, InitialSource: source,
+				Connections: s.Spec.Connections, Slots: s.Spec.Slots, ConnectDelay: s.Spec.ConnectDelay,
+				StatementDelay: s.Spec.StatementDelay, ReplicationLag: s.Spec.ReplicationLag,
+				User: settings.Default().BackendUser, Password: password, Log: s.log,
+			})
+			if err != nil {
+				return err
+			}
+			addresses[id] = server.Addr()
+			s.Instances[id] = server
+			s.Network.Locate(server.Addr(), Place{Name: id, Domain: domain})
+			group.Instances = append(group.Instances, platform.Instance{ID: id, Address: server.Addr(), Domain: domain})
+		}
+		s.groups = append(s.groups, group)
+	}
+	return nil
+}
+
+// configure submits the first version: customers with keys, groups and two
+// routes for each group, "groupN" for current data and "groupN-aged" for reads
+// that accept the stated age.
+func (s *Site) configure(ctx context.Context) error {
+	var b strings.Builder
+	var secret [16]byte
+	_, _ = rand.Read(secret[:])
+	fmt.Fprintf(&b, "[session]\ntoken_secret = %s\n", hex.EncodeToString(secret[:]))
+	for _, c := range s.Spec.Customers {
+		key, hash, err := catalog.NewKey(rand.Reader)
+		if err != nil {
+			return err
+		}
+		s.Keys[c.Name] = key
+		fmt.Fprintf(&b, "[customer %s]\nrate = %g\nburst = %g\nkey.main = %s\n", c.Name, c.Rate, c.Burst, hash)
+	}
+	for _, g := range s.groups {
+		fmt.Fprintf(&b, "[group %s]\n", g.Name)
+		fmt.Fprintf(&b, "[route %s]\ngroup = %s\nmode = session\n", g.Name, g.Name)
+		fmt.Fprintf(&b, "[route %s-aged]\ngroup = %s\nmode = session\nmax_age = %s\n", g.Name, g.Name, s.Spec.MaxAge)
+	}
+	fmt.Fprintf(&b, "[route public]\ngroup = %s\nmode = session\nmax_age = %s\nread_only = true\nopen = true\nserve_cut_off = true\n", s.groups[0].Name, s.Spec.MaxAge)
+	services, err := s.Operator()
+	if err != nil {
+		return err
+	}
+	result, err := configsync.Submit(ctx, services, 0, []byte(b.String()), "first")
+	if err != nil {
+		return errors.Annotatef(err, "first configuration: %s", result.Reason)
+	}
+	return nil
+}
+
+// Operator returns a client of the platform as operators use it.
+func (s *Site) Operator() (*platform.Client, error) {
+	return platform.NewClient([]string{s.Platform.URL()}, platform.VM{ID: "operator"})
+}
+
+// ProxyName returns the id of the i-th proxy's VM.
+func ProxyName(i int) string { return fmt.Sprintf("vm%d", i+1) }
+
+// ProxyDomain returns the failure domain of the i-th proxy.
+func (s *Site) ProxyDomain(i int) string { return DomainName(i % s.Spec.Domains) }
+
+func (s *Site) startProxy(i int) error {
+	set := settings.Default()
+	set.VM, set.Domain = ProxyName(i), s.ProxyDomain(i)
+	set.CallerListen, set.PeerListen, set.MetricsListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
+	set.PlatformURLs = []string{s.Platform.URL()}
+	set.BackendPassword = password
+	set.DrainTimeout = 5 * time.Second
+	place := Place{Name: set.VM, Domain: set.Domain}
+	p, err := proxy.New(proxy.Options{Settings: set, Dial: s.Network.Dial(place), Log: s.log})
+	if err != nil {
+		return err
+	}
+	s.Network.Locate(p.CallerAddress(), place)
+	s.Network.Locate(p.PeerAddress(), place)
+	s.Proxies = append(s.Proxies, p)
+	p.Start()
+	return nil
+}
+
+// awaitReady waits until every proxy can serve every group.
+func (s *Site) awaitReady(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for _, p := range s.Proxies {
+		for !p.Ready() {
+			select {
+			case <-ctx.Done():
+				return errors.Errorf("the site was not ready after %s", readyTimeout)
+			case <-time.After(readyInterval):
+			}
+		}
+	}
+	return nil
+}
+
+// CallerAddresses lists the proxies that have not been stopped.
+func (s *Site) CallerAddresses() []string {
+	var list []string
+	for i, p := range s.Proxies {
+		if !s.stopped[i] {
+			list = append(list, p.CallerAddress())
+		}
+	}
+	return list
+}
+
+// StopProxy carries out a planned stop of the i-th proxy.
+func (s *Site) StopProxy(ctx context.Context, i int) error {
+	s.stopped[i] = true
+	return s.Proxies[i].Stop(ctx)
+}
+
+// Primary returns the instance of the group that leads by the instances' own
+// word, the one of the highest term first.
+func (s *Site) Primary(group string) string {
+	best, term := "", uint64(0)
+	for _, id := range s.InstanceIDs(group) {
+		if status := s.Instances[id].Store().Status(); status.Leads() && status.Fence >= term {
+			best, term = id, status.Fence
+		}
+	}
+	return best
+}
+
+// InstanceIDs lists the instances of the group in order.
+func (s *Site) InstanceIDs(group string) []string {
+	var ids []string
+	for _, g := range s.groups {
+		if g.Name != group {
+			continue
+		}
+		for _, i := range g.Instances {
+			ids = append(ids, i.ID)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// Close ends everything.
+func (s *Site) Close() {
+	for _, p := range s.Proxies {
+		p.Close()
+	}
+	for _, i := range s.Instances {
+		i.Close()
+	}
+	if s.Platform != nil {
+		s.Platform.Close()
+	}
+}
+
+// DialClient is the dial function of callers.
+func (s *Site) DialClient() func(ctx context.Context, network, address string) (net.Conn, error) {
+	return s.Network.DialClient()
+}
--- /dev/null
+++ b/internal/site/tables.go
@@ -0,0 +1,50 @@
+package site
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/juju/errors"
+
+	"chicoryline/internal/settings"
+)
+
+// tables are those of the sample load, in every group: bookings without a key,
+// so that a doubled write shows; one row for each session; one clock row.
+var tables = []string{
+	"CREATE TABLE bookings (id text, customer text, session text, n bigint)",
+	"CREATE TABLE sessions (k text PRIMARY KEY, v bigint)",
+	"CREATE TABLE clock (k text PRIMARY KEY, at bigint)",
+	"INSERT INTO clock (k, at) VALUES ('now', 0)",
+}
+
+// createTables makes the tables at the primary of every group.
+func (s *Site) createTables(ctx context.Context) error {
+	for _, g := range s.groups {
+		conn, err := s.ConnectInstance(ctx, s.Primary(g.Name))
+		if err != nil {
+			return err
+		}
+		for _, sql := range tables {
+			if _, err := conn.Exec(ctx, sql); err != nil {
+				_ = conn.Close(ctx)
+				return errors.Annotate(err, sql)
+			}
+		}
+		_ = conn.Close(ctx)
+	}
+	return nil
+}
+
+// ConnectInstance opens a direct connection to a backend server, past the
+// proxies and the network's delays.
+func (s *Site) ConnectInstance(ctx context.Context, id string) (*pgx.Conn, error) {
+	server, ok := s.Instances[id]
+	if !ok {
+		return nil, errors.NotFoundf("instance %q", id)
+	}
+	url := fmt.Sprintf("postgres://%s:%s@%s/postgres?sslmode=disable", settings.Default().BackendUser, password, server.Addr())
+	conn, err := pgx.Connect(ctx, url)
+	return conn, errors.Trace(err)
+}
