--- a/internal/groupview/commits.go
+++ b/internal/groupview/commits.go
@@ -18,15 +18,6 @@
 	refused
 )
 
-// outcome is the fate of a commit as far as the verdicts tell.
-type outcome uint8
-
-const (
-	pending outcome = iota
-	acknowledged
-	impossible
-)
-
 // judge returns the instance's verdict on a commit at p.
 func judge(s backend.Status, p position.Position) verdict {
 	switch {
@@ -38,10 +29,42 @@
 	return undecided
 }
 
-// count decides on a commit from the verdicts of all instances of the group.
-func count(verdicts []verdict) outcome {
+// Outcome is the fate of a commit as far as the instances have told.
+type Outcome uint8
+
+// The outcomes. Impossible means that higher fences rule a majority out: the
+// write may or may not survive.
+const (
+	Pending Outcome = iota
+	Acknowledged
+	Impossible
+)
+
+// Tally counts the instances that confirm one commit.
+type Tally struct {
+	position position.Position
+	verdicts []verdict
+}
+
+// NewTally returns an empty tally for the commit at p in a group of the size.
+func NewTally(p position.Position, size int) *Tally {
+	return &Tally{position: p, verdicts: make([]verdict, size)}
+}
+
+// Observe takes a status of the instance at the index and reports whether it
+// changed the tally.
+func (t *Tally) Observe(i int, s backend.Status) bool {
+	if t.verdicts[i] != undecided {
+		return false
+	}
+	t.verdicts[i] = judge(s, t.position)
+	return t.verdicts[i] != undecided
+}
+
+// Outcome decides on the commit from what was observed.
+func (t *Tally) Outcome() Outcome {
 	var yes, no int
-	for _, v := range verdicts {
+	for _, v := range t.verdicts {
 		switch v {
 		case confirmed:
 			yes++
@@ -49,21 +72,20 @@
 			no++
 		}
 	}
-	need := backend.Majority(len(verdicts))
+	need := backend.Majority(len(t.verdicts))
 	switch {
 	case yes >= need:
-		return acknowledged
-	case len(verdicts)-no < need:
-		return impossible
+		return Acknowledged
+	case len(t.verdicts)-no < need:
+		return Impossible
 	}
-	return pending
+	return Pending
 }
 
 // commit is one write that waits for a majority.
 type commit struct {
-	position position.Position
-	verdicts []verdict
-	done     chan error // capacity 1
+	*Tally
+	done chan error // capacity 1
 }
 
 // commitSet holds the commits that wait. Its mutex guards the set.
@@ -79,7 +101,7 @@
 }
 
 func (s *commitSet) add(p position.Position) *commit {
-	c := &commit{position: p, verdicts: make([]verdict, s.size), done: make(chan error, 1)}
+	c := &commit{Tally: NewTally(p, s.size), done: make(chan error, 1)}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.waiting[c] = true
@@ -113,24 +135,19 @@
 	defer s.mu.Unlock()
 	changed := false
 	for c := range s.waiting {
-		if c.verdicts[instance] != undecided {
-			continue
-		}
-		c.verdicts[instance] = judge(status, c.position)
-		if c.verdicts[instance] == undecided {
-			continue
+		if c.Observe(instance, status) {
+			changed = true
+			s.settle(c)
 		}
-		changed = true
-		s.settle(c)
 	}
 	return changed
 }
 
 func (s *commitSet) settle(c *commit) {
-	switch count(c.verdicts) {
-	case acknowledged:
+	switch c.Outcome() {
+	case Acknowledged:
 		c.done <- nil
-	case impossible:
+	case Impossible:
 		c.done <- errkind.New(errkind.OutcomeUnknown, "a higher term stands over the write at %s", c.position)
 	default:
 		return
--- a/internal/groupview/proof_test.go
+++ b/internal/groupview/proof_test.go
@@ -121,7 +121,7 @@
 	}
 }
 
-func TestCountOfVerdicts(t *testing.T) {
+func TestTally(t *testing.T) {
 	p := position.Position{Term: 2, Offset: 7}
 	status := func(fence, term, offset uint64) backend.Status {
 		return backend.Status{Fence: fence, Log: position.Position{Term: term, Offset: offset}}
@@ -130,21 +130,21 @@
 	cases := []struct {
 		name     string
 		statuses []backend.Status
-		want     outcome
+		want     Outcome
 	}{
-		{"majority holds it", []backend.Status{holds, holds, behind}, acknowledged},
-		{"primary alone", []backend.Status{holds, behind, older}, pending},
-		{"longer log of an older term does not count", []backend.Status{holds, older, older}, pending},
-		{"one higher fence leaves a majority possible", []backend.Status{holds, over, behind}, pending},
-		{"two higher fences do not", []backend.Status{holds, over, over}, impossible},
+		{"majority holds it", []backend.Status{holds, holds, behind}, Acknowledged},
+		{"primary alone", []backend.Status{holds, behind, older}, Pending},
+		{"longer log of an older term does not count", []backend.Status{holds, older, older}, Pending},
+		{"one higher fence leaves a majority possible", []backend.Status{holds, over, behind}, Pending},
+		{"two higher fences do not", []backend.Status{holds, over, over}, Impossible},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
-			var verdicts []verdict
-			for _, s := range c.statuses {
-				verdicts = append(verdicts, judge(s, p))
+			tally := NewTally(p, len(c.statuses))
+			for i, s := range c.statuses {
+				tally.Observe(i, s)
 			}
-			if got := count(verdicts); got != c.want {
+			if got := tally.Outcome(); got != c.want {
 				t.Fatalf("outcome %d, want %d", got, c.want)
 			}
 		})
--- a/internal/groupview/watcher.go
+++ b/internal/groupview/watcher.go
@@ -71,13 +71,9 @@
 
 	sequence atomic.Uint64
 
-	mu        sync.Mutex
-	started   time.Time
-	instances []Instance
-	proof     Proof
-	proved    bool
-	ages      *ageTracker
-	readers   map[*reader]bool
+	mu      sync.Mutex
+	tracker *Tracker
+	readers map[*reader]bool
 }
 
 // reader is a ReadIndex call that waits for a proof newer than its sequence.
@@ -90,13 +86,16 @@
 // no Control.
 func New(config Config) (*Watcher, error) {
 	config.setDefaults()
-	w := &Watcher{config: config, ages: newAgeTracker(), readers: map[*reader]bool{}}
-	w.commits = newCommitSet(len(config.Group.Instances))
+	w := &Watcher{
+		config:  config,
+		commits: newCommitSet(len(config.Group.Instances)),
+		tracker: NewTracker(config.Group, config.ProofLifetime),
+		readers: map[*reader]bool{},
+	}
 	for _, i := range config.Group.Instances {
 		if config.Controls[i.ID] == nil || config.WaitControls[i.ID] == nil {
 			return nil, errors.NotValidf("group %s: instance %s without control", config.Group.Name, i.ID)
 		}
-		w.instances = append(w.instances, Instance{Instance: i})
 		w.kicks = append(w.kicks, make(chan struct{}, 1))
 		w.wakes = append(w.wakes, make(chan struct{}, 1))
 	}
@@ -126,7 +125,7 @@
 // Start begins to probe.
 func (w *Watcher) Start() {
 	w.mu.Lock()
-	w.started = w.config.Now()
+	w.tracker.started = w.config.Now()
 	w.mu.Unlock()
 	for i := range w.config.Group.Instances {
 		w.loops.Go(func() { w.probeLoop(i) })
@@ -243,11 +242,7 @@
 	w.commits.observe(i, report.Status)
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	report.Status.Instance = w.instances[i].ID
-	w.instances[i].Report = report
-	w.instances[i].Reachable = true
-	w.prove()
-	w.ages.addReport(w.instances[i].ID, report.Status.Log)
+	w.tracker.Answered(i, report)
 	w.publish()
 	w.serveReaders()
 }
@@ -255,56 +250,32 @@
 func (w *Watcher) recordFailure(i int, err error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.instances[i].Reachable {
+	if w.tracker.Failed(i) && w.ctx.Err() == nil {
 		w.config.Log.WithFields(logrus.Fields{
-			"event": "instance_unreachable", "group": w.config.Group.Name, "instance": w.instances[i].ID, "error": err,
+			"event":    "instance_unreachable",
+			"group":    w.config.Group.Name,
+			"instance": w.config.Group.Instances[i].ID,
+			"error":    err,
 		}).Warn("instance unreachable")
 	}
-	w.instances[i].Reachable = false
 	w.publish()
 }
 
-// prove updates the proof; w.mu is held.
-func (w *Watcher) prove() {
-	reports := make([]Report, len(w.instances))
-	for i := range w.instances {
-		reports[i] = w.instances[i].Report
-	}
-	proof, ok := Prove(reports, len(reports))
-	if !ok || w.proved && (proof.Term < w.proof.Term || proof.Term == w.proof.Term && proof.Sequence < w.proof.Sequence) {
-		return
-	}
-	w.proof, w.proved = proof, true
-	w.ages.addProof(proof)
-}
-
 // publish stores a new snapshot; w.mu is held or w is not shared yet.
 func (w *Watcher) publish() {
-	v := &View{
-		Group:     w.config.Group.Name,
-		Started:   w.started,
-		Instances: make([]Instance, len(w.instances)),
-		proof:     w.proof,
-		proved:    w.proved,
-		lifetime:  w.config.ProofLifetime,
-	}
-	copy(v.Instances, w.instances)
-	for i := range v.Instances {
-		v.Instances[i].ReachedAt = w.ages.reached[v.Instances[i].ID].at
-	}
-	w.view.Store(v)
+	v := w.tracker.Snapshot(w.config.Now())
+	w.view.Store(&v)
 }
 
 // serveReaders answers the calls that the proof is new enough for; w.mu is held.
 func (w *Watcher) serveReaders() {
-	if !w.proved {
+	proof, ok := w.tracker.Proof()
+	if !ok {
 		return
 	}
 	for r := range w.readers {
-		if w.proof.Sequence > r.sequence {
-			v := *w.view.Load()
-			v.TakenAt = w.config.Now()
-			r.done <- v
+		if proof.Sequence > r.sequence {
+			r.done <- w.View()
 			delete(w.readers, r)
 		}
 	}
