Failover: steward

Charts for the unplanned failover and the planned hand-over of a database group, a Steward that decides by typed events and effects without network or clock, and a Runner that carries the effects out. A write whose answer was lost is resolved by reading the row back by request id; the same request is repeated only while the row's version shows that it has not taken effect.

faultmatrix holds the cells, counts and table that the fault matrices of all charts share.

--- /dev/null
+++ b/internal/failover/attempt.go
@@ -0,0 +1,166 @@
+package failover
+
+import (
+	"strconv"
+	"time"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/errkind"
+)
+
+// attempt is one promotion under one term. Its target never changes: a term
+// whose promotion may have reached an instance is given up rather than used for
+// another instance.
+type attempt struct {
+	term     uint64
+	fenced   map[string]backend.Status
+	target   string
+	followed map[string]bool
+	sent     map[string]time.Time // of the newest command to each instance
+}
+
+// send commands the instance unless the last command was just sent.
+func (s *Steward) send(c Command) {
+	if sent, ok := s.attempt.sent[c.Instance]; ok && s.now().Sub(sent) < s.config.Settings.CommandRetry {
+		return
+	}
+	s.attempt.sent[c.Instance] = s.now()
+	s.emit(c)
+}
+
+func (s *Steward) fenceInstances() {
+	s.attempt = attempt{term: s.claim.term, fenced: map[string]backend.Status{}, sent: map[string]time.Time{}}
+	s.sendFences()
+}
+
+func (s *Steward) sendFences() {
+	for _, i := range s.config.Group.Instances {
+		if _, ok := s.attempt.fenced[i.ID]; !ok {
+			s.send(Command{Op: OpFence, Instance: i.ID, Term: s.attempt.term})
+		}
+	}
+}
+
+func (s *Steward) tickFencing() {
+	switch {
+	case s.overtaken():
+		s.fire(eventOvertaken)
+	case s.inState() >= s.config.Settings.FenceTimeout:
+		s.fire(eventTimedOut)
+	default:
+		s.sendFences()
+		s.countFenced()
+	}
+}
+
+// overtaken reports whether a primary of a higher term is proved.
+func (s *Steward) overtaken() bool { return s.watch.proof.Term > s.attempt.term }
+
+// commanded takes an answer; one to a command of another term does not count.
+func (s *Steward) commanded(e Commanded) {
+	s.watch.maxFence = max(s.watch.maxFence, e.Status.Fence)
+	_, state := s.State()
+	if e.Term != s.attempt.term || state != stateFencing && state != statePromoting && state != stateFollowing {
+		return
+	}
+	if errkind.Is(e.Err, errkind.Fenced) || e.Err == nil && e.Status.Fence > e.Term {
+		s.fire(eventOvertaken)
+		return
+	}
+	if e.Err != nil {
+		return
+	}
+	switch {
+	case e.Op == OpFence && state == stateFencing:
+		s.attempt.fenced[e.Instance] = e.Status
+		s.countFenced()
+	case e.Op == OpPromote && state == statePromoting && e.Instance == s.attempt.target:
+		s.markPromoted()
+	case e.Op == OpFollow && state == stateFollowing:
+		s.attempt.followed[e.Instance] = true
+		s.countFollowed()
+	}
+}
+
+// countFenced chooses the instance to promote once a majority is fenced. A
+// hand-over waits for its target during half of the time.
+func (s *Steward) countFenced() {
+	a := &s.attempt
+	if len(a.fenced) < s.policy.fenceNeed(len(s.config.Group.Instances)) {
+		return
+	}
+	preferred := ""
+	if s.plan != nil {
+		preferred = s.plan.target
+		_, answered := a.fenced[preferred]
+		if !answered && s.inState() < s.config.Settings.FenceTimeout/2 {
+			return
+		}
+	}
+	a.target = s.policy.choose(s.config.Group.Instances, s.leaving, a.fenced, preferred)
+	s.fire(eventMajorityFenced)
+}
+
+func (s *Steward) promote() {
+	clear(s.attempt.sent)
+	s.sendPromote()
+}
+
+func (s *Steward) sendPromote() {
+	s.send(Command{Op: OpPromote, Instance: s.attempt.target, Term: s.attempt.term})
+}
+
+func (s *Steward) tickPromoting() {
+	switch {
+	case s.overtaken():
+		s.fire(eventOvertaken)
+	case s.watch.proved && s.watch.proof.Term == s.attempt.term:
+		s.markPromoted()
+	case s.inState() >= s.config.Settings.PromoteTimeout:
+		s.fire(eventTimedOut)
+	default:
+		s.sendPromote()
+	}
+}
+
+// markPromoted starts the silence anew: the new primary has yet to be proved.
+func (s *Steward) markPromoted() {
+	s.watch.renewed = s.now()
+	s.note("promoted", map[string]string{
+		"primary": s.attempt.target,
+		"term":    strconv.FormatUint(s.attempt.term, 10),
+	})
+	s.fire(eventPromoted)
+}
+
+func (s *Steward) followPrimary() {
+	s.attempt.followed = map[string]bool{s.attempt.target: true}
+	clear(s.attempt.sent)
+	s.sendFollows()
+}
+
+func (s *Steward) sendFollows() {
+	for _, i := range s.config.Group.Instances {
+		if !s.attempt.followed[i.ID] {
+			s.send(Command{Op: OpFollow, Instance: i.ID, Term: s.attempt.term, Primary: s.attempt.target})
+		}
+	}
+}
+
+func (s *Steward) tickFollowing() {
+	switch {
+	case s.overtaken():
+		s.fire(eventOvertaken)
+	case s.inState() >= s.config.Settings.FollowTimeout:
+		s.fire(eventTimedOut) // upkeep tells the rest to follow
+	default:
+		s.sendFollows()
+		s.countFollowed()
+	}
+}
+
+func (s *Steward) countFollowed() {
+	if len(s.attempt.followed) == len(s.config.Group.Instances) {
+		s.fire(eventFollowed)
+	}
+}
--- /dev/null
+++ b/internal/failover/effects.go
@@ -0,0 +1,124 @@
+package failover
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/backend"
+)
+
+// carryOut starts one effect. Its answer comes back to the actor as an event.
+func (r *Runner) carryOut(effect Effect) {
+	switch e := effect.(type) {
+	case AskViews:
+		r.askViews(e)
+	case ReadRow:
+		r.start(r.config.Settings.ClaimPatience, func(ctx context.Context) {
+			row, err := r.config.Table.Get(ctx, r.rowKey())
+			r.actor.Send(RowRead{Call: e.Call, Row: row, Err: err})
+		})
+	case WriteRow:
+		r.start(r.config.Settings.ClaimPatience, func(ctx context.Context) {
+			row, err := r.config.Table.CompareAndSet(ctx, r.rowKey(), e.Version, e.Value, e.RequestID)
+			r.actor.Send(RowWritten{Call: e.Call, Row: row, Err: err})
+		})
+	case Command:
+		select {
+		case r.commands[e.Instance] <- e:
+		default:
+		}
+	case Drain:
+		r.drain(e)
+	case Release:
+		if r.config.Release != nil {
+			r.work.Go(r.config.Release)
+		}
+	case HandoverDone:
+		r.finishHandover(e)
+	case Note:
+		r.note(e)
+	}
+}
+
+func (r *Runner) rowKey() string { return RowPrefix + r.config.Group.Name }
+
+// start runs a call on a goroutine of its own within the timeout.
+func (r *Runner) start(timeout time.Duration, call func(ctx context.Context)) {
+	r.work.Go(func() {
+		ctx, cancel := context.WithTimeout(r.ctx, timeout)
+		defer cancel()
+		call(ctx)
+	})
+}
+
+// askViews asks every steward in another failure domain. No answer is an abstention.
+func (r *Runner) askViews(e AskViews) {
+	for _, vm := range r.config.Peers.Peers(r.config.Group.Name) {
+		if vm.Domain == r.config.VM.Domain {
+			continue
+		}
+		r.start(r.config.Settings.ViewTimeout, func(ctx context.Context) {
+			view, err := r.config.Peers.View(ctx, vm, r.config.Group.Name)
+			if err == nil {
+				r.actor.Send(ViewAnswered{Round: e.Round, View: view})
+			}
+		})
+	}
+}
+
+func (r *Runner) drain(e Drain) {
+	r.start(r.config.Settings.DrainTimeout, func(ctx context.Context) {
+		var err error
+		if r.config.Drain != nil {
+			err = r.config.Drain(ctx)
+		}
+		r.actor.Send(Drained{Attempt: e.Attempt, Err: err})
+	})
+}
+
+func (r *Runner) finishHandover(e HandoverDone) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if done := r.waiting[e.ID]; done != nil {
+		done <- e
+		delete(r.waiting, e.ID)
+	}
+}
+
+func (r *Runner) note(e Note) {
+	fields := logrus.Fields{"event": e.Kind}
+	for key, value := range e.Fields {
+		fields[key] = value
+	}
+	r.config.Log.WithFields(fields).Info(e.Kind)
+	if r.config.OnEvent != nil {
+		r.config.OnEvent(e.Kind, e.Fields)
+	}
+}
+
+// commandLoop sends the commands to one instance, one at a time.
+func (r *Runner) commandLoop(id string, queue <-chan Command) {
+	for {
+		select {
+		case <-r.ctx.Done():
+			return
+		case c := <-queue:
+			status, err := r.command(r.config.Controls[id], c)
+			r.actor.Send(Commanded{Op: c.Op, Instance: id, Term: c.Term, Status: status, Err: err})
+		}
+	}
+}
+
+func (r *Runner) command(control backend.Control, c Command) (backend.Status, error) {
+	ctx, cancel := context.WithTimeout(r.ctx, commandTimeout)
+	defer cancel()
+	switch c.Op {
+	case OpFence:
+		return control.Fence(ctx, c.Term)
+	case OpPromote:
+		return control.Promote(ctx, c.Term)
+	}
+	return control.Follow(ctx, c.Term, c.Primary)
+}
--- /dev/null
+++ b/internal/failover/handover.go
@@ -0,0 +1,158 @@
+package failover
+
+import (
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/groupview"
+	"chicoryline/internal/statechart"
+)
+
+// plan is a hand-over in progress.
+type plan struct {
+	id      uint64 // of the request; 0 for the steward's own
+	attempt uint64
+	target  string
+	from    string // the primary at its start
+	chart   *statechart.Machine
+	since   time.Time // when the writes were held
+}
+
+// beginHandover checks the target and asks for the writes to be held. It only
+// starts while a primary is proved and nothing else goes on.
+func (s *Steward) beginHandover(id uint64, target string) {
+	if _, state := s.State(); state != stateWatching || !s.watch.proved || s.silent() {
+		s.refuseHandover(id, errkind.New(errkind.NoPrimary, "group %s is in a failover or hand-over", s.config.Group.Name))
+		return
+	}
+	target, err := s.handoverTarget(target)
+	if err != nil {
+		s.refuseHandover(id, err)
+		return
+	}
+	s.plan = &plan{
+		id:      id,
+		attempt: s.nextCall(),
+		target:  target,
+		from:    s.watch.proof.Primary,
+		chart:   statechart.MustLoad(HandoverChart).Start(),
+	}
+	s.entered = s.now()
+	s.note("handover_started", map[string]string{"from": s.plan.from, "target": target})
+	s.emit(Drain{Attempt: s.plan.attempt})
+}
+
+func (s *Steward) refuseHandover(id uint64, err error) {
+	if id != 0 {
+		s.emit(HandoverDone{ID: id, Primary: s.watch.proof.Primary, Err: err})
+	}
+}
+
+// handoverTarget returns the instance to promote: the given one, or the replica
+// that is furthest and not leaving. It fails with errkind.NotFound for an
+// unknown instance and errkind.NotEligible for one that is too far behind.
+func (s *Steward) handoverTarget(id string) (string, error) {
+	if id != "" {
+		i, ok := s.watch.view.Instance(id)
+		if !ok {
+			return "", errkind.New(errkind.NotFound, "instance %s", id)
+		}
+		if !s.nearEnd(i) {
+			return "", errkind.New(errkind.NotEligible, "instance %s is unreachable or too far behind", id)
+		}
+		return id, nil
+	}
+	var best groupview.Instance
+	for _, i := range s.watch.view.Instances {
+		if i.ID == s.watch.proof.Primary || s.leaving[i.ID] || !s.nearEnd(i) {
+			continue
+		}
+		if best.ID == "" || i.Status.Log.Compare(best.Status.Log) > 0 {
+			best = i
+		}
+	}
+	if best.ID == "" {
+		return "", errkind.New(errkind.NotEligible, "no replica of group %s can take over", s.config.Group.Name)
+	}
+	return best.ID, nil
+}
+
+// nearEnd reports whether the instance is the primary or a reachable replica
+// that is at most CatchUpEntries behind it.
+func (s *Steward) nearEnd(i groupview.Instance) bool {
+	p := s.watch.proof
+	if i.ID == p.Primary {
+		return true
+	}
+	return i.Reachable && follows(i, p) && i.Status.Log.Term == p.Position.Term &&
+		i.Status.Log.Offset+s.config.Settings.CatchUpEntries >= p.Position.Offset
+}
+
+func (s *Steward) drained(e Drained) {
+	if s.plan == nil || e.Attempt != s.plan.attempt || s.plan.chart.State() != stateDraining {
+		return
+	}
+	if e.Err != nil {
+		s.fire(eventTimedOut)
+		return
+	}
+	s.plan.since = s.now()
+	s.fire(eventDrained)
+}
+
+func (s *Steward) tickDraining() {
+	switch {
+	case s.silent():
+		s.fire(eventPrimarySilent)
+	case s.inState() >= s.config.Settings.DrainTimeout:
+		s.fire(eventTimedOut)
+	}
+}
+
+// tickCatchingUp waits until the target holds all that the primary held in a
+// proof from after the drain.
+func (s *Steward) tickCatchingUp() {
+	p := s.watch.proof
+	target, _ := s.watch.view.Instance(s.plan.target)
+	switch {
+	case s.silent():
+		s.fire(eventPrimarySilent)
+	case s.inState() >= s.config.Settings.CatchUpTimeout:
+		s.fire(eventTimedOut)
+	case p.At.After(s.plan.since) && target.Status.Log.AtLeast(p.Position):
+		s.fire(eventCaughtUp)
+	}
+}
+
+func (s *Steward) release() { s.emit(Release{}) }
+
+// endHandover reports the result and gives the group back to the failover chart.
+func (s *Steward) endHandover(state, event string) {
+	p := s.plan
+	s.plan = nil
+	s.entered = s.now()
+	done := HandoverDone{ID: p.id, Primary: s.attempt.target}
+	switch {
+	case p.chart.State() == stateAborted:
+		done.Primary, done.Err = s.watch.proof.Primary, abortError(state, event)
+	case s.attempt.target != p.target:
+		done.Err = errkind.New(errkind.Conflict, "%s was promoted in place of %s", s.attempt.target, p.target)
+	}
+	fields := map[string]string{"from": p.from, "target": p.target, "result": p.chart.State()}
+	if done.Err != nil {
+		fields["error"] = done.Err.Error()
+	}
+	s.note("handover_ended", fields)
+	if p.id != 0 {
+		s.emit(done)
+	}
+}
+
+// abortError tells whether the group was touched: from the first fence on, the
+// failover chart has to finish.
+func abortError(state, event string) error {
+	if state == stateFencing || state == statePromoting {
+		return errkind.New(errkind.OutcomeUnknown, "hand-over ended in %s by %s", state, event)
+	}
+	return errkind.New(errkind.NotEligible, "hand-over ended in %s by %s", state, event)
+}
--- /dev/null
+++ b/internal/failover/views.go
@@ -0,0 +1,116 @@
+package failover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+)
+
+// ServiceName is the net/rpc name of Service.
+const ServiceName = "Failover"
+
+// handoverTimeout bounds a hand-over that another process asked for.
+const handoverTimeout = 5 * time.Second
+
+// Views asks other VMs for their view of a group.
+type Views interface {
+	// Peers returns the other VMs that have stewards of the group, as far as is
+	// known. They may be dead.
+	Peers(group string) []platform.VM
+	// View returns the VM's view of the group. Errors as of peer.Caller.
+	View(ctx context.Context, vm platform.VM, group string) (DomainView, error)
+}
+
+// ViewArgs are the arguments of Failover.View.
+type ViewArgs struct{ Group string }
+
+// HandoverArgs are the arguments of Failover.Handover.
+type HandoverArgs struct{ Group, Target string }
+
+// HandoverReply is the reply of Failover.Handover.
+type HandoverReply struct{ Primary string }
+
+// PeerViews implements Views by calls between processes.
+type PeerViews struct {
+	Caller peer.Caller
+	// List returns the other VMs that have stewards of the group.
+	List func(group string) []platform.VM
+}
+
+// Peers implements Views.
+func (p PeerViews) Peers(group string) []platform.VM { return p.List(group) }
+
+// View implements Views.
+func (p PeerViews) View(ctx context.Context, vm platform.VM, group string) (DomainView, error) {
+	var view DomainView
+	err := p.Caller.Call(ctx, vm.Address, ServiceName+".View", ViewArgs{group}, &view)
+	return view, err
+}
+
+// Service answers other processes for the Runners of this one. It is safe for
+// concurrent use.
+type Service struct {
+	mu      sync.Mutex
+	runners map[string]*Runner
+}
+
+// NewService returns a service for the Runners.
+func NewService(runners ...*Runner) *Service {
+	s := &Service{runners: map[string]*Runner{}}
+	for _, r := range runners {
+		s.Add(r)
+	}
+	return s
+}
+
+// Add lets the service answer for the Runner's group.
+func (s *Service) Add(r *Runner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.runners[r.config.Group.Name] = r
+}
+
+// Remove ends what Add began.
+func (s *Service) Remove(r *Runner) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.runners[r.config.Group.Name] == r {
+		delete(s.runners, r.config.Group.Name)
+	}
+}
+
+func (s *Service) runner(group string) (*Runner, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.runners[group]
+	if r == nil {
+		return nil, errkind.New(errkind.NotFound, "no steward of group %s here", group)
+	}
+	return r, nil
+}
+
+// View is the net/rpc method that returns this VM's view of the group.
+func (s *Service) View(args ViewArgs, reply *DomainView) error {
+	r, err := s.runner(args.Group)
+	if err != nil {
+		return peer.Encode(err)
+	}
+	*reply = r.DomainView()
+	return nil
+}
+
+// Handover is the net/rpc method that carries out a planned hand-over.
+func (s *Service) Handover(args HandoverArgs, reply *HandoverReply) error {
+	r, err := s.runner(args.Group)
+	if err != nil {
+		return peer.Encode(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), handoverTimeout)
+	defer cancel()
+	reply.Primary, err = r.handover(ctx, args.Target)
+	return peer.Encode(err)
+}
--- /dev/null
+++ b/internal/failover/votes.go
@@ -0,0 +1,71 @@
+package failover
+
+import (
+	"time"
+
+	"chicoryline/internal/backend"
+)
+
+// DomainView is what one steward sees of a group from its failure domain.
+type DomainView struct {
+	VM     string
+	Domain string
+	// Proved reports whether the steward ever saw a primary proved; Primary and
+	// Term name the newest.
+	Proved  bool
+	Primary string
+	Term    uint64
+	// Silence is the time since that proof was last renewed, or since the
+	// steward's start.
+	Silence time.Duration
+	// MaxFence is the highest fence among the instances.
+	MaxFence uint64
+}
+
+// vote is a failure domain's stand on the suspicion.
+type vote uint8
+
+const (
+	voteUnsure vote = iota
+	voteSilent
+	voteHealthy
+)
+
+func (v DomainView) vote(suspectAfter time.Duration) vote {
+	switch {
+	case v.Silence >= suspectAfter:
+		return voteSilent
+	case v.Proved:
+		return voteHealthy
+	}
+	return voteUnsure
+}
+
+// verdict is the decision on a suspicion.
+type verdict uint8
+
+const (
+	verdictOpen verdict = iota
+	verdictDepose
+	verdictRefuse
+)
+
+// decide takes the views of stewards, at most one for each VM, and the number
+// of failure domains that have stewards. One domain that sees the primary
+// proved refuses; a majority of domains that see it silent deposes it. A domain
+// that cannot be asked counts for neither.
+func decide(views []DomainView, domains int, suspectAfter time.Duration) verdict {
+	silent := map[string]bool{}
+	for _, v := range views {
+		switch v.vote(suspectAfter) {
+		case voteHealthy:
+			return verdictRefuse
+		case voteSilent:
+			silent[v.Domain] = true
+		}
+	}
+	if len(silent) >= backend.Majority(domains) {
+		return verdictDepose
+	}
+	return verdictOpen
+}
--- /dev/null
+++ b/internal/faultmatrix/faultmatrix.go
@@ -0,0 +1,181 @@
+// Package faultmatrix runs every fault, and every pair of faults, at every
+// state of a chart. Tests of packages with a chart give it the faults and a
+// function that runs one cell.
+package faultmatrix
+
+import (
+	"fmt"
+	"runtime"
+	"sort"
+	"strings"
+	"sync"
+	"text/tabwriter"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/statechart"
+)
+
+// Cell is one run: the faults strike when the chart enters the state.
+type Cell struct {
+	Chart  string
+	State  string
+	Faults []string
+}
+
+// String returns "chart/state/fault+fault".
+func (c Cell) String() string {
+	return c.Chart + "/" + c.State + "/" + strings.Join(c.Faults, "+")
+}
+
+// Seed returns a random seed that depends on the cell's name only.
+func (c Cell) Seed() int64 {
+	var seed uint64 = 14695981039346656037 // FNV-1a
+	for _, b := range []byte(c.String()) {
+		seed = (seed ^ uint64(b)) * 1099511628211
+	}
+	return int64(seed >> 1)
+}
+
+// Singles returns a cell for each fault at each state of the chart.
+func Singles(chart *statechart.Chart, faults []string) []Cell {
+	var cells []Cell
+	for _, state := range chart.States() {
+		for _, f := range faults {
+			cells = append(cells, Cell{chart.Name, state, []string{f}})
+		}
+	}
+	return cells
+}
+
+// Pairs returns a cell for each ordered pair of different faults at each state.
+func Pairs(chart *statechart.Chart, faults []string) []Cell {
+	var cells []Cell
+	for _, state := range chart.States() {
+		for _, f := range faults {
+			for _, g := range faults {
+				if f != g {
+					cells = append(cells, Cell{chart.Name, state, []string{f, g}})
+				}
+			}
+		}
+	}
+	return cells
+}
+
+// Matrix collects the results of cells. It is safe for concurrent use.
+type Matrix struct {
+	charts []*statechart.Chart
+
+	mu      sync.Mutex
+	results map[string]result
+}
+
+type result struct {
+	cell Cell
+	err  error
+}
+
+// New returns an empty matrix over the charts.
+func New(charts ...*statechart.Chart) *Matrix {
+	return &Matrix{charts: charts, results: map[string]result{}}
+}
+
+// Run runs the cells on as many goroutines as there are processors and keeps
+// their results. A cell whose fault could not strike has to return an error.
+func (m *Matrix) Run(cells []Cell, run func(Cell) error) {
+	queue := make(chan Cell)
+	var workers sync.WaitGroup
+	for range runtime.GOMAXPROCS(0) {
+		workers.Go(func() {
+			for c := range queue {
+				m.Record(c, run(c))
+			}
+		})
+	}
+	for _, c := range cells {
+		queue <- c
+	}
+	close(queue)
+	workers.Wait()
+}
+
+// Record keeps the result of one cell; nil means passed.
+func (m *Matrix) Record(c Cell, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.results[c.String()] = result{c, err}
+}
+
+// Err returns nil if every state of every chart has a cell and all passed, else
+// an error with the states that lack one and the red cells in order of name.
+func (m *Matrix) Err() error {
+	var faults []string
+	for _, chart := range m.charts {
+		for _, state := range chart.States() {
+			if m.count(chart.Name, state).cells == 0 {
+				faults = append(faults, fmt.Sprintf("%s/%s: no cell", chart.Name, state))
+			}
+		}
+	}
+	faults = append(faults, m.red()...)
+	if len(faults) > 0 {
+		return errors.Errorf("%s", strings.Join(faults, "\n"))
+	}
+	return nil
+}
+
+func (m *Matrix) red() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var list []string
+	for name, r := range m.results {
+		if r.err != nil {
+			list = append(list, fmt.Sprintf("%s: %v", name, r.err))
+		}
+	}
+	sort.Strings(list)
+	return list
+}
+
+type counts struct{ cells, passed, red int }
+
+// count counts the cells of a state; empty names stand for all.
+func (m *Matrix) count(chart, state string) counts {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var n counts
+	for _, r := range m.results {
+		if chart != "" && r.cell.Chart != chart || state != "" && r.cell.State != state {
+			continue
+		}
+		n.cells++
+		if r.err == nil {
+			n.passed++
+		} else {
+			n.red++
+		}
+	}
+	return n
+}
+
+// Summary returns the line "cells=N passed=N red=N".
+func (m *Matrix) Summary() string {
+	n := m.count("", "")
+	return fmt.Sprintf("cells=%d passed=%d red=%d", n.cells, n.passed, n.red)
+}
+
+// Table returns the counts of each state of each chart as text.
+func (m *Matrix) Table() string {
+	var b strings.Builder
+	w := tabwriter.NewWriter(&b, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(w, "chart\tstate\tcells\tpassed\tred")
+	for _, chart := range m.charts {
+		for _, state := range chart.States() {
+			n := m.count(chart.Name, state)
+			fmt.Fprintf(w, "%s\t%s\t%d\t%d\t%d\n", chart.Name, state, n.cells, n.passed, n.red)
+		}
+	}
+	_ = w.Flush() // writes to a strings.Builder cannot fail
+	return b.String()
+}
