Config sync: grants and patches

Holders renew a grant in the platform's table and count it from before the write; a patch becomes pending, every holder serves it jointly and acknowledges, and it goes in force once all have acknowledged or surely lapsed. In a platform outage a majority of a holder's own voters extends its grant by promising not to acknowledge a patch that it does not know. Each holder names its voters in its row, and a lapsed holder only agrees to a patch when a majority of exactly these has acknowledged: so replaced VMs need no change of a common member list.

The decisions (core, conclude, lapseWatch, promiseBook) take the time as an argument; Node drives them.

--- /dev/null
+++ b/internal/configsync/events.go
@@ -0,0 +1,204 @@
+package configsync
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// handle takes the result of an action or a message.
+func (c *core) handle(now time.Time, message any) {
+	switch m := message.(type) {
+	case renewed:
+		c.onRenewed(now, m)
+	case configRead:
+		c.onConfig(now, m)
+	case holdersListed:
+		c.onHolders(now, m)
+	case promisesDone:
+		c.onPromises(now, m)
+	case leaseDone:
+		c.onLease(now, m)
+	case finishDone:
+		delete(c.open, "finish")
+		c.firePatch(now, "decided")
+	case gaveBack:
+		delete(c.open, "give_back")
+		if m.ok {
+			c.fireGrant("given_back")
+		}
+	case leaveAsked:
+		c.fireGrant("leave")
+	}
+}
+
+// onRenewed takes the end of a renewal. The grant counts from before the write
+// was sent, and only if the configuration was read after the write: a patch
+// that became pending before the write is then known here.
+func (c *core) onRenewed(now time.Time, m renewed) {
+	delete(c.open, "renew")
+	if m.id != c.own.id {
+		return
+	}
+	switch {
+	case m.removed:
+		c.fireGrant("removed")
+		return
+	case !m.wrote:
+		c.own.sure = c.own.sure && !m.unsure
+		c.due["renew"] = now.Add(retryInterval)
+		return
+	}
+	c.own.version, c.own.sure, c.own.registered = m.version, true, true
+	c.own.voters, c.own.attempted = m.voters, nil
+	switch {
+	case !m.read:
+		c.due["renew"] = now.Add(retryInterval)
+	case c.adopt(now, m.snap):
+		c.extend("renewed", m.sent.Add(c.cfg.length), now)
+	}
+	if p := c.snap.record.Pending; p != nil && m.acked == p.Attempt {
+		c.firePatch(now, "ack_written")
+	} else if c.patch.State() == "acknowledging" {
+		c.soon("renew")
+	}
+}
+
+// adopt takes a configuration that is newer than the known one, and reports
+// whether the known one now is at least as new. An older one changes nothing.
+func (c *core) adopt(now time.Time, s snapshot) bool {
+	if s.row.Version <= c.snap.row.Version {
+		return true
+	}
+	c.snap = s
+	c.book.bar(s.record.Barred)
+	if s.record.Pending != nil {
+		c.firePatch(now, "pending_seen")
+	} else {
+		c.firePatch(now, "outcome_seen")
+	}
+	c.soon("promise")
+	c.soon("lease")
+	c.out = append(c.out, notify{addresses: c.others(), row: s.row})
+	if slices.Contains(s.record.Barred, c.own.id) {
+		c.fireGrant("removed")
+		return false
+	}
+	return true
+}
+
+// others are the processes that this one tells of a change: the other holders
+// and the VMs that hold its leases.
+func (c *core) others() []string {
+	var list []string
+	add := func(address string) {
+		if address != c.cfg.address && !slices.Contains(list, address) {
+			list = append(list, address)
+		}
+	}
+	for _, h := range c.holders {
+		add(h.Address)
+	}
+	for _, p := range c.book.given {
+		add(p.address)
+	}
+	slices.Sort(list)
+	return list
+}
+
+func (c *core) onConfig(now time.Time, m configRead) {
+	if m.own {
+		delete(c.open, "read")
+	}
+	if m.ok {
+		c.adopt(now, m.snap)
+	}
+}
+
+// onHolders takes a list of the holders' rows, and decides a pending patch by
+// it if the list was read after the patch was seen.
+func (c *core) onHolders(now time.Time, m holdersListed) {
+	delete(c.open, "list")
+	if !m.ok {
+		return
+	}
+	holders, err := decodeHolders(m.rows)
+	if err != nil {
+		return
+	}
+	c.holders = holders
+	c.rows = m.rows
+	c.watch.observe(m.rows, m.began, m.ended)
+	if c.patch.State() == "acknowledged" && m.record == c.snap.row.Version {
+		c.decide(now)
+	}
+}
+
+// decide ends the pending patch if the holders' rows allow it, or if it has
+// waited too long.
+func (c *core) decide(now time.Time) {
+	e := conclude(c.snap.record, c.holders, c.watch.lapsed, now.Sub(c.pendingSeen) >= c.cfg.patience())
+	if !e.ended {
+		return
+	}
+	event := "blocked"
+	if e.agreed {
+		event = "all_agree"
+	}
+	c.firePatch(now, event)
+	c.open["finish"] = true
+	request := fmt.Sprintf("%s!%d", c.own.id, c.snap.record.Attempt)
+	c.out = append(c.out, finish{
+		version: c.snap.row.Version, value: encode(e.next), request: request, gone: goneRows(e.gone, c.rows),
+	})
+}
+
+// onPromises extends the grant if a majority of the voters has promised, this
+// process included. While a write of the row is in doubt both lists of voters
+// have to agree.
+func (c *core) onPromises(now time.Time, m promisesDone) {
+	delete(c.open, "promise")
+	if m.id != c.own.id || !c.own.registered {
+		return
+	}
+	granted := map[string]bool{c.own.id: true}
+	for _, id := range m.granted {
+		granted[id] = true
+	}
+	if majority(c.own.voters, granted) && (c.own.attempted == nil || majority(c.own.attempted, granted)) {
+		c.extend("promised", m.sent.Add(c.cfg.length), now)
+	}
+}
+
+func (c *core) onLease(now time.Time, m leaseDone) {
+	delete(c.open, "lease")
+	if m.ok {
+		c.extend("leased", m.sent.Add(m.length), now)
+	}
+}
+
+// promise answers another holder.
+func (c *core) promise(now time.Time, ask PromiseAsk) PromiseReply {
+	reply := PromiseReply{Row: c.snap.row}
+	if ask.To != c.own.id || !c.own.registered || ask.Length <= 0 {
+		return reply
+	}
+	until := now.Add(ask.Length + lapseMargin(ask.Length))
+	reply.Granted = c.book.give(ask.From, ask.Address, ask.Row, c.snap.row.Version, until)
+	return reply
+}
+
+// lease answers a VM that holds no grant. A lease ends before the grant does.
+func (c *core) lease(now time.Time, ask LeaseAsk) PromiseReply {
+	reply := PromiseReply{Row: c.snap.row}
+	state := c.grant.State()
+	if (state != "held" && state != "extended") || !c.valid(now) {
+		reply.Holders = c.lessors()
+		return reply
+	}
+	length := min(leaseLength, c.until.Sub(now))
+	until := now.Add(length + lapseMargin(length))
+	reply.Granted = c.book.give(ask.From, ask.Address, ask.Row, c.snap.row.Version, until)
+	reply.Length = length
+	return reply
+}
--- /dev/null
+++ b/internal/configsync/fake_test.go
@@ -0,0 +1,148 @@
+package configsync
+
+import (
+	"context"
+	"sort"
+	"strings"
+	"sync"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+)
+
+// fakePlatform is a table and object store in memory with fault switches.
+type fakePlatform struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Row
+	objects map[string][]byte
+	vms     []platform.VM
+	writes  int
+	reads   int
+
+	// down fails every call with no effect.
+	down bool
+	// lose loses the answers of that many coming writes after their effect.
+	lose int
+}
+
+func newFakePlatform() *fakePlatform {
+	return &fakePlatform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+}
+
+func (f *fakePlatform) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+func (f *fakePlatform) read() error {
+	f.reads++
+	if f.down {
+		return errkind.New(errkind.PlatformUnavailable, "down")
+	}
+	return nil
+}
+
+func (f *fakePlatform) Get(_ context.Context, key string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.read(); err != nil {
+		return platform.Row{}, err
+	}
+	row, ok := f.rows[key]
+	if !ok {
+		return row, errkind.New(errkind.NotFound, "%s", key)
+	}
+	return row, nil
+}
+
+func (f *fakePlatform) List(_ context.Context, prefix string) ([]platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.read(); err != nil {
+		return nil, err
+	}
+	var rows []platform.Row
+	for key, row := range f.rows {
+		if strings.HasPrefix(key, prefix) {
+			rows = append(rows, row)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Key < rows[j].Key })
+	return rows, nil
+}
+
+// lost reports an answer as lost if the switch says so.
+func (f *fakePlatform) lost() error {
+	if f.lose > 0 {
+		f.lose--
+		return errkind.New(errkind.PlatformUnknown, "answer lost")
+	}
+	return nil
+}
+
+func (f *fakePlatform) CompareAndSet(_ context.Context, key string, version uint64, value []byte, requestID string) (platform.Row, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.read(); err != nil {
+		return platform.Row{}, err
+	}
+	row := f.rows[key]
+	if row.Version != 0 && row.RequestID == requestID {
+		return row, nil
+	}
+	if row.Version != version {
+		return platform.Row{}, errkind.New(errkind.Conflict, "%s at %d, not %d", key, row.Version, version)
+	}
+	f.writes++
+	row = platform.Row{Key: key, Version: version + 1, Value: value, RequestID: requestID}
+	f.rows[key] = row
+	return row, f.lost()
+}
+
+func (f *fakePlatform) Delete(_ context.Context, key string, version uint64, _ string) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.read(); err != nil {
+		return err
+	}
+	if f.rows[key].Version != version {
+		return errkind.New(errkind.Conflict, "%s", key)
+	}
+	f.writes++
+	delete(f.rows, key)
+	return f.lost()
+}
+
+func (f *fakePlatform) PutObject(_ context.Context, data []byte) (string, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.read(); err != nil {
+		return "", err
+	}
+	f.objects[objectName(data)] = data
+	return objectName(data), f.lost()
+}
+
+func (f *fakePlatform) Object(_ context.Context, name string) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := f.read(); err != nil {
+		return nil, err
+	}
+	data, ok := f.objects[name]
+	if !ok {
+		return nil, errkind.New(errkind.NotFound, "%s", name)
+	}
+	return data, nil
+}
+
+func (f *fakePlatform) VMs(context.Context) ([]platform.VM, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.vms, f.read()
+}
+
+func (f *fakePlatform) Groups(context.Context) ([]platform.Group, error) { return nil, nil }
+
+func (f *fakePlatform) Register(context.Context, platform.VM) error { return nil }
--- /dev/null
+++ b/internal/configsync/peers.go
@@ -0,0 +1,106 @@
+package configsync
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"chicoryline/internal/platform"
+)
+
+// refreshPeers reads the platform's list of VMs while nothing else tells of
+// other processes, so that a start with no holders in view finds some.
+func (n *Node) refreshPeers() {
+	if n.cfg.Peers != nil || !n.View().Expired {
+		return
+	}
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	list, err := n.cfg.Services.VMs(ctx)
+	if err != nil {
+		return
+	}
+	n.mu.Lock()
+	n.peers = list
+	n.mu.Unlock()
+}
+
+// peerTries is how many processes are asked at most before a pause.
+const peerTries = 8
+
+// knownPeers returns a few of the other processes in random order, those of the
+// own domain first.
+func (n *Node) knownPeers() []platform.VM {
+	n.mu.Lock()
+	list := slices.Clone(n.peers)
+	n.mu.Unlock()
+	if n.cfg.Peers != nil {
+		list = slices.Clone(n.cfg.Peers())
+	}
+	list = slices.DeleteFunc(list, func(vm platform.VM) bool { return vm.Address == n.cfg.VM.Address })
+	n.shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	slices.SortStableFunc(list, func(a, b platform.VM) int { return n.distance(a) - n.distance(b) })
+	return list[:min(len(list), peerTries)]
+}
+
+// shuffle orders n things at random.
+func (n *Node) shuffle(count int, swap func(i, j int)) {
+	if n.cfg.Rand == nil {
+		rand.Shuffle(count, swap)
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cfg.Rand.Shuffle(count, swap)
+}
+
+// lessors returns the addresses to ask for a lease, the last lessor first.
+func (n *Node) lessors(holders []string) []string {
+	n.refreshPeers()
+	n.mu.Lock()
+	list := append([]string{n.lessor}, n.hints...)
+	n.mu.Unlock()
+	list = append(list, holders...)
+	for _, vm := range n.knownPeers() {
+		list = append(list, vm.Address)
+	}
+	seen := map[string]bool{"": true}
+	return slices.DeleteFunc(list, func(address string) bool {
+		twice := seen[address]
+		seen[address] = true
+		return twice
+	})
+}
+
+func (n *Node) setLessor(address string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.lessor = address
+}
+
+// setHints keeps the holders that a process named which gives no leases.
+func (n *Node) setHints(holders []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.hints = holders
+}
+
+// maxHints bounds the holders that a refused lease names.
+const maxHints = 4
+
+// hint returns the addresses of holders that this process knows.
+func (n *Node) hint(holders []string) []string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.lessor != "" {
+		holders = append([]string{n.lessor}, holders...)
+	}
+	return holders[:min(len(holders), maxHints)]
+}
+
+// distance is 0 inside the domain and 1 outside of it.
+func (n *Node) distance(vm platform.VM) int {
+	if vm.Domain == n.cfg.VM.Domain {
+		return 0
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/configsync/run.go
@@ -0,0 +1,247 @@
+package configsync
+
+import (
+	"context"
+	"sync"
+
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+)
+
+// run carries one action out and returns its result, or nil if it has none.
+func (n *Node) run(action any) any {
+	switch a := action.(type) {
+	case renew:
+		return n.renew(a)
+	case readConfig:
+		snap, err := n.readConfig()
+		return configRead{own: true, ok: err == nil, snap: snap}
+	case listHolders:
+		return n.listHolders(a)
+	case askPromises:
+		return n.askPromises(a)
+	case askLease:
+		return n.askLease(a)
+	case finish:
+		n.finish(a)
+		return finishDone{}
+	case notify:
+		n.notify(a)
+	case giveBack:
+		return gaveBack{ok: n.giveBack(a)}
+	}
+	return nil
+}
+
+func (n *Node) callPlatform() (context.Context, context.CancelFunc) {
+	return context.WithTimeout(n.ctx, platform.CallTimeout)
+}
+
+// renew writes the holder's row and then reads the configuration.
+func (n *Node) renew(a renew) renewed {
+	r := renewed{id: a.holder.ID, acked: a.holder.Acked, voters: a.holder.Voters}
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	version := a.version
+	if a.reread {
+		row, err := n.cfg.Services.Get(ctx, holderKey(a.holder.ID))
+		switch {
+		case errkind.Is(err, errkind.NotFound) && version > 0:
+			r.removed = true
+			return r
+		case err != nil && !errkind.Is(err, errkind.NotFound):
+			r.unsure = true
+			return r
+		}
+		version = row.Version
+	}
+	r.sent = n.cfg.Now()
+	row, err := n.cfg.Services.CompareAndSet(ctx, holderKey(a.holder.ID), version, encode(a.holder), a.request)
+	if err != nil {
+		r.unsure = !errkind.Is(err, errkind.PlatformUnavailable)
+		return r
+	}
+	r.wrote, r.version = true, row.Version
+	snap, err := n.readConfig()
+	r.read, r.snap = err == nil, snap
+	return r
+}
+
+// readConfig reads the configuration row and its documents.
+func (n *Node) readConfig() (snapshot, error) {
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	row, err := n.cfg.Services.Get(ctx, recordKey)
+	if err != nil && !errkind.Is(err, errkind.NotFound) {
+		return snapshot{}, err
+	}
+	return n.load(row)
+}
+
+// load reads the documents that a configuration row names.
+func (n *Node) load(row platform.Row) (snapshot, error) {
+	s := snapshot{row: row}
+	var err error
+	if s.record, err = decodeRecord(row); err != nil {
+		return s, err
+	}
+	if s.current, err = n.document(s.record.Object); err != nil {
+		return s, err
+	}
+	if p := s.record.Pending; p != nil {
+		s.pending, err = n.document(p.Object)
+	}
+	return s, err
+}
+
+// document returns a document from memory, the object store or a peer.
+func (n *Node) document(object string) (*catalog.Document, error) {
+	if object == "" {
+		return nil, nil
+	}
+	if d, ok := n.documents.get(object); ok {
+		return d, nil
+	}
+	data, err := n.fetch(object)
+	if err != nil {
+		return nil, err
+	}
+	d, err := catalog.Decode(data)
+	if err == nil {
+		n.documents.put(object, d)
+	}
+	return d, err
+}
+
+func (n *Node) fetch(object string) ([]byte, error) {
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	data, err := n.cfg.Services.Object(ctx, object)
+	if err == nil {
+		return data, nil
+	}
+	for _, vm := range n.knownPeers() {
+		var reply DocumentReply
+		if n.call(vm.Address, "Config.Document", DocumentAsk{Object: object}, &reply) == nil && objectName(reply.Data) == object {
+			return reply.Data, nil
+		}
+	}
+	return nil, err
+}
+
+func (n *Node) listHolders(a listHolders) holdersListed {
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	r := holdersListed{record: a.record, began: n.cfg.Now()}
+	rows, err := n.cfg.Services.List(ctx, holderPrefix)
+	r.ended = n.cfg.Now()
+	r.ok, r.rows = err == nil, rows
+	return r
+}
+
+// call makes one call to another process.
+func (n *Node) call(address, method string, args, reply any) error {
+	ctx, cancel := context.WithTimeout(n.ctx, peerTimeout)
+	defer cancel()
+	return n.cfg.Caller.Call(ctx, address, method, args, reply)
+}
+
+// show hands a row that another process has shown to the core.
+func (n *Node) show(row platform.Row) bool {
+	if row.Version <= n.shown.Load().row.Version {
+		return true
+	}
+	snap, err := n.load(row)
+	if err != nil {
+		return false
+	}
+	n.ref.Send(configRead{ok: true, snap: snap})
+	return true
+}
+
+// askPromises asks all voters at once.
+func (n *Node) askPromises(a askPromises) promisesDone {
+	done := promisesDone{sent: n.cfg.Now(), id: a.ask.From}
+	var mu sync.Mutex
+	var all sync.WaitGroup
+	for _, h := range a.to {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			ask := a.ask
+			ask.To = h.ID
+			var reply PromiseReply
+			if n.call(h.Address, "Config.Promise", ask, &reply) != nil {
+				return
+			}
+			if reply.Granted {
+				mu.Lock()
+				done.granted = append(done.granted, h.ID)
+				mu.Unlock()
+				return
+			}
+			n.show(reply.Row)
+		}()
+	}
+	all.Wait()
+	return done
+}
+
+// askLease asks one holder after another until one gives a lease.
+func (n *Node) askLease(a askLease) leaseDone {
+	for _, address := range n.lessors(a.to) {
+		sent := n.cfg.Now()
+		var reply PromiseReply
+		if n.call(address, "Config.Lease", a.ask, &reply) != nil {
+			continue
+		}
+		if reply.Granted {
+			n.setLessor(address)
+			return leaseDone{sent: sent, ok: true, length: reply.Length}
+		}
+		n.setHints(reply.Holders)
+		n.show(reply.Row)
+	}
+	return leaseDone{}
+}
+
+// finish moves the configuration row. Whatever the answer, the core reads the
+// row before it goes on, and a later attempt meets the changed row version.
+func (n *Node) finish(a finish) {
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	row, err := n.cfg.Services.CompareAndSet(ctx, recordKey, a.version, a.value, a.request)
+	if err != nil {
+		return
+	}
+	n.show(row)
+	for _, g := range a.gone {
+		_ = n.cfg.Services.Delete(ctx, g.Key, g.Version, a.request+"-"+g.Key)
+	}
+}
+
+// notify tells other processes of a configuration row at once; those that miss
+// it read it at their next poll.
+func (n *Node) notify(a notify) {
+	var all sync.WaitGroup
+	for _, address := range a.addresses {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			_ = n.call(address, "Config.Notify", NotifyAsk{Row: a.row}, &NotifyReply{})
+		}()
+	}
+	all.Wait()
+}
+
+// giveBack deletes the holder's row at whatever version it has.
+func (n *Node) giveBack(a giveBack) bool {
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	row, err := n.cfg.Services.Get(ctx, holderKey(a.id))
+	if err != nil {
+		return errkind.Is(err, errkind.NotFound)
+	}
+	return n.cfg.Services.Delete(ctx, row.Key, row.Version, a.id+"-") == nil
+}
--- /dev/null
+++ b/internal/configsync/submit.go
@@ -0,0 +1,202 @@
+package configsync
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+)
+
+// operatorInterval is how often an operator's command looks again.
+const operatorInterval = 50 * time.Millisecond
+
+// Result is what the patch command ends with.
+type Result struct {
+	State State
+	// Version is the version in force after the patch was decided.
+	Version uint64
+	// Reason says why a patch was refused.
+	Reason  string
+	PatchID string
+}
+
+// Submit makes the patch pending on version base and waits for its end. A patch
+// id that was decided before gives the recorded end and changes nothing.
+// Errors: errkind.InvalidPatch, VersionConflict (with the version in force) and
+// PatchRefused with StateRefused; OutcomeUnknown with StateUnknown when the
+// context ends first, after which Ask tells the end.
+func Submit(ctx context.Context, services platform.Services, base uint64, patch []byte, patchID string) (Result, error) {
+	parsed, err := catalog.ParsePatch(patch)
+	if err != nil {
+		return refused(patchID, 0, err)
+	}
+	s := submission{services: services, base: base, patch: parsed, id: patchID}
+	for {
+		result, done, err := s.try(ctx)
+		if done {
+			return result, err
+		}
+		if !pause(ctx, operatorInterval) {
+			return unknown(patchID, "the command ended first")
+		}
+	}
+}
+
+// pause waits and reports false if the context ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// submission is one run of Submit.
+type submission struct {
+	services platform.Services
+	base     uint64
+	patch    *catalog.Patch
+	id       string
+	end      finisher
+}
+
+// try reads the row and does the next step. Calls that fail are tried again
+// from the reading of the row, so a lost answer is never repeated blindly.
+func (s *submission) try(ctx context.Context) (Result, bool, error) {
+	row, record, err := readRecord(ctx, s.services)
+	if err != nil {
+		return Result{}, false, nil
+	}
+	if o, ok := record.outcome(s.id); ok {
+		return ended(o)
+	}
+	if record.Pending != nil {
+		s.end.drive(ctx, s.services, row, record)
+		return Result{}, false, nil
+	}
+	if record.Version != s.base {
+		err := errkind.New(errkind.VersionConflict, "based on version %d, in force is %d%s", s.base, record.Version, lastPatch(record))
+		result, err := refused(s.id, record.Version, err)
+		return result, true, err
+	}
+	return s.propose(ctx, row, record)
+}
+
+// propose makes the patch pending.
+func (s *submission) propose(ctx context.Context, row platform.Row, record Record) (Result, bool, error) {
+	doc, err := readDocument(ctx, s.services, record.Object)
+	if err != nil {
+		return Result{}, false, nil
+	}
+	next, err := catalog.Apply(doc, s.patch)
+	if err != nil {
+		result, err := refused(s.id, record.Version, err)
+		return result, true, err
+	}
+	object, err := s.services.PutObject(ctx, catalog.Encode(next))
+	if err != nil {
+		return Result{}, false, nil
+	}
+	value := encode(record.withPending(s.id, object, next.Version))
+	request := fmt.Sprintf("%s@%d", s.id, row.Version)
+	_, _ = s.services.CompareAndSet(ctx, recordKey, row.Version, value, request)
+	return Result{}, false, nil
+}
+
+func lastPatch(r Record) string {
+	for i := len(r.History) - 1; i >= 0; i-- {
+		if o := r.History[i]; o.State == StateInForce {
+			return " by patch " + o.Patch
+		}
+	}
+	return ""
+}
+
+func refused(patchID string, version uint64, err error) (Result, error) {
+	return Result{State: StateRefused, Version: version, Reason: err.Error(), PatchID: patchID}, err
+}
+
+func unknown(patchID, why string) (Result, error) {
+	err := errkind.New(errkind.OutcomeUnknown, "patch %s: %s", patchID, why)
+	return Result{State: StateUnknown, Reason: why, PatchID: patchID}, err
+}
+
+func ended(o Outcome) (Result, bool, error) {
+	result := Result{State: o.State, Version: o.Version, Reason: o.Reason, PatchID: o.Patch}
+	if o.State == StateRefused {
+		return result, true, errkind.New(errkind.PatchRefused, "%s", o.Reason)
+	}
+	return result, true, nil
+}
+
+// finisher ends pending patches on behalf of an operator's command, also when
+// no holder is left to do it. Its zero value is ready.
+type finisher struct {
+	watch   lapseWatch
+	attempt uint64
+	since   time.Time
+}
+
+// drive ends the record's pending patch if the holders' rows allow it. The rows
+// are read after the record, and the record is moved only from that version.
+func (f *finisher) drive(ctx context.Context, services platform.Services, row platform.Row, record Record) {
+	began := time.Now()
+	if f.attempt != record.Attempt {
+		f.attempt, f.since = record.Attempt, began
+	}
+	rows, err := services.List(ctx, holderPrefix)
+	if err != nil {
+		return
+	}
+	f.watch.observe(rows, began, time.Now())
+	holders, err := decodeHolders(rows)
+	if err != nil {
+		return
+	}
+	e := conclude(record, holders, f.watch.lapsed, began.Sub(f.since) >= operatorPatience(holders))
+	if !e.ended {
+		return
+	}
+	request := fmt.Sprintf("operator!%d@%d", record.Attempt, row.Version)
+	if _, err := services.CompareAndSet(ctx, recordKey, row.Version, encode(e.next), request); err != nil {
+		return
+	}
+	for _, gone := range goneRows(e.gone, rows) {
+		_ = services.Delete(ctx, gone.Key, gone.Version, request+gone.Key)
+	}
+}
+
+// operatorPatience is longer than that of the holders, which decide first.
+func operatorPatience(holders []Holder) time.Duration {
+	length := DefaultGrantLength
+	for _, h := range holders {
+		length = max(length, h.Length)
+	}
+	return patience(length) + length
+}
+
+func readRecord(ctx context.Context, services platform.Services) (platform.Row, Record, error) {
+	row, err := services.Get(ctx, recordKey)
+	if err != nil && !errkind.Is(err, errkind.NotFound) {
+		return row, Record{}, err
+	}
+	record, err := decodeRecord(row)
+	return row, record, err
+}
+
+func readDocument(ctx context.Context, services platform.Services, object string) (*catalog.Document, error) {
+	if object == "" {
+		return nil, nil
+	}
+	data, err := services.Object(ctx, object)
+	if err != nil {
+		return nil, err
+	}
+	return catalog.Decode(data)
+}
