--- /dev/null
+++ b/cmd/chicoryline/bench.go
@@ -0,0 +1,46 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"chicoryline/internal/bench"
+	"chicoryline/internal/demo"
+)
+
+// benchCommand measures the product on stand-ins inside one process.
+type benchCommand struct {
+	Site      string        `long:"site" default:"kremstal" choice:"demo" choice:"kremstal" choice:"fogas" description:"size of the site"`
+	Duration  time.Duration `long:"duration" default:"10s" description:"length of the load"`
+	Seed      uint64        `long:"seed" default:"1" description:"seed of the load"`
+	ReadShare float64       `long:"read-share" default:"0.8" description:"part of the requests that read"`
+	RoamShare float64       `long:"roam-share" default:"0.05" description:"part of the requests after which a session moves to another proxy"`
+	Scale     float64       `long:"scale" default:"1" description:"factor on what every customer offers"`
+	Overload  float64       `long:"overload" default:"5" description:"factor by which the first customer exceeds its rate; 0 for none"`
+	NoFaults  bool          `long:"no-faults" description:"bring no faults about"`
+	Compare   string        `long:"compare" choice:"naive" description:"run the same seed through a pass-through proxy too"`
+	JSON      bool          `long:"json" description:"print the figures as JSON"`
+	Latency   bool          `long:"latency" description:"measure what the proxy adds to a statement instead"`
+	Idle      int           `long:"idle" value-name:"N" description:"measure the memory of N idle callers instead"`
+	Verbose   bool          `long:"verbose" short:"v" description:"log the events of all proxies"`
+}
+
+// Execute implements flags.Commander.
+func (c *benchCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	log := demoLogger(c.Verbose)
+	switch {
+	case c.Latency:
+		return bench.Latency(ctx, os.Stdout, log)
+	case c.Idle > 0:
+		return bench.IdleMemory(ctx, os.Stdout, log, c.Idle)
+	}
+	o := demo.DefaultOptions()
+	o.Spec, o.Duration, o.Seed, o.Out, o.Log = siteSpec(c.Site), c.Duration, c.Seed, os.Stdout, log
+	o.ReadShare, o.RoamShare, o.Scale, o.Overload, o.Faults = c.ReadShare, c.RoamShare, c.Scale, c.Overload, !c.NoFaults
+	return bench.Load(ctx, o, c.Compare == "naive", c.JSON)
+}
--- a/cmd/chicoryline/commands.go
+++ b/cmd/chicoryline/commands.go
@@ -10,6 +10,8 @@
 		{"key", "make or withdraw customers' keys", "Makes a key with the patch line that grants it, or withdraws one.", &keyCommand{}},
 		{"status", "print the state of every process", "Prints one key=value line for each process.", &statusCommand{}},
 		{"timeline", "print the events of all processes", "Gathers the events of all processes and merges them, causes before effects.", &timelineCommand{}},
+		{"demo", "show the product on stand-ins", "Runs a site of stand-ins and proxies in one process, with load and faults, and tells whether a promise broke.", &demoCommand{}},
+		{"bench", "measure the product on stand-ins", "Measures load figures, latency or memory on stand-ins in one process, beside a pass-through proxy.", &benchCommand{}},
 		{"standin", "run a stand-in for trials", "Runs a stand-in of the platform or of one backend server.", &standinCommand{}},
 	}
 }
--- /dev/null
+++ b/cmd/chicoryline/demo.go
@@ -0,0 +1,63 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/demo"
+	"chicoryline/internal/site"
+)
+
+// demoCommand shows the product on stand-ins inside one process.
+type demoCommand struct {
+	Duration time.Duration `long:"duration" default:"10s" description:"length of the load"`
+	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
+	Site     string        `long:"site" default:"demo" choice:"demo" choice:"kremstal" choice:"fogas" description:"size of the site"`
+	Serve    bool          `long:"serve" description:"run without load until SIGINT or SIGTERM and print every address"`
+	Verbose  bool          `long:"verbose" short:"v" description:"log the events of all proxies"`
+}
+
+// Execute implements flags.Commander.
+func (c *demoCommand) Execute([]string) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
+	o := demo.DefaultOptions()
+	o.Spec, o.Duration, o.Seed, o.Out, o.Log = siteSpec(c.Site), c.Duration, c.Seed, os.Stdout, demoLogger(c.Verbose)
+	if c.Serve {
+		return demo.Serve(ctx, o)
+	}
+	figures, err := demo.Run(ctx, o)
+	if err != nil {
+		return err
+	}
+	figures.WriteNotes(os.Stdout)
+	fmt.Println(figures.Line())
+	if figures.Broken() > 0 {
+		return errors.Errorf("%d promises broke", figures.Broken())
+	}
+	return nil
+}
+
+func siteSpec(name string) site.Spec {
+	switch name {
+	case "kremstal":
+		return site.Kremstal()
+	case "fogas":
+		return site.Fogas()
+	}
+	return site.Demo()
+}
+
+func demoLogger(verbose bool) *logrus.Entry {
+	if verbose {
+		return newLogger(logrus.InfoLevel)
+	}
+	return newLogger(logrus.FatalLevel)
+}
--- a/cmd/chicoryline/operator.go
+++ b/cmd/chicoryline/operator.go
@@ -150,7 +150,9 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
-	return configsync.Release(ctx, services, c.Args.Domain)
+	released, err := configsync.Release(ctx, services, c.Args.Domain)
+	fmt.Printf("released=%s\n", strings.Join(released, ","))
+	return err
 }
 
 // keyCommand makes and withdraws customers' keys.
--- a/cmd/chicoryline/serve.go
+++ b/cmd/chicoryline/serve.go
@@ -29,7 +29,9 @@
 	if err != nil {
 		return err
 	}
-	p.Start()
+	if err := p.Start(); err != nil {
+		return err
+	}
 	fmt.Printf("vm=%s callers=%s peers=%s metrics=%s\n", s.VM, p.CallerAddress(), p.PeerAddress(), p.MetricsAddress())
 	awaitSignal()
 	ctx, cancel := context.WithCancel(context.Background())
--- /dev/null
+++ b/internal/bench/memory.go
@@ -0,0 +1,101 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/site"
+)
+
+const (
+	// connectsAtOnce is the number of callers that log in at the same time.
+	connectsAtOnce = 64
+	// settleTime lets buffers of the login be freed.
+	settleTime = 2 * time.Second
+)
+
+// IdleMemory opens n idle callers at one proxy and prints the memory of each.
+// The callers' own side is a bare socket without a goroutine, but counts too.
+func IdleMemory(ctx context.Context, out io.Writer, log *logrus.Entry, n int) error {
+	s, err := site.Start(ctx, latencySpec(), log)
+	if err != nil {
+		return err
+	}
+	defer s.Close()
+	before := memoryInUse()
+	conns := make([]net.Conn, n)
+	defer func() {
+		for _, c := range conns {
+			if c != nil {
+				_ = c.Close()
+			}
+		}
+	}()
+	slots := make(chan struct{}, connectsAtOnce)
+	failures := make(chan error, n)
+	for i := range conns {
+		slots <- struct{}{}
+		go func() {
+			var err error
+			conns[i], err = bareLogin(s.Proxies[0].CallerAddress(), "bench", s.Keys["bench"], site.GroupName(0))
+			failures <- err
+			<-slots
+		}()
+	}
+	for range conns {
+		if err := <-failures; err != nil {
+			return errors.Annotate(err, "idle caller")
+		}
+	}
+	time.Sleep(settleTime)
+	used := memoryInUse() - before
+	_, _ = fmt.Fprintf(out, "idle_callers=%d bytes=%d bytes_per_caller=%d\n", n, used, used/int64(n))
+	return nil
+}
+
+// memoryInUse returns the heap and stacks in use, in bytes.
+func memoryInUse() int64 {
+	debug.FreeOSMemory()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapInuse + m.StackInuse)
+}
+
+// bareLogin logs in and keeps nothing but the socket.
+func bareLogin(address, customer, key, route string) (net.Conn, error) {
+	conn, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	front := pgproto3.NewFrontend(conn, conn)
+	front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": customer, "database": route}})
+	if err := front.Flush(); err != nil {
+		return conn, err
+	}
+	for {
+		message, err := front.Receive()
+		if err != nil {
+			return conn, err
+		}
+		switch message.(type) {
+		case *pgproto3.AuthenticationCleartextPassword:
+			front.Send(&pgproto3.PasswordMessage{Password: key})
+			if err := front.Flush(); err != nil {
+				return conn, err
+			}
+		case *pgproto3.ErrorResponse:
+			return conn, errors.New("login was refused")
+		case *pgproto3.ReadyForQuery:
+			return conn, nil
+		}
+	}
+}
--- a/internal/caller/server.go
+++ b/internal/caller/server.go
@@ -37,6 +37,11 @@
 	// Authorize returns the customer and the route if the key allows it. An
 	// open route returns the zero Customer.
 	Authorize(customer, key, route string) (catalog.Customer, catalog.Route, error)
+	// MatchKey returns the reference of a valid key of the customer.
+	MatchKey(customer, key string) (catalog.KeyRef, bool)
+	// AuthorizeKey is Authorize for a key that was shown before, without
+	// hashing it again.
+	AuthorizeKey(customer string, ref catalog.KeyRef, route string) (catalog.Customer, catalog.Route, error)
 	// Sealer returns the sealer of session tokens.
 	Sealer() *position.Sealer
 }
@@ -182,7 +187,7 @@
 func (s *Server) revoke() {
 	access := s.cfg.Access()
 	for _, c := range s.list() {
-		if _, _, err := access.Authorize(c.customer, c.key, c.route); isRevoked(err) {
+		if _, _, err := access.AuthorizeKey(c.customer, c.keyRef, c.route); isRevoked(err) {
 			c.signal(c.revoked, err)
 		}
 	}
--- a/internal/caller/startup.go
+++ b/internal/caller/startup.go
@@ -35,6 +35,7 @@
 
 	customer string
 	key      string
+	keyRef   catalog.KeyRef
 	route    string
 
 	session  session
@@ -174,6 +175,7 @@
 	if err != nil {
 		return err
 	}
+	c.keyRef, _ = access.MatchKey(c.customer, c.key)
 	c.customer = customer.Name
 	c.session = newSession()
 	return c.openToken(tokenParameter(parameters))
@@ -256,5 +258,5 @@
 
 // authorize checks the key for one more statement.
 func (c *conn) authorize() (catalog.Customer, catalog.Route, error) {
-	return c.server.cfg.Access().Authorize(c.customer, c.key, c.route)
+	return c.server.cfg.Access().AuthorizeKey(c.customer, c.keyRef, c.route)
 }
--- a/internal/catalog/view.go
+++ b/internal/catalog/view.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/hex"
+	"maps"
 	"slices"
 	"strings"
 
@@ -127,6 +128,18 @@
 	return true
 }
 
+// Customers returns the names of all customers of the documents, Anonymous
+// included, in order.
+func (v View) Customers() []string {
+	names := map[string]bool{Anonymous: true}
+	for _, d := range v.documents() {
+		for name := range d.Customers {
+			names[name] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(names))
+}
+
 // Limits returns the lower rate (statements a second), burst (statements) and
 // weight of all documents; zeros for a customer that one of them lacks.
 func (v View) Limits(customer string) (rate, burst, weight float64) {
--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,180 @@
+// Package demo runs a site with a load and faults inside one process and tells
+// whether a promise broke.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/load"
+	"chicoryline/internal/site"
+)
+
+// Options are those of a run.
+type Options struct {
+	Spec     site.Spec
+	Duration time.Duration
+	Seed     uint64
+	// Faults lets the run cut a primary off, withdraw a key and stop a proxy.
+	Faults bool
+	// ReadShare, RoamShare and Scale shape the load; Scale multiplies every
+	// customer's offered rate.
+	ReadShare float64
+	RoamShare float64
+	Scale     float64
+	// Overload is the factor by which the first customer exceeds its rate.
+	Overload float64
+	Log      *logrus.Entry
+	// Through puts other proxies in front of the site and returns their
+	// addresses and what ends them; nil uses the site's own.
+	Through func(s *site.Site) ([]string, func(), error)
+	// Out takes the progress lines.
+	Out io.Writer
+}
+
+// DefaultOptions returns the demo's own.
+func DefaultOptions() Options {
+	return Options{
+		Spec: site.Demo(), Duration: 10 * time.Second, Seed: 1, Faults: true,
+		ReadShare: 0.8, RoamShare: 0.05, Scale: 1, Overload: 5,
+	}
+}
+
+const (
+	// usedPart is the part of its rate that an ordinary customer offers, in
+	// statements.
+	usedPart = 0.5
+	// requestStatements is the mean cost of a request, in statements.
+	requestStatements = 1.3
+	// offeredPerSession is the load of one session, in requests a second.
+	offeredPerSession = 10
+	// settleTime lets replication and the last answers end before the judgement.
+	settleTime = 500 * time.Millisecond
+	// progressInterval is the pause between two progress lines.
+	progressInterval = time.Second
+)
+
+// Run starts the site, drives the load with the faults and judges the result.
+func Run(ctx context.Context, o Options) (load.Figures, error) {
+	fmt.Fprintf(o.Out, "site=%s failure_domains=%d proxies=%d groups=%d instances=%d customers=%d starting=true\n",
+		o.Spec.Name, o.Spec.Domains, o.Spec.Proxies, o.Spec.Groups, o.Spec.Groups*o.Spec.Instances, len(o.Spec.Customers))
+	s, err := site.Start(ctx, o.Spec, o.Log)
+	if err != nil {
+		return load.Figures{}, err
+	}
+	defer s.Close()
+	cfg := loadConfig(o, s)
+	if o.Through != nil {
+		addresses, stop, err := o.Through(s)
+		if err != nil {
+			return load.Figures{}, err
+		}
+		defer stop()
+		cfg.Addresses = func() []string { return addresses }
+	}
+	l := load.New(cfg)
+	before := s.Reads()
+	events := make(chan []load.Event, 1)
+	running, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go progress(running, o.Out, l)
+	go func() { events <- faults(running, o, s) }()
+	l.Run(ctx)
+	cancel()
+	happened := <-events
+	time.Sleep(settleTime)
+	held, err := s.Bookings(ctx)
+	if err != nil {
+		return load.Figures{}, err
+	}
+	figures := load.Judge(cfg, l.Records(), l.Findings(), happened, held)
+	figures.ReplicaReadShare = s.Reads().Since(before).ReplicaShare()
+	return figures, nil
+}
+
+func loadConfig(o Options, s *site.Site) load.Config {
+	cfg := load.Config{
+		Addresses: s.CallerAddresses, Dial: s.DialClient(), MaxAge: o.Spec.MaxAge,
+		ReadShare: o.ReadShare, RoamShare: o.RoamShare, Duration: o.Duration, Seed: o.Seed,
+	}
+	for g := range o.Spec.Groups {
+		cfg.Groups = append(cfg.Groups, site.GroupName(g))
+	}
+	for i, c := range o.Spec.Customers {
+		part := usedPart
+		if i == 0 && o.Overload > 0 {
+			part = o.Overload
+		}
+		offered := c.Rate * part * o.Scale / requestStatements
+		cfg.Customers = append(cfg.Customers, load.Customer{
+			Name: c.Name, Key: s.Keys[c.Name], Rate: c.Rate, Burst: c.Burst, Offered: offered,
+			Sessions: max(2, int(offered/offeredPerSession)),
+		})
+	}
+	return cfg
+}
+
+func progress(ctx context.Context, out io.Writer, l *load.Load) {
+	started := time.Now()
+	ticker := time.NewTicker(progressInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			done, succeeded := l.Progress()
+			fmt.Fprintf(out, "elapsed=%s requests=%d succeeded=%d findings=%d\n",
+				time.Since(started).Round(time.Second), done, succeeded, len(l.Findings()))
+		}
+	}
+}
+
+// step is one fault at a part of the run's duration.
+type step struct {
+	at   float64
+	what string
+	do   func() error
+}
+
+// faults brings the faults about and returns when each happened.
+func faults(ctx context.Context, o Options, s *site.Site) []load.Event {
+	if !o.Faults {
+		return nil
+	}
+	started := time.Now()
+	group := site.GroupName(0)
+	primary := s.Primary(group)
+	customer := o.Spec.Customers[len(o.Spec.Customers)-1].Name
+	stopped := o.Spec.Proxies - 1
+	var events []load.Event
+	steps := []step{
+		{0.25, "primary_cut group=" + group + " backend_server=" + primary, func() error {
+			events = append(events, load.Event{At: time.Now(), Name: "primary_cut", Group: group})
+			return s.CutInstance(primary)
+		}},
+		{0.5, "key_withdrawn customer=" + customer, func() error {
+			err := s.WithdrawKey(ctx, customer)
+			events = append(events, load.Event{At: time.Now(), Name: "key_withdrawn", Customer: customer})
+			return err
+		}},
+		{0.65, "proxy_stopped vm=" + site.ProxyName(stopped), func() error { return s.StopProxy(ctx, stopped) }},
+		{0.8, "primary_healed backend_server=" + primary, func() error { return s.HealInstance(primary) }},
+	}
+	for _, step := range steps {
+		timer := time.NewTimer(time.Until(started.Add(time.Duration(step.at * float64(o.Duration)))))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
+			return events
+		case <-timer.C:
+		}
+		err := step.do()
+		fmt.Fprintf(o.Out, "fault=%s error=%v\n", step.what, err)
+	}
+	return events
+}
--- /dev/null
+++ b/internal/errkind/errkind_test.go
@@ -0,0 +1,41 @@
+package errkind
+
+import (
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/juju/errors"
+)
+
+func TestEveryKindHasAnAnswer(t *testing.T) {
+	names := map[string]bool{}
+	for _, k := range All() {
+		a := k.Answer()
+		if a.Name == "" || len(a.SQLState) != 5 || a.Text == "" {
+			t.Errorf("kind %d: incomplete answer %+v", k, a)
+		}
+		if names[a.Name] {
+			t.Errorf("name %s stands twice", a.Name)
+		}
+		names[a.Name] = true
+	}
+}
+
+func TestKindSurvivesAnnotation(t *testing.T) {
+	err := errors.Annotate(New(QueueFull, "x"), "while waiting")
+	if !Is(err, QueueFull) || KindOf(errors.New("other")) != Internal || Is(nil, Internal) {
+		t.Fatalf("kind of %v", err)
+	}
+}
+
+// TestManualHoldsTheTable compares docs/CALLERS.md with the table.
+func TestManualHoldsTheTable(t *testing.T) {
+	page, err := os.ReadFile("../../docs/CALLERS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(page), Markdown()) {
+		t.Fatalf("docs/CALLERS.md does not hold this table:\n%s", Markdown())
+	}
+}
--- /dev/null
+++ b/internal/load/judge.go
@@ -0,0 +1,244 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	hdrhistogram "github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Held maps the id of each booking to the number of times that the backend
+// servers hold it.
+type Held map[string]int
+
+// Event is a fault that the operator of the load brought about.
+type Event struct {
+	At time.Time
+	// Name is "primary_cut", "key_withdrawn" or "proxy_stopped".
+	Name string
+	// Group or Customer is what it concerned.
+	Group    string
+	Customer string
+}
+
+// Figures is what a load ends with.
+type Figures struct {
+	Requests  int
+	Succeeded int
+
+	Lost            int
+	Doubled         int
+	Stale           int
+	Mixed           int
+	AfterWithdrawal int
+	OverRate        int
+	FalseNotRun     int
+
+	ReplicaReadShare   float64
+	WriteGap           time.Duration
+	WorstCustomerShare float64
+	WorstCustomer      string
+	WrongfulRefusals   int
+	InsideRate         int
+
+	ReadP50, ReadP99   time.Duration
+	WriteP50, WriteP99 time.Duration
+	Kinds              map[string]int
+	// Notes lists the first findings in words.
+	Notes []string
+}
+
+const (
+	// withdrawalBound is the time after which a withdrawn key must not work.
+	withdrawalBound = 3 * time.Second
+	// maxNotes bounds the findings that are told in words.
+	maxNotes = 10
+	// histogramMax is the longest latency that is told apart, in microseconds.
+	histogramMax = 60_000_000
+	// histogramDigits is the precision of latencies, in decimal digits.
+	histogramDigits = 3
+)
+
+// Judge compares what callers saw with what the backend servers hold.
+func Judge(cfg Config, records []Record, findings []Finding, events []Event, held Held) Figures {
+	f := Figures{Requests: len(records), Kinds: map[string]int{}}
+	f.judgeWrites(records, held)
+	f.judgeFindings(findings)
+	f.judgeWithdrawal(records, events)
+	f.judgeRates(cfg, records)
+	f.judgeCustomers(cfg, records, events)
+	f.judgeGap(records, events)
+	f.measure(records)
+	return f
+}
+
+func (f *Figures) note(format string, args ...any) {
+	if len(f.Notes) < maxNotes {
+		f.Notes = append(f.Notes, fmt.Sprintf(format, args...))
+	}
+}
+
+// judgeWrites counts acknowledged bookings that are missing, bookings held
+// twice, and bookings held though the caller was told that they had no effect.
+func (f *Figures) judgeWrites(records []Record, held Held) {
+	for _, r := range records {
+		if r.Booking == "" {
+			continue
+		}
+		switch n := held[r.Booking]; {
+		case r.Outcome.Class == Succeeded && n == 0:
+			f.Lost++
+			f.note("lost: %s of %s", r.Booking, r.Group)
+		case (r.Outcome.Class == NotRun || r.Outcome.Class == Failed) && n > 0:
+			f.FalseNotRun++
+			f.note("false not run: %s of %s was answered %s", r.Booking, r.Group, r.Outcome.Kind)
+		}
+	}
+	for booking, n := range held {
+		if n > 1 {
+			f.Doubled++
+			f.note("doubled: %s is held %d times", booking, n)
+		}
+	}
+}
+
+func (f *Figures) judgeFindings(findings []Finding) {
+	for _, finding := range findings {
+		switch finding.Name {
+		case "stale":
+			f.Stale++
+		case "mixed":
+			f.Mixed++
+		}
+		f.note("%s: %s", finding.Name, finding.Text)
+	}
+}
+
+// judgeWithdrawal counts successes of requests that were sent after the bound.
+func (f *Figures) judgeWithdrawal(records []Record, events []Event) {
+	for _, e := range events {
+		if e.Name != "key_withdrawn" {
+			continue
+		}
+		for _, r := range records {
+			if r.Customer == e.Customer && r.Outcome.Class == Succeeded && r.Sent.After(e.At.Add(withdrawalBound)) {
+				f.AfterWithdrawal++
+				f.note("after withdrawal: %s was served %s after its key was withdrawn", r.Customer, r.Sent.Sub(e.At))
+			}
+		}
+	}
+}
+
+// judgeCustomers finds the worst-served of the customers that kept to their
+// rate, by the part of their requests that succeeded.
+func (f *Figures) judgeCustomers(cfg Config, records []Record, events []Event) {
+	withdrawn := map[string]bool{}
+	for _, e := range events {
+		withdrawn[e.Customer] = e.Name == "key_withdrawn"
+	}
+	asked, served := map[string]int{}, map[string]int{}
+	for _, r := range records {
+		asked[r.Customer]++
+		if r.Outcome.Class == Succeeded {
+			served[r.Customer]++
+		}
+	}
+	f.WorstCustomerShare = 1
+	for _, c := range cfg.Customers {
+		if c.Overloads() || withdrawn[c.Name] || asked[c.Name] == 0 {
+			continue
+		}
+		if share := float64(served[c.Name]) / float64(asked[c.Name]); share < f.WorstCustomerShare {
+			f.WorstCustomerShare, f.WorstCustomer = share, c.Name
+		}
+	}
+}
+
+// judgeGap finds the longest time without an acknowledged write in a group
+// whose primary was cut off, from before the cut.
+func (f *Figures) judgeGap(records []Record, events []Event) {
+	for _, e := range events {
+		if e.Name != "primary_cut" {
+			continue
+		}
+		var acks []time.Time
+		for _, r := range records {
+			if r.Group == e.Group && !r.Kind.IsRead() && r.Outcome.Class == Succeeded {
+				acks = append(acks, r.Done)
+			}
+		}
+		f.WriteGap = max(f.WriteGap, longestGap(acks, e.At))
+	}
+}
+
+// longestGap returns the longest pause between two of the times that reaches
+// past start.
+func longestGap(times []time.Time, start time.Time) time.Duration {
+	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
+	var longest time.Duration
+	for i := 1; i < len(times); i++ {
+		if times[i].After(start) {
+			longest = max(longest, times[i].Sub(times[i-1]))
+		}
+	}
+	return longest
+}
+
+func (f *Figures) measure(records []Record) {
+	reads := hdrhistogram.New(1, histogramMax, histogramDigits)
+	writes := hdrhistogram.New(1, histogramMax, histogramDigits)
+	for _, r := range records {
+		if r.Outcome.Class != Succeeded {
+			f.Kinds[r.Outcome.Kind]++
+			continue
+		}
+		f.Succeeded++
+		histogram := writes
+		if r.Kind.IsRead() {
+			histogram = reads
+		}
+		_ = histogram.RecordValue(min(r.Done.Sub(r.Arrived).Microseconds(), histogramMax))
+	}
+	at := func(h *hdrhistogram.Histogram, q float64) time.Duration {
+		return time.Duration(h.ValueAtQuantile(q)) * time.Microsecond
+	}
+	f.ReadP50, f.ReadP99 = at(reads, 50), at(reads, 99)
+	f.WriteP50, f.WriteP99 = at(writes, 50), at(writes, 99)
+}
+
+// Broken returns the number of broken promises.
+func (f Figures) Broken() int {
+	return f.Lost + f.Doubled + f.Stale + f.Mixed + f.AfterWithdrawal + f.OverRate + f.FalseNotRun
+}
+
+// Line returns the figures as one key=value line.
+func (f Figures) Line() string {
+	kinds := make([]string, 0, len(f.Kinds))
+	for kind, n := range f.Kinds {
+		kinds = append(kinds, kind+":"+strconv.Itoa(n))
+	}
+	sort.Strings(kinds)
+	refusedShare := 0.0
+	if f.InsideRate > 0 {
+		refusedShare = float64(f.WrongfulRefusals) / float64(f.InsideRate)
+	}
+	return fmt.Sprintf("requests=%d succeeded=%d lost=%d doubled=%d stale=%d mixed=%d after_withdrawal=%d over_rate=%d false_not_run=%d "+
+		"replica_read_share=%.4f write_gap_ms=%d worst_customer_share=%.4f wrongful_refusals=%d wrongful_refusal_share=%.5f "+
+		"read_p50_ms=%.2f read_p99_ms=%.2f write_p50_ms=%.2f write_p99_ms=%.2f not_served=%s",
+		f.Requests, f.Succeeded, f.Lost, f.Doubled, f.Stale, f.Mixed, f.AfterWithdrawal, f.OverRate, f.FalseNotRun,
+		f.ReplicaReadShare, f.WriteGap.Milliseconds(), f.WorstCustomerShare, f.WrongfulRefusals, refusedShare,
+		milliseconds(f.ReadP50), milliseconds(f.ReadP99), milliseconds(f.WriteP50), milliseconds(f.WriteP99), strings.Join(kinds, ","))
+}
+
+func milliseconds(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// WriteNotes writes the first findings, one line each.
+func (f Figures) WriteNotes(w io.Writer) {
+	for _, n := range f.Notes {
+		_, _ = fmt.Fprintf(w, "finding=%q\n", n)
+	}
+}
--- /dev/null
+++ b/internal/load/judge_test.go
@@ -0,0 +1,67 @@
+package load
+
+import (
+	"testing"
+	"time"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func booked(id string, class Class) Record {
+	return Record{Customer: "c", Group: "g", Booking: id, Statements: 1, Sent: at(0), Done: at(1), Outcome: Outcome{Class: class}}
+}
+
+// TestJudgeCanFail shows that each check turns red when its promise is broken.
+func TestJudgeCanFail(t *testing.T) {
+	cfg := Config{Customers: []Customer{{Name: "c", Rate: 10, Burst: 10, Offered: 5}}}
+	burst := make([]Record, 30)
+	for i := range burst {
+		burst[i] = Record{Customer: "c", Statements: 1, Sent: at(i), Done: at(i + 1)}
+	}
+	cases := []struct {
+		name     string
+		records  []Record
+		findings []Finding
+		events   []Event
+		held     Held
+		broken   int
+	}{
+		{"all well", []Record{booked("a", Succeeded)}, nil, nil, Held{"a": 1}, 0},
+		{"lost", []Record{booked("a", Succeeded)}, nil, nil, Held{}, 1},
+		{"doubled", []Record{booked("a", Succeeded)}, nil, nil, Held{"a": 2}, 1},
+		{"false not run", []Record{booked("a", NotRun)}, nil, nil, Held{"a": 1}, 1},
+		{"unknown either way", []Record{booked("a", Unknown), booked("b", Unknown)}, nil, nil, Held{"a": 1}, 0},
+		{"stale", nil, []Finding{{Name: "stale"}}, nil, Held{}, 1},
+		{"mixed", nil, []Finding{{Name: "mixed"}}, nil, Held{}, 1},
+		{"after withdrawal", []Record{{Customer: "c", Statements: 1, Sent: at(5000), Done: at(5001)}}, nil, []Event{{At: at(0), Name: "key_withdrawn", Customer: "c"}}, Held{}, 1},
+		{"over rate", burst, nil, nil, Held{}, 20},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			if got := Judge(cfg, c.records, c.findings, c.events, c.held).Broken(); got != c.broken {
+				t.Fatalf("broken=%d, want %d", got, c.broken)
+			}
+		})
+	}
+}
+
+func TestWrongfulRefusals(t *testing.T) {
+	c := Customer{Name: "c", Rate: 10, Burst: 2}
+	refusal := Outcome{Class: NotRun, Kind: "over_rate"}
+	admitted := []Record{{Statements: 1, Sent: at(0)}, {Statements: 1, Sent: at(1)}}
+	refused := []Record{{Statements: 1, Sent: at(2), Outcome: refusal}, {Statements: 1, Sent: at(500), Outcome: refusal}}
+	wrongful, inside := wrongfulRefusals(c, admitted, refused)
+	if wrongful != 1 || inside != 3 {
+		t.Fatalf("wrongful=%d inside=%d, want 1 and 3", wrongful, inside)
+	}
+}
+
+func TestWriteGapReachesPastTheCut(t *testing.T) {
+	write := func(ms int) Record { return Record{Group: "g", Statements: 1, Sent: at(ms), Done: at(ms)} }
+	f := Judge(Config{}, []Record{write(0), write(900), write(1000), write(1700), write(1800)}, nil, []Event{{At: at(1100), Name: "primary_cut", Group: "g"}}, Held{})
+	if f.WriteGap != 700*time.Millisecond {
+		t.Fatalf("gap %s, want 700ms", f.WriteGap)
+	}
+}
--- /dev/null
+++ b/internal/load/rates.go
@@ -0,0 +1,113 @@
+package load
+
+import (
+	"sort"
+	"time"
+)
+
+const (
+	// rateGrid is the step of the windows in which admissions are counted.
+	rateGrid = 100 * time.Millisecond
+	// rateSlack is the number of statements that rounding may add to a window.
+	rateSlack = 1e-6
+)
+
+// judgeRates counts admissions over the rate and refusals inside it.
+func (f *Figures) judgeRates(cfg Config, records []Record) {
+	for _, c := range cfg.Customers {
+		var admitted, refused []Record
+		for _, r := range records {
+			switch {
+			case r.Customer != c.Name:
+			case r.Outcome.Class == Succeeded:
+				admitted = append(admitted, r)
+			case r.Outcome.OverRate():
+				refused = append(refused, r)
+			}
+		}
+		over := overRate(c, admitted)
+		if over > 0 {
+			f.note("over rate: %s had %d statements more in some window than rate and burst allow", c.Name, over)
+		}
+		f.OverRate += over
+		wrongful, inside := wrongfulRefusals(c, admitted, refused)
+		f.WrongfulRefusals += wrongful
+		f.InsideRate += inside
+	}
+}
+
+// overRate returns the largest excess of the admitted statements over
+// rate*t+burst in any window of the grid. A request counts in a window only if
+// it was sent and answered inside, since it was admitted between the two.
+func overRate(c Customer, admitted []Record) int {
+	if len(admitted) == 0 {
+		return 0
+	}
+	sort.Slice(admitted, func(i, j int) bool { return admitted[i].Sent.Before(admitted[j].Sent) })
+	start := admitted[0].Sent
+	worst := 0.0
+	for i := range admitted {
+		if i > 0 && admitted[i].Sent.Sub(start) < rateGrid {
+			continue
+		}
+		start = admitted[i].Sent
+		worst = max(worst, excessFrom(c, admitted[i:]))
+	}
+	if worst <= rateSlack {
+		return 0
+	}
+	return int(worst) + 1
+}
+
+// excessFrom returns the largest excess over all windows that begin with the
+// first of the requests, which are in the order of their sending.
+func excessFrom(c Customer, admitted []Record) float64 {
+	start := admitted[0].Sent
+	byEnd := append([]Record(nil), admitted...)
+	sort.Slice(byEnd, func(i, j int) bool { return byEnd[i].Done.Before(byEnd[j].Done) })
+	worst, count := 0.0, 0.0
+	for _, r := range byEnd {
+		count += float64(r.Statements)
+		allowed := c.Rate*r.Done.Sub(start).Seconds() + c.Burst
+		worst = max(worst, count-allowed)
+	}
+	return worst
+}
+
+// bucket is an ideal token bucket.
+type bucket struct {
+	rate, burst, tokens float64
+	at                  time.Time
+}
+
+func (b *bucket) advance(to time.Time) {
+	if to.After(b.at) {
+		b.tokens = min(b.burst, b.tokens+b.rate*to.Sub(b.at).Seconds())
+		b.at = to
+	}
+}
+
+// wrongfulRefusals replays the requests through one ideal bucket that the
+// admitted ones have emptied, and counts the refusals that it would not have
+// made. It also returns the number of requests inside the rate.
+func wrongfulRefusals(c Customer, admitted, refused []Record) (wrongful, inside int) {
+	all := append(append([]Record(nil), admitted...), refused...)
+	if len(all) == 0 {
+		return 0, 0
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Sent.Before(all[j].Sent) })
+	b := bucket{rate: c.Rate, burst: c.Burst, tokens: c.Burst, at: all[0].Sent}
+	for _, r := range all {
+		b.advance(r.Sent)
+		if !r.Outcome.OverRate() {
+			inside++
+			b.tokens -= float64(r.Statements)
+			continue
+		}
+		if b.tokens >= float64(r.Statements) {
+			wrongful++
+			inside++
+		}
+	}
+	return wrongful, inside
+}
--- /dev/null
+++ b/internal/load/session.go
@@ -0,0 +1,262 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	// requestTimeout bounds one request.
+	requestTimeout = 15 * time.Second
+	// connectTimeout bounds one connection attempt.
+	connectTimeout = 5 * time.Second
+	// reconnectPause is the pause after an attempt that failed.
+	reconnectPause = 50 * time.Millisecond
+	// confirmShare is the part of writes that are transactions.
+	confirmShare = 0.3
+	// echoShare and ownShare are parts of the reads; the rest reads the clock.
+	echoShare = 0.1
+	ownShare  = 0.5
+)
+
+// session is one caller that roams between proxies with its token. Its
+// goroutine owns it.
+type session struct {
+	load     *Load
+	customer Customer
+	group    string
+	name     string
+	random   *rand.Rand
+	conn     *pgx.Conn
+	token    string
+
+	next int64
+	// acked and tried bound what the session's row may hold.
+	acked int64
+	tried int64
+}
+
+func newSession(l *Load, c Customer, customer, number int) *session {
+	return &session{
+		load: l, customer: c, group: l.cfg.Groups[(customer+number)%len(l.cfg.Groups)],
+		name:   fmt.Sprintf("%s-%d-%d", c.Name, number, l.cfg.Seed),
+		random: rand.New(rand.NewPCG(l.cfg.Seed, uint64(1+customer)<<32|uint64(number))),
+	}
+}
+
+// run serves arrivals until there are no more.
+func (s *session) run(arrivals <-chan time.Time) {
+	for arrived := range arrivals {
+		s.serve(arrived)
+		if s.random.Float64() < s.load.cfg.RoamShare {
+			s.disconnect()
+		}
+	}
+	s.disconnect()
+}
+
+func (s *session) serve(arrived time.Time) {
+	r := Record{Customer: s.customer.Name, Group: s.group, Arrived: arrived, Kind: s.pick(), Statements: 1}
+	if err := s.connect(); err != nil {
+		r.Sent, r.Done = arrived, time.Now()
+		r.Outcome = connectOutcome(err)
+		s.load.record(r)
+		time.Sleep(reconnectPause)
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
+	defer cancel()
+	r.Sent = time.Now()
+	err := s.do(ctx, &r)
+	r.Done, r.Outcome = time.Now(), outcomeOf(err)
+	s.load.record(r)
+	if token := s.conn.PgConn().ParameterStatus("chicoryline.session"); token != "" {
+		s.token = token
+	}
+	if s.conn.IsClosed() || s.conn.PgConn().TxStatus() != 'I' || brokeConnection(err) {
+		s.disconnect()
+	}
+}
+
+// connectOutcome is that of a request that was never sent.
+func connectOutcome(err error) Outcome {
+	o := outcomeOf(err)
+	o.Class = NotRun
+	return o
+}
+
+func brokeConnection(err error) bool {
+	var pg *pgconn.PgError
+	return err != nil && !errors.As(err, &pg)
+}
+
+func (s *session) pick() Kind {
+	if s.random.Float64() >= s.load.cfg.ReadShare {
+		if s.random.Float64() < confirmShare {
+			return Confirm
+		}
+		return Book
+	}
+	switch x := s.random.Float64(); {
+	case x < echoShare:
+		return Echo
+	case x < echoShare+ownShare:
+		return OwnRead
+	}
+	return AgedRead
+}
+
+// connect joins a random proxy with the session's token.
+func (s *session) connect() error {
+	if s.conn != nil {
+		return nil
+	}
+	addresses := s.load.cfg.Addresses()
+	conn, err := Connect(addresses[s.random.IntN(len(addresses))], s.customer.Name, s.customer.Key, s.group+"-aged", s.token, s.load.cfg.Dial)
+	if err == nil {
+		s.conn = conn
+	}
+	return err
+}
+
+// Connect opens one caller's connection.
+func Connect(address, customer, key, route, token string, dial func(context.Context, string, string) (net.Conn, error)) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig("postgres://" + address + "/?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.User, config.Password, config.Database = customer, key, route
+	config.RuntimeParams["chicoryline.session"] = token
+	if dial != nil {
+		config.DialFunc = dial
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	return pgx.ConnectConfig(ctx, config)
+}
+
+func (s *session) disconnect() {
+	if s.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
+	defer cancel()
+	_ = s.conn.Close(ctx)
+	s.conn = nil
+}
+
+func (s *session) do(ctx context.Context, r *Record) error {
+	switch r.Kind {
+	case Book:
+		return s.book(ctx, r)
+	case Confirm:
+		return s.confirm(ctx, r)
+	case OwnRead:
+		return s.readOwn(ctx)
+	case AgedRead:
+		return s.readClock(ctx)
+	default:
+		return s.echo(ctx)
+	}
+}
+
+func (s *session) newBooking(r *Record) {
+	s.next++
+	r.Booking = s.name + "-" + strconv.FormatInt(s.next, 10)
+}
+
+const insertBooking = "INSERT INTO bookings (id, customer, session, n) VALUES ($1, $2, $3, $4)"
+
+func (s *session) book(ctx context.Context, r *Record) error {
+	s.newBooking(r)
+	_, err := s.conn.Exec(ctx, insertBooking, r.Booking, s.customer.Name, s.name, s.next)
+	return err
+}
+
+// confirm writes a booking and the session's row in one transaction.
+func (s *session) confirm(ctx context.Context, r *Record) error {
+	s.newBooking(r)
+	r.Statements = 4
+	tx, err := s.conn.Begin(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.fill(ctx, tx, r); err != nil {
+		_ = tx.Rollback(ctx)
+		return err
+	}
+	s.tried = s.next
+	err = tx.Commit(ctx)
+	if err == nil {
+		s.acked = s.next
+	}
+	return err
+}
+
+func (s *session) fill(ctx context.Context, tx pgx.Tx, r *Record) error {
+	if _, err := tx.Exec(ctx, insertBooking, r.Booking, s.customer.Name, s.name, s.next); err != nil {
+		return err
+	}
+	tag, err := tx.Exec(ctx, "UPDATE sessions SET v = $1 WHERE k = $2", s.next, s.name)
+	if err != nil || tag.RowsAffected() > 0 {
+		return err
+	}
+	r.Statements++
+	_, err = tx.Exec(ctx, "INSERT INTO sessions (k, v) VALUES ($1, $2)", s.name, s.next)
+	return err
+}
+
+// readOwn reads the session's row, which must hold its last acknowledged write
+// or a later one of unknown outcome.
+func (s *session) readOwn(ctx context.Context) error {
+	var v int64
+	err := s.conn.QueryRow(ctx, "SELECT v FROM sessions WHERE k = $1", s.name).Scan(&v)
+	if errors.Is(err, pgx.ErrNoRows) {
+		err = nil
+	}
+	if err != nil {
+		return err
+	}
+	if v < s.acked {
+		s.load.find("stale", fmt.Sprintf("session %s read %d after its write of %d was acknowledged", s.name, v, s.acked))
+	}
+	if v > s.tried {
+		s.load.find("mixed", fmt.Sprintf("session %s read %d and wrote at most %d", s.name, v, s.tried))
+	}
+	return nil
+}
+
+// readClock reads the group's clock, which may lag by the stated age.
+func (s *session) readClock(ctx context.Context) error {
+	least := s.load.clocks[s.group].ackedBefore(time.Now().Add(-s.load.cfg.MaxAge))
+	var at int64
+	if err := s.conn.QueryRow(ctx, "SELECT at FROM clock WHERE k = $1", "now").Scan(&at); err != nil {
+		return err
+	}
+	if at < least {
+		s.load.find("stale", fmt.Sprintf("group %s: clock %d is older than the stated age allows (%d)", s.group, at, least))
+	}
+	return nil
+}
+
+// echo reads back a text that no other request carries.
+func (s *session) echo(ctx context.Context) error {
+	s.next++
+	want := s.name + "/" + strconv.FormatInt(s.next, 10)
+	var got string
+	if err := s.conn.QueryRow(ctx, "SELECT '"+want+"'").Scan(&got); err != nil {
+		return err
+	}
+	if got != want {
+		s.load.find("mixed", fmt.Sprintf("asked for %q and got %q", want, got))
+	}
+	return nil
+}
--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -269,7 +269,7 @@
 		return nil, err
 	}
 	s := &session{id: args.Session, owner: owner, lastUse: time.Now()}
-	release, err := owner.conns.Acquire(ctx, args.Customer, args.Weight, queueDeadline(args))
+	release, err := owner.conns.Acquire(ctx, args.Customer, queueWeight(args.Weight), queueDeadline(args))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -39,6 +39,9 @@
 	idleLifetime = 5 * time.Minute
 )
 
+// queueLimits bound the requests that wait in front of one instance.
+var queueLimits = fairqueue.Limits{PerCustomer: 1000, Total: 4000}
+
 // OwnerConfig describes the pool of one instance.
 type OwnerConfig struct {
 	Instance    platform.Instance
@@ -69,8 +72,8 @@
 func NewOwner(cfg OwnerConfig, budget int) *Owner {
 	return &Owner{
 		cfg:   cfg,
-		conns: fairqueue.NewGate(fairqueue.GateConfig{Slots: budget}),
-		slots: fairqueue.NewGate(fairqueue.GateConfig{Slots: cfg.Group.Slots}),
+		conns: fairqueue.NewGate(budget, queueLimits, time.Now),
+		slots: fairqueue.NewGate(cfg.Group.Slots, queueLimits, time.Now),
 		limit: budget,
 	}
 }
@@ -279,3 +282,7 @@
 	statusOffset  = 4
 	statusColumns = 5
 )
+
+// queueWeight turns a customer's weight into that of the fair queues, which
+// count in whole numbers from 1.
+func queueWeight(weight float64) int { return max(1, int(weight+0.5)) }
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,355 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/position"
+	"chicoryline/internal/standin/dbinstance"
+)
+
+// watcher is a group's watcher whose answers the test sets.
+type watcher struct {
+	primary   string
+	index     error
+	confirm   error
+	confirmed atomic.Int64
+	age       time.Duration
+}
+
+func (w *watcher) Primary() (string, uint64, bool) { return w.primary, 1, w.primary != "" }
+func (w *watcher) ReadIndex(context.Context) (position.Position, error) {
+	return position.Position{Term: 1, Offset: 1}, w.index
+}
+func (w *watcher) Confirm(context.Context, position.Position) error {
+	w.confirmed.Add(1)
+	return w.confirm
+}
+func (w *watcher) Log(string) position.Position     { return position.Position{} }
+func (w *watcher) Age(string) (time.Duration, bool) { return w.age, true }
+
+type silent struct{}
+
+func (silent) PoolEvent(string, SessionID, string, string, string) {}
+
+// fixture is a manager that owns one stand-in instance.
+type fixture struct {
+	t       *testing.T
+	server  *dbinstance.Server
+	watcher *watcher
+	manager *Manager
+	owner   *Owner
+	next    uint64
+}
+
+func newFixture(t *testing.T, slots int) *fixture {
+	t.Helper()
+	server, err := dbinstance.Start(dbinstance.Config{ID: "db1", Group: "g", Listen: "127.0.0.1:0", InitialPrimary: true, User: "u", Password: "p"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Close)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fixture{t: t, server: server, watcher: &watcher{primary: "db1"}}
+	f.manager = NewManager(logrus.NewEntry(log), silent{})
+	t.Cleanup(f.manager.Close)
+	f.owner = NewOwner(OwnerConfig{
+		Instance: platform.Instance{ID: "db1", Address: server.Addr()}, Group: platform.Group{Name: "g", Slots: slots},
+		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "test"},
+		Dial: (&net.Dialer{}).DialContext, Log: logrus.NewEntry(log),
+	}, slots)
+	f.manager.SetOwner("db1", f.owner)
+	f.must(f.query("CREATE TABLE t (k bigint PRIMARY KEY, v text)"))
+	return f
+}
+
+// query describes a simple query of a new session.
+func (f *fixture) query(sql string) *ExecuteArgs {
+	f.t.Helper()
+	data, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.next++
+	return &ExecuteArgs{
+		Session: SessionID{VM: "vm", Number: f.next}, Seq: 1, Group: "g", Instance: "db1", Customer: "c", Weight: 1,
+		Write: true, MayCommit: true, Messages: data, QueueTimeout: 200 * time.Millisecond,
+	}
+}
+
+func (f *fixture) execute(args *ExecuteArgs) (*ExecuteReply, error) {
+	reply := &ExecuteReply{}
+	err := f.manager.execute(context.Background(), args, reply)
+	return reply, err
+}
+
+func (f *fixture) must(args *ExecuteArgs) *ExecuteReply {
+	f.t.Helper()
+	reply, err := f.execute(args)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return reply
+}
+
+// continued is the next request of the session's open transaction.
+func (f *fixture) continued(args *ExecuteArgs, sql string) *ExecuteArgs {
+	next := f.query(sql)
+	next.Session, next.Seq, next.Continue = args.Session, args.Seq+1, true
+	return next
+}
+
+func TestCommitWaitsForMajority(t *testing.T) {
+	f := newFixture(t, 2)
+	reply := f.must(f.query("INSERT INTO t (k, v) VALUES (1, 'a')"))
+	if !reply.Committed || reply.Position.IsZero() {
+		t.Fatalf("position %s, committed %t", reply.Position, reply.Committed)
+	}
+	f.watcher.confirm = errors.New("no majority")
+	if _, err := f.execute(f.query("INSERT INTO t (k, v) VALUES (2, 'b')")); !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Fatalf("unconfirmed commit: %v, want outcome unknown", err)
+	}
+}
+
+func TestReadOfReplacedPrimaryIsDropped(t *testing.T) {
+	f := newFixture(t, 2)
+	args := f.query("SELECT v FROM t")
+	args.Current = true
+	f.must(args)
+	f.watcher.index = errkind.New(errkind.NoPrimary, "")
+	args = f.query("SELECT v FROM t")
+	args.Current = true
+	if reply, err := f.execute(args); !errkind.Is(err, errkind.AnswerIncomplete) {
+		t.Fatalf("%v %q, want the answer to be dropped", err, reply.Answer)
+	}
+}
+
+func TestWriteNeedsProvedPrimary(t *testing.T) {
+	f := newFixture(t, 2)
+	f.watcher.primary = "db2"
+	if _, err := f.execute(f.query("INSERT INTO t (k, v) VALUES (1, 'a')")); !errkind.Is(err, errkind.NoPrimary) {
+		t.Fatalf("%v, want no primary", err)
+	}
+}
+
+func TestTransactionOwnsItsConnection(t *testing.T) {
+	f := newFixture(t, 2)
+	a, b := f.query("BEGIN"), f.query("BEGIN")
+	f.must(a)
+	f.must(b)
+	f.must(f.continued(a, "INSERT INTO t (k, v) VALUES (1, 'a')"))
+	if reply := f.must(f.continued(b, "SELECT v FROM t")); strings.Contains(string(reply.Answer), "\x00\x00\x00\x01a") {
+		t.Fatal("a transaction saw the other's uncommitted row")
+	}
+	// Both places of the connection queue are taken, so a third one waits.
+	if _, err := f.execute(f.query("SELECT 1")); !errkind.Is(err, errkind.QueueTimeout) {
+		t.Fatalf("%v, want queue timeout", err)
+	}
+	commit := f.continued(a, "COMMIT")
+	if reply := f.must(commit); reply.Status != 'I' || !reply.Committed {
+		t.Fatalf("status %c committed %t", reply.Status, reply.Committed)
+	}
+	f.must(f.continued(b, "ROLLBACK"))
+	if f.manager.Busy() != 0 {
+		t.Fatalf("%d sessions left", f.manager.Busy())
+	}
+}
+
+func TestDeadEntryRollsBack(t *testing.T) {
+	f := newFixture(t, 1)
+	a := f.query("BEGIN")
+	f.must(a)
+	f.must(f.continued(a, "INSERT INTO t (k, v) VALUES (1, 'a')"))
+	f.manager.DropVM("vm", 1)
+	if _, err := f.execute(f.continued(a, "COMMIT")); !errkind.Is(err, errkind.TransactionLost) {
+		t.Fatalf("%v, want transaction lost", err)
+	}
+	if reply := f.must(f.query("SELECT count(*) FROM t")); !strings.Contains(string(reply.Answer), "\x00\x00\x00\x010") {
+		t.Fatalf("rows left: %q", reply.Answer)
+	}
+}
+
+func TestPreparedStatementsAcrossConnections(t *testing.T) {
+	f := newFixture(t, 2)
+	f.must(f.query("INSERT INTO t (k, v) VALUES (7, 'seven')"))
+	statement := Statement{Name: "cabc", Query: "SELECT v FROM t WHERE k = $1", Types: []uint32{20}}
+	run := func(parse bool) string {
+		var data []byte
+		var err error
+		if parse {
+			data, err = (&pgproto3.Parse{Name: statement.Name, Query: statement.Query, ParameterOIDs: statement.Types}).Encode(data)
+		}
+		for _, m := range []pgproto3.FrontendMessage{
+			&pgproto3.Bind{PreparedStatement: statement.Name, Parameters: [][]byte{[]byte("7")}}, &pgproto3.Execute{}, &pgproto3.Sync{},
+		} {
+			if err == nil {
+				data, err = m.Encode(data)
+			}
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		args := f.query("")
+		args.Messages = data
+		if !parse {
+			args.Statements = []Statement{statement}
+		}
+		kinds := ""
+		frames, err := splitFrames(f.must(args).Answer)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range frames {
+			kinds += string(m.kind())
+		}
+		return kinds
+	}
+	// A second Parse of the same statement and a Bind without one on a new
+	// connection answer as if the connection were the caller's own.
+	for i, c := range []struct {
+		parse bool
+		want  string
+	}{{true, "12DC"}, {true, "12DC"}, {false, "2DC"}} {
+		if got := run(c.parse); got != c.want {
+			t.Errorf("run %d: messages %s, want %s", i, got, c.want)
+		}
+	}
+	hold := f.query("BEGIN")
+	f.must(hold)
+	if got := run(false); got != "2DC" {
+		t.Errorf("on a new connection: messages %s, want 2DC", got)
+	}
+}
+
+// TestUnreadAnswer shows that the check of answers goes red when a connection
+// with an unread answer is reused, and that the pool never does so.
+func TestUnreadAnswer(t *testing.T) {
+	f := newFixture(t, 1)
+	leave := func() *conn {
+		c, err := f.owner.take(context.Background())
+		if err != nil {
+			t.Fatal(err)
+		}
+		x := &exchange{conn: c, deadline: time.Now().Add(time.Minute)}
+		if err := x.start(f.query("SELECT 'first'")); err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	answer := func(c *conn) string {
+		x := &exchange{conn: c, deadline: time.Now().Add(time.Minute)}
+		if err := x.start(f.query("SELECT 'second'")); err != nil {
+			t.Fatal(err)
+		}
+		got, err := x.receive(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return string(got)
+	}
+	naive := leave()
+	if got := answer(naive); strings.Contains(got, "second") {
+		t.Fatalf("naive reuse got its own answer: %q", got)
+	}
+	naive.close()
+	f.owner.forget()
+
+	c := leave()
+	if _, err := c.reader.Peek(1); err != nil {
+		t.Fatal(err)
+	}
+	f.owner.put(c)
+	if reply := f.must(f.query("SELECT 'second'")); !strings.Contains(string(reply.Answer), "second") {
+		t.Fatalf("answer %q", reply.Answer)
+	}
+}
+
+func TestAnswerPartsMustBeInOrder(t *testing.T) {
+	f := newFixture(t, 1)
+	for i := range 40 {
+		f.must(f.query("INSERT INTO t (k, v) VALUES (" + string(rune('0'+i/10)) + string(rune('0'+i%10)) + ", '" + strings.Repeat("x", 8<<10) + "')"))
+	}
+	args := f.query("SELECT v FROM t")
+	reply := f.must(args)
+	if !reply.More {
+		t.Fatal("the answer was not split")
+	}
+	crossed := &ExecuteReply{}
+	if err := f.manager.fetch(&FetchArgs{Session: args.Session, Seq: args.Seq + 1, Part: 1}, crossed); !errkind.Is(err, errkind.AnswerIncomplete) {
+		t.Fatalf("part of another request: %v", err)
+	}
+	size := len(reply.Answer)
+	for part := 1; reply.More; part++ {
+		reply = &ExecuteReply{}
+		if err := f.manager.fetch(&FetchArgs{Session: args.Session, Seq: args.Seq, Part: part}, reply); err != nil {
+			t.Fatal(err)
+		}
+		size += len(reply.Answer)
+	}
+	if size < 40*8<<10 || f.manager.Busy() != 0 {
+		t.Fatalf("%d bytes, %d sessions left", size, f.manager.Busy())
+	}
+}
+
+func TestBrokenAnswerIsNeverShort(t *testing.T) {
+	cases := []struct {
+		name string
+		args func(f *fixture) *ExecuteArgs
+		want errkind.Kind
+	}{
+		{"write", func(f *fixture) *ExecuteArgs { return f.query("SELECT pg_sleep(30)") }, errkind.OutcomeUnknown},
+		{"read at a replica", func(f *fixture) *ExecuteArgs {
+			a := f.query("SELECT pg_sleep(30)")
+			a.ReadOnly = true
+			return a
+		}, errkind.AnswerIncomplete},
+		{"inside a transaction", func(f *fixture) *ExecuteArgs {
+			begin := f.query("BEGIN")
+			f.must(begin)
+			a := f.continued(begin, "SELECT pg_sleep(30)")
+			a.MayCommit = false
+			return a
+		}, errkind.TransactionLost},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			args := c.args(f)
+			result := make(chan error, 1)
+			go func() {
+				_, err := f.execute(args)
+				result <- err
+			}()
+			for !f.manager.running(args.Session) {
+				time.Sleep(time.Millisecond)
+			}
+			f.server.Close()
+			if err := <-result; !errkind.Is(err, c.want) {
+				t.Fatalf("%v, want %s", err, c.want)
+			}
+		})
+	}
+}
+
+// running reports whether a statement of the session has been sent.
+func (m *Manager) running(id SessionID) bool {
+	s, err := m.find(id)
+	if err != nil {
+		return false
+	}
+	s.keyMu.Lock()
+	defer s.keyMu.Unlock()
+	return s.target != nil
+}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -82,7 +82,7 @@
 }
 
 func (m *Manager) run(ctx context.Context, s *session, args *ExecuteArgs, reply *ExecuteReply) error {
-	slot, err := s.owner.slots.Acquire(ctx, args.Customer, args.Weight, queueDeadline(args))
+	slot, err := s.owner.slots.Acquire(ctx, args.Customer, queueWeight(args.Weight), queueDeadline(args))
 	if err != nil {
 		return err
 	}
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -4,7 +4,6 @@
 	"chicoryline/internal/caller"
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/position"
-	"chicoryline/internal/quota"
 )
 
 // access is the configuration view as a caller's connection needs it.
@@ -18,9 +17,9 @@
 
 // applyConfig passes the customers' limits on to the shares.
 func (p *Proxy) applyConfig(view catalog.View) {
-	for name := range view.Customers() {
+	for _, name := range view.Customers() {
 		rate, burst, _ := view.Limits(name)
-		p.quota.SetTotal(customerResource(name), quota.Total{Rate: rate, Burst: burst})
+		p.limiter.SetTotal(customerResource(name), rate, burst)
 	}
 }
 
--- a/internal/proxy/duty.go
+++ b/internal/proxy/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	oldrand "math/rand"
 	"time"
 
 	"github.com/juju/errors"
@@ -52,16 +53,17 @@
 	d.watcher = watcher
 	d.runner, err = failover.NewRunner(failover.Config{
 		Group: group, Controls: controls, Watcher: watcher, Table: p.services, VM: p.vm,
-		Peers: failover.NewPeers(p.peers, p.groupPeers(group.Name)), Rank: p.stewardRank(group),
-		System: p.system, Rand: p.newRand(), Log: p.log,
+		Peers:  failover.PeerViews{Caller: p.peers, List: p.otherStewards},
+		Rank:   func() int { return p.stewardRank(group.Name) },
+		System: p.system, Rand: oldrand.New(oldrand.NewSource(p.started.UnixNano())), Log: p.log,
 		OnEvent: func(kind string, fields map[string]string) { p.note(kind, timeline.Event{Group: group.Name}, fields) },
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
 	watcher.Start()
-	d.runner.Start()
-	return d, nil
+	p.stewards.Add(d.runner)
+	return d, errors.Trace(d.runner.Start())
 }
 
 // connect returns one control client for each instance.
@@ -174,6 +176,7 @@
 	for _, i := range duty.group.Instances {
 		p.pool.SetOwner(i.ID, nil)
 	}
+	p.stewards.Remove(duty.runner)
 	duty.close()
 	p.note("duty_ended", timeline.Event{Group: name}, nil)
 }
@@ -203,8 +206,7 @@
 		case rank < 0 && owned:
 			p.pool.SetOwner(instance.ID, nil)
 		case rank >= 0 && !owned:
-			owner = p.newOwner(duty, instance)
-			owner.SetBudget(budget(group, rank))
+			owner = p.newOwner(duty, instance, budget(group, rank))
 			p.pool.SetOwner(instance.ID, owner)
 			if rank == 0 {
 				go owner.Warm(context.Background(), warmConnections)
@@ -215,7 +217,7 @@
 	}
 }
 
-func (p *Proxy) newOwner(duty *groupDuty, instance platform.Instance) *pool.Owner {
+func (p *Proxy) newOwner(duty *groupDuty, instance platform.Instance, connections int) *pool.Owner {
 	return pool.NewOwner(pool.OwnerConfig{
 		Instance: instance, Group: duty.group, Watcher: groupWatcher{duty.watcher},
 		Credentials: pool.Credentials{
@@ -223,7 +225,7 @@
 			Database: p.settings.BackendDatabase, Application: p.applicationName(),
 		},
 		Dial: p.dial, Log: p.log,
-	})
+	}, connections)
 }
 
 // budget splits an instance's connections between its owners, less the control
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -17,13 +17,13 @@
 
 	"chicoryline/internal/caller"
 	"chicoryline/internal/configsync"
+	"chicoryline/internal/failover"
 	"chicoryline/internal/fleet"
 	"chicoryline/internal/frame"
 	"chicoryline/internal/metrics"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
-	"chicoryline/internal/quota"
 	"chicoryline/internal/router"
 	"chicoryline/internal/settings"
 	"chicoryline/internal/timeline"
@@ -62,7 +62,8 @@
 	server   *peer.Server
 	fleet    *fleet.Fleet
 	config   *configsync.Node
-	quota    *quota.Node
+	limiter  *localLimiter
+	stewards *failover.Service
 	topology *topology
 	pool     *pool.Manager
 	router   *router.Router
@@ -155,20 +156,19 @@
 	}
 	p.topology = newTopology(p.services, p.fleet.Directory(), p.log)
 	p.config = configsync.New(configsync.Config{
-		VM: p.vm, Incarnation: p.started.UnixNano(), Services: p.services, Caller: p.peers, System: p.system,
-		Now: time.Now, Rand: p.newRand(), Log: p.log, GrantLength: p.settings.GrantLength, OnEvent: p.onEvent,
-	})
-	p.quota = quota.NewNode(quota.Config{
-		VM: p.vm, Holders: p.holders, Caller: p.peers, System: p.system,
-		Now: time.Now, Rand: p.newRand(), Log: p.log, ShareLease: p.settings.ShareLease, OnEvent: p.onEvent,
+		VM: p.vm, Incarnation: uint64(p.started.UnixNano()), Services: p.services, Caller: p.peers, System: p.system,
+		Now: time.Now, Rand: p.newRand(), Log: p.log, GrantLength: p.settings.GrantLength,
+		Peers: p.otherVMs, OnEvent: p.onEvent,
 	})
+	p.limiter = newLocalLimiter()
+	p.stewards = failover.NewService()
 	p.config.Watch(p.applyConfig)
 	return nil
 }
 
 func (p *Proxy) buildCallers(config *tls.Config) {
 	p.callers = caller.NewServer(p.callerListener, caller.Config{
-		VM: p.vm.ID, Incarnation: p.started.UnixNano(), Access: p.access, Limiter: p.quota,
+		VM: p.vm.ID, Incarnation: p.started.UnixNano(), Access: p.access, Limiter: p.limiter,
 		Router: p.router, Observer: p, Cancels: p, TLS: config,
 		MaxMessageBytes: p.settings.MaxMessageBytes, QueueTimeout: p.settings.QueueTimeout, Log: p.log,
 	})
@@ -177,8 +177,8 @@
 func (p *Proxy) register() error {
 	services := map[string]any{
 		"Pool": &poolService{Service: pool.NewService(p.pool), proxy: p}, "Fleet": p.fleet.Service(),
-		"Config": p.config.Service(), "Quota": p.quota.Service(),
-		"Failover": &failoverService{proxy: p}, "Timeline": timeline.NewService(p.ring), "Proxy": &Service{proxy: p},
+		"Config":             p.config.Service(),
+		failover.ServiceName: p.stewards, "Timeline": timeline.NewService(p.ring), "Proxy": &Service{proxy: p},
 	}
 	for name, service := range services {
 		if err := p.server.Register(name, service); err != nil {
@@ -197,11 +197,12 @@
 func (p *Proxy) applicationName() string { return "chicoryline/" + p.vm.ID + "/" + p.vm.Domain }
 
 // Start sets the process to work and returns.
-func (p *Proxy) Start() {
+func (p *Proxy) Start() error {
 	go p.server.Serve()
 	p.fleet.Start()
-	p.config.Start()
-	p.quota.Start()
+	if err := p.config.Start(); err != nil {
+		return errors.Annotate(err, "configuration")
+	}
 	go p.topology.run(p.stop)
 	go p.reconcileLoop()
 	if p.metricsListener != nil {
@@ -210,6 +211,7 @@
 	go p.callers.Serve()
 	p.note("started", timeline.Event{}, nil)
 	p.log.WithField("event", "started").WithField("callers", p.CallerAddress()).WithField("peers", p.vm.Address).Info("serve")
+	return nil
 }
 
 // CallerAddress returns the address for callers.
@@ -267,7 +269,6 @@
 		p.endDuty(name)
 	}
 	p.pool.Close()
-	p.quota.Close()
 	p.config.Close()
 	p.fleet.Close()
 	p.peers.Close()
--- a/internal/proxy/topology.go
+++ b/internal/proxy/topology.go
@@ -83,6 +83,25 @@
 	return vms
 }
 
+// stewards lists the VMs that watch the group, the first steward first.
+func (t *topology) stewards(name string) []fleet.Member {
+	group, ok := t.Group(name)
+	if !ok {
+		return nil
+	}
+	var members []fleet.Member
+	seen := map[string]bool{}
+	for _, instance := range group.Instances {
+		for _, m := range t.directory.Owners(instance, ownersPerInstance) {
+			if !seen[m.VM.ID] {
+				seen[m.VM.ID] = true
+				members = append(members, m)
+			}
+		}
+	}
+	return fleet.Rank("steward/"+name, members)
+}
+
 // rank returns this VM's place among the owners of the instance, or -1.
 func (t *topology) rank(instance platform.Instance, vm string) int {
 	for i, owner := range t.Owners(instance) {
@@ -92,3 +111,31 @@
 	}
 	return -1
 }
+
+// stewardRank returns this VM's place among the stewards of the group.
+func (p *Proxy) stewardRank(group string) int {
+	for i, m := range p.topology.stewards(group) {
+		if m.VM.ID == p.vm.ID {
+			return i
+		}
+	}
+	return len(p.topology.stewards(group))
+}
+
+// otherStewards lists the other VMs that watch the group.
+func (p *Proxy) otherStewards(group string) []platform.VM {
+	return p.others(p.topology.stewards(group))
+}
+
+// otherVMs lists the other VMs of the fleet.
+func (p *Proxy) otherVMs() []platform.VM { return p.others(p.fleet.Directory().Members()) }
+
+func (p *Proxy) others(members []fleet.Member) []platform.VM {
+	var vms []platform.VM
+	for _, m := range members {
+		if m.VM.ID != p.vm.ID {
+			vms = append(vms, m.VM)
+		}
+	}
+	return vms
+}
--- /dev/null
+++ b/internal/site/faults.go
@@ -0,0 +1,106 @@
+package site
+
+import (
+	"context"
+	"fmt"
+	"net/url"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/configsync"
+	"chicoryline/internal/standin/dbinstance"
+)
+
+// platformPlace is the failure domain under which the platform is cut off.
+const platformPlace = "platform"
+
+// CutInstance separates a backend server from all proxies and from the other
+// backend servers; it goes on believing what it believed.
+func (s *Site) CutInstance(id string) error {
+	server, ok := s.Instances[id]
+	if !ok {
+		return errors.NotFoundf("backend server %q", id)
+	}
+	for d := range s.Spec.Domains {
+		s.Network.Cut(id, DomainName(d))
+	}
+	server.Cut(dbinstance.CutBoth, s.otherInstances(id)...)
+	return nil
+}
+
+// HealInstance undoes CutInstance.
+func (s *Site) HealInstance(id string) error {
+	server, ok := s.Instances[id]
+	if !ok {
+		return errors.NotFoundf("backend server %q", id)
+	}
+	for d := range s.Spec.Domains {
+		s.Network.Heal(id, DomainName(d))
+	}
+	server.Heal(s.otherInstances(id)...)
+	return nil
+}
+
+func (s *Site) otherInstances(id string) []string {
+	var others []string
+	for _, g := range s.groups {
+		for _, i := range g.Instances {
+			if i.ID != id {
+				others = append(others, "instance:"+i.ID)
+			}
+		}
+	}
+	return others
+}
+
+// CutDomain separates a failure domain from the others and from the platform;
+// callers reach its proxies as before.
+func (s *Site) CutDomain(domain string) { s.eachLink(domain, s.Network.Cut, true) }
+
+// HealDomain undoes CutDomain.
+func (s *Site) HealDomain(domain string) { s.eachLink(domain, s.Network.Heal, false) }
+
+func (s *Site) eachLink(domain string, set func(a, b string), cut bool) {
+	for d := range s.Spec.Domains {
+		if other := DomainName(d); other != domain {
+			set(domain, other)
+		}
+	}
+	set(domain, platformPlace)
+	for _, g := range s.groups {
+		for _, inside := range g.Instances {
+			for _, outside := range g.Instances {
+				if inside.Domain != domain || outside.Domain == domain {
+					continue
+				}
+				if cut {
+					s.Instances[inside.ID].Cut(dbinstance.CutBoth, "instance:"+outside.ID)
+					s.Instances[outside.ID].Cut(dbinstance.CutBoth, "instance:"+inside.ID)
+					continue
+				}
+				s.Instances[inside.ID].Heal("instance:" + outside.ID)
+				s.Instances[outside.ID].Heal("instance:" + inside.ID)
+			}
+		}
+	}
+}
+
+// SetPlatform takes the platform down or up again.
+func (s *Site) SetPlatform(up bool) error {
+	return s.Platform.SetFault(url.Values{"kind": {"down"}, "on": {fmt.Sprint(!up)}})
+}
+
+// WithdrawKey withdraws the customer's key by a patch on the version in force.
+func (s *Site) WithdrawKey(ctx context.Context, customer string) error {
+	services, err := s.Operator()
+	if err != nil {
+		return err
+	}
+	doc, err := configsync.Show(ctx, services)
+	if err != nil {
+		return err
+	}
+	patch := fmt.Sprintf("[customer %s]\nkey.main = withdrawn\n", customer)
+	result, err := configsync.Submit(ctx, services, doc.Version, []byte(patch), "withdraw-"+customer)
+	return errors.Annotatef(err, "withdrawal: %s", result.Reason)
+}
--- /dev/null
+++ b/internal/site/held.go
@@ -0,0 +1,39 @@
+package site
+
+import (
+	"context"
+
+	"github.com/juju/errors"
+)
+
+// Bookings returns how often the primary of each group holds each booking.
+func (s *Site) Bookings(ctx context.Context) (map[string]int, error) {
+	held := map[string]int{}
+	for _, g := range s.groups {
+		if err := s.addBookings(ctx, g.Name, held); err != nil {
+			return nil, errors.Annotatef(err, "bookings of %s", g.Name)
+		}
+	}
+	return held, nil
+}
+
+func (s *Site) addBookings(ctx context.Context, group string, held map[string]int) error {
+	conn, err := s.ConnectInstance(ctx, s.Primary(group))
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	rows, err := conn.Query(ctx, "SELECT id FROM bookings")
+	if err != nil {
+		return err
+	}
+	defer rows.Close()
+	for rows.Next() {
+		var id string
+		if err := rows.Scan(&id); err != nil {
+			return err
+		}
+		held[id]++
+	}
+	return rows.Err()
+}
--- a/internal/site/network.go
+++ b/internal/site/network.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -126,3 +127,13 @@
 		return ctx.Err()
 	}
 }
+
+// splitAddress cuts host:port; a malformed one gives port 0.
+func splitAddress(address string) (string, uint16) {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0
+	}
+	n, _ := strconv.ParseUint(port, 10, 16)
+	return host, uint16(n)
+}
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -85,8 +85,8 @@
 }
 
 const (
-	// password is the proxies' own towards the stand-in backend servers.
-	password = "backend-password"
+	// BackendPassword is the proxies' own towards the stand-in backend servers.
+	BackendPassword = "backend-password"
 	// readyTimeout bounds the start of a site.
 	readyTimeout = 20 * time.Second
 	// readyInterval is the pause between two looks at a starting site.
@@ -170,7 +170,7 @@
 				InitialPrimary: i == 0, InitialSource: source,
 				Connections: s.Spec.Connections, Slots: s.Spec.Slots, ConnectDelay: s.Spec.ConnectDelay,
 				StatementDelay: s.Spec.StatementDelay, ReplicationLag: s.Spec.ReplicationLag,
-				User: settings.Default().BackendUser, Password: password, Log: s.log,
+				User: settings.Default().BackendUser, Password: BackendPassword, Log: s.log,
 			})
 			if err != nil {
 				return err
@@ -234,7 +234,7 @@
 	set.VM, set.Domain = ProxyName(i), s.ProxyDomain(i)
 	set.CallerListen, set.PeerListen, set.MetricsListen = "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0"
 	set.PlatformURLs = []string{s.Platform.URL()}
-	set.BackendPassword = password
+	set.BackendPassword = BackendPassword
 	set.DrainTimeout = 5 * time.Second
 	place := Place{Name: set.VM, Domain: set.Domain}
 	p, err := proxy.New(proxy.Options{Settings: set, Dial: s.Network.Dial(place), Log: s.log})
@@ -244,8 +244,7 @@
 	s.Network.Locate(p.CallerAddress(), place)
 	s.Network.Locate(p.PeerAddress(), place)
 	s.Proxies = append(s.Proxies, p)
-	p.Start()
-	return nil
+	return p.Start()
 }
 
 // awaitReady waits until every proxy can serve every group.
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -44,7 +44,7 @@
 	if !ok {
 		return nil, errors.NotFoundf("instance %q", id)
 	}
-	url := fmt.Sprintf("postgres://%s:%s@%s/postgres?sslmode=disable", settings.Default().BackendUser, password, server.Addr())
+	url := fmt.Sprintf("postgres://%s:%s@%s/postgres?sslmode=disable", settings.Default().BackendUser, BackendPassword, server.Addr())
 	conn, err := pgx.Connect(ctx, url)
 	return conn, errors.Trace(err)
 }
--- a/internal/standin/dbinstance/server.go
+++ b/internal/standin/dbinstance/server.go
@@ -59,6 +59,7 @@
 	listener net.Listener
 	slots    chan struct{}
 
+	reads          readCounts
 	statementDelay atomic.Int64
 	replicationLag atomic.Int64
 
--- a/internal/standin/dbinstance/session_run.go
+++ b/internal/standin/dbinstance/session_run.go
@@ -66,6 +66,7 @@
 	if err := s.srv.occupy(ctx, time.Duration(s.srv.statementDelay.Load())+sleep); err != nil {
 		return nil, err
 	}
+	s.srv.reads.note(stmt, s.srv.store.writable())
 	return s.transaction().Execute(ctx, stmt, params, types)
 }
 
--- /dev/null
+++ b/test/blackbox/harness_test.go
@@ -0,0 +1,395 @@
+// Package blackbox drives the product as separate processes of the one binary:
+// a stand-in platform, stand-in backend servers and proxies, with pgx as the
+// caller.
+package blackbox
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"crypto/rand"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/configsync"
+	"chicoryline/internal/platform"
+)
+
+const (
+	backendPassword = "backend-password"
+	// settleTimeout bounds every wait for a condition.
+	settleTimeout = 30 * time.Second
+	settlePause   = 50 * time.Millisecond
+)
+
+// process is one started process.
+type process struct {
+	name   string
+	cmd    *exec.Cmd
+	output *bytes.Buffer
+	mu     *sync.Mutex
+	done   chan struct{}
+}
+
+// installation is a running set of processes.
+type installation struct {
+	t        *testing.T
+	binary   string
+	dir      string
+	platform string
+	services *platform.Client
+	groups   []platform.Group
+	keys     map[string]string
+
+	instances map[string]*process
+	proxies   map[string]*process
+	callers   map[string]string
+	admins    map[string]string
+}
+
+// freeAddress returns a loopback address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs the binary and waits for the first line of its output.
+func (in *installation) start(name string, args ...string) (*process, map[string]string) {
+	in.t.Helper()
+	p := &process{name: name, cmd: exec.Command(in.binary, args...), output: &bytes.Buffer{}, mu: &sync.Mutex{}, done: make(chan struct{})}
+	stdout, err := p.cmd.StdoutPipe()
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	p.cmd.Stderr = lockedWriter{p.mu, p.output}
+	if err := p.cmd.Start(); err != nil {
+		in.t.Fatal(err)
+	}
+	first := make(chan string, 1)
+	go func() {
+		lines := bufio.NewScanner(stdout)
+		for lines.Scan() {
+			select {
+			case first <- lines.Text():
+			default:
+			}
+		}
+		_ = p.cmd.Wait()
+		close(p.done)
+	}()
+	in.t.Cleanup(func() { p.kill() })
+	select {
+	case line := <-first:
+		return p, fields(line)
+	case <-p.done:
+	case <-time.After(settleTimeout):
+	}
+	in.t.Fatalf("%s did not start: %s", name, p.text())
+	return nil, nil
+}
+
+type lockedWriter struct {
+	mu  *sync.Mutex
+	out *bytes.Buffer
+}
+
+// Write implements io.Writer.
+func (w lockedWriter) Write(b []byte) (int, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(b)
+}
+
+// text returns what the process has logged.
+func (p *process) text() string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.output.String()
+}
+
+func (p *process) signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends the process with SIGKILL and waits for its end.
+func (p *process) kill() {
+	_ = p.cmd.Process.Kill()
+	<-p.done
+}
+
+// fields cuts a line of key=value pairs.
+func fields(line string) map[string]string {
+	pairs := map[string]string{}
+	for _, field := range strings.Fields(line) {
+		if key, value, ok := strings.Cut(field, "="); ok {
+			pairs[key] = value
+		}
+	}
+	return pairs
+}
+
+// build compiles the binary once for the test run.
+var build = sync.OnceValues(func() (string, error) {
+	dir, err := os.MkdirTemp("", "chicoryline")
+	if err != nil {
+		return "", err
+	}
+	binary := filepath.Join(dir, "chicoryline")
+	out, err := exec.Command("go", "build", "-o", binary, "chicoryline/cmd/chicoryline").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("build: %w: %s", err, out)
+	}
+	return binary, nil
+})
+
+// spec sizes an installation.
+type spec struct {
+	proxies, groups, instances, domains int
+	customers                           []string
+	rate, burst                         float64
+}
+
+// newInstallation starts all processes and waits until every proxy serves.
+func newInstallation(t *testing.T, s spec) *installation {
+	t.Helper()
+	binary, err := build()
+	if err != nil {
+		t.Fatal(err)
+	}
+	in := &installation{
+		t: t, binary: binary, dir: t.TempDir(), keys: map[string]string{},
+		instances: map[string]*process{}, proxies: map[string]*process{}, callers: map[string]string{}, admins: map[string]string{},
+	}
+	in.startInstances(s)
+	in.startPlatform()
+	in.configure(s)
+	for i := range s.proxies {
+		in.startProxy(fmt.Sprintf("vm%d", i+1), domain(i, s.domains))
+	}
+	for id := range in.callers {
+		in.eventually("proxy "+id+" serves", func() error { return in.ping(id) })
+	}
+	return in
+}
+
+func domain(i, domains int) string { return fmt.Sprintf("domain%d", i%domains+1) }
+
+func (in *installation) startInstances(s spec) {
+	for g := range s.groups {
+		group := platform.Group{Name: fmt.Sprintf("group%d", g+1), Connections: 35, Slots: 5}
+		for i := range s.instances {
+			id := fmt.Sprintf("%s-db%d", group.Name, i+1)
+			group.Instances = append(group.Instances, platform.Instance{ID: id, Address: freeAddress(in.t), Domain: domain(g+i, s.domains)})
+		}
+		for i := range group.Instances {
+			in.startInstance(group, i)
+		}
+		in.groups = append(in.groups, group)
+	}
+}
+
+func (in *installation) startInstance(group platform.Group, i int) {
+	instance := group.Instances[i]
+	in.admins[instance.ID] = freeAddress(in.t)
+	args := []string{"standin", "instance", "--id", instance.ID, "--group", group.Name, "--failure-domain", instance.Domain,
+		"--listen", instance.Address, "--admin", in.admins[instance.ID], "--password", backendPassword, "--replication-lag", "1ms"}
+	if i == 0 {
+		args = append(args, "--primary")
+	} else {
+		args = append(args, "--source", group.Instances[0].ID)
+	}
+	for j, other := range group.Instances {
+		if j != i {
+			args = append(args, "--peer", other.ID+"="+other.Address)
+		}
+	}
+	in.instances[instance.ID], _ = in.start(instance.ID, args...)
+}
+
+func (in *installation) startPlatform() {
+	data, err := json.Marshal(in.groups)
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	path := filepath.Join(in.dir, "groups.json")
+	if err := os.WriteFile(path, data, 0o600); err != nil {
+		in.t.Fatal(err)
+	}
+	_, said := in.start("platform", "standin", "platform", "--groups", path, "--list-lag", "200ms")
+	in.platform = said["platform"]
+	in.services, err = platform.NewClient([]string{in.platform}, platform.VM{ID: "operator"})
+	if err != nil {
+		in.t.Fatal(err)
+	}
+}
+
+// configure submits the first configuration: each group as the routes groupN
+// (current data) and groupN-aged (reads of up to one second of age).
+func (in *installation) configure(s spec) {
+	var b strings.Builder
+	b.WriteString("[session]\ntoken_secret = 00112233445566778899aabbccddeeff\n")
+	for _, name := range s.customers {
+		key, hash, err := catalog.NewKey(rand.Reader)
+		if err != nil {
+			in.t.Fatal(err)
+		}
+		in.keys[name] = key
+		fmt.Fprintf(&b, "[customer %s]\nrate = %g\nburst = %g\nkey.main = %s\n", name, s.rate, s.burst, hash)
+	}
+	for _, g := range in.groups {
+		fmt.Fprintf(&b, "[group %s]\n[route %s]\ngroup = %s\nmode = session\n", g.Name, g.Name, g.Name)
+		fmt.Fprintf(&b, "[route %s-aged]\ngroup = %s\nmode = session\nmax_age = 1s\n", g.Name, g.Name)
+	}
+	in.patch(0, b.String())
+}
+
+// patch submits a patch and returns its result.
+func (in *installation) patch(base uint64, text string) configsync.Result {
+	in.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	result, err := configsync.Submit(ctx, in.services, base, []byte(text), fmt.Sprintf("patch-%d-%d", base, time.Now().UnixNano()))
+	if err != nil {
+		in.t.Fatalf("patch: %v (%s)", err, result.Reason)
+	}
+	return result
+}
+
+func (in *installation) startProxy(id, failureDomain string) {
+	text := fmt.Sprintf(`[vm]
+id = %s
+failure_domain = %s
+caller_listen = 127.0.0.1:0
+peer_listen = 127.0.0.1:0
+metrics_listen = 127.0.0.1:0
+[platform]
+urls = %s
+[backend]
+password = %s
+[limits]
+drain_timeout = 5s
+`, id, failureDomain, in.platform, backendPassword)
+	path := filepath.Join(in.dir, id+".ini")
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		in.t.Fatal(err)
+	}
+	p, said := in.start(id, "serve", "--settings", path)
+	in.proxies[id], in.callers[id] = p, said["callers"]
+}
+
+// ping writes through one proxy to nothing: it reads from every group.
+func (in *installation) ping(proxy string) error {
+	for name := range in.keys {
+		for _, g := range in.groups {
+			conn, err := in.dial(proxy, name, g.Name, "")
+			if err != nil {
+				return err
+			}
+			_, err = conn.Exec(context.Background(), "SELECT 1")
+			_ = conn.Close(context.Background())
+			if err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	return nil
+}
+
+// dial opens a caller's connection.
+func (in *installation) dial(proxy, customer, route, token string) (*pgx.Conn, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	config, err := pgx.ParseConfig("postgres://" + in.callers[proxy] + "/?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.User, config.Password, config.Database = customer, in.keys[customer], route
+	if token != "" {
+		config.RuntimeParams["chicoryline.session"] = token
+	}
+	return pgx.ConnectConfig(ctx, config)
+}
+
+// connect is dial for a test that cannot go on without the connection.
+func (in *installation) connect(proxy, customer, route, token string) *pgx.Conn {
+	in.t.Helper()
+	conn, err := in.dial(proxy, customer, route, token)
+	if err != nil {
+		in.t.Fatalf("connect to %s: %v", proxy, err)
+	}
+	in.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+	return conn
+}
+
+// direct opens a connection to an instance past the proxies.
+func (in *installation) direct(id string) *pgx.Conn {
+	in.t.Helper()
+	for _, g := range in.groups {
+		for _, i := range g.Instances {
+			if i.ID != id {
+				continue
+			}
+			conn, err := pgx.Connect(context.Background(), fmt.Sprintf("postgres://chicoryline:%s@%s/postgres?sslmode=disable", backendPassword, i.Address))
+			if err != nil {
+				in.t.Fatal(err)
+			}
+			in.t.Cleanup(func() { _ = conn.Close(context.Background()) })
+			return conn
+		}
+	}
+	in.t.Fatalf("no instance %s", id)
+	return nil
+}
+
+// fault sets a switch of the stand-in platform.
+func (in *installation) fault(query string) { in.post(in.platform + "/fault?" + query) }
+
+// instanceFault sets a switch of a stand-in instance.
+func (in *installation) instanceFault(id, query string) {
+	in.post("http://" + in.admins[id] + "/fault?" + query)
+}
+
+func (in *installation) post(url string) {
+	in.t.Helper()
+	response, err := http.Post(url, "", nil)
+	if err != nil {
+		in.t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusBadRequest {
+		in.t.Fatalf("%s: %s", url, response.Status)
+	}
+}
+
+// eventually waits until the condition holds.
+func (in *installation) eventually(what string, holds func() error) {
+	in.t.Helper()
+	deadline := time.Now().Add(settleTimeout)
+	for {
+		err := holds()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			in.t.Fatalf("%s: %v", what, err)
+		}
+		time.Sleep(settlePause)
+	}
+}
