Fleet: membership

Why: the list alone is stale in both directions. Progress of a member's own sequence, relayed as counters by those that watch it, is the proof of life, so a link cut one way accuses nobody. A pause of the observer does not count as silence of the others. Up to 16 members form a mesh; beyond, a member watches at most six others and changes ride on the heartbeats.

--- /dev/null
+++ b/internal/fleet/exchange.go
@@ -0,0 +1,161 @@
+package fleet
+
+import (
+	"slices"
+	"sort"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Call is a heartbeat to send to the VM's address.
+type Call struct {
+	VM      string
+	Address string
+	Args    Heartbeat
+}
+
+// Receive takes a heartbeat from another member and returns the reply.
+func (t *Table) Receive(h Heartbeat, now time.Time) Heartbeat {
+	t.merge(h, now)
+	if m := t.members[h.From.VM.ID]; m != nil && m.Incarnation == h.From.Incarnation {
+		m.direct = t.attended
+	}
+	return t.heartbeat("")
+}
+
+// Answered takes the reply of the call to the VM. A reply from another VM shows
+// that the address has passed on to that one.
+func (t *Table) Answered(vm string, reply Heartbeat, now time.Time) {
+	m := t.members[vm]
+	t.merge(reply, now)
+	if m == nil {
+		return
+	}
+	m.calling = false
+	m.direct = t.attended
+	if reply.From.VM.ID != vm && reply.From.VM.Address == m.VM.Address {
+		t.fire(m, eventReplaced)
+	}
+}
+
+// Failed takes the loss of the call to the VM.
+func (t *Table) Failed(vm string) {
+	if m := t.members[vm]; m != nil {
+		m.calling = false
+		m.direct = t.attended // the others of the view come first
+	}
+}
+
+// Announce returns heartbeats to all members of a mesh, or to the view and as
+// many others at random as the limit allows, whatever calls are under way.
+func (t *Table) Announce(limit int) []Call {
+	chosen := t.view
+	if !t.mesh() {
+		others := t.heardMembers()
+		t.random.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		chosen = append(slices.Clone(t.view), others[:min(len(others), max(0, limit-len(t.view)))]...)
+	}
+	calls := make([]Call, 0, len(chosen))
+	for _, m := range chosen {
+		calls = append(calls, t.call(m))
+	}
+	return calls
+}
+
+func (t *Table) heardMembers() []*member {
+	var list []*member
+	for _, m := range t.members {
+		if m.State == Alive && m.watched < 0 {
+			list = append(list, m)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].VM.ID < list[j].VM.ID })
+	return list
+}
+
+// Alone reports whether no other member has been heard.
+func (t *Table) Alone() bool { return len(t.keys) == 0 }
+
+func (t *Table) call(m *member) Call {
+	return Call{VM: m.VM.ID, Address: m.VM.Address, Args: t.heartbeat(m.VM.ID)}
+}
+
+// Records returns all that the table holds, for a member that asks for it.
+func (t *Table) Records() []Record {
+	records := []Record{t.self}
+	for _, m := range t.members {
+		if m.Incarnation != 0 {
+			records = append(records, m.Record)
+		}
+	}
+	return records
+}
+
+// Pulled takes the answer to a call of Records.
+func (t *Table) Pulled(records []Record, now time.Time) {
+	for _, r := range records {
+		t.Observe(r, now)
+	}
+}
+
+func (t *Table) merge(h Heartbeat, now time.Time) {
+	t.Observe(h.From, now)
+	for _, c := range h.Counters {
+		if m := t.keys[c.Key]; m != nil && c.Sequence > m.Sequence {
+			t.progress(m, c.Sequence, now)
+		}
+	}
+	for _, r := range h.Updates {
+		t.Observe(r, now)
+	}
+	if h.Digest != t.currentDigest() && t.attended-t.lastSync >= t.timing.List*time.Duration(t.scale()) {
+		t.syncFrom = h.From.VM.Address
+	}
+}
+
+func (t *Table) heartbeat(to string) Heartbeat {
+	h := Heartbeat{From: t.self, To: to, Digest: t.currentDigest()}
+	for _, m := range t.view {
+		if m.State == Alive || m.State == Leaving {
+			h.Counters = append(h.Counters, Counter{Key: memberKey(m.VM.ID, m.Incarnation), Sequence: m.Sequence})
+		}
+	}
+	for _, id := range t.updates.take(t.size) {
+		if id == t.self.VM.ID {
+			continue // From says it already
+		}
+		if m := t.members[id]; m != nil && m.Incarnation != 0 {
+			h.Updates = append(h.Updates, m.Record)
+		}
+	}
+	return h
+}
+
+// currentDigest sums up the incarnations and states. Suspicions are left out,
+// since they pass, and so are the dead, since members forget them at different
+// times.
+func (t *Table) currentDigest() uint64 {
+	if t.digestAt != t.generation {
+		t.digest, t.digestAt = t.computeDigest(), t.generation
+	}
+	return t.digest
+}
+
+func (t *Table) computeDigest() uint64 {
+	sum := digestOf(t.self)
+	for _, m := range t.members {
+		if m.State != Joining && m.State != Dead {
+			sum ^= digestOf(m.Record)
+		}
+	}
+	return sum
+}
+
+func digestOf(r Record) uint64 {
+	key := memberKey(r.VM.ID, r.Incarnation)
+	if r.VM.Leaving {
+		return key ^ xxhash.Sum64String("leaving")
+	}
+	return key
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,187 @@
+package fleet
+
+import (
+	"context"
+	"math/rand"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/frame"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+)
+
+// Defaults of Config.
+const (
+	DefaultHeartbeatInterval = 200 * time.Millisecond
+	DefaultSuspectAfter      = 800 * time.Millisecond
+	DefaultDeadAfter         = 2 * time.Second
+	DefaultListInterval      = time.Second
+)
+
+const (
+	// mailbox is the number of messages that the actor holds.
+	mailbox = 256
+	// methodHeartbeat and methodRecords are called at other members.
+	methodHeartbeat = ServiceName + ".Heartbeat"
+	methodRecords   = ServiceName + ".Records"
+)
+
+// Config is what a Fleet needs.
+type Config struct {
+	Self     platform.VM
+	Services platform.VMs
+	Caller   peer.Caller
+	System   *frame.System
+	Log      *logrus.Entry
+	// HeartbeatInterval, SuspectAfter, DeadAfter and ListInterval have defaults.
+	// In a fleet over MeshSize the times to suspect and to give up are longer,
+	// and the platform is called less often.
+	HeartbeatInterval time.Duration
+	SuspectAfter      time.Duration
+	DeadAfter         time.Duration
+	ListInterval      time.Duration
+	// Seeds are addresses to ask for the members while none is known, so that a
+	// VM can join without the platform.
+	Seeds []string
+	// Now is the clock; time.Now when nil.
+	Now func() time.Time
+}
+
+// Fleet keeps the membership of one process. Its actor owns the Table.
+type Fleet struct {
+	config    Config
+	table     *Table
+	directory *Directory
+	ref       *frame.Ref
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	work   sync.WaitGroup // goroutines of calls and of the list
+
+	leaving atomic.Bool
+
+	// The rest belongs to the actor.
+
+	shown       uint64 // generation of the published snapshot
+	shownReady  bool
+	shownAt     time.Time
+	nextSeed    int
+	lastSeeding time.Time
+}
+
+// New returns a fleet that knows only its own VM. Start begins its work.
+func New(config Config) (*Fleet, error) {
+	if config.Self.ID == "" || config.Self.Address == "" {
+		return nil, errors.NotValidf("VM without id or address")
+	}
+	config.setDefaults()
+	timing := Timing{
+		Heartbeat: config.HeartbeatInterval, Suspect: config.SuspectAfter,
+		Dead: config.DeadAfter, List: config.ListInterval,
+	}
+	now := config.Now()
+	f := &Fleet{
+		config:    config,
+		table:     NewTable(config.Self, now.UnixNano(), timing, rand.New(rand.NewSource(now.UnixNano())), now),
+		directory: &Directory{},
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	f.show()
+	ref, err := config.System.Spawn("fleet-"+config.Self.ID, mailbox, f.handle)
+	if err != nil {
+		return nil, errors.Annotate(err, "fleet")
+	}
+	f.ref = ref
+	return f, nil
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.HeartbeatInterval, DefaultHeartbeatInterval)
+	setDefault(&c.SuspectAfter, DefaultSuspectAfter)
+	setDefault(&c.DeadAfter, DefaultDeadAfter)
+	setDefault(&c.ListInterval, DefaultListInterval)
+	if c.Now == nil {
+		c.Now = time.Now
+	}
+}
+
+func setDefault(d *time.Duration, value time.Duration) {
+	if *d == 0 {
+		*d = value
+	}
+}
+
+// Directory returns the membership for the other parts of the process.
+func (f *Fleet) Directory() *Directory { return f.directory }
+
+// Start begins to send heartbeats and to read the platform's list. Before it,
+// the fleet only answers other members.
+func (f *Fleet) Start() {
+	f.ref.Tick(f.config.HeartbeatInterval, tick{}, f.ctx.Done())
+	f.work.Go(f.followList)
+}
+
+// Close ends the heartbeats. Other members see this one as silent, or as
+// stopped if Leave went before.
+func (f *Fleet) Close() {
+	f.cancel()
+	f.ref.Stop()
+	f.work.Wait()
+}
+
+// Leave announces the planned stop to the platform and to the members, all of
+// them in a mesh and leaveCalls of them in a larger fleet. It returns when they
+// have answered, failed or the context has ended.
+func (f *Fleet) Leave(ctx context.Context) error {
+	f.leaving.Store(true)
+	done := make(chan []Call, 1)
+	f.ref.Send(leave{done})
+	var calls []Call
+	select {
+	case calls = <-done:
+	case <-ctx.Done():
+		return errors.Trace(ctx.Err())
+	}
+	var announced sync.WaitGroup
+	for _, call := range calls {
+		announced.Go(func() { f.heartbeat(ctx, call) })
+	}
+	self := f.config.Self
+	self.Leaving = true
+	err := f.config.Services.Register(ctx, self)
+	announced.Wait()
+	return errors.Trace(err)
+}
+
+// heartbeat makes one call and hands its result to the actor.
+func (f *Fleet) heartbeat(ctx context.Context, call Call) {
+	ctx, cancel := context.WithTimeout(ctx, f.config.SuspectAfter)
+	defer cancel()
+	var reply Heartbeat
+	if err := f.config.Caller.Call(ctx, call.Address, methodHeartbeat, call.Args, &reply); err != nil {
+		f.send(failed{call.VM})
+		return
+	}
+	f.send(answered{call.VM, reply})
+}
+
+func (f *Fleet) pull(address string) {
+	ctx, cancel := context.WithTimeout(f.ctx, f.config.DeadAfter)
+	defer cancel()
+	var records []Record
+	if err := f.config.Caller.Call(ctx, address, methodRecords, f.config.Self.ID, &records); err == nil {
+		f.send(pulled{records})
+	}
+}
+
+// send drops the message once the fleet is closed.
+func (f *Fleet) send(message any) {
+	if f.ctx.Err() == nil {
+		f.ref.Send(message)
+	}
+}
--- /dev/null
+++ b/internal/fleet/service.go
@@ -0,0 +1,47 @@
+package fleet
+
+import (
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+)
+
+// ServiceName is the name to register the Service under.
+const ServiceName = "Fleet"
+
+// answerTimeout bounds the wait of a remote call for the actor.
+const answerTimeout = time.Second
+
+// Service answers the calls of other members.
+type Service struct{ fleet *Fleet }
+
+// Service returns the net/rpc service.
+func (f *Fleet) Service() *Service { return &Service{f} }
+
+// Heartbeat takes another member's heartbeat and replies with this one's.
+func (s *Service) Heartbeat(args Heartbeat, reply *Heartbeat) error {
+	answer := make(chan Heartbeat, 1)
+	s.fleet.send(received{args, answer})
+	return await(s.fleet, answer, reply)
+}
+
+// Records returns all that this member holds. The argument is the caller's id.
+func (s *Service) Records(_ string, reply *[]Record) error {
+	answer := make(chan []Record, 1)
+	s.fleet.send(asked{answer})
+	return await(s.fleet, answer, reply)
+}
+
+func await[T any](f *Fleet, answer <-chan T, reply *T) error {
+	timer := time.NewTimer(answerTimeout)
+	defer timer.Stop()
+	select {
+	case *reply = <-answer:
+		return nil
+	case <-f.ctx.Done():
+		return peer.Encode(errkind.New(errkind.ShuttingDown, "fleet is closed"))
+	case <-timer.C:
+		return peer.Encode(errkind.New(errkind.Internal, "fleet did not answer within %v", answerTimeout))
+	}
+}
--- /dev/null
+++ b/internal/fleet/snapshot.go
@@ -0,0 +1,54 @@
+package fleet
+
+import "time"
+
+// Members returns the other members that have been heard. A member that the
+// platform's list shows as leaving counts as leaving while it does.
+func (t *Table) Members() []Member {
+	members := make([]Member, 0, len(t.members))
+	for _, m := range t.members {
+		if m.State == Joining || m.Incarnation == 0 {
+			continue
+		}
+		entry := Member{VM: m.VM, Incarnation: m.Incarnation, State: m.State, LastHeard: m.lastHeard}
+		if m.listedLeaving && (m.State == Alive || m.State == Suspect) {
+			entry.State, entry.VM.Leaving = Leaving, true
+		}
+		members = append(members, entry)
+	}
+	return members
+}
+
+// SelfMember returns the VM itself as a member; it counts as leaving under the
+// same rule as the others, so that all agree on who owns what.
+func (t *Table) SelfMember(now time.Time) Member {
+	self := Member{VM: t.self.VM, Incarnation: t.self.Incarnation, State: t.self.State, LastHeard: now}
+	if t.selfListedLeaving {
+		self.State, self.VM.Leaving = Leaving, true
+	}
+	return self
+}
+
+// Generation rises with every change that Members can show, except LastHeard.
+func (t *Table) Generation() uint64 { return t.generation }
+
+// Changes returns the changes since the last call.
+func (t *Table) Changes() []Change {
+	events := t.events
+	t.events = nil
+	return events
+}
+
+// Settled reports whether the start is over: no listed VM is waited for, and
+// either the list has been read or the time that a silent member gets has passed.
+func (t *Table) Settled() bool {
+	if !t.listed && t.attended < t.timing.Dead {
+		return false
+	}
+	for _, m := range t.members {
+		if m.State == Joining {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/fleet/tick.go
@@ -0,0 +1,163 @@
+package fleet
+
+import (
+	"math/bits"
+	"sort"
+	"time"
+)
+
+const (
+	// MeshSize is the largest fleet in which every member exchanges heartbeats
+	// with all others.
+	MeshSize = 16
+	// meshCalls bounds the calls of one interval in a mesh. An exchange serves
+	// both sides, so half of the members are enough.
+	meshCalls = 4
+	// maxScale bounds the factor by which a large fleet stretches its calls to
+	// the platform.
+	maxScale = 120
+	// probeInterval is the time between two calls to a member held dead.
+	probeInterval = time.Second
+	// viewMargin is the number of rounds over the view until a member of a
+	// large fleet is suspect.
+	viewMargin = 3
+	// unlistedAfter is the silence after which a member that is not watched
+	// and not listed is given up, and forgetAfter the time that a dead and
+	// unlisted member is remembered.
+	unlistedAfter = time.Minute
+	forgetAfter   = 10 * time.Minute
+)
+
+// Plan is what a tick asks to be done.
+type Plan struct {
+	Calls []Call
+	// Sync is the address to call for all records; empty for none.
+	Sync string
+}
+
+// Tick ends one heartbeat interval.
+func (t *Table) Tick(now time.Time) Plan {
+	t.attend(now)
+	t.self.Sequence++
+	t.expire()
+	t.refreshView()
+	plan := Plan{Calls: t.calls()}
+	if t.syncFrom != "" {
+		plan.Sync, t.syncFrom, t.lastSync = t.syncFrom, "", t.attended
+	}
+	return plan
+}
+
+func (t *Table) attend(now time.Time) {
+	passed := now.Sub(t.lastTick)
+	t.attended += max(0, min(passed, 2*t.timing.Heartbeat))
+	t.lastTick = now
+}
+
+// expire fires what silence means for each member.
+func (t *Table) expire() {
+	for id, m := range t.members {
+		inState, silence := t.attended-m.since, t.attended-max(m.heard, m.watched)
+		switch {
+		case m.State == Joining && inState > t.timing.Dead:
+			t.fire(m, eventExpired)
+		case m.State == Alive && m.watched >= 0 && silence > t.suspectAfter():
+			t.fire(m, eventSilent)
+		case m.State == Suspect && inState > t.refuteWithin():
+			t.fire(m, eventExpired)
+		case m.State == Leaving && m.watched >= 0 && silence > t.suspectAfter()+t.refuteWithin():
+			t.fire(m, eventExpired)
+		case m.State == Dead && inState > forgetAfter && t.unlisted(m):
+			t.forget(id, m)
+		case m.State != Dead && m.watched < 0 && t.unlisted(m) && silence > unlistedAfter:
+			t.fire(m, eventDelisted)
+		}
+	}
+}
+
+// unlisted reports whether a list read after the member's last progress lacks it.
+func (t *Table) unlisted(m *member) bool { return t.listed && !m.listed && t.listedAt > m.heard }
+
+func (t *Table) forget(id string, m *member) {
+	delete(t.members, id)
+	delete(t.keys, memberKey(m.VM.ID, m.Incarnation))
+	t.generation++
+}
+
+// suspectAfter is the silence until a watched member is suspect.
+func (t *Table) suspectAfter() time.Duration {
+	if t.mesh() {
+		return t.timing.Suspect
+	}
+	return max(t.timing.Suspect, viewMargin*time.Duration(len(t.view))*t.timing.Heartbeat)
+}
+
+// refuteWithin is the time that a suspect has; a larger fleet needs longer to
+// carry the suspicion to it and the refutation back.
+func (t *Table) refuteWithin() time.Duration {
+	levels := bits.Len(uint(t.size))
+	grace := t.timing.Dead - t.timing.Suspect
+	if t.mesh() {
+		return grace
+	}
+	return max(grace, 2*time.Duration(levels)*t.timing.Heartbeat)
+}
+
+// scale is the factor by which the fleet's size stretches each member's calls
+// to the platform, so that their sum stays bounded.
+func (t *Table) scale() int { return scaleOf(t.size) }
+
+func scaleOf(size int) int { return min(maxScale, 1+size/MeshSize) }
+
+// calls returns the heartbeats of this interval: members of the view whose last
+// exchange is the longest ago, in a large fleet one more at random, and now and
+// then a member held dead.
+func (t *Table) calls() []Call {
+	limit := meshCalls
+	if !t.mesh() {
+		limit = 1
+	}
+	due := t.due()
+	chosen := due[:min(limit, len(due))]
+	if !t.mesh() {
+		chosen = append(chosen, t.pick(func(m *member) bool { return (m.State == Alive || m.State == Joining) && m.watched < 0 })...)
+	}
+	if t.attended-t.lastProbe >= probeInterval {
+		t.lastProbe = t.attended
+		chosen = append(chosen, t.pick(func(m *member) bool { return m.State == Dead })...)
+	}
+	calls := make([]Call, 0, len(chosen))
+	for _, m := range chosen {
+		m.calling = true
+		calls = append(calls, t.call(m))
+	}
+	return calls
+}
+
+// due returns the members of the view without an exchange in this interval.
+func (t *Table) due() []*member {
+	var due []*member
+	for _, m := range t.view {
+		if !m.calling && t.attended-m.direct >= t.timing.Heartbeat {
+			due = append(due, m)
+		}
+	}
+	sort.SliceStable(due, func(i, j int) bool { return due[i].direct < due[j].direct })
+	return due
+}
+
+// pick returns one member at random that fits and has no call under way.
+func (t *Table) pick(fits func(*member) bool) []*member {
+	var list []*member
+	for _, m := range t.members {
+		if !m.calling && fits(m) {
+			list = append(list, m)
+		}
+	}
+	if len(list) == 0 {
+		return nil
+	}
+	sort.Slice(list, func(i, j int) bool { return list[i].VM.ID < list[j].VM.ID })
+	i := t.random.Intn(len(list))
+	return list[i : i+1]
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,79 @@
+package fleet
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+const (
+	// domainNeighbours and fleetNeighbours are the members watched on each side
+	// of a VM, on the ring of its failure domain and on that of the fleet.
+	domainNeighbours = 2
+	fleetNeighbours  = 1
+)
+
+// mesh reports whether the fleet is small enough for all-to-all heartbeats.
+func (t *Table) mesh() bool { return t.size <= MeshSize }
+
+// refreshView chooses the members that this VM watches. Two members that hold
+// the same fleet watch each other or neither does.
+func (t *Table) refreshView() {
+	if t.viewAt == t.generation {
+		return
+	}
+	t.viewAt = t.generation
+	t.size = 1
+	for _, m := range t.members {
+		if m.State != Dead {
+			t.size++
+		}
+	}
+	chosen := t.chooseView()
+	for _, m := range t.members {
+		switch {
+		case !chosen[m]:
+			m.watched = unwatched
+		case m.watched < 0:
+			m.watched = t.attended
+		}
+	}
+	t.view = t.view[:0]
+	for m := range chosen {
+		t.view = append(t.view, m)
+	}
+	sort.Slice(t.view, func(i, j int) bool { return t.view[i].VM.ID < t.view[j].VM.ID })
+}
+
+func (t *Table) chooseView() map[*member]bool {
+	chosen := map[*member]bool{}
+	var fleet, domain []*member
+	for _, m := range t.members {
+		if m.State == Dead {
+			continue
+		}
+		if t.mesh() {
+			chosen[m] = true
+			continue
+		}
+		fleet = append(fleet, m)
+		if m.VM.Domain == t.self.VM.Domain {
+			domain = append(domain, m)
+		}
+	}
+	t.addNeighbours(chosen, fleet, fleetNeighbours)
+	t.addNeighbours(chosen, domain, domainNeighbours)
+	return chosen
+}
+
+// addNeighbours adds the members next to this VM on the ring of id hashes.
+func (t *Table) addNeighbours(chosen map[*member]bool, ring []*member, each int) {
+	place := func(m *member) uint64 { return xxhash.Sum64String(m.VM.ID) }
+	sort.Slice(ring, func(i, j int) bool { return place(ring[i]) < place(ring[j]) })
+	own := xxhash.Sum64String(t.self.VM.ID)
+	at := sort.Search(len(ring), func(i int) bool { return place(ring[i]) > own })
+	for i := range min(each, len(ring)) {
+		chosen[ring[(at+i)%len(ring)]] = true
+		chosen[ring[(at-1-i+2*len(ring))%len(ring)]] = true
+	}
+}
