Fair queue

Deficit round robin over customers in front of an instance's execution slots, so that one customer beyond its rate costs the others nothing. Credit is slot time: an estimate is charged at the start and corrected by the measured service time at the release.

--- /dev/null
+++ b/internal/fairqueue/simulate.go
@@ -0,0 +1,133 @@
+package fairqueue
+
+import (
+	"container/heap"
+	"math/rand"
+	"time"
+)
+
+// statement is one arrival of the measurement.
+type statement struct {
+	customer int
+	arrived  time.Duration
+	service  time.Duration
+}
+
+// event is an arrival of the customer's next statement or the end of one.
+type event struct {
+	at       time.Duration
+	ended    bool
+	customer int
+	ticket   Ticket
+}
+
+type eventHeap []event
+
+func (h eventHeap) Len() int           { return len(h) }
+func (h eventHeap) Less(i, j int) bool { return h[i].at < h[j].at }
+func (h eventHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(x any) { *h = append(*h, x.(event)) }
+
+// Pop implements heap.Interface.
+func (h *eventHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// simulation is one run of the measurement.
+type simulation struct {
+	site       site
+	excess     excess
+	discipline discipline
+	random     *rand.Rand
+	events     eventHeap
+	statements map[Ticket]statement
+	mean       []time.Duration // estimate of each customer's service time
+	next       Ticket
+	running    int
+	result     result
+}
+
+// epoch is the start of virtual time.
+var epoch = time.Unix(0, 0)
+
+func run(s site, x excess, d discipline, random *rand.Rand) *result {
+	n := len(measureShares)
+	sim := &simulation{
+		site: s, excess: x, discipline: d, random: random,
+		statements: map[Ticket]statement{},
+		mean:       make([]time.Duration, n),
+		result:     result{offered: make([]int, n), served: make([]int, n), waits: make([][]time.Duration, n)},
+	}
+	for i := range n {
+		sim.schedule(i, 0)
+	}
+	for len(sim.events) > 0 {
+		e := heap.Pop(&sim.events).(event)
+		if e.ended {
+			sim.end(e)
+		} else {
+			sim.arrive(e)
+		}
+		sim.dispatch(e.at)
+	}
+	return &sim.result
+}
+
+// rate is the customer's statements per second.
+func (s *simulation) rate(customer int) float64 {
+	total := measureLoad * float64(s.site.slots) / measureService.Seconds()
+	rate := total * float64(measureShares[customer]) / 100
+	if customer == 0 {
+		rate *= s.excess.rate
+	}
+	return rate
+}
+
+func (s *simulation) schedule(customer int, after time.Duration) {
+	gap := s.random.ExpFloat64() / s.rate(customer)
+	at := after + time.Duration(gap*float64(time.Second))
+	if at < measureRun {
+		heap.Push(&s.events, event{at: at, customer: customer})
+	}
+}
+
+func (s *simulation) arrive(e event) {
+	service := s.random.ExpFloat64() * float64(measureService)
+	if e.customer == 0 {
+		service *= s.excess.service
+	}
+	s.next++
+	s.result.offered[e.customer]++
+	deadline := epoch.Add(e.at + measureAllowance)
+	if s.discipline.push(e.customer, s.mean[e.customer], deadline, s.next) {
+		s.statements[s.next] = statement{e.customer, e.at, time.Duration(service)}
+	}
+	s.schedule(e.customer, e.at)
+}
+
+func (s *simulation) end(e event) {
+	st := s.statements[e.ticket]
+	delete(s.statements, e.ticket)
+	s.running--
+	s.discipline.charge(st.customer, st.service, s.mean[st.customer])
+	s.mean[st.customer] += (st.service - s.mean[st.customer]) >> estimateShift
+}
+
+func (s *simulation) dispatch(at time.Duration) {
+	for s.running < s.site.slots {
+		ticket, ok := s.discipline.pop(epoch.Add(at))
+		if !ok {
+			return
+		}
+		st := s.statements[ticket]
+		s.running++
+		s.result.served[st.customer]++
+		s.result.waits[st.customer] = append(s.result.waits[st.customer], at-st.arrived)
+		heap.Push(&s.events, event{at: at + st.service, ended: true, customer: st.customer, ticket: ticket})
+	}
+}
