Stand-in instance: fault switches and property test

Tests of the proxy need cut links, frozen processes and answers that break off or come late. Links hold bytes while a cut or freeze stands, so connections hang as in a partition and continue late after it. The switches are methods of Server and calls of an optional HTTP listener.

The property test drives stores through interleaved fences, promotions, follows and delayed replication answers.

--- /dev/null
+++ b/internal/standin/dbinstance/control_test.go
@@ -0,0 +1,124 @@
+package dbinstance
+
+import (
+	"context"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+// command is one control command on a store.
+type command struct {
+	name   string
+	term   uint64
+	target string
+}
+
+func (c command) run(control backend.Control) (backend.Status, error) {
+	ctx := context.Background()
+	switch c.name {
+	case "fence":
+		return control.Fence(ctx, c.term)
+	case "promote":
+		return control.Promote(ctx, c.term)
+	case "follow":
+		return control.Follow(ctx, c.term, c.target)
+	}
+	return control.Status(ctx)
+}
+
+// TestControlRules runs commands on instance b; all but the last have to succeed.
+func TestControlRules(t *testing.T) {
+	at := func(term, offset uint64) position.Position { return position.Position{Term: term, Offset: offset} }
+	cases := []struct {
+		name     string
+		primary  bool
+		commands []command
+		want     backend.Status
+		kind     errkind.Kind
+	}{
+		{name: "a new primary leads", primary: true, commands: []command{{name: "status"}},
+			want: backend.Status{Role: backend.Primary, Fence: 1, Log: at(1, 1)}},
+		{name: "a fence makes the primary a replica", primary: true, commands: []command{{name: "fence", term: 2}},
+			want: backend.Status{Role: backend.Replica, Fence: 2, Log: at(1, 1)}},
+		{name: "a fence at its own term leaves the primary", primary: true, commands: []command{{name: "fence", term: 1}},
+			want: backend.Status{Role: backend.Primary, Fence: 1, Log: at(1, 1)}},
+		{name: "a fence ends replication", commands: []command{{name: "fence", term: 2}},
+			want: backend.Status{Role: backend.Replica, Fence: 2}},
+		{name: "a lower fence is refused", commands: []command{{name: "fence", term: 3}, {name: "fence", term: 2}},
+			kind: errkind.Fenced},
+		{name: "promotion at the fence", commands: []command{{name: "fence", term: 2}, {name: "promote", term: 2}},
+			want: backend.Status{Role: backend.Primary, Fence: 2, Log: at(2, 1)}},
+		{name: "promotion twice", commands: []command{{name: "fence", term: 2}, {name: "promote", term: 2}, {name: "promote", term: 2}},
+			want: backend.Status{Role: backend.Primary, Fence: 2, Log: at(2, 1)}},
+		{name: "promotion below the fence", commands: []command{{name: "fence", term: 3}, {name: "promote", term: 2}},
+			kind: errkind.Fenced},
+		{name: "promotion above the fence", commands: []command{{name: "fence", term: 2}, {name: "promote", term: 3}},
+			kind: errkind.Conflict},
+		{name: "promotion of a follower of the term", commands: []command{{name: "follow", term: 2, target: "a"}, {name: "promote", term: 2}},
+			kind: errkind.Conflict},
+		{name: "follow raises the fence", commands: []command{{name: "follow", term: 2, target: "c"}},
+			want: backend.Status{Role: backend.Replica, Fence: 2, Source: "c"}},
+		{name: "follow twice", commands: []command{{name: "follow", term: 2, target: "c"}, {name: "follow", term: 2, target: "c"}},
+			want: backend.Status{Role: backend.Replica, Fence: 2, Source: "c"}},
+		{name: "a primary follows a later one", primary: true, commands: []command{{name: "follow", term: 2, target: "c"}},
+			want: backend.Status{Role: backend.Replica, Fence: 2, Log: at(1, 1), Source: "c"}},
+		{name: "a primary does not follow in its term", primary: true, commands: []command{{name: "follow", term: 1, target: "c"}},
+			kind: errkind.Conflict},
+		{name: "nobody follows itself", commands: []command{{name: "follow", term: 2, target: "b"}},
+			kind: errkind.Conflict},
+		{name: "follow below the fence", commands: []command{{name: "fence", term: 3}, {name: "follow", term: 2, target: "c"}},
+			kind: errkind.Fenced},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			s := NewStore(StoreConfig{ID: "b", InitialPrimary: c.primary, InitialSource: "a"})
+			c.want.Instance = "b"
+			for i, cmd := range c.commands {
+				got, err := cmd.run(s.Control())
+				last := i == len(c.commands)-1
+				if last && c.kind != errkind.Internal {
+					if !errkind.Is(err, c.kind) {
+						t.Fatalf("error %v, want kind %v", err, c.kind)
+					}
+					return
+				}
+				if err != nil {
+					t.Fatalf("%s at %d: %v", cmd.name, cmd.term, err)
+				}
+				if diff := cmp.Diff(c.want, got); last && diff != "" {
+					t.Fatal(diff)
+				}
+			}
+		})
+	}
+}
+
+func TestMemoryGroup(t *testing.T) {
+	g := NewMemoryGroup("a", "b", "c")
+	defer g.Close()
+	ctx := testContext(t)
+	tx := g.Store("a").Begin(false)
+	mustExecute(tx, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
+	p, err := tx.Commit()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"b", "c"} {
+		if s, err := g.Store(id).Control().Wait(ctx, p, testDeadline); err != nil || !s.Confirms(p) {
+			t.Fatalf("instance %s: %+v, %v", id, s, err)
+		}
+	}
+	if s, err := g.Store("b").Control().Fence(ctx, 2); err != nil || s.Fence != 2 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	// A wait ends when a higher fence stands, whatever the position.
+	s, err := g.Store("b").Control().Wait(ctx, position.Position{Term: 1, Offset: 99}, testDeadline)
+	if err != nil || s.Fence != 2 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+}
--- a/internal/standin/dbinstance/fake.go
+++ b/internal/standin/dbinstance/fake.go
@@ -82,7 +82,7 @@
 		p := &puller{
 			store:  s,
 			dial:   g.dial,
-			lag:    func() time.Duration { return 0 },
+			delay:  func(ctx context.Context, _ time.Time) error { return canceled(ctx) },
 			report: func(Stream, error) {},
 		}
 		go func() {
--- /dev/null
+++ b/internal/standin/dbinstance/fault_test.go
@@ -0,0 +1,318 @@
+package dbinstance
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+)
+
+// startWithTable returns a server with the table kv, a connection of the proxy
+// VM vm1 in the domain east, and one without a name.
+func startWithTable(t *testing.T) (s *Server, named, other *pgx.Conn) {
+	t.Helper()
+	s = startServer(t, Config{})
+	other = connect(t, s)
+	exec(t, other, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
+	named, err := pgx.Connect(testContext(t), dsn(s)+"&application_name=chicoryline/vm1/east")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = named.Close(context.Background()) })
+	return s, named, other
+}
+
+// insertLater runs an INSERT in the background.
+func insertLater(conn *pgx.Conn) <-chan error {
+	done := make(chan error, 1)
+	go func() {
+		_, err := conn.Exec(context.Background(), "INSERT INTO kv VALUES ('x', 1)", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	return done
+}
+
+func countRows(t *testing.T, conn *pgx.Conn) int64 {
+	t.Helper()
+	return rowsOf(t, conn, "SELECT count(*) FROM kv")[0][0].(int64)
+}
+
+func TestCutHoldsRequests(t *testing.T) {
+	for _, party := range []string{"vm:vm1", "domain:east"} {
+		for _, d := range []Direction{CutBoth, CutInbound} {
+			s, named, other := startWithTable(t)
+			s.Cut(d, party)
+			done := insertLater(named)
+			exec(t, other, "UPDATE kv SET v = 0")
+			if n := countRows(t, other); n != 0 {
+				t.Errorf("cut %s %s: the request arrived", d, party)
+			}
+			s.Heal(party)
+			if err := <-done; err != nil {
+				t.Errorf("cut %s %s: after heal: %v", d, party, err)
+			}
+		}
+	}
+}
+
+func TestCutHoldsAnswers(t *testing.T) {
+	s, named, other := startWithTable(t)
+	s.Cut(CutOutbound, "vm:vm1")
+	done := insertLater(named)
+	waitFor(t, "arrival of the request", func() bool { return countRows(t, other) == 1 })
+	select {
+	case err := <-done:
+		t.Fatalf("the answer passed the cut: %v", err)
+	default:
+	}
+	s.Heal()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCutHoldsCancelRequest(t *testing.T) {
+	s, named, _ := startWithTable(t)
+	done := make(chan error, 1)
+	go func() {
+		_, err := named.Exec(context.Background(), "SELECT pg_sleep(3600)", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	pid, secret := named.PgConn().PID(), named.PgConn().SecretKey()
+	waitFor(t, "running statement", func() bool {
+		s.mu.Lock()
+		ss := s.sessions[pid]
+		s.mu.Unlock()
+		ss.mu.Lock()
+		defer ss.mu.Unlock()
+		return ss.cancel != nil
+	})
+	s.Cut(CutInbound, "vm:vm1")
+	if s.cancel(pid, secret) {
+		t.Error("the cancel request passed the cut")
+	}
+	s.Heal()
+	if s.cancel(pid, []byte("none")) {
+		t.Error("a cancel request with a wrong secret was taken")
+	}
+	if !s.cancel(pid, secret) {
+		t.Error("the cancel request did not arrive")
+	}
+	wantCode(t, <-done, codeCanceled)
+}
+
+func TestFreeze(t *testing.T) {
+	s, named, other := startWithTable(t)
+	s.Freeze()
+	done := insertLater(named)
+	connected := make(chan error, 1)
+	go func() {
+		conn, err := pgx.Connect(context.Background(), dsn(s))
+		if err == nil {
+			err = conn.Close(context.Background())
+		}
+		connected <- err
+	}()
+	select {
+	case <-done:
+		t.Fatal("answer of a frozen instance")
+	case <-connected:
+		t.Fatal("connection to a frozen instance")
+	default:
+	}
+	s.Thaw()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+	if err := <-connected; err != nil {
+		t.Fatal(err)
+	}
+	if n := countRows(t, other); n != 1 {
+		t.Fatalf("%d rows after thaw", n)
+	}
+}
+
+func TestCutReplication(t *testing.T) {
+	g := startGroup(t, Config{})
+	conn := connect(t, g.servers["a"])
+	exec(t, conn, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
+	before := lastPosition(t, g.servers["a"])
+	g.converge(t, "b", before)
+	g.servers["a"].Cut(CutBoth, "instance:b")
+	exec(t, conn, "INSERT INTO kv VALUES ('a', 1)")
+	after := lastPosition(t, g.servers["a"])
+	g.converge(t, "c", after)
+	if got := lastPosition(t, g.servers["b"]); got != before {
+		t.Errorf("instance b at %v behind the cut, want %v", got, before)
+	}
+	g.servers["a"].Heal("instance:b")
+	g.converge(t, "b", after)
+}
+
+func TestCutNextAnswer(t *testing.T) {
+	for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeCacheStatement} {
+		s, named, other := startWithTable(t)
+		exec(t, other, "INSERT INTO kv VALUES ('a', 1), ('b', 2), ('c', 3)")
+		s.CutNextAnswer(2)
+		rows, err := named.Query(testContext(t), "SELECT * FROM kv", mode)
+		if err != nil {
+			t.Fatal(err)
+		}
+		n := 0
+		for rows.Next() {
+			n++
+		}
+		if n != 2 || rows.Err() == nil {
+			t.Errorf("%v: %d rows and error %v, want 2 rows and a broken connection", mode, n, rows.Err())
+		}
+		if n := countRows(t, other); n != 3 {
+			t.Errorf("%v: the switch stayed on", mode)
+		}
+	}
+}
+
+func TestBreakNextCommit(t *testing.T) {
+	cases := []struct {
+		at      CommitBreak
+		command string
+		want    int64
+	}{
+		{BreakBeforeCommit, "BEGIN; INSERT INTO kv VALUES ('x', 1); COMMIT", 0},
+		{BreakAfterCommit, "BEGIN; INSERT INTO kv VALUES ('x', 1); COMMIT", 1},
+		{BreakBeforeCommit, "INSERT INTO kv VALUES ('x', 1)", 0},
+		{BreakAfterCommit, "INSERT INTO kv VALUES ('x', 1)", 1},
+	}
+	for _, c := range cases {
+		for _, mode := range []pgx.QueryExecMode{pgx.QueryExecModeSimpleProtocol, pgx.QueryExecModeExec} {
+			if mode == pgx.QueryExecModeExec && strings.Contains(c.command, ";") {
+				continue
+			}
+			s, named, other := startWithTable(t)
+			s.BreakNextCommit(c.at)
+			_, err := named.Exec(testContext(t), c.command, mode)
+			var answer *pgconn.PgError
+			if err == nil || errors.As(err, &answer) {
+				t.Errorf("%s %q: error %v, want a broken connection", c.at, c.command, err)
+			}
+			if n := countRows(t, other); n != c.want {
+				t.Errorf("%s %q: %d rows, want %d", c.at, c.command, n, c.want)
+			}
+		}
+	}
+}
+
+func TestDelayNextAnswer(t *testing.T) {
+	s, named, other := startWithTable(t)
+	s.DelayNextAnswer(time.Hour)
+	ctx, cancel := context.WithCancel(testContext(t))
+	done := make(chan error, 1)
+	go func() {
+		_, err := named.Exec(ctx, "INSERT INTO kv VALUES ('x', 1)", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	waitFor(t, "effect before the answer", func() bool {
+		s.faults.mu.Lock()
+		taken := s.faults.lateAnswer == 0
+		s.faults.mu.Unlock()
+		return taken && countRows(t, other) == 1
+	})
+	cancel()
+	if err := <-done; err == nil {
+		t.Fatal("the answer was not held back")
+	}
+}
+
+func TestKillAndRestart(t *testing.T) {
+	s, named, _ := startWithTable(t)
+	exec(t, named, "INSERT INTO kv VALUES ('x', 1)")
+	s.Kill()
+	<-s.Done()
+	if _, err := named.Exec(testContext(t), "SELECT 1"); err == nil {
+		t.Fatal("a killed instance answered")
+	}
+	s.Close()
+	again := startServer(t, Config{ID: "a", Store: s.Store()})
+	if n := countRows(t, connect(t, again)); n != 1 {
+		t.Fatalf("%d rows after the restart", n)
+	}
+}
+
+func TestAdminCalls(t *testing.T) {
+	s := startServer(t, Config{AdminListen: "127.0.0.1:0"})
+	cases := []struct {
+		query string
+		code  int
+		want  FaultReport
+	}{
+		{"name=cut&direction=out&parties=vm:x,domain:y", 200, FaultReport{Cuts: []string{"domain:y out", "vm:x out"}}},
+		{"name=heal&parties=vm:x", 200, FaultReport{Cuts: []string{"domain:y out"}}},
+		{"name=heal", 200, FaultReport{}},
+		{"name=freeze", 200, FaultReport{Frozen: true}},
+		{"name=thaw", 200, FaultReport{}},
+		{"name=replication_lag&value=20ms", 200, FaultReport{ReplicationLag: "20ms"}},
+		{"name=statement_delay&value=3ms", 200, FaultReport{ReplicationLag: "20ms", StatementDelay: "3ms"}},
+		{"name=cut&direction=sideways&parties=vm:x", 400, FaultReport{}},
+		{"name=cut&direction=both", 400, FaultReport{}},
+		{"name=cut_answer&rows=-1", 400, FaultReport{}},
+		{"name=break_commit&when=never", 400, FaultReport{}},
+		{"name=replication_lag&value=soon", 400, FaultReport{}},
+		{"name=none", 404, FaultReport{}},
+	}
+	for _, c := range cases {
+		resp, err := http.Post("http://"+s.AdminAddr()+"/fault?"+c.query, "", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = resp.Body.Close()
+		if resp.StatusCode != c.code {
+			t.Errorf("%s: status %d, want %d", c.query, resp.StatusCode, c.code)
+		}
+		if c.code == http.StatusOK {
+			if diff := cmp.Diff(withDefaults(c.want), s.Faults()); diff != "" {
+				t.Errorf("%s: %s", c.query, diff)
+			}
+		}
+	}
+	resp, err := http.Get("http://" + s.AdminAddr() + "/status")
+	if err != nil {
+		t.Fatal(err)
+	}
+	body, err := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	if err != nil || !strings.Contains(string(body), `"Instance":"a"`) {
+		t.Errorf("status %s, %v", body, err)
+	}
+}
+
+func withDefaults(r FaultReport) FaultReport {
+	for _, d := range []*string{&r.ReplicationLag, &r.StatementDelay, &r.ConnectDelay, &r.LateAnswer} {
+		if *d == "" {
+			*d = "0s"
+		}
+	}
+	if r.Cuts == nil {
+		r.Cuts = []string{}
+	}
+	r.CutAfterRows = noRowLimit
+	return r
+}
+
+func TestAdminKill(t *testing.T) {
+	s := startServer(t, Config{})
+	admin := httptest.NewServer(s.AdminHandler())
+	defer admin.Close()
+	resp, err := http.Post(admin.URL+"/fault?name=kill", "", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = resp.Body.Close()
+	<-s.Done()
+}
--- /dev/null
+++ b/internal/standin/dbinstance/main_test.go
@@ -0,0 +1,23 @@
+package dbinstance
+
+import (
+	"flag"
+	"os"
+	"testing"
+)
+
+// Defaults of the property tests; a flag on the command line overrides them.
+var rapidDefaults = map[string]string{
+	"rapid.seed":   "20240817",
+	"rapid.checks": "200",
+}
+
+func TestMain(m *testing.M) {
+	for name, value := range rapidDefaults {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	flag.Parse()
+	os.Exit(m.Run())
+}
--- /dev/null
+++ b/internal/standin/dbinstance/model_test.go
@@ -0,0 +1,225 @@
+package dbinstance
+
+import (
+	"context"
+	"fmt"
+	"slices"
+
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/position"
+)
+
+// model drives a group of stores as stewards, pool owners and replication do,
+// one step at a time and in any order. It offers only steps that can have an
+// effect, so that a run of some hundred steps holds many failovers.
+type model struct {
+	ids    []string
+	stores map[string]*Store
+	// stewards own the terms from 2 on, in order.
+	stewards []*modelSteward
+	// leaders maps each term to the instance that was promoted at it.
+	leaders map[uint64]string
+	open    []*modelTx
+	writes  []*modelWrite
+	// flying holds answers of primaries that have not arrived yet.
+	flying []modelBatch
+	keys   int
+}
+
+// modelSteward owns one term and the statuses of the instances it has fenced.
+type modelSteward struct {
+	term    uint64
+	fenced  map[string]backend.Status
+	primary string
+}
+
+// modelTx is a transaction that has written and not committed.
+type modelTx struct {
+	key string
+	tx  *Tx
+}
+
+// modelWrite is a commit and the instances that have confirmed it.
+type modelWrite struct {
+	key       string
+	position  position.Position
+	confirmed map[string]bool
+}
+
+// modelBatch is an answer on its way to a replica.
+type modelBatch struct {
+	to     string
+	stream Stream
+	after  position.Position
+	batch  Batch
+}
+
+func newModel(n int) *model {
+	m := &model{stores: map[string]*Store{}, leaders: map[uint64]string{1: "a"}}
+	for i := range n {
+		id := string(rune('a' + i))
+		cfg := StoreConfig{ID: id, InitialPrimary: i == 0}
+		if i > 0 {
+			cfg.InitialSource = "a"
+		}
+		m.ids = append(m.ids, id)
+		m.stores[id] = NewStore(cfg)
+	}
+	tx := m.stores["a"].Begin(false)
+	mustExecute(tx, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
+	if _, err := tx.Commit(); err != nil {
+		panic(err)
+	}
+	return m
+}
+
+func mustExecute(tx *Tx, text string) {
+	list, err := parseSQL(text)
+	if err != nil {
+		panic(err)
+	}
+	for _, stmt := range list {
+		if _, err := tx.Execute(context.Background(), stmt, nil, nil); err != nil {
+			panic(err)
+		}
+	}
+}
+
+// step is a step that the model can take now.
+type step func(t *rapid.T)
+
+// next takes one step, of the data path more often than of a failover.
+func (m *model) next(t *rapid.T) {
+	list := m.failoverSteps()
+	if data := m.dataSteps(); len(data) > 0 && rapid.IntRange(0, 3).Draw(t, "failover") > 0 {
+		list = data
+	}
+	rapid.SampledFrom(list).Draw(t, "step")(t)
+}
+
+// dataSteps are the steps of writers, replication and pool owners.
+func (m *model) dataSteps() []step {
+	var list []step
+	for _, id := range m.ids {
+		s := m.stores[id]
+		if s.writable() && len(m.open) < 2 && s.tables["kv"] != nil {
+			list = append(list, func(*rapid.T) { m.begin(s) })
+		}
+		if st, _ := s.Stream(); st.Source != "" && len(m.flying) < 2*len(m.ids) {
+			list = append(list, func(*rapid.T) { m.request(id, st) })
+		}
+	}
+	for _, tx := range m.open {
+		list = append(list, func(*rapid.T) { m.commit(tx) })
+	}
+	for i := range m.flying {
+		list = append(list, func(*rapid.T) { m.deliver(i) })
+	}
+	for _, w := range m.writes[max(0, len(m.writes)-8):] {
+		for _, id := range m.ids {
+			if !w.confirmed[id] && m.stores[id].Status().Confirms(w.position) {
+				list = append(list, func(*rapid.T) { m.confirm(w, id) })
+			}
+		}
+	}
+	return list
+}
+
+// failoverSteps are the steps of the last few stewards, and of a new one.
+func (m *model) failoverSteps() []step {
+	list := []step{m.claim}
+	for _, st := range m.stewards[max(0, len(m.stewards)-3):] {
+		switch {
+		case st.primary != "":
+			list = append(list, func(t *rapid.T) { m.follow(t, st) })
+		case len(st.fenced) >= backend.Majority(len(m.ids)):
+			list = append(list, func(*rapid.T) { m.promote(st) }, func(t *rapid.T) { m.fence(t, st) })
+		default:
+			list = append(list, func(t *rapid.T) { m.fence(t, st) }, func(t *rapid.T) { m.fence(t, st) })
+		}
+	}
+	return list
+}
+
+func (m *model) instance(t *rapid.T) string { return rapid.SampledFrom(m.ids).Draw(t, "instance") }
+
+// begin writes a row on an instance that still takes writes, replaced or not.
+func (m *model) begin(s *Store) {
+	m.keys++
+	w := &modelTx{key: fmt.Sprintf("k%d", m.keys), tx: s.Begin(false)}
+	mustExecute(w.tx, fmt.Sprintf("INSERT INTO kv VALUES ('%s', 1)", w.key))
+	m.open = append(m.open, w)
+}
+
+func (m *model) commit(w *modelTx) {
+	m.open = slices.DeleteFunc(m.open, func(o *modelTx) bool { return o == w })
+	if p, err := w.tx.Commit(); err == nil {
+		m.writes = append(m.writes, &modelWrite{key: w.key, position: p, confirmed: map[string]bool{}})
+	}
+}
+
+// confirm notes that the instance has confirmed the write.
+func (m *model) confirm(w *modelWrite, id string) { w.confirmed[id] = true }
+
+// request lets a replica ask its source; the answer is on its way afterwards.
+func (m *model) request(id string, st Stream) {
+	s := m.stores[id]
+	c := newCursor(s)
+	for {
+		b, err := m.stores[st.Source].ReadLog(context.Background(), st.Term, c.at, 0)
+		if err != nil {
+			return
+		}
+		if b.Match {
+			b.Entries = b.Entries[:min(len(b.Entries), 4)]
+			m.flying = append(m.flying, modelBatch{id, st, c.at, b})
+			return
+		}
+		c.back(s, b.Floor)
+	}
+}
+
+// deliver brings one answer to its replica, in any order.
+func (m *model) deliver(i int) {
+	b := m.flying[i]
+	m.flying = slices.Delete(m.flying, i, i+1)
+	_ = m.stores[b.to].Accept(b.stream, b.after, b.batch.Entries)
+}
+
+// claim starts a steward with the next term.
+func (m *model) claim(*rapid.T) {
+	term := uint64(len(m.stewards)) + 2
+	m.stewards = append(m.stewards, &modelSteward{term: term, fenced: map[string]backend.Status{}})
+}
+
+func (m *model) fence(t *rapid.T, st *modelSteward) {
+	id := m.instance(t)
+	if status, err := m.stores[id].Fence(st.term); err == nil {
+		st.fenced[id] = status
+	}
+}
+
+// promote picks the highest log of a fenced majority.
+func (m *model) promote(st *modelSteward) {
+	best := ""
+	for _, id := range m.ids {
+		s, ok := st.fenced[id]
+		if ok && (best == "" || s.Log.Compare(st.fenced[best].Log) > 0) {
+			best = id
+		}
+	}
+	st.primary = best
+	if _, err := m.stores[best].Promote(st.term); err == nil {
+		m.leaders[st.term] = best
+	}
+}
+
+// follow sends one instance to the primary of the steward's term.
+func (m *model) follow(t *rapid.T, st *modelSteward) {
+	id := m.instance(t)
+	if leader, ok := m.leaders[st.term]; ok {
+		_, _ = m.stores[id].Follow(st.term, leader)
+	}
+}
--- /dev/null
+++ b/internal/standin/dbinstance/property_test.go
@@ -0,0 +1,90 @@
+package dbinstance
+
+import (
+	"reflect"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/position"
+)
+
+// modelSteps is the number of steps of one run of the model.
+const modelSteps = 150
+
+// check holds the invariants: a write that a majority has confirmed is in the
+// log of the newest primary, and no log is ahead of its fence.
+func (m *model) check(t *rapid.T) {
+	top := uint64(0)
+	for term := range m.leaders {
+		top = max(top, term)
+	}
+	leader := m.stores[m.leaders[top]]
+	for _, w := range m.writes {
+		if len(w.confirmed) < backend.Majority(len(m.ids)) {
+			continue
+		}
+		if !leader.log.holds(w.position) || !hasKey(leader, w.key) {
+			t.Fatalf("write %s at %v is lost at %s, the primary of term %d", w.key, w.position, leader.id, top)
+		}
+	}
+	for _, id := range m.ids {
+		s := m.stores[id].Status()
+		if s.Log.Term > s.Fence {
+			t.Fatalf("the log of %s is ahead of its fence: %+v", id, s)
+		}
+		if s.Role == backend.Primary && !s.Leads() {
+			t.Fatalf("%s is a primary that does not lead: %+v", id, s)
+		}
+	}
+}
+
+// checkLogs checks that equal positions hold equal prefixes, and that every
+// store's tables are those of its log.
+func (m *model) checkLogs(t *rapid.T) {
+	entries := map[position.Position]Entry{}
+	before := map[position.Position]position.Position{}
+	for _, id := range m.ids {
+		s := m.stores[id]
+		last := position.Position{}
+		rebuilt := tableSet{}
+		for i, e := range s.log {
+			if old, ok := entries[e.Position]; ok && (!reflect.DeepEqual(old, e) || before[e.Position] != last) {
+				t.Fatalf("two logs differ at %v", e.Position)
+			}
+			entries[e.Position], before[e.Position] = e, last
+			if e.Position.Offset != uint64(i)+1 || e.Position.Term < last.Term {
+				t.Fatalf("log of %s is not in order at %v", id, e.Position)
+			}
+			last = e.Position
+			rebuilt.apply(e.Changes)
+		}
+		if diff := cmp.Diff(rebuilt, s.tables, cmp.AllowUnexported(table{})); diff != "" {
+			t.Fatalf("tables of %s are not those of its log: %s", id, diff)
+		}
+	}
+}
+
+func hasKey(s *Store, key string) bool {
+	t, ok := s.tables["kv"]
+	if !ok {
+		return false
+	}
+	_, ok = t.byKey[textValue(key)]
+	return ok
+}
+
+// TestConfirmedWritesSurvive checks that a write confirmed by a majority is
+// never lost, whatever the order of fences, promotions and follows.
+func TestConfirmedWritesSurvive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(rapid.SampledFrom([]int{3, 5}).Draw(t, "instances"))
+		for range modelSteps {
+			m.next(t)
+			m.check(t)
+		}
+		m.checkLogs(t)
+	})
+}
--- a/internal/standin/dbinstance/session_run.go
+++ b/internal/standin/dbinstance/session_run.go
@@ -66,7 +66,25 @@
 	if err := s.srv.occupy(ctx, time.Duration(s.srv.statementDelay.Load())+sleep); err != nil {
 		return nil, err
 	}
-	return s.transaction().Execute(ctx, stmt, params, types)
+	res, err := s.transaction().Execute(ctx, stmt, params, types)
+	if err != nil {
+		return nil, err
+	}
+	s.late += s.srv.faults.takeLateAnswer()
+	if res.Columns != nil {
+		s.cutAfter = s.srv.faults.takeRowLimit()
+	}
+	return res, nil
+}
+
+// delayAnswer waits as long as the fault switch says.
+func (s *session) delayAnswer() error {
+	d := s.late
+	s.late = 0
+	if d > 0 && pause(s.srv.ctx, d) != nil {
+		return errors.Trace(errEnd)
+	}
+	return nil
 }
 
 // transaction returns the open transaction, or a new implicit one.
@@ -108,10 +126,21 @@
 	if tx == nil {
 		return nil
 	}
+	broken := CommitIntact
+	if tx.changed() {
+		broken = s.srv.faults.takeCommitBreak()
+	}
+	if broken == BreakBeforeCommit {
+		tx.Rollback()
+		return errors.Trace(errEnd)
+	}
 	p, err := tx.Commit()
 	if err != nil {
 		return err
 	}
+	if broken == BreakAfterCommit {
+		return errors.Trace(errEnd)
+	}
 	if !p.IsZero() {
 		s.committed = p
 	}
@@ -192,23 +221,39 @@
 	return nil
 }
 
+// sendRows sends rows, and breaks off where the fault switch says.
 func (s *session) sendRows(columns []ResultColumn, rows [][]Value, formats []int16) error {
+	cut := s.cutAfter != noRowLimit
+	if cut {
+		rows = rows[:min(len(rows), s.cutAfter)]
+	}
 	for i, row := range rows {
-		values := make([][]byte, len(row))
-		for c, v := range row {
-			data, err := v.encode(columns[c].OID, formatOf(formats, c))
-			if err != nil {
-				return err
-			}
-			values[c] = data
+		if err := s.sendRow(columns, row, formats); err != nil {
+			return err
 		}
-		s.be.Send(&pgproto3.DataRow{Values: values})
 		if i%flushRows == flushRows-1 {
 			if err := s.be.Flush(); err != nil {
 				return errors.Trace(errEnd)
 			}
 		}
 	}
+	if cut {
+		_ = s.be.Flush()
+		return errors.Trace(errEnd)
+	}
+	return nil
+}
+
+func (s *session) sendRow(columns []ResultColumn, row []Value, formats []int16) error {
+	values := make([][]byte, len(row))
+	for c, v := range row {
+		data, err := v.encode(columns[c].OID, formatOf(formats, c))
+		if err != nil {
+			return err
+		}
+		values[c] = data
+	}
+	s.be.Send(&pgproto3.DataRow{Values: values})
 	return nil
 }
 
--- a/internal/standin/dbinstance/tx.go
+++ b/internal/standin/dbinstance/tx.go
@@ -72,6 +72,13 @@
 	return s.append(tx.changes), nil
 }
 
+// changed reports whether the transaction has changes.
+func (tx *Tx) changed() bool {
+	tx.store.mu.Lock()
+	defer tx.store.mu.Unlock()
+	return len(tx.changes) > 0
+}
+
 // Rollback ends the transaction without effect. It may follow Commit.
 func (tx *Tx) Rollback() {
 	tx.store.mu.Lock()
