--- a/cmd/chicoryline/standin.go
+++ b/cmd/chicoryline/standin.go
@@ -82,7 +82,7 @@
 		peers[id] = address
 	}
 	server, err := dbinstance.Start(dbinstance.Config{
-		ID: c.ID, Group: c.Group, Domain: c.Domain, Listen: c.Listen,
+		ID: c.ID, Group: c.Group, Domain: c.Domain, Listen: c.Listen, AdminListen: c.Admin,
 		Peers:          func(id string) string { return peers[id] },
 		InitialPrimary: c.Primary, InitialSource: c.Source,
 		Connections: c.Connections, Slots: c.Slots, ConnectDelay: c.ConnectDelay,
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -16,6 +16,7 @@
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
+	"chicoryline/internal/timeline"
 )
 
 // node is one process of the fleet on loopback.
@@ -39,13 +40,14 @@
 	log.SetLevel(logrus.ErrorLevel)
 	entry := logrus.NewEntry(log)
 	n := &node{vm: platform.VM{ID: id, Domain: "a", Address: listener.Addr().String()}, system: frame.New(entry)}
-	n.client = peer.NewClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+	clock := timeline.NewClock(time.Now)
+	n.client = peer.NewClient(clock, func(ctx context.Context, network, address string) (net.Conn, error) {
 		if n.cut.Load() {
 			return nil, errors.New("cut")
 		}
 		return (&net.Dialer{}).DialContext(ctx, network, address)
 	}, nil)
-	n.server = peer.NewServer(listener, nil)
+	n.server = peer.NewServer(clock, listener, nil)
 	n.fleet, err = New(Config{
 		Self: n.vm, Services: services, Caller: n.client, System: n.system, Log: entry, Seeds: seeds,
 		HeartbeatInterval: 20 * time.Millisecond, SuspectAfter: 400 * time.Millisecond,
