Thin whole path as separate processes, with faults

Cause of two faults found by the black-box test: a request waited 75 s for the answer of a frozen pool owner, and 60 s for that of a frozen, replaced primary. Ruled out: a lost retry (no byte may be sent again). Change: calls end with the owner's process as the membership gives it up; statements end when another instance leads or a replica has fallen silent.

--- a/cmd/chicoryline/main.go
+++ b/cmd/chicoryline/main.go
@@ -63,6 +63,6 @@
 	log := logrus.New()
 	log.SetOutput(os.Stderr)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	return logrus.NewEntry(log)
 }
--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -195,9 +195,7 @@
 }
 
 func isRead(c statementClass) bool          { return c.read }
-func isBegin(c statementClass) bool         { return c.begin }
 func isReadOnlyBegin(c statementClass) bool { return c.readOnlyBegin }
-func isEnd(c statementClass) bool           { return c.end }
 func mayCommit(c statementClass) bool       { return c.end && !c.rollback }
 func isLocal(c statementClass) bool         { return c.local != notLocal }
 func leavesState(c statementClass) bool     { return c.leavesState }
--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -22,6 +22,9 @@
 	idleTransactionTimeout = 2 * time.Minute
 	// sweepInterval is the pause between two looks for abandoned sessions.
 	sweepInterval = time.Second
+	// giveUpInterval is the pause between two looks for statements at instances
+	// that were replaced or have fallen silent.
+	giveUpInterval = 50 * time.Millisecond
 	// defaultQueueTimeout is the admission deadline of a request without one.
 	defaultQueueTimeout = 2 * time.Second
 )
@@ -67,9 +70,12 @@
 	target *cancelTarget
 }
 
+// cancelTarget is the statement that a session runs at present.
 type cancelTarget struct {
 	key   cancelKey
 	owner *Owner
+	conn  *conn
+	write bool
 }
 
 type indexResult struct {
@@ -124,10 +130,10 @@
 	return len(m.sessions)
 }
 
-// DropVM ends the sessions of the VM that are older than the incarnation:
-// their entry process is gone. Open transactions roll back.
+// DropVM ends the sessions of the VM up to the incarnation: their entry process
+// is gone. Open transactions roll back.
 func (m *Manager) DropVM(vm string, incarnation int64) {
-	for _, s := range m.list(func(id SessionID) bool { return id.VM == vm && id.Incarnation < incarnation }) {
+	for _, s := range m.list(func(id SessionID) bool { return id.VM == vm && id.Incarnation <= incarnation }) {
 		m.abort(s, "entry is gone")
 	}
 }
@@ -160,16 +166,32 @@
 func (m *Manager) sweep() {
 	ticker := time.NewTicker(sweepInterval)
 	defer ticker.Stop()
+	quick := time.NewTicker(giveUpInterval)
+	defer quick.Stop()
 	for {
 		select {
 		case <-m.stop:
 			return
 		case now := <-ticker.C:
 			m.sweepOnce(now)
+		case <-quick.C:
+			m.giveUp()
 		}
 	}
 }
 
+// giveUp breaks the connections of statements that wait for an answer in vain.
+// The statement's own goroutine then answers with the kind that fits.
+func (m *Manager) giveUp() {
+	for _, s := range m.list(func(SessionID) bool { return true }) {
+		s.keyMu.Lock()
+		if t := s.target; t != nil && t.owner.hopeless(t.write) {
+			_ = t.conn.net.Close()
+		}
+		s.keyMu.Unlock()
+	}
+}
+
 func (m *Manager) sweepOnce(now time.Time) {
 	for _, s := range m.list(func(SessionID) bool { return true }) {
 		if !s.mu.TryLock() {
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -28,6 +28,8 @@
 	Log(instance string) position.Position
 	// Age returns an upper bound of the age of the instance's data.
 	Age(instance string) (time.Duration, bool)
+	// Silence returns the time since the instance last answered a probe.
+	Silence(instance string) time.Duration
 }
 
 const (
@@ -35,6 +37,9 @@
 	reachTimeout = 40 * time.Millisecond
 	// reachInterval is the pause between two looks at a replica's position.
 	reachInterval = 2 * time.Millisecond
+	// silenceLimit is the silence of an instance after which reads there are
+	// given up and no new ones begin.
+	silenceLimit = time.Second
 	// idleLifetime is the age at which an unused connection is closed.
 	idleLifetime = 5 * time.Minute
 )
@@ -233,6 +238,9 @@
 		}
 		return nil
 	}
+	if o.cfg.Watcher.Silence(id) > silenceLimit {
+		return errkind.New(errkind.NotEligible, "%s does not answer", id)
+	}
 	if args.Current || primary == id {
 		return nil
 	}
@@ -242,6 +250,18 @@
 	return nil
 }
 
+// hopeless reports whether a statement that runs at the instance should be
+// given up: a write because another instance leads by now, a read because the
+// instance has fallen silent.
+func (o *Owner) hopeless(write bool) bool {
+	id := o.cfg.Instance.ID
+	if write {
+		primary, _, ok := o.cfg.Watcher.Primary()
+		return ok && primary != id
+	}
+	return o.cfg.Watcher.Silence(id) > silenceLimit
+}
+
 // reach waits until the instance holds the position.
 func (o *Owner) reach(ctx context.Context, c *conn, p position.Position) error {
 	id := o.cfg.Instance.ID
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -21,14 +21,19 @@
 
 // watcher is a group's watcher whose answers the test sets.
 type watcher struct {
-	primary   string
+	primary   atomic.Pointer[string]
 	index     error
 	confirm   error
 	confirmed atomic.Int64
 	age       time.Duration
+	silence   atomic.Int64
 }
 
-func (w *watcher) Primary() (string, uint64, bool) { return w.primary, 1, w.primary != "" }
+func (w *watcher) setPrimary(id string) { w.primary.Store(&id) }
+func (w *watcher) Primary() (string, uint64, bool) {
+	id := *w.primary.Load()
+	return id, 1, id != ""
+}
 func (w *watcher) ReadIndex(context.Context) (position.Position, error) {
 	return position.Position{Term: 1, Offset: 1}, w.index
 }
@@ -38,6 +43,7 @@
 }
 func (w *watcher) Log(string) position.Position     { return position.Position{} }
 func (w *watcher) Age(string) (time.Duration, bool) { return w.age, true }
+func (w *watcher) Silence(string) time.Duration     { return time.Duration(w.silence.Load()) }
 
 type silent struct{}
 
@@ -62,7 +68,8 @@
 	t.Cleanup(server.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := &fixture{t: t, server: server, watcher: &watcher{primary: "db1"}}
+	f := &fixture{t: t, server: server, watcher: &watcher{}}
+	f.watcher.setPrimary("db1")
 	f.manager = NewManager(logrus.NewEntry(log), silent{})
 	t.Cleanup(f.manager.Close)
 	f.owner = NewOwner(OwnerConfig{
@@ -138,7 +145,7 @@
 
 func TestWriteNeedsProvedPrimary(t *testing.T) {
 	f := newFixture(t, 2)
-	f.watcher.primary = "db2"
+	f.watcher.setPrimary("db2")
 	if _, err := f.execute(f.query("INSERT INTO t (k, v) VALUES (1, 'a')")); !errkind.Is(err, errkind.NoPrimary) {
 		t.Fatalf("%v, want no primary", err)
 	}
@@ -335,7 +342,38 @@
 			for !f.manager.running(args.Session) {
 				time.Sleep(time.Millisecond)
 			}
-			f.server.Close()
+			f.server.Kill()
+			if err := <-result; !errkind.Is(err, c.want) {
+				t.Fatalf("%v, want %s", err, c.want)
+			}
+		})
+	}
+}
+
+// TestHopelessStatementIsGivenUp freezes the instance under a running
+// statement: a write ends when another instance leads, a read when the instance
+// has fallen silent.
+func TestHopelessStatementIsGivenUp(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		write bool
+		want  errkind.Kind
+	}{{"write", true, errkind.OutcomeUnknown}, {"read", false, errkind.AnswerIncomplete}} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newFixture(t, 2)
+			args := f.query("SELECT pg_sleep(30)")
+			args.Write, args.ReadOnly = c.write, !c.write
+			result := make(chan error, 1)
+			go func() {
+				_, err := f.execute(args)
+				result <- err
+			}()
+			for !f.manager.running(args.Session) {
+				time.Sleep(time.Millisecond)
+			}
+			f.server.Freeze()
+			f.watcher.setPrimary("db2")
+			f.watcher.silence.Store(int64(time.Minute))
 			if err := <-result; !errkind.Is(err, c.want) {
 				t.Fatalf("%v, want %s", err, c.want)
 			}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -94,7 +94,7 @@
 	s.args, s.part = args, 0
 	s.conn.position = position.Position{}
 	s.exchange = &exchange{conn: s.conn, deadline: time.Now().Add(statementTimeout)}
-	s.setTarget(&cancelTarget{key: s.conn.key, owner: s.owner})
+	s.setTarget(&cancelTarget{key: s.conn.key, owner: s.owner, conn: s.conn, write: args.Write})
 	if err := s.exchange.start(args); err != nil {
 		sent := s.exchange.sent
 		m.stopExchange(s)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -65,6 +65,7 @@
 	limiter  *localLimiter
 	stewards *failover.Service
 	topology *topology
+	liveness *liveness
 	pool     *pool.Manager
 	router   *router.Router
 	callers  *caller.Server
@@ -138,9 +139,10 @@
 	}
 	p.pool = pool.NewManager(p.log, p)
 	p.router = router.New(router.Config{
-		Domain: p.vm.Domain, Topology: p.topology, Peers: p.peers,
+		Domain: p.vm.Domain, Topology: p.topology, Liveness: p.liveness, Peers: p.peers,
 		RetryWindow: p.settings.RetryWindow, Rand: p.newRand(),
 	})
+	p.fleet.Directory().Watch(p.membersChanged)
 	p.buildCallers(callerTLS)
 	return p.register()
 }
@@ -154,6 +156,7 @@
 	if err != nil {
 		return errors.Annotate(err, "membership")
 	}
+	p.liveness = newLiveness()
 	p.topology = newTopology(p.services, p.fleet.Directory(), p.log)
 	p.config = configsync.New(configsync.Config{
 		VM: p.vm, Incarnation: uint64(p.started.UnixNano()), Services: p.services, Caller: p.peers, System: p.system,
@@ -168,7 +171,7 @@
 
 func (p *Proxy) buildCallers(config *tls.Config) {
 	p.callers = caller.NewServer(p.callerListener, caller.Config{
-		VM: p.vm.ID, Incarnation: p.started.UnixNano(), Access: p.access, Limiter: p.limiter,
+		VM: p.vm.ID, Incarnation: p.fleet.Directory().Self().Incarnation, Access: p.access, Limiter: p.limiter,
 		Router: p.router, Observer: p, Cancels: p, TLS: config,
 		MaxMessageBytes: p.settings.MaxMessageBytes, QueueTimeout: p.settings.QueueTimeout, Log: p.log,
 	})
--- a/internal/proxy/watch.go
+++ b/internal/proxy/watch.go
@@ -41,6 +41,17 @@
 	return g.watcher.View().AgeBound(instance, time.Now())
 }
 
+// Silence implements pool.GroupWatcher.
+func (g groupWatcher) Silence(instance string) time.Duration {
+	view := g.watcher.View()
+	i, _ := view.Instance(instance)
+	last := i.Received
+	if last.IsZero() {
+		last = view.Started
+	}
+	return time.Since(last)
+}
+
 // view describes the group to an entry.
 func (g groupWatcher) view() pool.ViewReply {
 	view := g.watcher.View()
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -29,11 +29,18 @@
 type Config struct {
 	Domain      string
 	Topology    Topology
+	Liveness    Liveness
 	Peers       peer.Caller
 	RetryWindow time.Duration
 	Rand        *rand.Rand
 }
 
+// Liveness knows which processes have ended.
+type Liveness interface {
+	// Alive returns a context that ends when the VM's process is given up.
+	Alive(vm string) context.Context
+}
+
 // Router sends requests to pool owners. The mutex guards the random source.
 type Router struct {
 	cfg   Config
@@ -208,7 +215,7 @@
 	if request.OnTarget != nil {
 		request.OnTarget(pin)
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := r.callContext(ctx, pin)
 	defer cancel()
 	result := &Result{Pin: pin}
 	if err := r.cfg.Peers.Call(ctx, pin.Address, "Pool.Execute", args, &result.ExecuteReply); err != nil {
@@ -220,6 +227,16 @@
 	return result, nil
 }
 
+// callContext ends after callTimeout or with the owner's process.
+func (r *Router) callContext(ctx context.Context, pin Pin) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	unwatch := context.AfterFunc(r.cfg.Liveness.Alive(pin.VM), cancel)
+	return ctx, func() {
+		unwatch()
+		cancel()
+	}
+}
+
 // lost gives the true kind of a call whose answer did not come, and makes the
 // owner end what may still run.
 func (r *Router) lost(pin Pin, args *pool.ExecuteArgs, err error) error {
@@ -255,7 +272,7 @@
 
 // Fetch returns the next part of an answer.
 func (r *Router) Fetch(ctx context.Context, pin Pin, args pool.FetchArgs) (*pool.ExecuteReply, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := r.callContext(ctx, pin)
 	defer cancel()
 	reply := &pool.ExecuteReply{}
 	err := r.cfg.Peers.Call(ctx, pin.Address, "Pool.Fetch", &args, reply)
--- /dev/null
+++ b/test/blackbox/faults_test.go
@@ -0,0 +1,211 @@
+package blackbox
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+)
+
+// withinSeconds is the longest time that "within seconds" may mean here.
+const withinSeconds = 10 * time.Second
+
+// grantLength is the default length of a configuration grant.
+const grantLength = 3 * time.Second
+
+// write inserts the order and returns the error of the caller.
+func write(conn *pgx.Conn, id int) error {
+	_, err := conn.Exec(context.Background(), "INSERT INTO orders (id, what) VALUES ($1, 'x')", id)
+	return err
+}
+
+// count returns how often the group holds the order, read as current data.
+func count(t *testing.T, in *installation, proxy string, id int) int64 {
+	t.Helper()
+	conn := in.connect(proxy, "kremstal", "group1", "")
+	var n int64
+	if err := conn.QueryRow(context.Background(), "SELECT count(*) FROM orders WHERE id = $1", id).Scan(&n); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func TestFaults(t *testing.T) {
+	ctx := context.Background()
+	in := newInstallation(t, spec{proxies: 8, groups: 1, instances: 3, domains: 3, customers: []string{"kremstal", "leaving"}, rate: 5000, burst: 5000})
+	mustExec(t, in.connect("vm1", "kremstal", "group1", ""), "CREATE TABLE orders (id bigint, what text)")
+
+	t.Run("platform down for long", func(t *testing.T) {
+		conn := in.connect("vm1", "kremstal", "group1", "")
+		in.fault("kind=down&on=true")
+		id := 0
+		for end := time.Now().Add(2 * grantLength); time.Now().Before(end); id++ {
+			if err := write(conn, id); err != nil {
+				t.Fatalf("write %d with the platform down: %v", id, err)
+			}
+		}
+		in.fault("kind=down&on=false")
+		if n := count(t, in, "vm5", id-1); n != 1 {
+			t.Fatalf("order %d is held %d times", id-1, n)
+		}
+	})
+	t.Run("withdrawn key on an open connection", func(t *testing.T) {
+		busy, idle := in.connect("vm2", "leaving", "group1", ""), in.connect("vm3", "leaving", "group1", "")
+		mustExec(t, busy, "SELECT 1")
+		in.patch(1, "[customer leaving]\nkey.main = withdrawn\n")
+		if _, err := busy.Exec(ctx, "SELECT 1"); err == nil {
+			t.Fatal("a withdrawn key still ran a statement")
+		}
+		wait, cancel := context.WithTimeout(ctx, withinSeconds)
+		defer cancel()
+		if _, err := idle.WaitForNotification(wait); err == nil || wait.Err() != nil {
+			t.Fatalf("the idle connection stayed open: %v", err)
+		}
+	})
+	t.Run("proxy killed inside a transaction", func(t *testing.T) {
+		tx, err := in.connect("vm8", "kremstal", "group1", "").Begin(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.Exec(ctx, "INSERT INTO orders (id, what) VALUES (10000, 'x')"); err != nil {
+			t.Fatal(err)
+		}
+		in.proxies["vm8"].kill()
+		if err := tx.Commit(ctx); err == nil {
+			t.Fatal("a killed proxy acknowledged a commit")
+		}
+		if n := count(t, in, "vm1", 10000); n != 0 {
+			t.Fatalf("the open transaction left %d rows", n)
+		}
+		in.eventually("writes go on", func() error { return write(in.connect("vm1", "kremstal", "group1", ""), 10001) })
+	})
+	t.Run("proxy frozen and thawed", func(t *testing.T) {
+		in.proxies["vm7"].signal(syscall.SIGSTOP)
+		conn := in.connect("vm1", "kremstal", "group1", "")
+		in.eventually("writes go on past a frozen proxy", func() error { return write(conn, 11000) })
+		time.Sleep(grantLength)
+		in.proxies["vm7"].signal(syscall.SIGCONT)
+		in.eventually("the thawed proxy serves", func() error { return in.ping("vm7") })
+		if n := count(t, in, "vm7", 11000); n < 1 {
+			t.Fatal("the thawed proxy does not see an acknowledged write")
+		}
+	})
+	t.Run("planned stop in the middle of a transaction", func(t *testing.T) {
+		tx, err := in.connect("vm6", "kremstal", "group1", "").Begin(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		in.proxies["vm6"].signal(syscall.SIGTERM)
+		for i := range 20 {
+			if _, err := tx.Exec(ctx, "INSERT INTO orders (id, what) VALUES ($1, 'x')", 12000+i); err != nil {
+				t.Fatalf("statement %d after the stop began: %v", i, err)
+			}
+			time.Sleep(settlePause)
+		}
+		if err := tx.Commit(ctx); err != nil {
+			t.Fatalf("commit during the stop: %v", err)
+		}
+		<-in.proxies["vm6"].done
+		if code := in.proxies["vm6"].cmd.ProcessState.ExitCode(); code != 0 {
+			t.Fatalf("exit status %d: %s", code, in.proxies["vm6"].text())
+		}
+		if n := count(t, in, "vm2", 12019); n != 1 {
+			t.Fatalf("the committed row is held %d times", n)
+		}
+	})
+	t.Run("primary frozen, replaced and thawed", func(t *testing.T) {
+		acked := freezePrimary(t, in)
+		for _, id := range acked {
+			if n := count(t, in, "vm2", id); n != 1 {
+				t.Errorf("acknowledged order %d is held %d times", id, n)
+			}
+		}
+	})
+	t.Run("failure domain of the primary cut off", func(t *testing.T) { cutPrimaryDomain(t, in) })
+}
+
+// freezePrimary stops the primary's process while a caller writes, thaws it
+// after its successor serves, and returns the acknowledged orders.
+func freezePrimary(t *testing.T, in *installation) []int {
+	t.Helper()
+	conn := in.connect("vm1", "kremstal", "group1", "")
+	var acked []int
+	writeSome := func(from int) {
+		for i := range 50 {
+			if write(conn, from+i) == nil {
+				acked = append(acked, from+i)
+			}
+		}
+	}
+	primary := in.primary("group1")
+	writeSome(20000)
+	in.instances[primary].signal(syscall.SIGSTOP)
+	in.eventually("a successor serves", func() error { return write(conn, 21000) })
+	writeSome(22000)
+	in.instances[primary].signal(syscall.SIGCONT)
+	writeSome(23000)
+	in.eventually("the old primary follows", func() error {
+		if role := in.role(primary); role != "replica" {
+			return fmt.Errorf("%s is still %s", primary, role)
+		}
+		return nil
+	})
+	if len(acked) < 100 {
+		t.Fatalf("only %d writes were acknowledged", len(acked))
+	}
+	return acked
+}
+
+// cutPrimaryDomain cuts the primary off from every VM and backend server
+// outside of its failure domain: no write through a proxy inside is
+// acknowledged, no read there shows less than what was acknowledged outside.
+func cutPrimaryDomain(t *testing.T, in *installation) {
+	t.Helper()
+	ctx := context.Background()
+	primary := in.primary("group1")
+	inside := in.instance(primary).Domain
+	outsideVM, insideVM := "", ""
+	for i := range 5 {
+		if domain(i, 3) == inside {
+			insideVM = fmt.Sprintf("vm%d", i+1)
+		} else {
+			outsideVM = fmt.Sprintf("vm%d", i+1)
+		}
+	}
+	outside, within := in.connect(outsideVM, "kremstal", "group1", ""), in.connect(insideVM, "kremstal", "group1", "")
+	for d := range 3 {
+		if name := domain(d, 3); name != inside {
+			in.instanceFault(primary, "name=cut&direction=both&parties=domain:"+name)
+		}
+	}
+	for _, i := range in.groups[0].Instances {
+		if i.ID != primary {
+			in.instanceFault(primary, "name=cut&direction=both&parties=instance:"+i.ID)
+			in.instanceFault(i.ID, "name=cut&direction=both&parties=instance:"+primary)
+			in.instanceFault(i.ID, "name=cut&direction=both&parties=domain:"+inside)
+		}
+	}
+	in.eventually("a successor outside serves", func() error { return write(outside, 30000) })
+	limited, cancel := context.WithTimeout(ctx, settleTimeout)
+	defer cancel()
+	var n int64
+	if err := within.QueryRow(limited, "SELECT count(*) FROM orders WHERE id = 30000").Scan(&n); err == nil && n != 1 {
+		t.Fatal("a proxy inside the cut read from a replaced primary")
+	}
+	in.instanceFault(primary, "name=heal")
+	for _, i := range in.groups[0].Instances {
+		in.instanceFault(i.ID, "name=heal")
+	}
+	in.eventually("the old primary follows", func() error {
+		if role := in.role(primary); role != "replica" {
+			return fmt.Errorf("%s is still %s", primary, role)
+		}
+		return nil
+	})
+	if n := count(t, in, outsideVM, 30000); n != 1 {
+		t.Fatalf("order 30000 is held %d times", n)
+	}
+}
--- a/test/blackbox/harness_test.go
+++ b/test/blackbox/harness_test.go
@@ -23,6 +23,7 @@
 
 	"github.com/jackc/pgx/v5"
 
+	"chicoryline/internal/backend"
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/configsync"
 	"chicoryline/internal/platform"
@@ -338,24 +339,53 @@
 	return conn
 }
 
-// direct opens a connection to an instance past the proxies.
-func (in *installation) direct(id string) *pgx.Conn {
+// instance describes the backend server.
+func (in *installation) instance(id string) platform.Instance {
 	in.t.Helper()
 	for _, g := range in.groups {
 		for _, i := range g.Instances {
-			if i.ID != id {
-				continue
+			if i.ID == id {
+				return i
 			}
-			conn, err := pgx.Connect(context.Background(), fmt.Sprintf("postgres://chicoryline:%s@%s/postgres?sslmode=disable", backendPassword, i.Address))
-			if err != nil {
-				in.t.Fatal(err)
-			}
-			in.t.Cleanup(func() { _ = conn.Close(context.Background()) })
-			return conn
 		}
 	}
 	in.t.Fatalf("no instance %s", id)
-	return nil
+	return platform.Instance{}
+}
+
+// status asks an instance for its status past the proxies.
+func (in *installation) status(id string) (backend.Status, error) {
+	client := backend.NewClient(backend.ClientConfig{ID: id, Address: in.instance(id).Address, User: "chicoryline", Password: backendPassword})
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	return client.Status(ctx)
+}
+
+// primary returns the instance that leads the group, the highest term first.
+func (in *installation) primary(group string) string {
+	in.t.Helper()
+	best, term := "", uint64(0)
+	for _, g := range in.groups {
+		for _, i := range g.Instances {
+			if s, err := in.status(i.ID); g.Name == group && err == nil && s.Leads() && s.Fence >= term {
+				best, term = i.ID, s.Fence
+			}
+		}
+	}
+	if best == "" {
+		in.t.Fatalf("group %s has no primary", group)
+	}
+	return best
+}
+
+// role returns the part that the instance believes it plays.
+func (in *installation) role(id string) string {
+	s, err := in.status(id)
+	if err != nil {
+		return err.Error()
+	}
+	return string(s.Role)
 }
 
 // fault sets a switch of the stand-in platform.
