Quota: leased shares

A customer's rate and burst and an instance's connections count over all VMs. A home VM per resource splits the total into leased shares by demand. It acts only with time-bounded promises of a majority of the registered holders; promises ride on the renewals and echo a mark, so the home counts them from before the holder did, and a lease is counted by the holder from before it asked. Burst parts carry the tokens, so a moved share duplicates none. Decisions are plain and take the clock; Node drives them with an actor.

--- /dev/null
+++ b/internal/quota/check.go
@@ -0,0 +1,71 @@
+package quota
+
+import (
+	"fmt"
+	"time"
+)
+
+// rounding is the relative error allowed in sums of tokens.
+const rounding = 1e-6
+
+// auditor checks what the VMs of a world admit and hold.
+type auditor struct {
+	world    *world
+	budget   bucket // full at the start and debited with what was admitted
+	Admitted int
+	Over     int // requests admitted beyond rate and burst
+	Faults   []string
+}
+
+func newAuditor(w *world) *auditor {
+	a := &auditor{world: w}
+	a.budget = bucket{rate: w.total.Rate, depth: w.total.Burst, tokens: w.total.Burst, at: w.now}
+	w.onEvent = a.checkShares
+	return a
+}
+
+// admitted counts an admitted request of n units. A bucket that starts full and
+// never runs below zero proves the bound for every window of time.
+func (a *auditor) admitted(n float64) {
+	a.Admitted++
+	a.budget.advance(a.world.now)
+	a.budget.tokens -= n
+	if a.budget.tokens < -rounding*(1+a.world.total.Burst) {
+		a.Over++
+		a.fault("over rate by %.3f units", -a.budget.tokens)
+	}
+}
+
+// checkShares adds up the shares that running processes would use now.
+func (a *auditor) checkShares() {
+	var rate, burst int64
+	count := 0
+	now := a.world.now
+	for _, n := range a.world.nodes {
+		if n.dead || n.frozen || n.holder == nil || (!n.holder.live(now) && !n.holder.trustPause) {
+			continue
+		}
+		rate += n.holder.share.Rate
+		burst += n.holder.share.Burst
+		count += n.holder.count(now)
+	}
+	if a.world.total.counted() {
+		if count > a.world.total.Count {
+			a.fault("%d connections of %d", count, a.world.total.Count)
+		}
+		return
+	}
+	if rate > Whole || burst > Whole {
+		a.fault("shares add up to %.3f of the rate and %.3f of the burst",
+			float64(rate)/float64(Whole), float64(burst)/float64(Whole))
+	}
+}
+
+const maxFaults = 5
+
+func (a *auditor) fault(format string, args ...any) {
+	if len(a.Faults) < maxFaults {
+		after := a.world.now.Sub(virtualStart).Round(time.Millisecond)
+		a.Faults = append(a.Faults, fmt.Sprintf("%v: ", after)+fmt.Sprintf(format, args...))
+	}
+}
--- /dev/null
+++ b/internal/quota/control.go
@@ -0,0 +1,183 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/platform"
+)
+
+// Messages to the control actor.
+type (
+	tick          struct{}
+	urgentRenewal struct{ resource string }
+	renewed       struct {
+		renewals []Renewal
+		reply    RenewReply
+		err      error
+	}
+)
+
+// handle is the control actor's handler.
+func (n *Node) handle(message any) {
+	switch m := message.(type) {
+	case tick:
+		n.renewAll(n.all(), true)
+	case urgentRenewal:
+		if r := n.resource(m.resource); r != nil {
+			n.renewAll([]*resource{r}, false)
+		}
+	case renewed:
+		n.renewed(m)
+	}
+}
+
+// renewAll starts one call to each home of the given resources.
+func (n *Node) renewAll(list []*resource, refresh bool) {
+	holders := n.config.Holders()
+	batches := map[string][]Renewal{}
+	for _, r := range list {
+		now := n.config.Now()
+		r.watch(func() {
+			if refresh {
+				n.setMembers(r, holders, now)
+				r.holder.expire(now)
+			}
+			if r.holder.inFlight || r.holder.target == "" || r.holder.machine.Done() {
+				return
+			}
+			batches[r.holder.target] = append(batches[r.holder.target], r.holder.request(now))
+		})
+		n.report(r, now)
+	}
+	for target, renewals := range batches {
+		n.call(holders, target, renewals)
+	}
+}
+
+// call sends the renewals in a goroutine, which returns the answer as a message.
+func (n *Node) call(holders []platform.VM, target string, renewals []Renewal) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed {
+		return
+	}
+	n.calls.Add(1)
+	go func() {
+		defer n.calls.Done()
+		reply, err := n.send(holders, target, renewals)
+		n.actor.Send(renewed{renewals, reply, err})
+	}()
+}
+
+func (n *Node) send(holders []platform.VM, target string, renewals []Renewal) (RenewReply, error) {
+	var reply RenewReply
+	if target == n.config.VM.ID {
+		return reply, n.Service().Renew(&RenewArgs{renewals}, &reply)
+	}
+	address := ""
+	for _, vm := range holders {
+		if vm.ID == target {
+			address = vm.Address
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeouts*n.timing.interval)
+	defer cancel()
+	err := n.config.Caller.Call(ctx, address, ServiceName+".Renew", &RenewArgs{renewals}, &reply)
+	return reply, err
+}
+
+// renewed passes the outcome of a call to the decisions.
+func (n *Node) renewed(m renewed) {
+	var again []*resource
+	for i, renewal := range m.renewals {
+		r := n.resource(renewal.Resource)
+		now := n.config.Now()
+		r.watch(func() {
+			if m.err != nil || i >= len(m.reply.Grants) {
+				r.holder.failed(now, renewal.Seq)
+				return
+			}
+			r.holder.answered(now, m.reply.Grants[i])
+			if m.reply.Grants[i].Again {
+				again = append(again, r)
+			}
+		})
+		n.report(r, now)
+		n.serve(r, true)
+	}
+	if m.err != nil {
+		n.config.Log.WithError(m.err).Debug("share renewal failed")
+	}
+	n.renewAll(again, false)
+}
+
+// report tells of changes that watch has noted.
+func (n *Node) report(r *resource, now time.Time) {
+	events, onCount, count := r.takeEvents(now, n.timing.interval)
+	for _, e := range events {
+		n.config.Log.WithFields(logrus.Fields{"resource": r.name, "state": e.state, "home": e.home}).Debug(e.kind)
+		if n.config.OnEvent != nil {
+			n.config.OnEvent(e.kind, map[string]string{"resource": r.name, "state": e.state, "home": e.home})
+		}
+	}
+	if onCount != nil {
+		onCount(count)
+	}
+}
+
+// Leave gives back all shares and all duties as home, and answers the other
+// holders until they have turned to new homes. From its start nothing more is
+// admitted here. It returns the context's error if that ended first.
+func (n *Node) Leave(ctx context.Context) error {
+	now := n.config.Now()
+	batches := map[string][]Renewal{}
+	for _, r := range n.all() {
+		r.watch(func() {
+			r.holder.leave(now)
+			r.home.leave(now)
+			batches[r.holder.target] = append(batches[r.holder.target], r.holder.request(now))
+		})
+		n.report(r, now)
+	}
+	holders := n.config.Holders()
+	for target, renewals := range batches {
+		n.call(holders, target, renewals)
+	}
+	timer := time.NewTimer(callTimeouts * n.timing.interval)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Service answers the calls of other processes. Register it as ServiceName.
+type Service struct{ node *Node }
+
+// Service returns the node's service.
+func (n *Node) Service() *Service { return &Service{n} }
+
+// Renew answers the renewals in their order. A resource that this process does
+// not know gets an empty grant.
+func (s *Service) Renew(args *RenewArgs, reply *RenewReply) error {
+	for _, renewal := range args.Renewals {
+		grant := Grant{Resource: renewal.Resource, Seq: renewal.Seq}
+		if r := s.node.resource(renewal.Resource); r != nil {
+			now := s.node.config.Now()
+			r.watch(func() {
+				grant = r.home.renew(now, renewal)
+				if r.holder.machine.State() == "holding" {
+					grant.Hint = r.holder.target
+				}
+			})
+			s.node.report(r, now)
+		}
+		reply.Grants = append(reply.Grants, grant)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/quota/home.go
@@ -0,0 +1,210 @@
+package quota
+
+import (
+	"time"
+
+	"chicoryline/internal/statechart"
+)
+
+var homeChart = statechart.MustLoad("sharehome")
+
+// holderID names one process that holds shares.
+type holderID struct {
+	vm    string
+	start uint64
+}
+
+// account is what a holder may hold, as the home counts it.
+type account struct {
+	share   Share // no less than the holder holds
+	seq     uint64
+	expires time.Time
+	demand  float64
+}
+
+// home is the decision on one resource at the VM that splits it.
+type home struct {
+	timing   timing
+	start    uint64
+	resource string
+	born     time.Time
+	machine  *statechart.Machine
+	total    Total
+	members  *members
+	// impatient makes a new home grant the whole at once. Only the naive
+	// variant of the proofs sets it.
+	impatient bool
+
+	epoch     uint64
+	highest   uint64 // highest epoch seen
+	activated time.Time
+	promises  map[string]time.Time // VM to the end of its promise
+	accounts  map[holderID]*account
+	ceiling   Share // what the home may grant in all
+	pool      bucket
+}
+
+func newHome(t timing, start uint64, resource string, now time.Time, m *members) *home {
+	return &home{
+		timing: t, start: start, resource: resource, born: now, members: m,
+		machine: homeChart.Start(), promises: map[string]time.Time{}, accounts: map[holderID]*account{},
+	}
+}
+
+// renew answers one renewal at the time now.
+func (m *home) renew(now time.Time, r Renewal) Grant {
+	if !m.machine.Done() {
+		m.highest = max(m.highest, r.Epoch)
+		m.fire(now, "asked")
+		m.notePromise(r)
+		m.review(now)
+	}
+	g := Grant{Resource: r.Resource, Seq: r.Seq, Home: m.start, Epoch: m.epoch, Leaving: m.machine.Done()}
+	g.Mark = int64(now.Sub(m.born)) + 1
+	g.Acting = m.acting()
+	if !g.Acting {
+		return g
+	}
+	if r.Home != m.start || r.Mark < int64(m.activated.Sub(m.born)) {
+		// The report may be older than this home's reign.
+		g.Again = true
+		return g
+	}
+	m.grant(now, r, &g)
+	return g
+}
+
+// acting reports whether the home may grant.
+func (m *home) acting() bool {
+	state := m.machine.State()
+	return state == "settling" || state == "serving"
+}
+
+// leave ends the duty of home for good.
+func (m *home) leave(now time.Time) {
+	if !m.machine.Done() {
+		m.fire(now, "leave")
+	}
+}
+
+// setTotal takes a new total.
+func (m *home) setTotal(now time.Time, total Total) {
+	m.total = total
+	if m.machine.State() == "serving" {
+		m.ceiling = Share{Rate: total.of(), Burst: Whole}
+	}
+	m.settlePool(now)
+}
+
+// notePromise counts a promise from the mark that it echoes. A holder promises
+// another home only for a higher epoch than it knows, so a home that hears of
+// a higher one, or of its own from a holder that has promised it nothing, goes
+// on under a higher epoch.
+func (m *home) notePromise(r Renewal) {
+	if r.Promise && r.Home == m.start {
+		m.promises[r.VM] = m.born.Add(time.Duration(r.Mark)).Add(m.timing.homePromise())
+	}
+	_, promised := m.promises[r.VM]
+	if r.Epoch > m.epoch || (r.Epoch == m.epoch && !promised && !m.acting()) {
+		m.epoch = m.highest + 1
+	}
+}
+
+// review fires the events that time and promises bring.
+func (m *home) review(now time.Time) {
+	promised := func(vm string) bool { return now.Before(m.promises[vm]) }
+	if m.members.majority(now, promised) {
+		m.fire(now, "majority")
+	} else {
+		m.fire(now, "minority")
+	}
+	for id, a := range m.accounts {
+		if !now.Before(a.expires) {
+			delete(m.accounts, id)
+		}
+	}
+	if m.acting() && (m.impatient || !now.Before(m.activated.Add(m.timing.homeLease()))) {
+		m.fire(now, "settled")
+	}
+}
+
+func (m *home) fire(now time.Time, event string) {
+	actions, err := m.machine.Fire(event)
+	if err != nil {
+		panic(err)
+	}
+	for _, action := range actions {
+		m.act(now, action)
+	}
+}
+
+func (m *home) act(now time.Time, action string) {
+	switch action {
+	case "propose":
+		m.epoch = max(m.epoch, m.highest) + 1
+	case "activate":
+		m.activated = now
+		m.accounts = map[holderID]*account{}
+		m.ceiling = Share{}
+		m.pool = bucket{at: now}
+	case "free_reserve":
+		m.ceiling = Share{Rate: m.total.of(), Burst: Whole}
+	case "step_down":
+		m.accounts = map[holderID]*account{}
+		m.ceiling = Share{}
+		m.pool = bucket{at: now}
+	default:
+		panic("quota: unknown action " + action)
+	}
+}
+
+// grant answers a holder whose report was sent in this home's reign. Until the
+// holder reports again it may hold the larger of what it reported and what it
+// is granted.
+func (m *home) grant(now time.Time, r Renewal, g *Grant) {
+	id := holderID{r.VM, r.Start}
+	a := m.accounts[id]
+	if a == nil {
+		a = &account{}
+		m.accounts[id] = a
+		if m.machine.State() == "settling" {
+			m.ceiling.Rate += r.Held.Rate
+			m.ceiling.Burst += r.Held.Burst
+		}
+	} else if r.Seq <= a.seq {
+		return
+	}
+	a.seq, a.demand, a.share = r.Seq, r.Demand, r.Held
+	a.share.Rate = max(a.share.Rate, r.Using)
+	a.expires = now.Add(m.timing.homeLease())
+	m.settlePool(now)
+	m.pool.add(r.Returned)
+	if r.Leaving {
+		delete(m.accounts, id)
+		m.settlePool(now)
+		return
+	}
+	g.Granted = true
+	g.Share = m.split(id, r)
+	g.Tokens = m.tokens(r, g.Share)
+	a.share = Share{Rate: max(r.Held.Rate, r.Using, g.Share.Rate), Burst: max(r.Held.Burst, g.Share.Burst), Of: g.Share.Of}
+	g.Again = g.Share.Rate < r.Held.Rate/2 || g.Share.Burst < r.Held.Burst/2
+	m.settlePool(now)
+}
+
+// free is what no holder may hold.
+func (m *home) free() Share {
+	f := m.ceiling
+	for _, a := range m.accounts {
+		f.Rate -= a.share.Rate
+		f.Burst -= a.share.Burst
+	}
+	f.Rate, f.Burst = max(0, f.Rate), max(0, f.Burst)
+	return f
+}
+
+// settlePool gives the home's own bucket the parts that are free.
+func (m *home) settlePool(now time.Time) {
+	f := m.free()
+	m.pool.resize(now, m.total.Rate*float64(f.Rate)/float64(Whole), m.total.Burst*float64(f.Burst)/float64(Whole))
+}
--- /dev/null
+++ b/internal/quota/node.go
@@ -0,0 +1,280 @@
+package quota
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/frame"
+	"chicoryline/internal/platform"
+)
+
+// Node drives the shares and the duties as home of one process. It is safe for
+// concurrent use.
+type Node struct {
+	config Config
+	timing timing
+	start  uint64
+	born   time.Time
+	actor  *frame.Ref
+	stop   chan struct{}
+	calls  sync.WaitGroup
+
+	mu        sync.Mutex
+	resources map[string]*resource
+	started   bool
+	closed    bool
+}
+
+// NewNode returns a node without resources.
+func NewNode(config Config) *Node {
+	return &Node{
+		config: config, timing: config.timing(), start: config.Rand.Uint64() | 1, born: config.Now(),
+		stop: make(chan struct{}), resources: map[string]*resource{},
+	}
+}
+
+// Start begins to renew shares. It fails if the actor cannot be made.
+func (n *Node) Start() error {
+	actor, err := n.config.System.Spawn("quota-"+n.config.VM.ID, mailboxSize, n.handle)
+	if err != nil {
+		return errors.Annotate(err, "quota actor")
+	}
+	n.mu.Lock()
+	n.actor, n.started = actor, true
+	n.mu.Unlock()
+	actor.Tick(n.timing.interval, tick{}, n.stop)
+	return nil
+}
+
+// Close ends all work. Shares that were not given back lapse.
+func (n *Node) Close() {
+	n.mu.Lock()
+	if n.closed {
+		n.mu.Unlock()
+		return
+	}
+	n.closed = true
+	started := n.started
+	n.mu.Unlock()
+	close(n.stop)
+	n.calls.Wait()
+	if started {
+		n.actor.Stop()
+	}
+}
+
+// SetTotal sets the limit of a resource; a resource without one admits nothing.
+// A lower total applies at once at this VM.
+func (n *Node) SetTotal(name string, total Total) {
+	now := n.config.Now()
+	n.mu.Lock()
+	r := n.resources[name]
+	if r == nil {
+		r = n.newResource(name, now)
+		n.resources[name] = r
+	}
+	n.mu.Unlock()
+	r.watch(func() {
+		r.holder.setTotal(now, total)
+		r.home.setTotal(now, total)
+	})
+	n.report(r, now)
+}
+
+// Admit takes n units of the resource's rate at this VM without waiting. It
+// fails with errkind.OverRate, or errkind.NotFound for a resource without a
+// total; in both cases nothing was taken.
+func (n *Node) Admit(name string, units float64) error {
+	r := n.resource(name)
+	if r == nil {
+		return errkind.New(errkind.NotFound, "resource %s has no total", name)
+	}
+	now := n.config.Now()
+	r.mu.Lock()
+	r.holder.ask(units)
+	if len(r.waiting) == 0 && r.holder.admit(now, units) {
+		r.admitted++
+		r.mu.Unlock()
+		return nil
+	}
+	r.refused++
+	urgent := r.holder.miss(now, units)
+	r.mu.Unlock()
+	n.ask(r, urgent)
+	return errkind.New(errkind.OverRate, "resource %s", name)
+}
+
+// AdmitWait is Admit with a bounded wait for tokens from the home. The errors
+// are Admit's, and errkind.Canceled if the context ended first.
+func (n *Node) AdmitWait(ctx context.Context, name string, units float64) error {
+	r := n.resource(name)
+	if r == nil {
+		return errkind.New(errkind.NotFound, "resource %s has no total", name)
+	}
+	now := n.config.Now()
+	r.mu.Lock()
+	r.holder.ask(units)
+	if len(r.waiting) == 0 && r.holder.admit(now, units) {
+		r.admitted++
+		r.mu.Unlock()
+		return nil
+	}
+	if len(r.waiting) >= maxWaiting {
+		r.refused++
+		r.mu.Unlock()
+		return errkind.New(errkind.OverRate, "resource %s has %d waiting requests", name, maxWaiting)
+	}
+	outcome := make(chan bool, 1)
+	w := &waiter{units, now.Add(admitWait), func(ok bool) { outcome <- ok }}
+	r.waiting = append(r.waiting, w)
+	r.waited++
+	r.mu.Unlock()
+	n.serve(r, false)
+	return n.await(ctx, r, w, outcome)
+}
+
+func (n *Node) await(ctx context.Context, r *resource, w *waiter, outcome <-chan bool) error {
+	timer := time.NewTimer(admitWait)
+	defer timer.Stop()
+	kind, ok := errkind.OverRate, false
+	select {
+	case ok = <-outcome:
+	case <-timer.C:
+		ok = n.giveUp(r, w, outcome)
+	case <-ctx.Done():
+		kind = errkind.Canceled
+		ok = n.giveUp(r, w, outcome)
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if ok {
+		r.admitted++
+		return nil
+	}
+	r.refused++
+	return errkind.New(kind, "resource %s", r.name)
+}
+
+// giveUp ends a wait; it reports true if the units were taken before.
+func (n *Node) giveUp(r *resource, w *waiter, outcome <-chan bool) bool {
+	r.mu.Lock()
+	removed := r.waiting.remove(w)
+	r.mu.Unlock()
+	return !removed && <-outcome
+}
+
+// serve settles the waiting requests of the resource.
+func (n *Node) serve(r *resource, answered bool) {
+	now := n.config.Now()
+	var next time.Time
+	var urgent bool
+	r.watch(func() {
+		next, urgent = r.waiting.serve(now, r.holder, answered)
+		if r.wakeAt.After(now) && !next.Before(r.wakeAt) {
+			next = time.Time{}
+		}
+		if !next.IsZero() {
+			r.wakeAt = next
+		}
+	})
+	if !next.IsZero() {
+		time.AfterFunc(next.Sub(now)+time.Microsecond, func() { n.serve(r, false) })
+	}
+	n.ask(r, urgent)
+}
+
+// ask has the control actor renew the resource now.
+func (n *Node) ask(r *resource, urgent bool) {
+	n.mu.Lock()
+	running := n.started && !n.closed
+	n.mu.Unlock()
+	if urgent && running {
+		n.actor.Send(urgentRenewal{r.name})
+	}
+}
+
+// SetDemand tells how many connections of a counted resource this VM wants,
+// and how many it has open, which are not given to others before they close.
+func (n *Node) SetDemand(name string, wanted, open int) {
+	if r := n.resource(name); r != nil {
+		r.mu.Lock()
+		r.holder.demand, r.holder.using = float64(wanted), open
+		r.mu.Unlock()
+	}
+}
+
+// Count is the number of connections of the resource that this VM may have
+// open now. It is 0 once the share's lease has ended.
+func (n *Node) Count(name string) int {
+	r := n.resource(name)
+	if r == nil {
+		return 0
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.holder.count(n.config.Now())
+}
+
+// OnCount sets the function that is told of changes of Count. It is told of a
+// share that is not renewed before its lease ends. It must not call the Node.
+func (n *Node) OnCount(name string, f func(int)) {
+	if r := n.resource(name); r != nil {
+		r.mu.Lock()
+		r.onCount = f
+		r.mu.Unlock()
+	}
+}
+
+// Stats returns the state of all resources.
+func (n *Node) Stats() Stats {
+	s := Stats{Resources: map[string]ResourceStats{}}
+	for _, r := range n.all() {
+		s.Resources[r.name] = r.stats()
+	}
+	return s
+}
+
+func (n *Node) newResource(name string, now time.Time) *resource {
+	m := &members{keep: n.timing.promise + n.timing.homeLease()}
+	h := newHolder(n.timing, n.config.VM.ID, n.start, name, n.born)
+	r := &resource{name: name, members: m, holder: h, home: newHome(n.timing, n.start, name, n.born, m)}
+	n.setMembers(r, n.config.Holders(), now)
+	return r
+}
+
+// setMembers passes the registered holders to the resource's decisions.
+func (n *Node) setMembers(r *resource, holders []platform.VM, now time.Time) {
+	ids := make([]string, 0, len(holders))
+	leaving := map[string]bool{}
+	for _, vm := range holders {
+		ids = append(ids, vm.ID)
+		leaving[vm.ID] = vm.Leaving
+	}
+	r.members.set(now, ids)
+	r.holder.voter = slices.Contains(ids, n.config.VM.ID)
+	order := r.members.order(r.name)
+	r.holder.setOrder(slices.DeleteFunc(order, func(id string) bool { return leaving[id] }))
+}
+
+func (n *Node) resource(name string) *resource {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.resources[name]
+}
+
+// all returns the resources in the order of their names.
+func (n *Node) all() []*resource {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	var list []*resource
+	for _, name := range slices.Sorted(maps.Keys(n.resources)) {
+		list = append(list, n.resources[name])
+	}
+	return list
+}
--- /dev/null
+++ b/internal/quota/resource.go
@@ -0,0 +1,93 @@
+package quota
+
+import (
+	"strconv"
+	"sync"
+	"time"
+)
+
+// resource is one limit at this VM. Its mutex guards everything in it, so that
+// admission needs no message to the control actor.
+type resource struct {
+	name string
+
+	mu       sync.Mutex
+	members  *members
+	holder   *holder
+	home     *home
+	waiting  waitList
+	wakeAt   time.Time // of the pending timer that serves waiting requests
+	onCount  func(int)
+	count    int
+	admitted uint64
+	refused  uint64
+	waited   uint64
+	events   []change
+}
+
+// change is a change of state to be reported once the mutex is free.
+type change struct{ kind, state, home string }
+
+// ResourceStats describes one resource at this VM.
+type ResourceStats struct {
+	State     string  // of the share chart
+	HomeState string  // of the sharehome chart
+	Home      string  // VM that the renewals go to
+	Epoch     uint64  // highest known
+	Part      float64 // of the total's rate or count, 0 to 1
+	Admitted  uint64  // requests
+	Refused   uint64  // requests
+	Waited    uint64  // requests that had to wait for tokens
+}
+
+// Stats describes a Node.
+type Stats struct{ Resources map[string]ResourceStats }
+
+// watch runs f with the mutex held and notes changes of state.
+func (r *resource) watch(f func()) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	share, duty := r.holder.machine.State(), r.home.machine.State()
+	f()
+	if s := r.holder.machine.State(); s != share {
+		r.events = append(r.events, change{"share", s, r.holder.target})
+	}
+	if s := r.home.machine.State(); s != duty {
+		r.events = append(r.events, change{"sharehome", s, strconv.FormatUint(r.home.epoch, 10)})
+	}
+}
+
+// takeEvents returns the noted changes and the count if it has changed.
+func (r *resource) takeEvents(now time.Time, interval time.Duration) (events []change, onCount func(int), count int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	events, r.events = r.events, nil
+	if !r.holder.total.counted() {
+		return events, nil, 0
+	}
+	// A share that nobody renews is given up early, so that its connections
+	// are closed by the time that the home counts them as free.
+	count = r.holder.count(now)
+	if !r.holder.live(now.Add(callTimeouts * interval)) {
+		count = 0
+	}
+	if count == r.count {
+		return events, nil, 0
+	}
+	r.count = count
+	return events, r.onCount, count
+}
+
+func (r *resource) stats() ResourceStats {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := ResourceStats{
+		State: r.holder.machine.State(), HomeState: r.home.machine.State(),
+		Home: r.holder.target, Epoch: r.holder.epoch,
+		Admitted: r.admitted, Refused: r.refused, Waited: r.waited,
+	}
+	if r.holder.share.Of > 0 {
+		s.Part = float64(r.holder.share.Rate) / float64(r.holder.share.Of)
+	}
+	return s
+}
--- /dev/null
+++ b/internal/quota/split.go
@@ -0,0 +1,106 @@
+package quota
+
+// Settings of the split.
+const (
+	headroom  = 1.3  // rate granted for each unit of demand
+	quietPart = 0.08 // of the rate, split evenly among all holders
+	poolPart  = 0.05 // of the rate, never granted as a share
+	burstPart = 0.5  // of the burst, granted in proportion to the rate
+	fillPart  = 0.1  // of the pool's tokens, given along with a larger burst
+)
+
+// split is the share that the holder gets now.
+func (m *home) split(id holderID, r Renewal) Share {
+	free := m.free()
+	available := Share{Rate: free.Rate + max(r.Held.Rate, r.Using), Burst: free.Burst + r.Held.Burst}
+	if m.total.counted() {
+		return Share{Rate: min(m.countTarget(id), available.Rate), Of: m.total.of()}
+	}
+	part := m.ratePart(r.Demand)
+	want := Share{Rate: int64(part * float64(Whole)), Of: Whole}
+	want.Burst = m.burstTarget(part, r)
+	want.Rate = min(want.Rate, available.Rate)
+	want.Burst = min(want.Burst, available.Burst)
+	return want
+}
+
+// ratePart is the part of the rate for a holder of the given demand.
+func (m *home) ratePart(demand float64) float64 {
+	quiet := quietPart / float64(len(m.accounts))
+	sum := 0.0
+	for _, a := range m.accounts {
+		sum += m.need(a.demand) + quiet
+	}
+	part := m.need(demand) + quiet
+	if most := 1 - poolPart; sum > most {
+		part *= most / sum
+	}
+	return part
+}
+
+// need is the part of the rate that a demand in units per second calls for.
+func (m *home) need(demand float64) float64 {
+	if m.total.Rate <= 0 {
+		return 0
+	}
+	return headroom * min(1, demand/m.total.Rate)
+}
+
+// burstTarget is the part of the burst, out of Whole: in proportion to the
+// rate, no less than one unit where the burst allows it, and the tokens that
+// the holder misses.
+func (m *home) burstTarget(part float64, r Renewal) int64 {
+	if m.total.Burst <= 0 {
+		return 0
+	}
+	base := burstPart * part
+	least := min(1/m.total.Burst, burstPart/float64(len(m.accounts)))
+	target := max(base, least)*float64(Whole) + 1
+	if r.Want > 0 {
+		target = max(target, float64(r.Held.Burst)+r.Want/m.total.Burst*float64(Whole)+1)
+	}
+	return int64(min(target, float64(Whole)))
+}
+
+// tokens takes from the pool what goes along with a larger burst part. Tokens
+// on the way need room of their own, so there are never more than the part by
+// which the burst grows.
+func (m *home) tokens(r Renewal, share Share) float64 {
+	if m.total.counted() {
+		return 0
+	}
+	room := float64(share.Burst-r.Held.Burst) / float64(Whole) * m.total.Burst
+	n := max(0, min(room, m.pool.tokens, r.Want+fillPart*m.pool.tokens))
+	m.pool.tokens -= n
+	return n
+}
+
+// countTarget splits a count by demand. The holder that wants most gets what
+// rounding leaves.
+func (m *home) countTarget(id holderID) int64 {
+	var sum float64
+	for _, a := range m.accounts {
+		sum += a.demand
+	}
+	if sum <= 0 {
+		return 0
+	}
+	left := m.total.of()
+	var most holderID
+	for other, a := range m.accounts {
+		left -= m.countPart(a.demand, sum)
+		if best := m.accounts[most]; best == nil || a.demand > best.demand ||
+			(a.demand == best.demand && other.vm < most.vm) {
+			most = other
+		}
+	}
+	part := m.countPart(m.accounts[id].demand, sum)
+	if id == most {
+		part += left
+	}
+	return part
+}
+
+func (m *home) countPart(demand, sum float64) int64 {
+	return int64(float64(m.total.Count) * demand / sum)
+}
--- /dev/null
+++ b/internal/quota/world.go
@@ -0,0 +1,353 @@
+package quota
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"time"
+)
+
+// virtualStart is the time at which a world begins.
+var virtualStart = time.Unix(1_000_000, 0)
+
+// world runs the decisions of several VMs on one resource in virtual time,
+// with a network whose links can be cut and delayed. The measurement and the
+// proofs use it.
+type world struct {
+	timing  timing
+	total   Total
+	now     time.Time
+	random  *rand.Rand
+	events  worldHeap
+	order   uint64
+	nodes   []*simNode
+	cut     map[[2]int]bool
+	latency func(from, to int) time.Duration
+	// delay adds to one message's way; nil adds nothing.
+	delay func(from, to int) time.Duration
+	// replay delivers the answer before once more after each answer.
+	replay bool
+	// onEvent runs after each event.
+	onEvent func()
+	// variant changes new decisions to a naive one.
+	variant func(*holder, *home)
+	// equalSplit replaces the protocol: a VM takes an equal part by its own
+	// list, without a lease.
+	equalSplit bool
+	calls      int
+}
+
+// simNode is one VM of a world.
+type simNode struct {
+	world    *world
+	index    int
+	vm       string
+	starts   uint64
+	dead     bool
+	frozen   bool
+	deferred []func()
+	list     []int // registered holders as this VM sees them
+	members  *members
+	holder   *holder
+	home     *home
+	waiting  waitList
+	wakeAt   time.Time
+	last     *Grant
+}
+
+type worldEvent struct {
+	at    time.Time
+	order uint64
+	run   func()
+}
+
+type worldHeap []worldEvent
+
+func (h worldHeap) Len() int { return len(h) }
+func (h worldHeap) Less(i, j int) bool {
+	if h[i].at.Equal(h[j].at) {
+		return h[i].order < h[j].order
+	}
+	return h[i].at.Before(h[j].at)
+}
+func (h worldHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *worldHeap) Push(x any) { *h = append(*h, x.(worldEvent)) }
+
+// Pop implements heap.Interface.
+func (h *worldHeap) Pop() any {
+	old := *h
+	e := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return e
+}
+
+// defaultTiming is the timing of Config's defaults.
+var defaultTiming = timing{lease: DefaultShareLease, interval: DefaultRenewInterval, promise: DefaultPromiseLifetime}
+
+func newWorld(n int, total Total, random *rand.Rand) *world {
+	w := &world{
+		timing: defaultTiming, total: total, now: virtualStart, random: random,
+		cut:     map[[2]int]bool{},
+		latency: func(from, to int) time.Duration { return time.Millisecond },
+	}
+	for i := range n {
+		w.nodes = append(w.nodes, &simNode{world: w, index: i, vm: fmt.Sprintf("vm%d", i+1)})
+	}
+	return w
+}
+
+// boot starts all VMs.
+func (w *world) boot() {
+	for _, node := range w.nodes {
+		node.boot()
+	}
+}
+
+// at runs f after d.
+func (w *world) at(d time.Duration, f func()) {
+	w.order++
+	heap.Push(&w.events, worldEvent{w.now.Add(d), w.order, f})
+}
+
+// run lets d pass.
+func (w *world) run(d time.Duration) {
+	end := w.now.Add(d)
+	for len(w.events) > 0 && !w.events[0].at.After(end) {
+		e := heap.Pop(&w.events).(worldEvent)
+		w.now = e.at
+		e.run()
+		if w.onEvent != nil {
+			w.onEvent()
+		}
+	}
+	w.now = end
+}
+
+// boot starts the VM's process, new or again.
+func (n *simNode) boot() {
+	w := n.world
+	n.dead, n.frozen, n.deferred, n.waiting, n.last = false, false, nil, nil, nil
+	n.wakeAt = time.Time{}
+	n.starts++
+	start := n.starts*1000 + uint64(n.index)
+	n.members = &members{keep: w.timing.promise + w.timing.homeLease()}
+	n.holder = newHolder(w.timing, n.vm, start, "r", w.now)
+	n.home = newHome(w.timing, start, "r", w.now, n.members)
+	n.refreshMembers()
+	n.holder.setTotal(w.now, w.total)
+	n.home.setTotal(w.now, w.total)
+	if w.variant != nil {
+		w.variant(n.holder, n.home)
+	}
+	n.after(time.Duration(w.random.Int63n(int64(w.timing.interval))), n.tick)
+}
+
+func (n *simNode) refreshMembers() {
+	var ids []string
+	if n.list == nil {
+		for _, other := range n.world.nodes {
+			ids = append(ids, other.vm)
+		}
+	}
+	for _, i := range n.list {
+		ids = append(ids, n.world.nodes[i].vm)
+	}
+	n.members.set(n.world.now, ids)
+	n.holder.setOrder(n.members.order("r"))
+}
+
+// after runs f on this VM's process after d. A dead or restarted process never
+// runs it; a frozen one runs it when it goes on.
+func (n *simNode) after(d time.Duration, f func()) {
+	start := n.starts
+	var guarded func()
+	guarded = func() {
+		switch {
+		case n.dead || n.starts != start:
+		case n.frozen:
+			n.deferred = append(n.deferred, guarded)
+		default:
+			f()
+		}
+	}
+	n.world.at(d, guarded)
+}
+
+func (n *simNode) kill() { n.dead, n.frozen = true, false }
+
+func (n *simNode) freeze() { n.frozen = true }
+
+func (n *simNode) thaw() {
+	n.frozen = false
+	list := n.deferred
+	n.deferred = nil
+	for _, f := range list {
+		n.world.at(0, f)
+	}
+}
+
+func (n *simNode) tick() {
+	n.refreshMembers()
+	if n.world.equalSplit {
+		n.takeEqualPart()
+	} else {
+		n.renew()
+	}
+	n.after(n.world.timing.interval, n.tick)
+}
+
+func (n *simNode) renew() {
+	w := n.world
+	if n.holder.inFlight || n.holder.target == "" || w.equalSplit {
+		return
+	}
+	r := n.holder.request(w.now)
+	w.calls++
+	to := w.find(n.holder.target)
+	n.after(callTimeouts*w.timing.interval, func() { n.failed(r.Seq) })
+	if to.dead && !w.cut[[2]int{n.index, to.index}] {
+		n.after(2*w.way(n.index, to.index), func() { n.failed(r.Seq) })
+		return
+	}
+	w.send(n, to, func() {
+		g := to.home.renew(w.now, r)
+		to.hint(&g)
+		w.send(to, n, func() { n.answered(g) })
+	})
+}
+
+// hint adds the VM that this one takes as home.
+func (n *simNode) hint(g *Grant) {
+	if n.holder.machine.State() == "holding" {
+		g.Hint = n.holder.target
+	}
+}
+
+func (w *world) find(vm string) *simNode {
+	for _, n := range w.nodes {
+		if n.vm == vm {
+			return n
+		}
+	}
+	return nil
+}
+
+func (w *world) way(from, to int) time.Duration {
+	d := w.latency(from, to)
+	if w.delay != nil {
+		d += w.delay(from, to)
+	}
+	return d
+}
+
+func (w *world) send(from, to *simNode, deliver func()) {
+	if w.cut[[2]int{from.index, to.index}] {
+		return
+	}
+	to.after(w.way(from.index, to.index), deliver)
+}
+
+func (n *simNode) answered(g Grant) {
+	w := n.world
+	previous := n.last
+	n.last = &g
+	n.holder.answered(w.now, g)
+	if w.replay && previous != nil {
+		n.holder.answered(w.now, *previous)
+	}
+	n.serve(true)
+	if g.Again {
+		n.renew()
+	}
+}
+
+func (n *simNode) failed(seq uint64) {
+	if n.holder.inFlight && n.holder.seq == seq {
+		n.holder.failed(n.world.now, seq)
+		n.serve(true)
+	}
+}
+
+// request asks for k units; done learns the outcome within the bounded wait.
+func (n *simNode) request(k float64, done func(admitted bool)) {
+	n.holder.ask(k)
+	if len(n.waiting) == 0 && n.holder.admit(n.world.now, k) {
+		done(true)
+		return
+	}
+	if len(n.waiting) >= maxWaiting {
+		done(false)
+		return
+	}
+	n.waiting = append(n.waiting, &waiter{k, n.world.now.Add(admitWait), done})
+	n.after(admitWait, func() { n.serve(false) })
+	n.serve(false)
+}
+
+// serve settles the waiting requests.
+func (n *simNode) serve(answered bool) {
+	now := n.world.now
+	next, urgent := n.waiting.serve(now, n.holder, answered)
+	if urgent {
+		n.renew()
+	}
+	if !next.IsZero() && (!n.wakeAt.After(now) || next.Before(n.wakeAt)) {
+		n.wakeAt = next
+		n.after(next.Sub(now)+time.Microsecond, func() { n.serve(false) })
+	}
+}
+
+// leave lets the VM give back its share and its duty.
+func (n *simNode) leave() {
+	n.holder.leave(n.world.now)
+	n.home.leave(n.world.now)
+	n.holder.inFlight = false
+	n.renew()
+}
+
+// without is the list of all VMs but one.
+func (w *world) without(index int) []int {
+	var list []int
+	for i := range w.nodes {
+		if i != index {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// takeEqualPart is the naive split.
+func (n *simNode) takeEqualPart() {
+	h, now := n.holder, n.world.now
+	h.trustPause = true
+	of := n.world.total.of()
+	part := of / int64(len(n.members.current))
+	h.share = Share{Rate: part, Burst: Whole / int64(len(n.members.current)), Of: of}
+	h.leaseUntil = now.Add(n.world.timing.interval * callTimeouts)
+	h.bucket.resize(now, h.rate(), h.depth())
+}
+
+// actingHome is the VM whose home acts, or the first one.
+func (w *world) actingHome() int {
+	for i, n := range w.nodes {
+		if !n.dead && !n.frozen && n.home.acting() {
+			return i
+		}
+	}
+	return 0
+}
+
+// cutOff separates the given VMs from all others.
+func (w *world) cutOff(inside ...int) {
+	in := map[int]bool{}
+	for _, i := range inside {
+		in[i] = true
+	}
+	for i := range w.nodes {
+		for j := range w.nodes {
+			w.cut[[2]int{i, j}] = in[i] != in[j]
+		}
+	}
+}
