--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -25,9 +25,13 @@
 	leaseInterval = 250 * time.Millisecond
 	// retryInterval is the pause after an action that failed.
 	retryInterval = 250 * time.Millisecond
+	// listInterval is how often the rows of the holders are listed otherwise.
+	listInterval = time.Second
 	// patienceSlack is added to the time in which a dead holder is found lapsed
 	// before a patch is withdrawn.
 	patienceSlack = time.Second
+	// maxFormer bounds the ids of earlier registrations in a holder's row.
+	maxFormer = 8
 )
 
 // coreConfig is what the decisions of one process depend on.
@@ -77,6 +81,7 @@
 	registered   bool     // the row is known to exist
 	voters       []string // as written
 	attempted    []string // as in a write whose effect is not known
+	former       []string // ids of earlier registrations
 	acked        uint64
 }
 
@@ -130,8 +135,8 @@
 	}
 	c.ask(now, "read", pollInterval, func() any { return readConfig{} })
 	c.ask(now, "renew", c.cfg.interval, c.renewal)
-	interval := c.cfg.interval
-	if s := c.patch.State(); s == "acknowledged" {
+	interval := listInterval
+	if c.patch.State() == "acknowledged" {
 		interval = pendingInterval
 	}
 	c.ask(now, "list", interval, func() any { return listHolders{record: c.snap.row.Version} })
@@ -192,7 +197,7 @@
 	c.own.counter++
 	h := Holder{
 		ID: c.own.id, VM: c.cfg.vm, Domain: c.cfg.domain, Address: c.cfg.address,
-		Counter: c.own.counter, Length: c.cfg.length, Acked: c.own.acked, Voters: voters,
+		Counter: c.own.counter, Length: c.cfg.length, Acked: c.own.acked, Voters: voters, Former: c.own.former,
 	}
 	request := fmt.Sprintf("%s#%d", c.own.id, c.own.counter)
 	return renew{holder: h, version: c.own.version, reread: !c.own.sure, request: request}
@@ -252,13 +257,22 @@
 		case "expire":
 			c.until = time.Time{}
 		case "register_again":
-			c.own = ownRow{registration: c.own.registration + 1, sure: true, acked: c.own.acked}
-			c.own.id = holderID(c.cfg.vm, c.cfg.incarnation, c.own.registration)
-			c.soon("renew")
+			c.registerAgain()
 		}
 	}
 }
 
+// registerAgain gives up the holder's id for a new one. What was acknowledged
+// and promised under the old one still holds.
+func (c *core) registerAgain() {
+	old := c.own
+	c.own = ownRow{registration: old.registration + 1, sure: true, acked: old.acked}
+	c.own.id = holderID(c.cfg.vm, c.cfg.incarnation, c.own.registration)
+	c.own.former = append(slices.Clone(old.former), old.id)
+	c.own.former = c.own.former[max(0, len(c.own.former)-maxFormer):]
+	c.soon("renew")
+}
+
 // extend takes the event and moves the end of the proof, if the chart says so.
 func (c *core) extend(event string, until time.Time, now time.Time) {
 	if !now.Before(until) {
--- a/internal/configsync/decide.go
+++ b/internal/configsync/decide.go
@@ -27,7 +27,13 @@
 func decide(attempt uint64, holders []Holder, lapsed func(Holder) bool) verdict {
 	acked := map[string]bool{}
 	for _, h := range holders {
-		acked[h.ID] = h.Acked >= attempt
+		if h.Acked < attempt {
+			continue
+		}
+		acked[h.ID] = true
+		for _, id := range h.Former {
+			acked[id] = true
+		}
 	}
 	v := verdict{}
 	for _, h := range holders {
@@ -59,7 +65,8 @@
 // conclude ends the record's pending patch if the holders agree, or with a
 // refusal if it has waited too long. Holders that agreed by having lapsed are
 // barred; the row of one that was barred before this patch can go, because a
-// majority of its voters knows that it is barred.
+// majority of its voters knows that it is barred. So can the row of a
+// registration that its process has given up.
 func conclude(r Record, holders []Holder, lapsed func(Holder) bool, late bool) ending {
 	v := decide(r.Pending.Attempt, holders, lapsed)
 	switch {
@@ -71,6 +78,9 @@
 				e.gone = append(e.gone, id)
 			}
 		}
+		for _, h := range holders {
+			e.gone = append(e.gone, h.Former...)
+		}
 		return e
 	case late:
 		return ending{ended: true, next: r.withOutcome(StateRefused, v.reason())}
@@ -116,8 +126,14 @@
 // have lapsed.
 type lapseWatch struct {
 	seen map[string]sighting
+	last time.Time // the end of the last list
 }
 
+// maxListGap is the longest time between two lists that a lapse may span. After
+// a longer gap, as in a platform outage, the holders get a whole grant's time to
+// renew before they are taken as lapsed.
+const maxListGap = 2 * time.Second
+
 type sighting struct {
 	version uint64
 	first   time.Time // the end of the first read that showed the version
@@ -127,9 +143,11 @@
 // observe takes a list of the holders' rows whose read began and ended then.
 func (w *lapseWatch) observe(rows []platform.Row, began, ended time.Time) {
 	next := make(map[string]sighting, len(rows))
+	gap := began.Sub(w.last) > maxListGap
+	w.last = ended
 	for _, row := range rows {
 		s, ok := w.seen[row.Key]
-		if !ok || s.version != row.Version {
+		if !ok || gap || s.version != row.Version {
 			next[row.Key] = sighting{version: row.Version, first: ended}
 			continue
 		}
--- a/internal/configsync/events.go
+++ b/internal/configsync/events.go
@@ -190,10 +190,9 @@
 
 // lease answers a VM that holds no grant. A lease ends before the grant does.
 func (c *core) lease(now time.Time, ask LeaseAsk) PromiseReply {
-	reply := PromiseReply{Row: c.snap.row}
+	reply := PromiseReply{Row: c.snap.row, Holders: c.lessors()}
 	state := c.grant.State()
 	if (state != "held" && state != "extended") || !c.valid(now) {
-		reply.Holders = c.lessors()
 		return reply
 	}
 	length := min(leaseLength, c.until.Sub(now))
--- a/internal/configsync/message.go
+++ b/internal/configsync/message.go
@@ -125,7 +125,7 @@
 	Length time.Duration
 	// Row is the newest configuration row of the process that was asked.
 	Row platform.Row
-	// Holders names addresses of holders when a lease is refused.
+	// Holders names addresses of other holders to ask for the next lease.
 	Holders []string
 }
 
--- a/internal/configsync/node.go
+++ b/internal/configsync/node.go
@@ -90,6 +90,7 @@
 
 	shown     atomic.Pointer[shown]
 	documents documentCache
+	ticked    atomic.Bool // a tick waits in the mailbox
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -110,6 +111,7 @@
 	until time.Time
 	row   platform.Row
 	state string // of the grant
+	patch string // state of the patch's chart
 }
 
 // New returns a node that is not started.
@@ -121,7 +123,7 @@
 		vm: cfg.VM.ID, domain: cfg.VM.Domain, address: cfg.VM.Address, incarnation: cfg.Incarnation,
 		length: cfg.GrantLength, interval: cfg.RenewInterval, observer: cfg.Observer,
 	})
-	n.shown.Store(&shown{view: catalog.View{Expired: true}, state: n.core.grant.State()})
+	n.shown.Store(&shown{view: catalog.View{Expired: true}, state: n.core.grant.State(), patch: n.core.patch.State()})
 	return n
 }
 
@@ -138,13 +140,16 @@
 	return nil
 }
 
-// tick makes the core look at the clock until the node is closed.
+// tick makes the core look at the clock until the node is closed. At most one
+// tick waits in the mailbox, because a sender to a full one spins.
 func (n *Node) tick() {
 	defer n.work.Done()
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
 	for n.ctx.Err() == nil {
-		n.ref.Send(tick{})
+		if n.ticked.CompareAndSwap(false, true) {
+			n.ref.Send(tick{})
+		}
 		select {
 		case <-n.ctx.Done():
 		case <-ticker.C:
@@ -233,6 +238,7 @@
 	now := n.cfg.Now()
 	switch m := message.(type) {
 	case tick:
+		n.ticked.Store(false)
 	case promiseCall:
 		m.reply <- n.core.promise(now, m.ask)
 	case leaseCall:
@@ -263,13 +269,13 @@
 // publish shows the core's state to View and tells of changes.
 func (n *Node) publish(now time.Time) {
 	old := n.shown.Load()
-	next := &shown{until: n.core.until, row: n.core.snap.row, state: n.core.grant.State()}
+	next := &shown{until: n.core.until, row: n.core.snap.row, state: n.core.grant.State(), patch: n.core.patch.State()}
 	next.view = catalog.View{Current: n.core.snap.current, Pending: n.core.snap.pending, Expired: !n.core.valid(now)}
 	n.shown.Store(next)
 	if n.core.grant.Done() && old.state != next.state {
 		close(n.left)
 	}
-	if old.row.Version == next.row.Version && old.state == next.state && old.view.Expired == next.view.Expired {
+	if old.row.Version == next.row.Version && old.state == next.state && old.patch == next.patch && old.view.Expired == next.view.Expired {
 		return
 	}
 	n.report(next)
@@ -285,7 +291,7 @@
 	fields := map[string]string{
 		"vm": n.cfg.VM.ID, "domain": n.cfg.VM.Domain, "grant": s.state,
 		"version": strconv.FormatUint(n.core.snap.record.Version, 10),
-		"expired": strconv.FormatBool(s.view.Expired), "patch_state": n.core.patch.State(),
+		"expired": strconv.FormatBool(s.view.Expired), "patch_state": s.patch,
 	}
 	if p := n.core.snap.record.Pending; p != nil {
 		fields["pending"] = strconv.FormatUint(p.Version, 10)
--- a/internal/configsync/node_test.go
+++ b/internal/configsync/node_test.go
@@ -3,188 +3,168 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/frame"
-	"chicoryline/internal/platform"
 )
 
 const basePatch = "[group g]\n[customer depot]\nrate = 10\nburst = 5\n[route racks]\ngroup = g\n[route board]\ngroup = g\nopen = true\nserve_cut_off = true\n"
 
-// net carries calls between nodes of one test; cut addresses are unreachable.
-type net struct {
-	mu    sync.Mutex
-	nodes map[string]*Node
-	cut   map[string]bool
-}
+// ratePatch changes one value.
+func ratePatch(rate int) string { return fmt.Sprintf("[customer depot]\nrate = %d\n", rate) }
 
-type netLink struct {
-	net  *net
-	from string
-}
-
-func (l netLink) Call(_ context.Context, address, method string, args, reply any) error {
-	l.net.mu.Lock()
-	n, cut := l.net.nodes[address], l.net.cut[address] || l.net.cut[l.from]
-	l.net.mu.Unlock()
-	if n == nil || cut {
-		return errkind.New(errkind.Unreachable, "%s", address)
+// ready starts a scenario: all members hold grants and version 1 is in force.
+func (w *world) ready() {
+	if !w.until(20*time.Second, w.allValid) {
+		w.fail("no grants at the start")
 	}
-	s := n.Service()
-	switch method {
-	case "Config.Promise":
-		return s.Promise(args.(PromiseAsk), reply.(*PromiseReply))
-	case "Config.Lease":
-		return s.Lease(args.(LeaseAsk), reply.(*PromiseReply))
-	case "Config.Document":
-		return s.Document(args.(DocumentAsk), reply.(*DocumentReply))
-	case "Config.Notify":
-		return s.Notify(args.(NotifyAsk), reply.(*NotifyReply))
+	if r := w.submit(0, basePatch, "first", 20*time.Second); r.State != StateInForce {
+		w.fail("first patch: %+v", r)
 	}
-	return errkind.New(errkind.Internal, "method %s", method)
 }
 
-// fleet is a set of nodes on one fake platform in a test's virtual time.
-type fleet struct {
-	t       *testing.T
-	store   *fakePlatform
-	net     *net
-	nodes   []*Node
-	system  *frame.System
-	started int
-	seeds   func() []platform.VM // addresses given by the settings of later nodes
-}
-
-func newFleet(t *testing.T, system *frame.System, holders int) *fleet {
-	f := &fleet{t: t, system: system, store: newFakePlatform(), net: &net{nodes: map[string]*Node{}, cut: map[string]bool{}}}
-	for i := range holders {
-		f.start(fmt.Sprintf("vm%d", i), fmt.Sprintf("d%d", i%3), false)
+// everywhere reports whether all members that live serve the version alone.
+func (w *world) everywhere(version uint64) bool {
+	for _, m := range w.members {
+		s := m.node.shown.Load()
+		if dead, _ := m.state(); dead || s.state == "returned" {
+			continue
+		}
+		if s.view.Current == nil || s.view.Current.Version != version || s.view.Pending != nil {
+			return false
+		}
 	}
-	return f
+	return true
 }
 
-func (f *fleet) start(id, domain string, observer bool) *Node {
-	vm := platform.VM{ID: id, Domain: domain, Address: id + ":1"}
-	f.started++
-	n := New(Config{
-		VM: vm, Incarnation: uint64(f.started), Services: f.store, Caller: netLink{f.net, vm.Address},
-		System: f.system, Observer: observer, Peers: f.seeds,
-	})
-	f.net.mu.Lock()
-	f.net.nodes[vm.Address] = n
-	f.net.mu.Unlock()
-	f.store.set(func() { f.store.vms = append(f.store.vms, vm) })
-	if err := n.Start(); err != nil {
-		f.t.Fatal(err)
+// settled heals the world, waits until all members serve, and puts one more
+// patch in force.
+func (w *world) settled() {
+	w.heal()
+	if !w.until(40*time.Second, w.allValid) {
+		w.fail("not all members serve after the faults have ended")
 	}
-	f.nodes = append(f.nodes, n)
-	return n
-}
-
-func (f *fleet) close() {
-	for _, n := range f.nodes {
-		n.Close()
+	r := Result{}
+	for i := 0; i < 5 && r.State != StateInForce; i++ {
+		r = w.submit(w.recordNow().Version, ratePatch(99), fmt.Sprintf("last %d", i), 60*time.Second)
+	}
+	if r.State != StateInForce {
+		w.fail("patch after the faults: %+v", r)
+		return
+	}
+	if !w.until(20*time.Second, func() bool { return w.everywhere(r.Version) }) {
+		w.fail("version %d is not served everywhere", r.Version)
 	}
 }
 
-func (f *fleet) submit(base uint64, patch, id string) Result {
-	f.t.Helper()
-	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
-	defer cancel()
-	r, err := Submit(ctx, f.store, base, []byte(patch), id)
-	f.t.Logf("patch %s on %d: %s version %d %v", id, base, r.State, r.Version, err)
-	return r
+// expectGreen fails the test if a scenario failed.
+func expectGreen(t *testing.T, failures []string) {
+	t.Helper()
+	for _, f := range failures {
+		t.Error(f)
+	}
 }
 
-// wait waits for the condition for a generous stretch of virtual time.
-func (f *fleet) wait(what string, ok func() bool) {
-	f.t.Helper()
-	for range 6000 {
-		if ok() {
-			return
+func TestPatchIsInForceEverywhere(t *testing.T) {
+	expectGreen(t, runWorld(t, 1, 8, func(w *world) {
+		w.add("lessee", "d0", true)
+		w.ready()
+		began, writes := time.Now(), w.store.writes
+		if !w.until(3*time.Second, func() bool { return w.everywhere(1) }) {
+			w.fail("version 1 is not everywhere within 3 s of its report")
 		}
-		time.Sleep(10 * time.Millisecond)
-	}
-	f.t.Fatalf("never happened: %s", what)
+		t.Logf("spread after the report: %s", time.Since(began))
+		if r := w.submit(0, basePatch, "first", 20*time.Second); r.State != StateInForce || r.Version != 1 {
+			w.fail("the same patch id again: %+v", r)
+		}
+		if r := w.submit(0, ratePatch(3), "old", 20*time.Second); r.State != StateRefused {
+			w.fail("a patch on an old base: %+v", r)
+		}
+		began = time.Now()
+		if r := w.submit(1, ratePatch(4), "second", 20*time.Second); r.State != StateInForce || r.Version != 2 {
+			w.fail("second patch: %+v", r)
+		}
+		t.Logf("second patch in force after %s of virtual time, %d writes since the first", time.Since(began), w.store.writes-writes)
+		w.settled()
+	}))
 }
 
-func (f *fleet) valid(nodes ...*Node) func() bool {
-	return func() bool {
-		for _, n := range nodes {
-			if n.View().Expired {
-				return false
+func TestOutageKeepsServing(t *testing.T) {
+	expectGreen(t, runWorld(t, 1, 5, func(w *world) {
+		w.ready()
+		time.Sleep(5 * time.Second)
+		w.store.set(func() { w.store.down = true })
+		w.members[4].freeze()
+		for range 300 {
+			time.Sleep(100 * time.Millisecond)
+			for _, m := range w.members[:4] {
+				if m.node.View().Expired {
+					w.fail("%s ran out in an outage with a majority up", m.id)
+				}
 			}
 		}
-		return true
-	}
+		w.members[4].thaw()
+		if !w.until(20*time.Second, w.allValid) {
+			w.fail("a paused holder did not regain its grant in the outage")
+		}
+		w.settled()
+	}))
 }
 
-func version(n *Node) uint64 {
-	if d := n.View().Current; d != nil {
-		return d.Version
-	}
-	return 0
+func TestStartInAnOutageLearnsFromPeers(t *testing.T) {
+	expectGreen(t, runWorld(t, 1, 3, func(w *world) {
+		w.ready()
+		w.store.set(func() { w.store.down = true })
+		late := w.add("late", "d0", false)
+		seed := w.members[0].node.cfg.VM
+		late.node.mu.Lock()
+		late.node.peers = append(late.node.peers, seed)
+		late.node.mu.Unlock()
+		if !w.until(20*time.Second, w.allValid) || !w.everywhere(1) {
+			w.fail("a process that started in the outage does not serve the version of its peers")
+		}
+		w.settled()
+	}))
 }
 
-// inVirtualTime runs a fleet in a synctest bubble. The actor system is made
-// outside of it, because its log writer keeps a goroutine for ever.
-func inVirtualTime(t *testing.T, holders int, run func(f *fleet)) {
-	log := logrus.New()
-	log.SetLevel(logrus.PanicLevel)
-	system := frame.New(logrus.NewEntry(log))
-	synctest.Test(t, func(t *testing.T) {
-		f := newFleet(t, system, holders)
-		defer f.close()
-		run(f)
-	})
+func TestLeaveGivesTheGrantBack(t *testing.T) {
+	expectGreen(t, runWorld(t, 1, 4, func(w *world) {
+		w.ready()
+		ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+		defer cancel()
+		if err := w.members[3].node.Leave(ctx); err != nil {
+			w.fail("leave: %v", err)
+		}
+		holders, _ := Holders(ctx, w.store)
+		if len(holders) != 3 {
+			w.fail("%d holders after one has left", len(holders))
+		}
+		w.settled()
+	}))
 }
 
-func TestPatchIsInForceEverywhere(t *testing.T) {
-	inVirtualTime(t, 8, func(f *fleet) {
-		f.wait("grants", f.valid(f.nodes...))
-		if r := f.submit(0, basePatch, "p1"); r.State != StateInForce || r.Version != 1 {
-			t.Fatalf("first patch: %+v", r)
-		}
-		f.wait("version 1", func() bool {
-			for _, n := range f.nodes {
-				if version(n) != 1 || n.View().Pending != nil {
-					return false
-				}
+func TestReleaseUnblocksPatches(t *testing.T) {
+	expectGreen(t, runWorld(t, 1, 6, func(w *world) {
+		w.ready()
+		for _, m := range w.members {
+			if m.domain != "d2" {
+				m.kill()
 			}
-			return true
-		})
-		if r := f.submit(0, basePatch, "p1"); r.State != StateInForce || r.Version != 1 {
-			t.Fatalf("the same patch id again: %+v", r)
 		}
-		if r := f.submit(0, "[group h]", "p2"); r.State != StateRefused {
-			t.Fatalf("an old base: %+v", r)
+		r := w.submit(1, ratePatch(2), "blocked", 60*time.Second)
+		if r.State != StateRefused {
+			w.fail("patch with a majority dead: %+v", r)
 		}
-	})
-}
-
-func TestOutageKeepsServing(t *testing.T) {
-	inVirtualTime(t, 5, func(f *fleet) {
-		f.wait("grants", f.valid(f.nodes...))
-		f.submit(0, basePatch, "p1")
-		time.Sleep(5 * time.Second)
-		f.store.set(func() { f.store.down = true })
-		known := []platform.VM{f.nodes[0].cfg.VM}
-		f.seeds = func() []platform.VM { return known }
-		late := f.start("late", "d0", true)
-		for range 30 {
-			time.Sleep(time.Second)
-			if !f.valid(f.nodes[:5]...)() {
-				t.Fatal("a grant ran out in a platform outage with all VMs up")
+		t.Logf("refused: %s", r.Reason)
+		for _, domain := range []string{"d0", "d1"} {
+			if ids, err := Release(context.Background(), w.store, domain); err != nil || len(ids) != 2 {
+				w.fail("release %s: %v %v", domain, ids, err)
 			}
 		}
-		if !f.valid(late)() || version(late) != 1 {
-			t.Fatal("a VM that started in the outage did not learn the configuration from a holder")
+		if _, err := Release(context.Background(), w.store, "d2"); !errkind.Is(err, errkind.PatchRefused) {
+			w.fail("release of a domain that renews: %v", err)
 		}
-	})
+		w.settled()
+	}))
 }
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -77,11 +77,13 @@
 	n.lessor = address
 }
 
-// setHints keeps the holders that a process named which gives no leases.
+// setHints keeps the addresses of holders that the last process asked has named.
 func (n *Node) setHints(holders []string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.hints = holders
+	if len(holders) > 0 {
+		n.hints = holders
+	}
 }
 
 // maxHints bounds the holders that a refused lease names.
--- a/internal/configsync/record.go
+++ b/internal/configsync/record.go
@@ -127,6 +127,9 @@
 	Length time.Duration
 	// Acked is the newest attempt that the holder serves jointly.
 	Acked uint64
+	// Former lists the ids under which the same process was registered before.
+	// It keeps their promises, so its acknowledgement is theirs too.
+	Former []string `json:",omitempty"`
 	// Voters are the holders of which a majority has to promise before the
 	// holder may extend its grant without the platform.
 	Voters []string
--- a/internal/configsync/run.go
+++ b/internal/configsync/run.go
@@ -196,11 +196,11 @@
 		if n.call(address, "Config.Lease", a.ask, &reply) != nil {
 			continue
 		}
+		n.setHints(reply.Holders)
 		if reply.Granted {
 			n.setLessor(address)
 			return leaseDone{sent: sent, ok: true, length: reply.Length}
 		}
-		n.setHints(reply.Holders)
 		n.show(reply.Row)
 	}
 	return leaseDone{}
--- a/internal/configsync/service.go
+++ b/internal/configsync/service.go
@@ -43,9 +43,7 @@
 func (s *Service) Lease(ask LeaseAsk, reply *PromiseReply) error {
 	call := leaseCall{ask: ask, reply: make(chan PromiseReply, 1)}
 	err := s.decide(call, call.reply, reply)
-	if !reply.Granted {
-		reply.Holders = s.node.hint(reply.Holders)
-	}
+	reply.Holders = s.node.hint(reply.Holders)
 	return err
 }
 
--- a/internal/configsync/submit.go
+++ b/internal/configsync/submit.go
@@ -13,6 +13,9 @@
 // operatorInterval is how often an operator's command looks again.
 const operatorInterval = 50 * time.Millisecond
 
+// operatorGrace is how long a command leaves the decision to the holders.
+const operatorGrace = 2 * time.Second
+
 // Result is what the patch command ends with.
 type Result struct {
 	State State
@@ -159,6 +162,9 @@
 	if err != nil {
 		return
 	}
+	if len(holders) > 0 && began.Sub(f.since) < operatorGrace {
+		return
+	}
 	e := conclude(record, holders, f.watch.lapsed, began.Sub(f.since) >= operatorPatience(holders))
 	if !e.ended {
 		return
