--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"net"
 	"strings"
-	"sync"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -106,12 +105,14 @@
 	turn chan struct{}
 	conn *pgconn.PgConn
 
-	closeOnce sync.Once
-	closed    chan struct{}
+	// ctx ends when the client is closed.
+	ctx  context.Context
+	stop context.CancelFunc
 }
 
 func newControlConn(cfg ClientConfig) *controlConn {
-	c := &controlConn{cfg: cfg, turn: make(chan struct{}, 1), closed: make(chan struct{})}
+	c := &controlConn{cfg: cfg, turn: make(chan struct{}, 1)}
+	c.ctx, c.stop = context.WithCancel(context.Background())
 	c.turn <- struct{}{}
 	return c
 }
@@ -124,6 +125,7 @@
 func (c *controlConn) callFor(ctx context.Context, command string, timeout time.Duration) (Status, error) {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
+	defer context.AfterFunc(c.ctx, cancel)()
 	select {
 	case <-c.turn:
 		defer func() { c.turn <- struct{}{} }()
@@ -159,10 +161,8 @@
 
 // open makes sure that there is a connection. The caller holds the turn.
 func (c *controlConn) open(ctx context.Context) error {
-	select {
-	case <-c.closed:
+	if c.ctx.Err() != nil {
 		return errors.New("client is closed")
-	default:
 	}
 	if c.conn != nil && !c.conn.IsClosed() {
 		return nil
@@ -190,13 +190,12 @@
 	c.conn = nil
 }
 
+// close ends the command that runs, if any, and then the connection.
 func (c *controlConn) close() {
-	c.closeOnce.Do(func() {
-		close(c.closed)
-		<-c.turn
-		c.discard()
-		c.turn <- struct{}{}
-	})
+	c.stop()
+	<-c.turn
+	c.discard()
+	c.turn <- struct{}{}
 }
 
 // commandError gives a failed command its kind.
--- /dev/null
+++ b/internal/standin/dbinstance/answer.go
@@ -0,0 +1,96 @@
+package dbinstance
+
+import (
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+	"github.com/juju/errors"
+)
+
+// flushRows is the number of rows after which an answer is written out.
+const flushRows = 128
+
+// sendResult answers a statement of the simple protocol.
+func (s *session) sendResult(res *Result) error {
+	if res.Columns != nil {
+		s.be.Send(rowDescription(res.Columns, nil))
+	}
+	if err := s.sendRows(res.Columns, res.Rows, nil); err != nil {
+		return err
+	}
+	s.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(res.Tag)})
+	return nil
+}
+
+// sendRows sends rows, and breaks off where the fault switch says.
+func (s *session) sendRows(columns []ResultColumn, rows [][]Value, formats []int16) error {
+	cut := s.cutAfter != noRowLimit
+	if cut {
+		rows = rows[:min(len(rows), s.cutAfter)]
+	}
+	for i, row := range rows {
+		if err := s.sendRow(columns, row, formats); err != nil {
+			return err
+		}
+		if i%flushRows == flushRows-1 {
+			if err := s.be.Flush(); err != nil {
+				return errors.Trace(errEnd)
+			}
+		}
+	}
+	if cut {
+		_ = s.be.Flush()
+		return errors.Trace(errEnd)
+	}
+	return nil
+}
+
+func (s *session) sendRow(columns []ResultColumn, row []Value, formats []int16) error {
+	values := make([][]byte, len(row))
+	for c, v := range row {
+		data, err := v.encode(columns[c].OID, formatOf(formats, c))
+		if err != nil {
+			return err
+		}
+		values[c] = data
+	}
+	s.be.Send(&pgproto3.DataRow{Values: values})
+	return nil
+}
+
+// formatOf returns the format of a column by the protocol's rule: no code means
+// text, one code means all columns.
+func formatOf(formats []int16, column int) int16 {
+	switch {
+	case len(formats) == 1:
+		return formats[0]
+	case column < len(formats):
+		return formats[column]
+	}
+	return formatText
+}
+
+func rowDescription(columns []ResultColumn, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, c := range columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name:         []byte(c.Name),
+			DataTypeOID:  c.OID,
+			DataTypeSize: typeSize(c.OID),
+			TypeModifier: -1,
+			Format:       formatOf(formats, i),
+		})
+	}
+	return d
+}
+
+func typeSize(oid uint32) int16 {
+	switch oid {
+	case pgtype.Int8OID, pgtype.Float8OID:
+		return int8Bytes
+	case pgtype.Int4OID:
+		return int4Bytes
+	case pgtype.BoolOID:
+		return 1
+	}
+	return -1
+}
--- a/internal/standin/dbinstance/ast.go
+++ b/internal/standin/dbinstance/ast.go
@@ -13,7 +13,9 @@
 	rollbackStatement struct{}
 	showStatement     struct{ name string }
 	setStatement      struct{ name, value string }
-	discardStatement  struct{}
+	// setTransactionStatement changes the mode of the open transaction.
+	setTransactionStatement struct{ beginStatement }
+	discardStatement        struct{}
 	// deallocateStatement drops one prepared statement, or all if name is empty.
 	deallocateStatement struct{ name string }
 	// unsupportedStatement is refused with 0A000 when it runs.
@@ -126,6 +128,8 @@
 		return s.forUpdate
 	case *beginStatement:
 		return s.readWrite
+	case *setTransactionStatement:
+		return s.readWrite
 	}
 	return false
 }
--- a/internal/standin/dbinstance/session.go
+++ b/internal/standin/dbinstance/session.go
@@ -76,6 +76,7 @@
 	}
 	defer s.srv.dismiss(s)
 	if err := s.login(params); err != nil {
+		s.srv.log.WithField("code", asSQLError(err).Code).Debug("connection_refused")
 		s.sendError(err, "FATAL")
 		_ = s.be.Flush()
 		return
