Stand-in reports unknown columns when it parses a statement

A test of the extended protocol found that Parse took SELECT of a column that does not exist, and with no rows its Execute succeeded. Types were found leniently and names checked only on rows. Names are now checked before a statement runs, in both protocols.

--- a/internal/standin/dbinstance/ast.go
+++ b/internal/standin/dbinstance/ast.go
@@ -13,6 +13,7 @@
 	rollbackStatement struct{}
 	showStatement     struct{ name string }
 	setStatement      struct{ name, value string }
+	resetStatement    struct{ name string }
 	// setTransactionStatement changes the mode of the open transaction.
 	setTransactionStatement struct{ beginStatement }
 	discardStatement        struct{}
--- a/internal/standin/dbinstance/eval.go
+++ b/internal/standin/dbinstance/eval.go
@@ -49,7 +49,7 @@
 
 func (e *env) column(name string) (Value, error) {
 	if e.table == nil {
-		return Value{}, sqlErrorf(codeUndefinedColumn, "column %q does not exist", name)
+		return Value{}, errNoColumn(name)
 	}
 	i, err := e.table.column(name)
 	if err != nil || e.row == nil {
--- a/internal/standin/dbinstance/exec.go
+++ b/internal/standin/dbinstance/exec.go
@@ -20,6 +20,10 @@
 			return nil, err
 		}
 	}
+	types, _, err := tx.describe(s, types)
+	if err != nil {
+		return nil, err
+	}
 	x := &execution{tx: tx, ctx: ctx, params: params, types: types}
 	switch s := s.(type) {
 	case *createStatement:
--- a/internal/standin/dbinstance/parser_session.go
+++ b/internal/standin/dbinstance/parser_session.go
@@ -33,7 +33,7 @@
 		return p.set()
 	case p.takeWords("reset"):
 		name, err := p.settingName()
-		return &setStatement{name: name}, err
+		return &resetStatement{name}, err
 	case p.takeWords("discard", "all"):
 		return &discardStatement{}, nil
 	case p.takeWords("deallocate"):
--- a/internal/standin/dbinstance/session_run.go
+++ b/internal/standin/dbinstance/session_run.go
@@ -27,6 +27,9 @@
 	case *setStatement:
 		s.settings[stmt.name] = stmt.value
 		return &Result{Tag: "SET"}, nil
+	case *resetStatement:
+		delete(s.settings, stmt.name)
+		return &Result{Tag: "RESET"}, nil
 	case *setTransactionStatement:
 		return s.setTransaction(stmt)
 	case *discardStatement:
--- a/internal/standin/dbinstance/table.go
+++ b/internal/standin/dbinstance/table.go
@@ -27,11 +27,15 @@
 func (t *table) column(name string) (int, error) {
 	i := slices.IndexFunc(t.columns, func(c columnDef) bool { return c.Name == name })
 	if i < 0 {
-		return 0, sqlErrorf(codeUndefinedColumn, "column %q does not exist", name)
+		return 0, errNoColumn(name)
 	}
 	return i, nil
 }
 
+func errNoColumn(name string) error {
+	return sqlErrorf(codeUndefinedColumn, "column %q does not exist", name)
+}
+
 func (t *table) put(id uint64, row []Value) {
 	t.remove(id)
 	t.rows[id] = row
--- a/internal/standin/dbinstance/types.go
+++ b/internal/standin/dbinstance/types.go
@@ -23,6 +23,8 @@
 type typer struct {
 	table  *table
 	params []uint32
+	// err is the first name that does not exist.
+	err error
 }
 
 // infer notes the type of a parameter, unless it is known already.
@@ -69,15 +71,20 @@
 	return pgtype.Int8OID
 }
 
+// columnOID returns the type of the named column, and notes if there is none.
 func (t *typer) columnOID(name string) uint32 {
-	if t.table == nil {
-		return pgtype.TextOID
+	err := errNoColumn(name)
+	if t.table != nil {
+		i, found := t.table.column(name)
+		if found == nil {
+			return t.table.columns[i].OID
+		}
+		err = found
 	}
-	i, err := t.table.column(name)
-	if err != nil {
-		return pgtype.TextOID
+	if t.err == nil {
+		t.err = err
 	}
-	return t.table.columns[i].OID
+	return pgtype.TextOID
 }
 
 // oid returns the type of an expression's value.
@@ -206,7 +213,7 @@
 			list = append(list, ResultColumn{c.Name, c.OID})
 		}
 	}
-	return list, nil
+	return list, t.err
 }
 
 // tableOf returns the name of the statement's table, or "".
@@ -244,6 +251,10 @@
 func (tx *Tx) Describe(s Statement, declared []uint32) ([]uint32, []ResultColumn, error) {
 	tx.store.mu.Lock()
 	defer tx.store.mu.Unlock()
+	return tx.describe(s, declared)
+}
+
+func (tx *Tx) describe(s Statement, declared []uint32) ([]uint32, []ResultColumn, error) {
 	t := &typer{params: append([]uint32(nil), declared...)}
 	if name := tableOf(s); name != "" {
 		view, err := tx.view(name)
