--- a/internal/standin/dbinstance/admin.go
+++ b/internal/standin/dbinstance/admin.go
@@ -17,7 +17,7 @@
 // faultCall carries out one call of POST /fault; get returns a form value.
 type faultCall func(s *Server, get func(string) string) error
 
-// faultCalls maps the form value "name" to its call.
+// faultCalls maps the form value "name" to its call; "kill" is not in it.
 var faultCalls = map[string]faultCall{
 	"cut": func(s *Server, get func(string) string) error {
 		d := Direction(get("direction"))
@@ -60,7 +60,6 @@
 		s.BreakNextCommit(b)
 		return nil
 	},
-	"kill": func(s *Server, _ func(string) string) error { s.Kill(); return nil },
 }
 
 // durationCall returns a call that passes the form value "value" to the setter.
@@ -104,6 +103,13 @@
 }
 
 func (s *Server) postFault(w http.ResponseWriter, r *http.Request) {
+	if r.FormValue("name") == "kill" {
+		// The answer has to leave before the admin listener closes.
+		writeJSON(w, s.Faults())
+		_ = http.NewResponseController(w).Flush()
+		s.Kill()
+		return
+	}
 	call, ok := faultCalls[r.FormValue("name")]
 	if !ok {
 		http.Error(w, "unknown fault", http.StatusNotFound)
--- a/internal/standin/dbinstance/control_test.go
+++ b/internal/standin/dbinstance/control_test.go
@@ -102,23 +102,60 @@
 	g := NewMemoryGroup("a", "b", "c")
 	defer g.Close()
 	ctx := testContext(t)
-	tx := g.Store("a").Begin(false)
-	mustExecute(tx, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
-	p, err := tx.Commit()
+	_, p, err := g.Store("a").Run(ctx, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
 	if err != nil {
 		t.Fatal(err)
 	}
 	for _, id := range []string{"b", "c"} {
-		if s, err := g.Store(id).Control().Wait(ctx, p, testDeadline); err != nil || !s.Confirms(p) {
+		if s, err := g.Control(id).Wait(ctx, p, testDeadline); err != nil || !s.Confirms(p) {
 			t.Fatalf("instance %s: %+v, %v", id, s, err)
 		}
 	}
-	if s, err := g.Store("b").Control().Fence(ctx, 2); err != nil || s.Fence != 2 {
+	g.Cut("b")
+	_, err = g.Control("b").Status(ctx)
+	if !errkind.Is(err, errkind.Unreachable) {
+		t.Errorf("status of a cut instance: %v", err)
+	}
+	_, next, err := g.Store("a").Run(ctx, "INSERT INTO kv VALUES ('a', 1)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := g.Control("c").Wait(ctx, next, testDeadline); err != nil || !s.Confirms(next) {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	if got := g.Store("b").Status().Log; got != p {
+		t.Errorf("instance b at %v behind the cut, want %v", got, p)
+	}
+	g.Heal("b")
+	if s, err := g.Control("b").Wait(ctx, next, testDeadline); err != nil || !s.Confirms(next) {
 		t.Fatalf("%+v, %v", s, err)
 	}
 	// A wait ends when a higher fence stands, whatever the position.
-	s, err := g.Store("b").Control().Wait(ctx, position.Position{Term: 1, Offset: 99}, testDeadline)
+	if _, err := g.Control("b").Fence(ctx, 2); err != nil {
+		t.Fatal(err)
+	}
+	s, err := g.Control("b").Wait(ctx, position.Position{Term: 1, Offset: 99}, testDeadline)
 	if err != nil || s.Fence != 2 {
 		t.Fatalf("%+v, %v", s, err)
 	}
 }
+
+func TestFaultyControl(t *testing.T) {
+	cases := []struct {
+		fault ControlFault
+		kind  errkind.Kind
+		fence uint64
+	}{
+		{ControlUnreachable, errkind.Unreachable, 1},
+		{ControlRequestLost, errkind.OutcomeUnknown, 1},
+		{ControlAnswerLost, errkind.OutcomeUnknown, 2},
+	}
+	for _, c := range cases {
+		s := NewStore(StoreConfig{ID: "a"})
+		control := FaultyControl{Control: s.Control(), Next: func(string) ControlFault { return c.fault }}
+		_, err := control.Fence(testContext(t), 2)
+		if !errkind.Is(err, c.kind) || s.Status().Fence != c.fence {
+			t.Errorf("fault %d: error %v and fence %d", c.fault, err, s.Status().Fence)
+		}
+	}
+}
--- a/internal/standin/dbinstance/fault_test.go
+++ b/internal/standin/dbinstance/fault_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -306,13 +305,40 @@
 }
 
 func TestAdminKill(t *testing.T) {
-	s := startServer(t, Config{})
-	admin := httptest.NewServer(s.AdminHandler())
-	defer admin.Close()
-	resp, err := http.Post(admin.URL+"/fault?name=kill", "", nil)
+	s := startServer(t, Config{AdminListen: "127.0.0.1:0"})
+	resp, err := http.Post("http://"+s.AdminAddr()+"/fault?name=kill", "", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
 	_ = resp.Body.Close()
 	<-s.Done()
 }
+
+// TestIdleTransactionTimeout checks that a transaction whose proxy is cut off
+// ends by the instance's own timer and frees its locks.
+func TestIdleTransactionTimeout(t *testing.T) {
+	s, named, other := startWithTable(t)
+	exec(t, other, "INSERT INTO kv VALUES ('a', 1)")
+	exec(t, named, "SET idle_in_transaction_session_timeout = 20")
+	s.Cut(CutOutbound, "vm:vm1")
+	done := make(chan error, 1)
+	go func() {
+		_, err := named.Exec(context.Background(), "BEGIN; UPDATE kv SET v = 2 WHERE k = 'a'", pgx.QueryExecModeSimpleProtocol)
+		done <- err
+	}()
+	waitFor(t, "lock of the transaction", func() bool {
+		s.store.mu.Lock()
+		defer s.store.mu.Unlock()
+		return len(s.store.locks) > 0
+	})
+	s.Cut(CutBoth, "vm:vm1")
+	exec(t, other, "UPDATE kv SET v = 3")
+	if got := rowsOf(t, other, "SELECT v FROM kv"); !cmp.Equal(got, [][]any{{int64(3)}}) {
+		t.Errorf("rows %v", got)
+	}
+	s.Heal()
+	<-done
+	if _, err := named.Exec(testContext(t), "COMMIT"); err == nil {
+		t.Error("the transaction outlived its timeout")
+	}
+}
--- /dev/null
+++ b/internal/standin/dbinstance/memory_group.go
@@ -0,0 +1,120 @@
+package dbinstance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/position"
+)
+
+// MemoryGroup is a group of stores that replicate from one another in memory.
+type MemoryGroup struct {
+	stores map[string]*Store
+	stop   context.CancelFunc
+	wait   sync.WaitGroup
+
+	// mu guards cut, the instances that nobody reaches.
+	mu  sync.Mutex
+	cut map[string]bool
+}
+
+// NewMemoryGroup returns a group of the ids; the first is the primary of term 1
+// and the others follow it.
+func NewMemoryGroup(ids ...string) *MemoryGroup {
+	ctx, stop := context.WithCancel(context.Background())
+	g := &MemoryGroup{stores: map[string]*Store{}, stop: stop, cut: map[string]bool{}}
+	for i, id := range ids {
+		cfg := StoreConfig{ID: id, InitialPrimary: i == 0}
+		if i > 0 {
+			cfg.InitialSource = ids[0]
+		}
+		g.stores[id] = NewStore(cfg)
+	}
+	for id, s := range g.stores {
+		p := &puller{
+			store:  s,
+			dial:   func(_ context.Context, from string) (LogSource, func(), error) { return g.dial(from, id) },
+			delay:  func(ctx context.Context, _ time.Time) error { return canceled(ctx) },
+			report: func(Stream, error) {},
+		}
+		g.wait.Go(func() { p.run(ctx) })
+	}
+	return g
+}
+
+// Store returns the store of the instance.
+func (g *MemoryGroup) Store(id string) *Store { return g.stores[id] }
+
+// Control returns the control of the instance. While the instance is cut, its
+// commands fail as unreachable.
+func (g *MemoryGroup) Control(id string) backend.Control {
+	return FaultyControl{
+		Control: g.stores[id].Control(),
+		Next: func(string) ControlFault {
+			if g.isCut(id) {
+				return ControlUnreachable
+			}
+			return ControlIntact
+		},
+	}
+}
+
+// Cut separates the instances from every other and from their control. Stores
+// of cut instances still take writes from whoever holds them.
+func (g *MemoryGroup) Cut(ids ...string) { g.setCut(true, ids) }
+
+// Heal ends the cut of the instances.
+func (g *MemoryGroup) Heal(ids ...string) { g.setCut(false, ids) }
+
+func (g *MemoryGroup) setCut(cut bool, ids []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range ids {
+		g.cut[id] = cut
+	}
+}
+
+func (g *MemoryGroup) isCut(ids ...string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, id := range ids {
+		if g.cut[id] {
+			return true
+		}
+	}
+	return false
+}
+
+// Close ends replication.
+func (g *MemoryGroup) Close() {
+	g.stop()
+	g.wait.Wait()
+}
+
+func (g *MemoryGroup) dial(from, to string) (LogSource, func(), error) {
+	s, ok := g.stores[from]
+	if !ok {
+		return nil, nil, errors.NotFoundf("instance %s", from)
+	}
+	return &memoryLog{g, s, to}, func() {}, nil
+}
+
+// memoryLog is the log of a store as another instance of the group reads it.
+type memoryLog struct {
+	group *MemoryGroup
+	store *Store
+	to    string
+}
+
+// ReadLog implements LogSource. An answer does not pass a cut.
+func (l *memoryLog) ReadLog(ctx context.Context, term uint64, after position.Position, wait time.Duration) (Batch, error) {
+	b, err := l.store.ReadLog(ctx, term, after, wait)
+	if l.group.isCut(l.store.id, l.to) {
+		return Batch{}, errors.Errorf("instance %s is cut off", l.store.id)
+	}
+	return b, err
+}
--- a/internal/standin/dbinstance/server.go
+++ b/internal/standin/dbinstance/server.go
@@ -221,7 +221,7 @@
 }
 
 func (s *Server) untrack(l *link) {
-	_ = l.Close()
+	l.finish()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, l)
--- a/internal/standin/dbinstance/server_test.go
+++ b/internal/standin/dbinstance/server_test.go
@@ -166,6 +166,37 @@
 	}
 }
 
+func TestReadOnlyModes(t *testing.T) {
+	conn := connect(t, startServer(t, Config{}))
+	exec(t, conn, "CREATE TABLE kv (k text PRIMARY KEY, v bigint)")
+	cases := []struct {
+		setup []string
+		code  string
+	}{
+		{[]string{"BEGIN READ ONLY"}, codeReadOnly},
+		{[]string{"BEGIN", "SET TRANSACTION READ ONLY"}, codeReadOnly},
+		{[]string{"SET default_transaction_read_only = on"}, codeReadOnly},
+		{[]string{"SET default_transaction_read_only = on", "BEGIN"}, codeReadOnly},
+		{[]string{"SET default_transaction_read_only = on", "BEGIN READ WRITE"}, ""},
+		{[]string{"SET default_transaction_read_only = on", "RESET default_transaction_read_only"}, ""},
+		{[]string{"SET default_transaction_read_only = on", "DISCARD ALL"}, ""},
+		{[]string{"BEGIN ISOLATION LEVEL SERIALIZABLE, READ WRITE"}, ""},
+	}
+	for i, c := range cases {
+		for _, s := range c.setup {
+			exec(t, conn, s)
+		}
+		_, err := conn.Exec(testContext(t), fmt.Sprintf("INSERT INTO kv VALUES ('k%d', 1)", i), pgx.QueryExecModeSimpleProtocol)
+		if c.code != "" {
+			wantCode(t, err, c.code)
+		} else if err != nil {
+			t.Errorf("%v: %v", c.setup, err)
+		}
+		exec(t, conn, "ROLLBACK")
+		exec(t, conn, "DISCARD ALL")
+	}
+}
+
 func TestRowLocks(t *testing.T) {
 	s := startServer(t, Config{Slots: 1})
 	one, two := connect(t, s), connect(t, s)
--- a/internal/standin/dbinstance/session.go
+++ b/internal/standin/dbinstance/session.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"crypto/rand"
+	"os"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -85,7 +87,7 @@
 		return
 	}
 	for {
-		msg, err := s.be.Receive()
+		msg, err := s.receive()
 		if err != nil {
 			return
 		}
@@ -95,6 +97,24 @@
 	}
 }
 
+// receive reads the next message. In a transaction it waits no longer than the
+// setting idle_in_transaction_session_timeout (milliseconds, 0 for no limit).
+func (s *session) receive() (pgproto3.FrontendMessage, error) {
+	limit, err := strconv.Atoi(s.settings["idle_in_transaction_session_timeout"])
+	if err != nil || limit <= 0 || !s.explicit {
+		return s.be.Receive()
+	}
+	_ = s.conn.SetReadDeadline(time.Now().Add(time.Duration(limit) * time.Millisecond))
+	msg, err := s.be.Receive()
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		s.rollback()
+		s.sendError(sqlErrorf(codeIdleTransaction, "terminating connection due to idle-in-transaction timeout"), "FATAL")
+		_ = s.be.Flush()
+	}
+	_ = s.conn.SetReadDeadline(time.Time{})
+	return msg, err
+}
+
 // startup answers requests for encryption and returns the startup parameters.
 func (s *session) startup() (map[string]string, error) {
 	for {
--- a/internal/standin/dbinstance/sqlerror.go
+++ b/internal/standin/dbinstance/sqlerror.go
@@ -16,6 +16,7 @@
 	codeReadOnly          = "25006"
 	codeInTransaction     = "25001"
 	codeAborted           = "25P02"
+	codeIdleTransaction   = "25P03"
 	codeNoStatement       = "26000"
 	codeBadPassword       = "28P01"
 	codeNoPortal          = "34000"
