--- a/cmd/chicoryline/demo.go
+++ b/cmd/chicoryline/demo.go
@@ -57,7 +57,7 @@
 
 func demoLogger(verbose bool) *logrus.Entry {
 	if verbose {
-		return newLogger(logrus.InfoLevel)
+		return newLogger(logrus.DebugLevel)
 	}
 	return newLogger(logrus.FatalLevel)
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -91,6 +91,7 @@
 	if err != nil {
 		return load.Figures{}, err
 	}
+	load.WriteCustomers(o.Out, cfg, l.Records())
 	figures := load.Judge(cfg, l.Records(), l.Findings(), happened, held)
 	figures.ReplicaReadShare = s.Reads().Since(before).ReplicaShare()
 	return figures, nil
--- a/internal/proxy/config.go
+++ b/internal/proxy/config.go
@@ -4,6 +4,7 @@
 	"chicoryline/internal/caller"
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/position"
+	"chicoryline/internal/quota"
 )
 
 // access is the configuration view as a caller's connection needs it.
@@ -19,7 +20,7 @@
 func (p *Proxy) applyConfig(view catalog.View) {
 	for _, name := range view.Customers() {
 		rate, burst, _ := view.Limits(name)
-		p.limiter.SetTotal(customerResource(name), rate, burst)
+		p.quota.SetTotal(customerResource(name), quota.Total{Rate: rate, Burst: burst})
 	}
 }
 
--- a/internal/proxy/duty.go
+++ b/internal/proxy/duty.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	oldrand "math/rand"
 	"time"
 
 	"github.com/juju/errors"
@@ -12,6 +11,7 @@
 	"chicoryline/internal/groupview"
 	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
+	"chicoryline/internal/quota"
 	"chicoryline/internal/timeline"
 )
 
@@ -24,7 +24,7 @@
 	// owners of the primary.
 	confirmConnections = ownersPerInstance
 	// firstOwnerPart is the part of an instance's connections that its first
-	// owner may hold before shares are leased; the second has the rest.
+	// owner asks for; the second asks for the rest, so that it can go on at once.
 	firstOwnerPart = 0.7
 	// warmConnections is the number of connections that an owner opens ahead.
 	warmConnections = 2
@@ -55,7 +55,7 @@
 		Group: group, Controls: controls, Watcher: watcher, Table: p.services, VM: p.vm,
 		Peers:  failover.PeerViews{Caller: p.peers, List: p.otherStewards},
 		Rank:   func() int { return p.stewardRank(group.Name) },
-		System: p.system, Rand: oldrand.New(oldrand.NewSource(p.started.UnixNano())), Log: p.log,
+		System: p.system, Rand: p.newOldRand(), Log: p.log,
 		OnEvent: func(kind string, fields map[string]string) { p.note(kind, timeline.Event{Group: group.Name}, fields) },
 	})
 	if err != nil {
@@ -197,27 +197,44 @@
 	return names
 }
 
-// reconcileOwners gives this VM the pools of the instances that it owns now.
+// reconcileOwners gives this VM the pools of the instances that it owns now,
+// and each pool the connections that its share of the instance's limit allows.
 func (p *Proxy) reconcileOwners(duty *groupDuty, group platform.Group) {
 	for _, instance := range group.Instances {
 		rank := p.topology.rank(instance, p.vm.ID)
 		owner, owned := p.pool.Owner(instance.ID)
+		resource := instanceResource(instance.ID)
 		switch {
 		case rank < 0 && owned:
 			p.pool.SetOwner(instance.ID, nil)
+			p.quota.SetDemand(resource, 0, owner.Open())
 		case rank >= 0 && !owned:
-			owner = p.newOwner(duty, instance, budget(group, rank))
+			owner = p.newOwner(duty, instance)
 			p.pool.SetOwner(instance.ID, owner)
-			if rank == 0 {
+			fallthrough
+		case rank >= 0:
+			p.quota.SetDemand(resource, wantedConnections(group, rank), owner.Open())
+			owner.SetBudget(p.quota.Count(resource))
+			if rank == 0 && owner.Open() < warmConnections {
 				go owner.Warm(context.Background(), warmConnections)
 			}
-		case rank >= 0:
-			owner.SetBudget(budget(group, rank))
 		}
 	}
 }
 
-func (p *Proxy) newOwner(duty *groupDuty, instance platform.Instance, connections int) *pool.Owner {
+// instanceResource names the limit of an instance's connections.
+func instanceResource(instance string) string { return "instance/" + instance }
+
+// applyGroups passes the instances' limits on to the shares.
+func (p *Proxy) applyGroups(groups map[string]platform.Group) {
+	for _, group := range groups {
+		for _, instance := range group.Instances {
+			p.quota.SetTotal(instanceResource(instance.ID), quota.Total{Count: dataConnections(group)})
+		}
+	}
+}
+
+func (p *Proxy) newOwner(duty *groupDuty, instance platform.Instance) *pool.Owner {
 	return pool.NewOwner(pool.OwnerConfig{
 		Instance: instance, Group: duty.group, Watcher: groupWatcher{duty.watcher},
 		Credentials: pool.Credentials{
@@ -225,14 +242,20 @@
 			Database: p.settings.BackendDatabase, Application: p.applicationName(),
 		},
 		Dial: p.dial, Log: p.log,
-	}, connections)
+	}, p.quota.Count(instanceResource(instance.ID)))
 }
 
-// budget splits an instance's connections between its owners, less the control
-// connections of all VMs that watch the group.
-func budget(group platform.Group, rank int) int {
+// dataConnections is the number of an instance's connections that carry
+// statements: its limit less the control connections of all VMs that watch the
+// group.
+func dataConnections(group platform.Group) int {
 	watchers := ownersPerInstance * len(group.Instances)
-	data := max(group.Connections-watchers-confirmConnections, ownersPerInstance)
+	return max(group.Connections-watchers-confirmConnections, ownersPerInstance)
+}
+
+// wantedConnections is what the owner of the rank asks for.
+func wantedConnections(group platform.Group, rank int) int {
+	data := dataConnections(group)
 	first := max(1, int(float64(data)*firstOwnerPart))
 	if rank == 0 {
 		return first
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"crypto/tls"
+	oldrand "math/rand"
 	"math/rand/v2"
 	"net"
 	"sync"
@@ -24,9 +25,11 @@
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
+	"chicoryline/internal/quota"
 	"chicoryline/internal/router"
 	"chicoryline/internal/settings"
 	"chicoryline/internal/timeline"
+	"chicoryline/internal/voters"
 )
 
 // DialFunc opens a connection; the demo replaces it to cut links.
@@ -62,7 +65,8 @@
 	server   *peer.Server
 	fleet    *fleet.Fleet
 	config   *configsync.Node
-	limiter  *localLimiter
+	quota    *quota.Node
+	voters   *voters.Keeper
 	stewards *failover.Service
 	topology *topology
 	liveness *liveness
@@ -157,13 +161,20 @@
 		return errors.Annotate(err, "membership")
 	}
 	p.liveness = newLiveness()
-	p.topology = newTopology(p.services, p.fleet.Directory(), p.log)
+	p.topology = newTopology(p.services, p.fleet.Directory(), p.applyGroups, p.log)
 	p.config = configsync.New(configsync.Config{
 		VM: p.vm, Incarnation: uint64(p.started.UnixNano()), Services: p.services, Caller: p.peers, System: p.system,
 		Now: time.Now, Rand: p.newRand(), Log: p.log, GrantLength: p.settings.GrantLength,
 		Peers: p.otherVMs, OnEvent: p.onEvent,
 	})
-	p.limiter = newLocalLimiter()
+	p.voters = voters.New(voters.Config{
+		VM: p.vm, Table: p.services, Caller: p.peers, Registered: p.registered,
+		Spacing: quota.DefaultPromiseLifetime + p.settings.ShareLease, Now: time.Now, Log: p.log,
+	})
+	p.quota = quota.NewNode(quota.Config{
+		VM: p.vm, Holders: p.voters.VMs, Caller: p.peers, System: p.system, Now: time.Now, Log: p.log,
+		Rand: p.newOldRand(), ShareLease: p.settings.ShareLease, OnEvent: p.onEvent,
+	})
 	p.stewards = failover.NewService()
 	p.config.Watch(p.applyConfig)
 	return nil
@@ -171,7 +182,7 @@
 
 func (p *Proxy) buildCallers(config *tls.Config) {
 	p.callers = caller.NewServer(p.callerListener, caller.Config{
-		VM: p.vm.ID, Incarnation: p.fleet.Directory().Self().Incarnation, Access: p.access, Limiter: p.limiter,
+		VM: p.vm.ID, Incarnation: p.fleet.Directory().Self().Incarnation, Access: p.access, Limiter: p.quota,
 		Router: p.router, Observer: p, Cancels: p, TLS: config,
 		MaxMessageBytes: p.settings.MaxMessageBytes, QueueTimeout: p.settings.QueueTimeout, Log: p.log,
 	})
@@ -180,7 +191,7 @@
 func (p *Proxy) register() error {
 	services := map[string]any{
 		"Pool": &poolService{Service: pool.NewService(p.pool), proxy: p}, "Fleet": p.fleet.Service(),
-		"Config":             p.config.Service(),
+		"Config": p.config.Service(), quota.ServiceName: p.quota.Service(), voters.ServiceName: p.voters.Service(),
 		failover.ServiceName: p.stewards, "Timeline": timeline.NewService(p.ring), "Proxy": &Service{proxy: p},
 	}
 	for name, service := range services {
@@ -196,6 +207,19 @@
 	return rand.New(rand.NewPCG(uint64(p.started.UnixNano()), rand.Uint64()))
 }
 
+// newOldRand returns a random source for parts that take math/rand's.
+func (p *Proxy) newOldRand() *oldrand.Rand { return oldrand.New(oldrand.NewSource(rand.Int64())) }
+
+// registered lists the VMs that hold configuration grants.
+func (p *Proxy) registered(ctx context.Context) ([]platform.VM, error) {
+	holders, err := configsync.Holders(ctx, p.services)
+	vms := make([]platform.VM, len(holders))
+	for i, h := range holders {
+		vms[i] = platform.VM{ID: h.VM, Domain: h.Domain, Address: h.Address}
+	}
+	return vms, err
+}
+
 // applicationName names this process to backend servers.
 func (p *Proxy) applicationName() string { return "chicoryline/" + p.vm.ID + "/" + p.vm.Domain }
 
@@ -206,12 +230,16 @@
 	if err := p.config.Start(); err != nil {
 		return errors.Annotate(err, "configuration")
 	}
+	if err := p.quota.Start(); err != nil {
+		return errors.Annotate(err, "shares")
+	}
+	p.voters.Start()
 	go p.topology.run(p.stop)
 	go p.reconcileLoop()
 	if p.metricsListener != nil {
 		go p.measures.Serve(p.metricsListener)
 	}
-	go p.callers.Serve()
+	go p.serveCallers()
 	p.note("started", timeline.Event{}, nil)
 	p.log.WithField("event", "started").WithField("callers", p.CallerAddress()).WithField("peers", p.vm.Address).Info("serve")
 	return nil
@@ -231,26 +259,6 @@
 	return p.metricsListener.Addr().String()
 }
 
-// Ready reports whether the process has a configuration that it may serve and
-// sees a primary in each group that it watches.
-func (p *Proxy) Ready() bool {
-	view := p.config.View()
-	if view.Current == nil || view.Current.Version == 0 || view.Expired || len(p.topology.all()) == 0 {
-		return false
-	}
-	if !p.fleet.Directory().Ready() {
-		return false
-	}
-	for _, name := range p.dutyNames() {
-		if duty := p.duty(name); duty != nil {
-			if _, _, ok := duty.watcher.View().Primary(); !ok {
-				return false
-			}
-		}
-	}
-	return true
-}
-
 // Measures returns the process's counters.
 func (p *Proxy) Measures() *metrics.Measures { return p.measures }
 
@@ -272,6 +280,8 @@
 		p.endDuty(name)
 	}
 	p.pool.Close()
+	p.voters.Close()
+	p.quota.Close()
 	p.config.Close()
 	p.fleet.Close()
 	p.peers.Close()
--- /dev/null
+++ b/internal/proxy/ready.go
@@ -0,0 +1,66 @@
+package proxy
+
+import (
+	"time"
+
+	"chicoryline/internal/timeline"
+)
+
+const (
+	// readyInterval is the pause between two looks at a starting process.
+	readyInterval = 20 * time.Millisecond
+	// readyPatience is the time after which callers are accepted even if the
+	// process is not ready: they get true refusals then instead of silence.
+	readyPatience = 15 * time.Second
+)
+
+// shareHeld is the state of the chart "share" in which a share is in force.
+const shareHeld = "holding"
+
+// Ready reports whether the process has a configuration that it may serve, its
+// shares of the customers' rates, and a primary in each group that it watches.
+func (p *Proxy) Ready() bool {
+	view := p.config.View()
+	if view.Current == nil || view.Current.Version == 0 || view.Expired {
+		return false
+	}
+	return len(p.topology.all()) > 0 && p.fleet.Directory().Ready() && p.holdsShares(view.Customers()) && p.seesPrimaries()
+}
+
+func (p *Proxy) holdsShares(customers []string) bool {
+	resources := p.quota.Stats().Resources
+	for _, name := range customers {
+		if resources[customerResource(name)].State != shareHeld {
+			return false
+		}
+	}
+	return true
+}
+
+func (p *Proxy) seesPrimaries() bool {
+	for _, name := range p.dutyNames() {
+		duty := p.duty(name)
+		if duty == nil {
+			continue
+		}
+		if _, _, ok := duty.watcher.View().Primary(); !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// serveCallers accepts callers once the process is ready. Until then they wait
+// in the listener's queue.
+func (p *Proxy) serveCallers() {
+	deadline := time.Now().Add(readyPatience)
+	for !p.Ready() && time.Now().Before(deadline) {
+		select {
+		case <-p.stop:
+			return
+		case <-time.After(readyInterval):
+		}
+	}
+	p.note("accepting", timeline.Event{}, nil)
+	p.callers.Serve()
+}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -70,7 +70,7 @@
 	p := s.proxy
 	limited, cancel := context.WithTimeout(ctx, handOverTimeout)
 	defer cancel()
-	for name, leave := range map[string]func(context.Context) error{"grant": p.config.Leave} {
+	for name, leave := range map[string]func(context.Context) error{"shares": p.quota.Leave, "grant": p.config.Leave} {
 		if err := leave(limited); err != nil {
 			p.log.WithError(err).WithField("event", "not_handed_over").WithField("what", name).Warn("stop")
 		}
--- a/internal/proxy/topology.go
+++ b/internal/proxy/topology.go
@@ -26,11 +26,13 @@
 	services  platform.Groups
 	directory *fleet.Directory
 	log       *logrus.Entry
-	groups    atomic.Pointer[map[string]platform.Group]
+	// changed is told of every reading.
+	changed func(map[string]platform.Group)
+	groups  atomic.Pointer[map[string]platform.Group]
 }
 
-func newTopology(services platform.Groups, directory *fleet.Directory, log *logrus.Entry) *topology {
-	t := &topology{services: services, directory: directory, log: log}
+func newTopology(services platform.Groups, directory *fleet.Directory, changed func(map[string]platform.Group), log *logrus.Entry) *topology {
+	t := &topology{services: services, directory: directory, changed: changed, log: log}
 	t.groups.Store(&map[string]platform.Group{})
 	return t
 }
@@ -62,6 +64,7 @@
 		groups[g.Name] = g
 	}
 	t.groups.Store(&groups)
+	t.changed(groups)
 }
 
 // all returns the groups as last read. The map is not to be changed.
--- a/internal/quota/node_test.go
+++ b/internal/quota/node_test.go
@@ -14,6 +14,7 @@
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
+	"chicoryline/internal/timeline"
 )
 
 // cluster is a set of nodes that call each other over loopback.
@@ -38,14 +39,14 @@
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
 	for i, vm := range c.vms {
-		client := peer.NewClient(nil, nil)
+		client := peer.NewClient(timeline.NewClock(time.Now), nil, nil)
 		system := frame.New(logrus.NewEntry(log))
 		node := NewNode(Config{
 			VM: vm, Holders: func() []platform.VM { return c.vms }, Caller: client, System: system,
 			Now: time.Now, Rand: rand.New(rand.NewSource(int64(i))), Log: logrus.NewEntry(log),
 			ShareLease: 500 * time.Millisecond, RenewInterval: 25 * time.Millisecond, PromiseLifetime: 200 * time.Millisecond,
 		})
-		server := peer.NewServer(listeners[i], nil)
+		server := peer.NewServer(timeline.NewClock(time.Now), listeners[i], nil)
 		if err := server.Register(ServiceName, node.Service()); err != nil {
 			t.Fatal(err)
 		}
--- /dev/null
+++ b/internal/voters/keeper.go
@@ -0,0 +1,215 @@
+package voters
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+)
+
+const (
+	// ServiceName is the net/rpc name of Service.
+	ServiceName = "Voters"
+	// rowKey is the key of the list's row.
+	rowKey = "voters"
+	// readInterval is the pause between two readings of the row.
+	readInterval = 500 * time.Millisecond
+	// settleTime is how long the registered holders must stay the same before
+	// the first list is made of them, so that it holds all that start together.
+	settleTime = 1500 * time.Millisecond
+	// askTimeout bounds the question to one VM which list it serves under.
+	askTimeout = 300 * time.Millisecond
+)
+
+// Config describes a keeper.
+type Config struct {
+	VM     platform.VM
+	Table  platform.Table
+	Caller peer.Caller
+	// Registered returns the registered holders of configuration grants.
+	Registered func(ctx context.Context) ([]platform.VM, error)
+	// Spacing is the least time between two changes: the lifetime of a promise
+	// and of a share together.
+	Spacing time.Duration
+	Now     func() time.Time
+	Log     *logrus.Entry
+}
+
+// Keeper reads the list and takes part in its changes. One goroutine owns it
+// but for list, which is read anywhere, and seen, which the mutex guards.
+type Keeper struct {
+	cfg  Config
+	list atomic.Pointer[List]
+	stop chan struct{}
+	done sync.WaitGroup
+
+	rowVersion uint64
+	since      time.Time
+	// first and firstSince watch the registered holders before the first list.
+	first      []platform.VM
+	firstSince time.Time
+
+	mu      sync.Mutex
+	started bool
+}
+
+// New returns a keeper without a list.
+func New(cfg Config) *Keeper {
+	k := &Keeper{cfg: cfg, stop: make(chan struct{})}
+	k.list.Store(&List{})
+	return k
+}
+
+// VMs returns the present list; empty before the first reading.
+func (k *Keeper) VMs() []platform.VM { return k.list.Load().VMs }
+
+// Start begins to read the row.
+func (k *Keeper) Start() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.started {
+		return
+	}
+	k.started = true
+	k.done.Go(k.run)
+}
+
+// Close ends the reading.
+func (k *Keeper) Close() {
+	close(k.stop)
+	k.done.Wait()
+}
+
+func (k *Keeper) run() {
+	ticker := time.NewTicker(readInterval)
+	defer ticker.Stop()
+	for {
+		ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+		k.Step(ctx)
+		cancel()
+		select {
+		case <-k.stop:
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// Step reads the row once and makes one change if one is due. An outage of the
+// platform leaves the list as it is.
+func (k *Keeper) Step(ctx context.Context) {
+	row, err := k.cfg.Table.Get(ctx, rowKey)
+	if err != nil && !errkind.Is(err, errkind.NotFound) {
+		return
+	}
+	if err == nil {
+		if err := k.take(row); err != nil {
+			k.cfg.Log.WithError(err).WithField("event", "voters_unread").Error("voters")
+			return
+		}
+	}
+	k.change(ctx)
+}
+
+func (k *Keeper) take(row platform.Row) error {
+	list, err := decode(row.Value)
+	if err != nil {
+		return err
+	}
+	if list.Version > k.list.Load().Version {
+		k.list.Store(&list)
+		k.rowVersion, k.since = row.Version, k.cfg.Now()
+	}
+	return nil
+}
+
+// change replaces the list by its successor when the rules allow it.
+func (k *Keeper) change(ctx context.Context) {
+	present := *k.list.Load()
+	if present.Version > 0 && k.cfg.Now().Sub(k.since) < k.cfg.Spacing {
+		return
+	}
+	registered, err := k.cfg.Registered(ctx)
+	if err != nil {
+		return
+	}
+	next, due := Next(present, registered)
+	if !due || !contains(registered, k.cfg.VM) {
+		return
+	}
+	if present.Version == 0 && !k.quiet(registered) {
+		return
+	}
+	if present.Version > 0 && !settled(present, k.ask(ctx, present), registered) {
+		return
+	}
+	data, err := next.encode()
+	if err != nil {
+		return
+	}
+	id := fmt.Sprintf("voters-%s-%d", k.cfg.VM.ID, next.Version)
+	if row, err := k.cfg.Table.CompareAndSet(ctx, rowKey, k.rowVersion, data, id); err == nil {
+		_ = k.take(row)
+	}
+}
+
+// quiet reports whether the registered holders have stayed the same for
+// settleTime.
+func (k *Keeper) quiet(registered []platform.VM) bool {
+	now, list := k.cfg.Now(), sorted(registered)
+	if !slices.Equal(list, k.first) {
+		k.first, k.firstSince = list, now
+	}
+	return now.Sub(k.firstSince) >= settleTime
+}
+
+// ask learns under which version the VMs of the list serve.
+func (k *Keeper) ask(ctx context.Context, l List) map[string]uint64 {
+	var mu sync.Mutex
+	var wait sync.WaitGroup
+	serves := map[string]uint64{}
+	for _, vm := range l.VMs {
+		wait.Go(func() {
+			version, err := k.askOne(ctx, vm)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			serves[vm.ID] = version
+			mu.Unlock()
+		})
+	}
+	wait.Wait()
+	return serves
+}
+
+func (k *Keeper) askOne(ctx context.Context, vm platform.VM) (uint64, error) {
+	if vm.ID == k.cfg.VM.ID {
+		return k.list.Load().Version, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	var version uint64
+	err := k.cfg.Caller.Call(ctx, vm.Address, ServiceName+".Version", "", &version)
+	return version, err
+}
+
+// Service is the net/rpc face of a keeper.
+type Service struct{ keeper *Keeper }
+
+// Service returns the service to register under ServiceName.
+func (k *Keeper) Service() *Service { return &Service{k} }
+
+// Version returns the version of the list that this VM serves under.
+func (s *Service) Version(_ string, version *uint64) error {
+	*version = s.keeper.list.Load().Version
+	return nil
+}
--- /dev/null
+++ b/internal/voters/list.go
@@ -0,0 +1,98 @@
+// Package voters keeps the list of VMs whose majority elects the homes of
+// shares. The list is one row of the platform's table, changed by one VM at a
+// time by compare-and-set, so that every VM sees the same sequence of lists
+// and any two neighbours have majorities that meet.
+//
+// A change is made only when a majority of the present list serves under it,
+// and not before every promise and share of the former list has ended. A VM
+// whose configuration grant has lapsed serves nothing and counts as serving
+// under any list.
+package voters
+
+import (
+	"cmp"
+	"encoding/json"
+	"slices"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/platform"
+)
+
+// List is one version of the list.
+type List struct {
+	// Version counts the changes from 1; 0 is no list yet.
+	Version uint64
+	// VMs are in the order of their ids.
+	VMs []platform.VM
+}
+
+func (l List) holds(id string) bool {
+	return slices.ContainsFunc(l.VMs, func(vm platform.VM) bool { return vm.ID == id })
+}
+
+func (l List) encode() ([]byte, error) {
+	data, err := json.Marshal(l)
+	return data, errors.Trace(err)
+}
+
+func decode(data []byte) (List, error) {
+	var l List
+	return l, errors.Annotate(json.Unmarshal(data, &l), "list of voters")
+}
+
+// Next returns the list that follows, given the registered holders of grants,
+// or false if nothing has to change. It takes away at most one VM, or adds one;
+// a list of which nobody is registered any more is replaced as a whole.
+func Next(present List, registered []platform.VM) (List, bool) {
+	next := List{Version: present.Version + 1}
+	remaining := slices.DeleteFunc(slices.Clone(present.VMs), func(vm platform.VM) bool {
+		return !contains(registered, vm)
+	})
+	added := slices.DeleteFunc(sorted(registered), func(vm platform.VM) bool { return contains(present.VMs, vm) })
+	switch {
+	case len(registered) == 0:
+		return present, false
+	case len(remaining) == 0:
+		next.VMs = sorted(registered)
+	case len(remaining) < len(present.VMs):
+		next.VMs = withoutFirstMissing(present.VMs, registered)
+	case len(added) > 0:
+		next.VMs = sorted(append(slices.Clone(present.VMs), added[0]))
+	default:
+		return present, false
+	}
+	return next, true
+}
+
+func withoutFirstMissing(list, registered []platform.VM) []platform.VM {
+	i := slices.IndexFunc(list, func(vm platform.VM) bool { return !contains(registered, vm) })
+	return slices.Delete(slices.Clone(list), i, i+1)
+}
+
+// contains compares the address too: a VM that was replaced under its old id
+// has another one.
+func contains(list []platform.VM, vm platform.VM) bool {
+	return slices.ContainsFunc(list, func(other platform.VM) bool {
+		return other.ID == vm.ID && other.Address == vm.Address
+	})
+}
+
+func sorted(list []platform.VM) []platform.VM {
+	out := slices.Clone(list)
+	slices.SortFunc(out, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// settled reports whether a majority of the list serves under its version:
+// serves tells of the VMs that answered, registered of those whose grant has
+// not lapsed.
+func settled(l List, serves map[string]uint64, registered []platform.VM) bool {
+	n := 0
+	for _, vm := range l.VMs {
+		if serves[vm.ID] >= l.Version || !contains(registered, vm) {
+			n++
+		}
+	}
+	return 2*n > len(l.VMs)
+}
--- /dev/null
+++ b/internal/voters/voters_test.go
@@ -0,0 +1,163 @@
+package voters
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+)
+
+func vms(ids ...string) []platform.VM {
+	var list []platform.VM
+	for _, id := range ids {
+		list = append(list, platform.VM{ID: id, Address: "addr-" + id})
+	}
+	return list
+}
+
+func TestNext(t *testing.T) {
+	cases := []struct {
+		name       string
+		present    List
+		registered []platform.VM
+		want       []platform.VM
+		due        bool
+	}{
+		{"first list", List{}, vms("b", "a"), vms("a", "b"), true},
+		{"nothing to do", List{1, vms("a", "b")}, vms("a", "b"), nil, false},
+		{"one taken away first", List{1, vms("a", "b", "c")}, vms("a", "d"), vms("a", "c"), true},
+		{"one added", List{1, vms("a", "b")}, vms("a", "b", "d", "c"), vms("a", "b", "c"), true},
+		{"all replaced", List{1, vms("a", "b")}, vms("x", "y"), vms("x", "y"), true},
+		{"nobody registered", List{1, vms("a", "b")}, nil, nil, false},
+		{"address used again", List{1, vms("a", "b")}, []platform.VM{{ID: "a", Address: "addr-a"}, {ID: "b", Address: "other"}}, vms("a"), true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			next, due := Next(c.present, c.registered)
+			if due != c.due {
+				t.Fatalf("due %t, want %t", due, c.due)
+			}
+			if due {
+				if diff := cmp.Diff(c.want, next.VMs); diff != "" {
+					t.Fatal(diff)
+				}
+			}
+		})
+	}
+}
+
+// TestNeighboursMeet shows that majorities of neighbouring lists always share a
+// VM that has not lapsed, unless nobody of the former list is left.
+func TestNeighboursMeet(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(label string) []platform.VM {
+			var ids []string
+			for i := range 7 {
+				if rapid.Bool().Draw(t, fmt.Sprintf("%s-%d", label, i)) {
+					ids = append(ids, fmt.Sprintf("vm%d", i))
+				}
+			}
+			return vms(ids...)
+		}
+		present := List{1, pick("present")}
+		next, due := Next(present, pick("registered"))
+		if !due || len(present.VMs) == 0 {
+			return
+		}
+		shared := 0
+		for _, vm := range next.VMs {
+			if present.holds(vm.ID) {
+				shared++
+			}
+		}
+		if shared == 0 {
+			return
+		}
+		// Two majorities need more places than both lists hold together.
+		union := len(present.VMs) + len(next.VMs) - shared
+		if len(present.VMs)/2+1+len(next.VMs)/2+1 <= union {
+			t.Fatalf("%v and %v have majorities that do not meet", present.VMs, next.VMs)
+		}
+	})
+}
+
+// link carries the calls of one keeper to the others.
+type link struct {
+	keepers map[string]*Keeper
+	cut     map[string]bool
+}
+
+func (l link) Call(_ context.Context, address, _ string, _, reply any) error {
+	if l.cut[address] {
+		return errkind.New(errkind.Unreachable, "%s", address)
+	}
+	return l.keepers[address].Service().Version("", reply.(*uint64))
+}
+
+// TestChangeWaitsForMajority cuts a majority off: the list stays until they
+// serve under it or their grants have lapsed.
+func TestChangeWaitsForMajority(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clock := func() time.Time { return now }
+	table := platform.NewMemory(clock)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	l := link{keepers: map[string]*Keeper{}, cut: map[string]bool{}}
+	registered := vms("a", "b", "c")
+	for _, vm := range vms("a", "b", "c", "d") {
+		l.keepers[vm.Address] = New(Config{
+			VM: vm, Table: table, Caller: l, Spacing: 4 * time.Second, Now: clock, Log: logrus.NewEntry(log),
+			Registered: func(context.Context) ([]platform.VM, error) { return registered, nil },
+		})
+	}
+	a, d := l.keepers["addr-a"], l.keepers["addr-d"]
+	ctx := context.Background()
+	a.Step(ctx)
+	if len(a.VMs()) != 0 {
+		t.Fatal("the first list did not wait for more VMs")
+	}
+	now = now.Add(2 * time.Second)
+	a.Step(ctx)
+	d.Step(ctx)
+	if len(a.VMs()) != 3 {
+		t.Fatalf("first list %v", a.VMs())
+	}
+	registered = vms("a", "b", "c", "d")
+	l.cut["addr-b"], l.cut["addr-c"] = true, true
+	a.Step(ctx)
+	if len(a.VMs()) != 3 {
+		t.Fatal("the list changed before its spacing was over")
+	}
+	now = now.Add(5 * time.Second)
+	a.Step(ctx)
+	if len(a.VMs()) != 3 {
+		t.Fatal("the list changed without a majority that serves under it")
+	}
+	l.cut["addr-b"] = false
+	l.keepers["addr-b"].Step(ctx)
+	a.Step(ctx)
+	if len(a.VMs()) != 4 {
+		t.Fatalf("list %v, want four VMs", a.VMs())
+	}
+	// Of the four, c is cut off and b has fallen behind the new version.
+	registered = vms("a", "b", "d")
+	now = now.Add(5 * time.Second)
+	l.cut["addr-b"] = true
+	a.Step(ctx)
+	if len(a.VMs()) != 4 {
+		t.Fatal("the list changed with only one VM and one lapsed one behind it")
+	}
+	d.Step(ctx)
+	a.Step(ctx)
+	if diff := cmp.Diff(registered, a.VMs()); diff != "" {
+		t.Fatal(diff)
+	}
+}
