--- a/internal/standin/dbinstance/model_test.go
+++ b/internal/standin/dbinstance/model_test.go
@@ -107,7 +107,8 @@
 		if s.writable() && len(m.open) < 2 && s.tables["kv"] != nil {
 			list = append(list, func(*rapid.T) { m.begin(s) })
 		}
-		if st, _ := s.Stream(); st.Source != "" && len(m.flying) < 2*len(m.ids) {
+		st, _ := s.Stream()
+		if st.Source != "" && len(m.flying) < 2*len(m.ids) && s.Status().Log != m.stores[st.Source].Status().Log {
 			list = append(list, func(*rapid.T) { m.request(id, st) })
 		}
 	}
@@ -120,7 +121,8 @@
 	for _, w := range m.writes[max(0, len(m.writes)-8):] {
 		for _, id := range m.ids {
 			if !w.confirmed[id] && m.stores[id].Status().Confirms(w.position) {
-				list = append(list, func(*rapid.T) { m.confirm(w, id) })
+				confirm := func(*rapid.T) { m.confirm(w, id) }
+				list = append(list, confirm, confirm, confirm)
 			}
 		}
 	}
@@ -133,7 +135,7 @@
 	for _, st := range m.stewards[max(0, len(m.stewards)-3):] {
 		switch {
 		case st.primary != "":
-			list = append(list, func(t *rapid.T) { m.follow(t, st) })
+			list = append(list, m.followSteps(st)...)
 		case len(st.fenced) >= backend.Majority(len(m.ids)):
 			list = append(list, func(*rapid.T) { m.promote(st) }, func(t *rapid.T) { m.fence(t, st) })
 		default:
@@ -143,6 +145,21 @@
 	return list
 }
 
+// followSteps send each instance that does not follow the steward's primary to it.
+func (m *model) followSteps(st *modelSteward) []step {
+	leader, ok := m.leaders[st.term]
+	if !ok {
+		return nil
+	}
+	var list []step
+	for _, id := range m.ids {
+		if now, _ := m.stores[id].Stream(); id != leader && now != (Stream{st.term, leader}) {
+			list = append(list, func(*rapid.T) { _, _ = m.stores[id].Follow(st.term, leader) })
+		}
+	}
+	return list
+}
+
 func (m *model) instance(t *rapid.T) string { return rapid.SampledFrom(m.ids).Draw(t, "instance") }
 
 // begin writes a row on an instance that still takes writes, replaced or not.
@@ -215,11 +232,3 @@
 		m.leaders[st.term] = best
 	}
 }
-
-// follow sends one instance to the primary of the steward's term.
-func (m *model) follow(t *rapid.T, st *modelSteward) {
-	id := m.instance(t)
-	if leader, ok := m.leaders[st.term]; ok {
-		_, _ = m.stores[id].Follow(st.term, leader)
-	}
-}
