--- a/internal/standin/dbinstance/main_test.go
+++ b/internal/standin/dbinstance/main_test.go
@@ -2,8 +2,9 @@
 
 import (
 	"flag"
-	"os"
 	"testing"
+
+	"go.uber.org/goleak"
 )
 
 // Defaults of the property tests; a flag on the command line overrides them.
@@ -19,5 +20,5 @@
 		}
 	}
 	flag.Parse()
-	os.Exit(m.Run())
+	goleak.VerifyTestMain(m)
 }
