Fleet: traffic and processor time of large fleets

Cause: every heartbeat carried counters for the whole view; a member that pulled all records spread each of them anew; and choosing a member at random sorted the fleet. Ruled out: the size of one record, which is about 60 bytes.

Now a member asks for the counters of those that it has not heard for half of the suspicion time, pulled records are not spread, the order of the members is kept until one changes, and a mesh calls a fourth of its members an interval. Lists and registrations are stretched by the size of the fleet.

The fleet's tests hold a quiet fleet without any change of state for 30 s.

Spread: readers and trees by plan, and the measurement of four ways

Run measures polling, full mesh, EARS and the two-level way in virtual time.

--- a/internal/fleet/exchange.go
+++ b/internal/fleet/exchange.go
@@ -2,12 +2,15 @@
 
 import (
 	"slices"
-	"sort"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 )
 
+// syncMisses is the number of exchanges in a row with another digest after which
+// a member asks for all records; spreading changes explain fewer.
+const syncMisses = 10
+
 // Call is a heartbeat to send to the VM's address.
 type Call struct {
 	VM      string
@@ -21,7 +24,13 @@
 	if m := t.members[h.From.VM.ID]; m != nil && m.Incarnation == h.From.Incarnation {
 		m.direct = t.attended
 	}
-	return t.heartbeat("")
+	reply := t.heartbeat("")
+	for _, key := range h.Wanted {
+		if m := t.keys[key]; m != nil {
+			reply.Counters = append(reply.Counters, Counter{Key: key, Sequence: m.Sequence})
+		}
+	}
+	return reply
 }
 
 // Answered takes the reply of the call to the VM. A reply from another VM shows
@@ -65,12 +74,11 @@
 
 func (t *Table) heardMembers() []*member {
 	var list []*member
-	for _, m := range t.members {
+	for _, m := range t.ordered {
 		if m.State == Alive && m.watched < 0 {
 			list = append(list, m)
 		}
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].VM.ID < list[j].VM.ID })
 	return list
 }
 
@@ -78,7 +86,20 @@
 func (t *Table) Alone() bool { return len(t.keys) == 0 }
 
 func (t *Table) call(m *member) Call {
-	return Call{VM: m.VM.ID, Address: m.VM.Address, Args: t.heartbeat(m.VM.ID)}
+	args := t.heartbeat(m.VM.ID)
+	args.Wanted = t.wanted()
+	return Call{VM: m.VM.ID, Address: m.VM.Address, Args: args}
+}
+
+// wanted returns the keys of the watched members that are half-way to suspicion.
+func (t *Table) wanted() []uint64 {
+	var keys []uint64
+	for _, m := range t.view {
+		if m.Incarnation != 0 && t.attended-max(m.heard, m.watched) >= t.suspectAfter()/2 {
+			keys = append(keys, memberKey(m.VM.ID, m.Incarnation))
+		}
+	}
+	return keys
 }
 
 // Records returns all that the table holds, for a member that asks for it.
@@ -94,9 +115,11 @@
 
 // Pulled takes the answer to a call of Records.
 func (t *Table) Pulled(records []Record, now time.Time) {
+	t.quiet = true // the member that answered has spread them
 	for _, r := range records {
 		t.Observe(r, now)
 	}
+	t.quiet = false
 }
 
 func (t *Table) merge(h Heartbeat, now time.Time) {
@@ -109,18 +132,33 @@
 	for _, r := range h.Updates {
 		t.Observe(r, now)
 	}
-	if h.Digest != t.currentDigest() && t.attended-t.lastSync >= t.timing.List*time.Duration(t.scale()) {
+	t.compare(h)
+}
+
+// compare asks for all records of the sender once digests have differed for a
+// number of exchanges, and at once when the table has never asked.
+func (t *Table) compare(h Heartbeat) {
+	if h.Digest == t.currentDigest() {
+		t.misses = 0
+		return
+	}
+	t.misses++
+	if t.lastSync == longAgo || t.misses >= syncMisses && t.attended-t.lastSync >= t.syncInterval() {
 		t.syncFrom = h.From.VM.Address
 	}
 }
 
+// syncInterval is short while listed VMs are waited for, as in a fleet that
+// starts as a whole.
+func (t *Table) syncInterval() time.Duration {
+	if !t.Settled() {
+		return t.timing.List
+	}
+	return t.timing.List * time.Duration(t.scale())
+}
+
 func (t *Table) heartbeat(to string) Heartbeat {
 	h := Heartbeat{From: t.self, To: to, Digest: t.currentDigest()}
-	for _, m := range t.view {
-		if m.State == Alive || m.State == Leaving {
-			h.Counters = append(h.Counters, Counter{Key: memberKey(m.VM.ID, m.Incarnation), Sequence: m.Sequence})
-		}
-	}
 	for _, id := range t.updates.take(t.size) {
 		if id == t.self.VM.ID {
 			continue // From says it already
--- a/internal/fleet/lifecycle.go
+++ b/internal/fleet/lifecycle.go
@@ -62,7 +62,7 @@
 		m.State, m.since = s.target, t.attended
 	}
 	t.generation++
-	if s.spread {
+	if s.spread && !t.quiet {
 		t.updates.add(m.VM.ID)
 	}
 	t.events = append(t.events, Change{VM: m.VM, Incarnation: m.Incarnation, State: m.State, Event: event})
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -27,7 +27,7 @@
 }
 
 // stretch is the factor by which the fleet's size stretches the interval.
-func (f *Fleet) stretch() int { return scaleOf(len(f.directory.Alive())) }
+func (f *Fleet) stretch() int { return PlatformStretch(len(f.directory.Alive())) }
 
 func (f *Fleet) readList() {
 	ctx, cancel := context.WithTimeout(f.ctx, platform.CallTimeout)
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -5,9 +5,10 @@
 // the members. Each member raises a sequence number with every heartbeat
 // interval; progress of that number, first hand or relayed, is the proof of
 // life. A suspicion names the sequence at which the member fell silent, so any
-// later sequence refutes it. Up to MeshSize members exchange heartbeats with
-// all others; a larger fleet uses a view of bounded degree and piggybacks
-// changes on the heartbeats.
+// later sequence refutes it; before it suspects, a member asks those that it
+// still hears. Up to MeshSize members exchange heartbeats with all others; a
+// larger fleet uses a view of bounded degree and piggybacks changes on the
+// heartbeats.
 package fleet
 
 import (
@@ -53,7 +54,7 @@
 	State    State
 }
 
-// Counter relays the progress of one member in place of its whole record.
+// Counter relays the progress of one member to one that asked for it.
 type Counter struct {
 	// Key is memberKey of the member.
 	Key      uint64
@@ -67,7 +68,10 @@
 	// a reply.
 	To string
 	// Digest is equal at members that hold the same incarnations and states.
-	Digest   uint64
+	Digest uint64
+	// Wanted are the keys of members that the sender has not heard for a while;
+	// the reply's Counters answer them.
+	Wanted   []uint64
 	Counters []Counter
 	Updates  []Record
 }
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -46,12 +46,15 @@
 	listedAt  time.Duration
 	listed    bool // the platform's list has been read
 	syncFrom  string
+	misses    int  // exchanges in a row with another digest
+	quiet     bool // changes are not spread
 	events    []Change
 
 	generation uint64 // raised by every change that Members or the view can show
 	view       []*member
-	viewAt     uint64 // generation of view and size
-	size       int    // members that are not dead, with self
+	ordered    []*member // by VM id
+	viewAt     uint64    // generation of view, ordered and size
+	size       int       // members that are not dead, with self
 	digest     uint64
 	digestAt   uint64 // generation of digest
 }
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -25,6 +25,7 @@
 		w := newWorld(n, 4)
 		w.run(8 * time.Second)
 		w.wantAgreement(t)
+		w.wantNoChange(t, 30*time.Second)
 	}
 }
 
@@ -58,15 +59,7 @@
 	w := newWorld(5, 1)
 	w.run(4 * time.Second)
 	w.lost = func(from, to string) bool { return from == "vm-00" && to == "vm-01" }
-	for _, table := range w.tables {
-		table.Changes()
-	}
-	w.run(10 * time.Second)
-	for id, table := range w.tables {
-		for _, c := range table.Changes() {
-			t.Errorf("%s: %s became %v", id, c.VM.ID, c.State)
-		}
-	}
+	w.wantNoChange(t, 10*time.Second)
 }
 
 func TestCutDomainComesBack(t *testing.T) {
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -10,17 +10,24 @@
 	// MeshSize is the largest fleet in which every member exchanges heartbeats
 	// with all others.
 	MeshSize = 16
-	// meshCalls bounds the calls of one interval in a mesh. An exchange serves
-	// both sides, so half of the members are enough.
-	meshCalls = 4
-	// maxScale bounds the factor by which a large fleet stretches its calls to
-	// the platform.
-	maxScale = 120
+	// callShare is the part of a mesh that each member calls in one interval,
+	// as a divisor, and minCalls and maxCalls are the bounds. An exchange serves
+	// both sides, so a fourth is enough for every pair in two intervals.
+	callShare = 4
+	minCalls  = 2
+	maxCalls  = 3
+	// randomEvery is the number of intervals of a large fleet of which one goes
+	// to a member at random and the others to the view.
+	randomEvery = 3
+	// stretchSize is the fleet for which the platform is called at the set
+	// interval, and maxStretch bounds the factor for a larger one.
+	stretchSize = 8
+	maxStretch  = 240
 	// probeInterval is the time between two calls to a member held dead.
 	probeInterval = time.Second
 	// viewMargin is the number of rounds over the view until a member of a
 	// large fleet is suspect.
-	viewMargin = 3
+	viewMargin = 2
 	// unlistedAfter is the silence after which a member that is not watched
 	// and not listed is given up, and forgetAfter the time that a dead and
 	// unlisted member is remembered.
@@ -56,10 +63,10 @@
 
 // expire fires what silence means for each member.
 func (t *Table) expire() {
-	for id, m := range t.members {
+	for _, m := range t.ordered {
 		inState, silence := t.attended-m.since, t.attended-max(m.heard, m.watched)
 		switch {
-		case m.State == Joining && inState > t.timing.Dead:
+		case m.State == Joining && inState > t.suspectAfter()+t.refuteWithin():
 			t.fire(m, eventExpired)
 		case m.State == Alive && m.watched >= 0 && silence > t.suspectAfter():
 			t.fire(m, eventSilent)
@@ -68,7 +75,7 @@
 		case m.State == Leaving && m.watched >= 0 && silence > t.suspectAfter()+t.refuteWithin():
 			t.fire(m, eventExpired)
 		case m.State == Dead && inState > forgetAfter && t.unlisted(m):
-			t.forget(id, m)
+			t.forget(m)
 		case m.State != Dead && m.watched < 0 && t.unlisted(m) && silence > unlistedAfter:
 			t.fire(m, eventDelisted)
 		}
@@ -78,8 +85,8 @@
 // unlisted reports whether a list read after the member's last progress lacks it.
 func (t *Table) unlisted(m *member) bool { return t.listed && !m.listed && t.listedAt > m.heard }
 
-func (t *Table) forget(id string, m *member) {
-	delete(t.members, id)
+func (t *Table) forget(m *member) {
+	delete(t.members, m.VM.ID)
 	delete(t.keys, memberKey(m.VM.ID, m.Incarnation))
 	t.generation++
 }
@@ -89,7 +96,8 @@
 	if t.mesh() {
 		return t.timing.Suspect
 	}
-	return max(t.timing.Suspect, viewMargin*time.Duration(len(t.view))*t.timing.Heartbeat)
+	round := time.Duration(len(t.view)) * t.timing.Heartbeat * randomEvery / (randomEvery - 1)
+	return max(t.timing.Suspect, viewMargin*round)
 }
 
 // refuteWithin is the time that a suspect has; a larger fleet needs longer to
@@ -103,24 +111,25 @@
 	return max(grace, 2*time.Duration(levels)*t.timing.Heartbeat)
 }
 
-// scale is the factor by which the fleet's size stretches each member's calls
-// to the platform, so that their sum stays bounded.
-func (t *Table) scale() int { return scaleOf(t.size) }
+func (t *Table) scale() int { return PlatformStretch(t.size) }
 
-func scaleOf(size int) int { return min(maxScale, 1+size/MeshSize) }
+// PlatformStretch is the factor by which a fleet of the size stretches the
+// intervals of each member's calls to the platform, so that their sum stays
+// bounded.
+func PlatformStretch(size int) int { return max(1, min(maxStretch, size/stretchSize)) }
 
 // calls returns the heartbeats of this interval: members of the view whose last
-// exchange is the longest ago, in a large fleet one more at random, and now and
-// then a member held dead.
+// exchange is the longest ago, in a large fleet at times one at random, and now
+// and then a member held dead.
 func (t *Table) calls() []Call {
-	limit := meshCalls
-	if !t.mesh() {
-		limit = 1
-	}
-	due := t.due()
-	chosen := due[:min(limit, len(due))]
-	if !t.mesh() {
-		chosen = append(chosen, t.pick(func(m *member) bool { return (m.State == Alive || m.State == Joining) && m.watched < 0 })...)
+	var chosen []*member
+	switch {
+	case t.mesh():
+		chosen = t.due(max(minCalls, min(maxCalls, (t.size+callShare-2)/callShare)))
+	case t.self.Sequence%randomEvery == 0:
+		chosen = t.pick(func(m *member) bool { return (m.State == Alive || m.State == Joining) && m.watched < 0 })
+	default:
+		chosen = t.due(1)
 	}
 	if t.attended-t.lastProbe >= probeInterval {
 		t.lastProbe = t.attended
@@ -134,8 +143,8 @@
 	return calls
 }
 
-// due returns the members of the view without an exchange in this interval.
-func (t *Table) due() []*member {
+// due returns up to limit members of the view without an exchange in this interval.
+func (t *Table) due(limit int) []*member {
 	var due []*member
 	for _, m := range t.view {
 		if !m.calling && t.attended-m.direct >= t.timing.Heartbeat {
@@ -143,21 +152,19 @@
 		}
 	}
 	sort.SliceStable(due, func(i, j int) bool { return due[i].direct < due[j].direct })
-	return due
+	return due[:min(limit, len(due))]
 }
 
 // pick returns one member at random that fits and has no call under way.
 func (t *Table) pick(fits func(*member) bool) []*member {
-	var list []*member
-	for _, m := range t.members {
-		if !m.calling && fits(m) {
-			list = append(list, m)
-		}
-	}
-	if len(list) == 0 {
+	if len(t.ordered) == 0 {
 		return nil
 	}
-	sort.Slice(list, func(i, j int) bool { return list[i].VM.ID < list[j].VM.ID })
-	i := t.random.Intn(len(list))
-	return list[i : i+1]
+	start := t.random.Intn(len(t.ordered))
+	for i := range t.ordered {
+		if m := t.ordered[(start+i)%len(t.ordered)]; !m.calling && fits(m) {
+			return []*member{m}
+		}
+	}
+	return nil
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,12 +23,7 @@
 		return
 	}
 	t.viewAt = t.generation
-	t.size = 1
-	for _, m := range t.members {
-		if m.State != Dead {
-			t.size++
-		}
-	}
+	t.order()
 	chosen := t.chooseView()
 	for _, m := range t.members {
 		switch {
@@ -45,6 +40,19 @@
 	sort.Slice(t.view, func(i, j int) bool { return t.view[i].VM.ID < t.view[j].VM.ID })
 }
 
+// order sorts the members and counts those that are not dead.
+func (t *Table) order() {
+	t.size = 1
+	t.ordered = t.ordered[:0]
+	for _, m := range t.members {
+		t.ordered = append(t.ordered, m)
+		if m.State != Dead {
+			t.size++
+		}
+	}
+	sort.Slice(t.ordered, func(i, j int) bool { return t.ordered[i].VM.ID < t.ordered[j].VM.ID })
+}
+
 func (t *Table) chooseView() map[*member]bool {
 	chosen := map[*member]bool{}
 	var fleet, domain []*member
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -123,3 +123,17 @@
 		t.Error(line)
 	}
 }
+
+// wantNoChange runs the world and wants no member to change its state.
+func (w *world) wantNoChange(t *testing.T, d time.Duration) {
+	t.Helper()
+	for _, table := range w.tables {
+		table.Changes()
+	}
+	w.run(d)
+	for id, table := range w.tables {
+		for _, c := range table.Changes() {
+			t.Errorf("%s: %s became %v", id, c.VM.ID, c.State)
+		}
+	}
+}
--- /dev/null
+++ b/internal/spread/ears.go
@@ -0,0 +1,107 @@
+package spread
+
+import (
+	"math"
+	"math/bits"
+	"time"
+)
+
+// earsInterval is the time between two steps of a VM in wayEARS.
+const earsInterval = 100 * time.Millisecond
+
+// wayEARS is the epidemic with progress control of Georgiou, Gilbert, Guerraoui
+// and Kowalski, "On the Complexity of Asynchronous Gossip" (PODC 2008), for the
+// one rumor of a new version. A VM passes the rumor on to VMs at random until
+// its informed-list names everyone, goes on for the paper's shut-down phase,
+// and then sleeps. It sends the version and the list; who lacks the version
+// asks for it.
+type wayEARS struct {
+	state    []earsState
+	shutdown int // steps of the shut-down phase
+}
+
+type earsState struct {
+	informed bitmap
+	awake    bool
+	sleep    int
+}
+
+func newEARS(n int) *wayEARS {
+	alive := float64(n) * (1 - lossPercent/100.0)
+	w := &wayEARS{state: make([]earsState, n), shutdown: int(math.Ceil(float64(n) / alive * math.Log2(float64(n))))}
+	for i := range w.state {
+		w.state[i].informed = newBitmap(n)
+	}
+	return w
+}
+
+func (*wayEARS) interval() time.Duration { return earsInterval }
+
+func (w *wayEARS) commit(_ *sim, node int) {
+	w.state[node].awake = true
+	w.state[node].informed.set(node)
+}
+
+func (w *wayEARS) tick(s *sim, node int) {
+	state := &w.state[node]
+	if !state.awake {
+		return
+	}
+	if state.informed.count() == len(w.state) {
+		state.sleep++
+	} else {
+		state.sleep = 0
+	}
+	if state.sleep > w.shutdown {
+		state.awake = false
+		return
+	}
+	to := s.random.Intn(len(w.state))
+	state.informed.set(to)
+	if to != node {
+		s.send(node, to, message{kind: rumor, informed: state.informed.clone()})
+	}
+}
+
+func (w *wayEARS) receive(s *sim, node int, m message) {
+	switch m.kind {
+	case rumor:
+		state := &w.state[node]
+		state.informed.set(node)
+		state.informed.merge(m.informed)
+		if m.version > s.version[node] {
+			s.send(node, m.from, message{kind: fetch})
+		}
+		state.awake = state.awake || state.informed.count() < len(w.state)
+	case fetch:
+		s.send(node, m.from, message{kind: patch})
+	case patch:
+		if s.learn(node, m.version) {
+			w.state[node].awake = true
+		}
+	}
+}
+
+// bitmap is a set of node indices.
+type bitmap []uint64
+
+const wordBits = 64
+
+func newBitmap(n int) bitmap { return make(bitmap, (n+wordBits-1)/wordBits) }
+
+func (b bitmap) set(i int)     { b[i/wordBits] |= 1 << (i % wordBits) }
+func (b bitmap) clone() bitmap { return append(bitmap(nil), b...) }
+
+func (b bitmap) merge(other bitmap) {
+	for i := range b {
+		b[i] |= other[i]
+	}
+}
+
+func (b bitmap) count() int {
+	n := 0
+	for _, word := range b {
+		n += bits.OnesCount64(word)
+	}
+	return n
+}
--- /dev/null
+++ b/internal/spread/membership.go
@@ -0,0 +1,196 @@
+package spread
+
+import (
+	"encoding/gob"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"runtime"
+	"text/tabwriter"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/fleet"
+	"chicoryline/internal/platform"
+)
+
+// MembershipRow is the cost of membership for one VM without changes. Messages
+// and bytes are sent and received ones.
+type MembershipRow struct {
+	Nodes    int
+	Messages float64 // a second
+	Bytes    float64 // a second, heartbeats with their headers
+	// ListBytes is the platform's list, a second.
+	ListBytes float64
+	// ListReads is the number of list reads of the whole fleet, a second.
+	ListReads float64
+	// CPU is the time for decisions and for encoding what is sent, a second.
+	CPU time.Duration
+	// Plan is the time that Plan takes after a change of a member.
+	Plan time.Duration
+	// Heap is the memory of the table and one snapshot, in bytes.
+	Heap int64
+}
+
+// membershipFor is the virtual time that MeasureMembership runs.
+const membershipFor = 60 * time.Second
+
+// MeasureMembership runs one VM's table against fleets of the sizes, whose
+// other members all answer.
+func MeasureMembership(seed int64) []MembershipRow {
+	var rows []MembershipRow
+	for _, n := range []int{8, 16, 64, 256, 1500} {
+		rows = append(rows, measureMembership(n, seed))
+	}
+	return rows
+}
+
+// responder stands for all other members of the fleet.
+type responder struct {
+	table    *fleet.Table
+	records  map[string]fleet.Record
+	ids      []string
+	next     int
+	sequence uint64
+	now      time.Time
+
+	size    counter
+	encoder *gob.Encoder
+	cpu     time.Duration
+	sent    int
+}
+
+// counter counts the bytes of one connection's stream.
+type counter int64
+
+func (c *counter) Write(p []byte) (int, error) {
+	*c += counter(len(p))
+	return len(p), nil
+}
+
+func measureMembership(n int, seed int64) MembershipRow {
+	members := makeMembers(n, Sizes[len(Sizes)-1].Domains)
+	before := heapInUse()
+	r := newResponder(members, seed)
+	directory := fleet.NewDirectory(members[0], r.table.Members()...)
+	heap := heapInUse() - before
+	runtime.KeepAlive(directory)
+	r.run(membershipFor)
+	seconds := membershipFor.Seconds()
+	start := time.Now()
+	Plan(members, members[0])
+	planned := time.Since(start)
+	list := listInterval(n)
+	return MembershipRow{
+		Nodes:     n,
+		Messages:  float64(2*r.sent) / seconds,
+		Bytes:     2 * (float64(r.size) + float64(r.sent*callOverhead)) / seconds,
+		ListBytes: float64(listSize(members)+platformRequest+platformOverhead) / list.Seconds(),
+		ListReads: float64(n) / list.Seconds(),
+		CPU:       time.Duration(float64(r.cpu) / seconds),
+		Plan:      planned,
+		Heap:      heap,
+	}
+}
+
+func newResponder(members []fleet.Member, seed int64) *responder {
+	timing := fleet.Timing{
+		Heartbeat: fleet.DefaultHeartbeatInterval, Suspect: fleet.DefaultSuspectAfter,
+		Dead: fleet.DefaultDeadAfter, List: fleet.DefaultListInterval,
+	}
+	r := &responder{records: map[string]fleet.Record{}, now: time.Unix(1000, 0), sequence: 1}
+	r.encoder = gob.NewEncoder(&r.size)
+	r.table = fleet.NewTable(members[0].VM, 1, timing, rand.New(rand.NewSource(seed)), r.now)
+	var records []fleet.Record
+	for _, m := range members[1:] {
+		record := fleet.Record{VM: m.VM, Incarnation: m.Incarnation, Sequence: 1, State: fleet.Alive}
+		records = append(records, record)
+		r.records[m.VM.ID] = record
+		r.ids = append(r.ids, m.VM.ID)
+	}
+	r.table.Pulled(records, r.now)
+	return r
+}
+
+func (r *responder) run(d time.Duration) {
+	incoming := 0
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.now = r.now.Add(fleet.DefaultHeartbeatInterval)
+		r.sequence++
+		for range incoming {
+			r.next++
+			r.receive(r.heartbeatOf(r.ids[r.next%len(r.ids)]))
+		}
+		var plan fleet.Plan
+		r.measure(func() { plan = r.table.Tick(r.now) })
+		for _, call := range plan.Calls {
+			r.measure(func() { r.encode(call.Args) })
+			reply := r.heartbeatOf(call.VM)
+			for _, key := range call.Args.Wanted {
+				reply.Counters = append(reply.Counters, fleet.Counter{Key: key, Sequence: r.sequence - 1})
+			}
+			r.measure(func() { r.table.Answered(call.VM, reply, r.now) })
+		}
+		// As many members call this one as it calls, at most half of the others.
+		incoming = min(len(plan.Calls), len(r.ids)/2)
+	}
+}
+
+func (r *responder) receive(h fleet.Heartbeat) {
+	r.measure(func() { r.encode(r.table.Receive(h, r.now)) })
+}
+
+func (r *responder) measure(code func()) {
+	start := time.Now()
+	code()
+	r.cpu += time.Since(start)
+}
+
+func (r *responder) encode(h fleet.Heartbeat) {
+	r.sent++
+	if err := r.encoder.Encode(h); err != nil {
+		panic(err) // the type has no part that gob refuses
+	}
+}
+
+func (r *responder) heartbeatOf(id string) fleet.Heartbeat {
+	record := r.records[id]
+	record.Sequence = r.sequence
+	return fleet.Heartbeat{From: record}
+}
+
+func listInterval(n int) time.Duration {
+	return fleet.DefaultListInterval * time.Duration(fleet.PlatformStretch(n))
+}
+
+func listSize(members []fleet.Member) int {
+	var vms []platform.VM
+	for _, m := range members {
+		vms = append(vms, m.VM)
+	}
+	data, err := json.Marshal(vms)
+	if err != nil {
+		return 0
+	}
+	return len(data)
+}
+
+func heapInUse() int64 {
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return int64(stats.HeapAlloc)
+}
+
+// PrintMembership writes the rows as a table.
+func PrintMembership(w io.Writer, rows []MembershipRow) error {
+	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	_, _ = fmt.Fprintln(table, "nodes\tmembership msg/s\tB/s\tlist B/s\tfleet's list reads/s\tcpu us/s\tplan us\theap kB\t")
+	for _, r := range rows {
+		_, _ = fmt.Fprintf(table, "%d\t%.1f\t%.0f\t%.0f\t%.1f\t%.0f\t%.0f\t%d\t\n", r.Nodes, r.Messages, r.Bytes,
+			r.ListBytes, r.ListReads, float64(r.CPU.Nanoseconds())/1e3, float64(r.Plan.Nanoseconds())/1e3, r.Heap/1000)
+	}
+	return errors.Annotate(table.Flush(), "table")
+}
--- /dev/null
+++ b/internal/spread/ways.go
@@ -0,0 +1,182 @@
+package spread
+
+import (
+	"time"
+
+	"chicoryline/internal/fleet"
+)
+
+// pollInterval is the time between two polls of every VM in wayPoll, and
+// between two notices of every pair in wayMesh.
+const pollInterval = time.Second
+
+// wayPoll lets every VM poll the platform.
+type wayPoll struct{}
+
+func (wayPoll) interval() time.Duration          { return pollInterval }
+func (wayPoll) tick(s *sim, node int)            { s.read(node, answer) }
+func (wayPoll) commit(_ *sim, _ int)             {}
+func (wayPoll) receive(s *sim, n int, m message) { takeFromPlatform(s, n, m) }
+
+// takeFromPlatform reads the object after a row that tells a newer version, and
+// reports whether the node has learned that version now.
+func takeFromPlatform(s *sim, node int, m message) bool {
+	switch {
+	case m.failed:
+		return false
+	case m.kind == answer && m.version > s.version[node]:
+		s.read(node, object)
+		return false
+	case m.kind == object:
+		return s.learn(node, m.version)
+	default:
+		return false
+	}
+}
+
+// wayMesh pushes the change to all and lets every pair compare versions.
+type wayMesh struct{}
+
+func (wayMesh) interval() time.Duration { return pollInterval }
+func (wayMesh) tick(s *sim, node int)   { sendToAll(s, node, notice) }
+func (wayMesh) commit(s *sim, node int) { sendToAll(s, node, patch) }
+
+func (wayMesh) receive(s *sim, node int, m message) {
+	switch {
+	case m.kind == patch:
+		s.learn(node, m.version)
+	case m.version < s.version[node]:
+		s.send(node, m.from, message{kind: patch})
+	}
+}
+
+func sendToAll(s *sim, node int, k kind) {
+	for to := range s.members {
+		if to != node {
+			s.send(node, to, message{kind: k})
+		}
+	}
+}
+
+// wayTwoLevel is the product's way: Plan, with polls by the readers, a push over
+// their trees, and an Ask of a parent now and then.
+type wayTwoLevel struct {
+	roles []indexRole
+	state []twoLevelState
+}
+
+const (
+	// readInterval is the time between two polls of a reader.
+	readInterval = 500 * time.Millisecond
+	// askEvery is the number of read intervals between two questions of another
+	// VM to one of its parents.
+	askEvery = 2
+)
+
+// indexRole is a Role by node index.
+type indexRole struct {
+	tree     int
+	children [][]int
+	parents  []int
+	fallback []int // who a reader asks that cannot reach the platform
+}
+
+type twoLevelState struct {
+	ticks     int
+	forwarded []int // version by tree
+}
+
+func newTwoLevel(s *sim) *wayTwoLevel {
+	w := &wayTwoLevel{state: make([]twoLevelState, len(s.members))}
+	index := map[string]int{}
+	for i, m := range s.members {
+		index[m.VM.ID] = i
+	}
+	for i, m := range s.members {
+		role := Plan(s.members, m)
+		r := indexRole{tree: role.Tree, parents: indices(index, role.Parents)}
+		for _, children := range role.Children {
+			r.children = append(r.children, indices(index, children))
+		}
+		for _, reader := range indices(index, role.Readers) {
+			if reader != i {
+				r.fallback = append(r.fallback, reader)
+			}
+		}
+		r.fallback = append(r.fallback, indices(index, role.Abroad)...)
+		w.roles = append(w.roles, r)
+		w.state[i].forwarded = make([]int, len(role.Children))
+	}
+	return w
+}
+
+func (*wayTwoLevel) interval() time.Duration { return readInterval }
+func (*wayTwoLevel) commit(_ *sim, _ int)    {}
+
+func (w *wayTwoLevel) tick(s *sim, node int) {
+	role, state := &w.roles[node], &w.state[node]
+	state.ticks++
+	if role.tree >= 0 {
+		s.read(node, answer)
+		return
+	}
+	if (state.ticks+node)%askEvery == 0 {
+		s.send(node, role.parents[state.ticks/askEvery%len(role.parents)], message{kind: ask})
+	}
+}
+
+func (w *wayTwoLevel) receive(s *sim, node int, m message) {
+	switch m.kind {
+	case answer, object:
+		if m.failed {
+			w.askFallback(s, node)
+		} else if takeFromPlatform(s, node, m) {
+			w.forward(s, node, w.roles[node].tree)
+		}
+	case ask:
+		reply := message{kind: notice}
+		if m.version < s.version[node] {
+			reply = message{kind: patch, tree: -1}
+		}
+		s.send(node, m.from, reply)
+	case patch:
+		if s.learn(node, m.version) && m.tree < 0 {
+			w.forwardAll(s, node)
+		} else if m.tree >= 0 {
+			w.forward(s, node, m.tree)
+		}
+	}
+}
+
+func (w *wayTwoLevel) askFallback(s *sim, node int) {
+	fallback := w.roles[node].fallback
+	if len(fallback) > 0 {
+		s.send(node, fallback[w.state[node].ticks%len(fallback)], message{kind: ask})
+	}
+}
+
+func (w *wayTwoLevel) forwardAll(s *sim, node int) {
+	for tree := range w.roles[node].children {
+		w.forward(s, node, tree)
+	}
+}
+
+// forward sends the version on in the tree, once.
+func (w *wayTwoLevel) forward(s *sim, node, tree int) {
+	state := &w.state[node]
+	if state.forwarded[tree] >= s.version[node] {
+		return
+	}
+	state.forwarded[tree] = s.version[node]
+	for _, child := range w.roles[node].children[tree] {
+		s.send(node, child, message{kind: patch, tree: tree})
+	}
+}
+
+func indices(index map[string]int, members []fleet.Member) []int {
+	var list []int
+	for _, m := range members {
+		list = append(list, index[m.VM.ID])
+	}
+	return list
+}
--- a/internal/standin/platformd/faults.go
+++ b/internal/standin/platformd/faults.go
@@ -80,9 +80,9 @@
 	case "lose_answer":
 		return s.setLoseAnswer(form)
 	case "cut_domain":
-		return s.setCut(on, form.Get("domain"), func(f *platform.Faults) *[]string { return &f.CutDomains })
+		return s.setCut(on, form, "domain", func(f *platform.Faults) *[]string { return &f.CutDomains })
 	case "cut_vm":
-		return s.setCut(on, form.Get("vm"), func(f *platform.Faults) *[]string { return &f.CutVMs })
+		return s.setCut(on, form, "vm", func(f *platform.Faults) *[]string { return &f.CutVMs })
 	case "lag":
 		return s.setLag(form)
 	case "clear":
@@ -95,15 +95,23 @@
 }
 
 func (s *Server) setDown(on bool, form url.Values) error {
-	mode := Mode(form.Get("mode"))
-	if mode == "" {
-		mode = ModeRefuse
+	if err := s.setMode(form); err != nil {
+		return err
+	}
+	s.memory.ChangeFaults(func(f *platform.Faults) { f.Down = on })
+	return nil
+}
+
+// setMode takes the form's mode; the mode stays as it is if the form has none.
+func (s *Server) setMode(form url.Values) error {
+	if !form.Has("mode") {
+		return nil
 	}
+	mode := Mode(form.Get("mode"))
 	if !slices.Contains([]Mode{ModeRefuse, ModeDrop, ModeHang}, mode) {
 		return errors.NotValidf("mode %q", mode)
 	}
 	s.SetMode(mode)
-	s.memory.ChangeFaults(func(f *platform.Faults) { f.Down = on })
 	return nil
 }
 
@@ -125,9 +133,13 @@
 	return nil
 }
 
-func (s *Server) setCut(on bool, name string, list func(*platform.Faults) *[]string) error {
+func (s *Server) setCut(on bool, form url.Values, key string, list func(*platform.Faults) *[]string) error {
+	name := form.Get(key)
 	if name == "" {
-		return errors.NotValidf("cut without a name")
+		return errors.NotValidf("cut without %s", key)
+	}
+	if err := s.setMode(form); err != nil {
+		return err
 	}
 	s.memory.ChangeFaults(func(f *platform.Faults) {
 		names := list(f)
--- a/internal/standin/platformd/platformd_test.go
+++ b/internal/standin/platformd/platformd_test.go
@@ -144,9 +144,32 @@
 	wantKind(t, err, errkind.PlatformUnknown)
 }
 
+// A write of a caller that gave up still takes effect.
+func TestSlowWriteLandsLate(t *testing.T) {
+	s, client := start(t)
+	if err := s.SetFault(url.Values{"kind": {"slow"}, "ms": {"400"}}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := client.CompareAndSet(ctx, "k", 0, nil, "r")
+	wantKind(t, err, errkind.PlatformUnknown)
+	if err := s.SetFault(url.Values{"kind": {"clear"}}); err != nil {
+		t.Fatal(err)
+	}
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, err = client.Get(context.Background(), "k"); err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("the write never took effect: %v", err)
+		}
+	}
+}
+
 func TestSetFaultRefuses(t *testing.T) {
 	s, _ := start(t)
-	for _, query := range []string{"", "kind=x", "kind=slow", "kind=lag&ms=-1", "kind=lose_answer", "kind=cut_vm", "kind=down&mode=x"} {
+	for _, query := range []string{"", "kind=x", "kind=slow", "kind=lag&ms=-1", "kind=lose_answer", "kind=cut_vm", "kind=cut_vm&vm=x&mode=y", "kind=down&mode=x"} {
 		form, _ := url.ParseQuery(query)
 		if s.SetFault(form) == nil {
 			t.Errorf("%q was taken", query)
