--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -79,8 +79,8 @@
 	counter      uint64
 	sure         bool     // version is known for sure
 	registered   bool     // the row is known to exist
-	voters       []string // as written
-	attempted    []string // as in a write whose effect is not known
+	voters       []string // as written before the last reading of the configuration
+	attempted    []string // as in a later write, or one whose effect is not known
 	former       []string // ids of earlier registrations
 	acked        uint64
 }
--- a/internal/configsync/events.go
+++ b/internal/configsync/events.go
@@ -50,11 +50,11 @@
 		return
 	}
 	c.own.version, c.own.sure, c.own.registered = m.version, true, true
-	c.own.voters, c.own.attempted = m.voters, nil
 	switch {
 	case !m.read:
 		c.due["renew"] = now.Add(retryInterval)
 	case c.adopt(now, m.snap):
+		c.own.voters, c.own.attempted = m.voters, nil
 		c.extend("renewed", m.sent.Add(c.cfg.length), now)
 	}
 	if p := c.snap.record.Pending; p != nil && m.acked == p.Attempt {
@@ -154,8 +154,9 @@
 }
 
 // onPromises extends the grant if a majority of the voters has promised, this
-// process included. While a write of the row is in doubt both lists of voters
-// have to agree.
+// process included. A new list of voters replaces the old one only when the
+// configuration was read after the list was written: a patch may be in force by
+// the acknowledgements of the old voters. Until then both lists have to agree.
 func (c *core) onPromises(now time.Time, m promisesDone) {
 	delete(c.open, "promise")
 	if m.id != c.own.id || !c.own.registered {
