--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -46,7 +46,8 @@
 	Log  *logrus.Entry
 }
 
-// Proxy is one serve process. The mutex guards duties.
+// Proxy is one serve process. mu guards duties and
+// readyMu admitted.
 type Proxy struct {
 	settings settings.Settings
 	vm       platform.VM
@@ -79,6 +80,10 @@
 
 	mu     sync.Mutex
 	duties map[string]*groupDuty
+
+	readyMu sync.Mutex
+	// admitted lists the customers that could use their rate here since the start.
+	admitted map[string]bool
 }
 
 // New listens on the addresses of the settings and builds the process; Start
@@ -87,7 +92,7 @@
 	s := options.Settings
 	p := &Proxy{
 		settings: s, started: time.Now(), dial: options.Dial, log: options.Log,
-		stop: make(chan struct{}), duties: map[string]*groupDuty{},
+		stop: make(chan struct{}), duties: map[string]*groupDuty{}, admitted: map[string]bool{},
 	}
 	if p.dial == nil {
 		p.dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
--- a/internal/proxy/ready.go
+++ b/internal/proxy/ready.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"time"
 
 	"chicoryline/internal/timeline"
@@ -8,15 +9,12 @@
 
 const (
 	// readyInterval is the pause between two looks at a starting process.
-	readyInterval = 20 * time.Millisecond
+	readyInterval = 50 * time.Millisecond
 	// readyPatience is the time after which callers are accepted even if the
 	// process is not ready: they get true refusals then instead of silence.
 	readyPatience = 15 * time.Second
 )
 
-// shareHeld is the state of the chart "share" in which a share is in force.
-const shareHeld = "holding"
-
 // Ready reports whether the process has a configuration that it may serve, its
 // shares of the customers' rates, and a primary in each group that it watches.
 func (p *Proxy) Ready() bool {
@@ -27,12 +25,19 @@
 	return len(p.topology.all()) > 0 && p.fleet.Directory().Ready() && p.holdsShares(view.Customers()) && p.seesPrimaries()
 }
 
+// holdsShares reports whether every customer's statement would be admitted
+// here, by admitting one. A customer that has passed is not asked again.
 func (p *Proxy) holdsShares(customers []string) bool {
-	resources := p.quota.Stats().Resources
+	p.readyMu.Lock()
+	defer p.readyMu.Unlock()
 	for _, name := range customers {
-		if resources[customerResource(name)].State != shareHeld {
+		if p.admitted[name] {
+			continue
+		}
+		if err := p.quota.AdmitWait(context.Background(), customerResource(name), 1); err != nil {
 			return false
 		}
+		p.admitted[name] = true
 	}
 	return true
 }
--- a/test/blackbox/faults_test.go
+++ b/test/blackbox/faults_test.go
@@ -10,8 +10,8 @@
 	"github.com/jackc/pgx/v5"
 )
 
-// withinSeconds is the longest time that "within seconds" may mean here.
-const withinSeconds = 10 * time.Second
+// withdrawalLimit is the longest time that a withdrawn key may stay connected.
+const withdrawalLimit = 10 * time.Second
 
 // grantLength is the default length of a configuration grant.
 const grantLength = 3 * time.Second
@@ -59,7 +59,7 @@
 		if _, err := busy.Exec(ctx, "SELECT 1"); err == nil {
 			t.Fatal("a withdrawn key still ran a statement")
 		}
-		wait, cancel := context.WithTimeout(ctx, withinSeconds)
+		wait, cancel := context.WithTimeout(ctx, withdrawalLimit)
 		defer cancel()
 		if _, err := idle.WaitForNotification(wait); err == nil || wait.Err() != nil {
 			t.Fatalf("the idle connection stayed open: %v", err)
