Failover: fault matrix, hard cases and exploration

Checked in each cell: no acknowledged write lost, one acknowledging instance for each term, no write that a replaced primary took after the promotion of its successor acknowledged, one primary that all follow and writes served from every VM once the faults end. Naive designs turn it red. An exploration with rapid adds random faults at random times, with and without reserved terms.

Fault found by the matrix: a hand-over was deferred for ever to a claim above the primary's term that its steward had abandoned. Cause: the time left to a rival restarted with every renewed proof. Ruled out: a lost answer of the platform, a stuck instance. Before: an instance that was fenced by an abandoned attempt stayed out of replication. After: a hand-over, which only runs while a primary is proved, gives a rival's claim no time; the chart has no such event.

--- a/internal/backend/fake.go
+++ b/internal/backend/fake.go
@@ -202,9 +202,12 @@
 	if !g.connected(r.id, s.id) || !g.connected(s.id, r.id) {
 		return
 	}
-	shared := 0
-	for shared < len(r.log) && shared < len(s.log) && r.log[shared] == s.log[shared] {
-		shared++
+	shared := min(len(r.log), len(s.log)) // logs that agree at an index agree before it
+	for shared > 0 && r.log[shared-1] != s.log[shared-1] {
+		shared--
+	}
+	if shared == len(r.log) && shared >= len(s.log)-r.lag {
+		return
 	}
 	end := max(shared, len(s.log)-r.lag)
 	r.log = append(r.log[:shared:shared], s.log[shared:end]...)
--- /dev/null
+++ b/internal/failover/cases_test.go
@@ -0,0 +1,287 @@
+package failover
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"chicoryline/internal/position"
+)
+
+// trigger fires once when a VM's steward enters the state of the failover chart.
+func (s *sim) trigger(state string, strike func(vm *simVM)) {
+	done := false
+	s.hook = func(vm *simVM, chart, entered string) (before, after func()) {
+		if done || chart != FailoverChart || entered != state {
+			return nil, nil
+		}
+		done = true
+		return func() { strike(vm) }, nil
+	}
+}
+
+// gap returns the longest time between two acknowledgements since from.
+func (s *sim) gap(from time.Duration) time.Duration {
+	last, longest := simStart.Add(from), time.Duration(0)
+	for _, w := range s.record.writes {
+		if !w.acked.IsZero() && w.acked.After(last) {
+			longest = max(longest, w.acked.Sub(last))
+			last = w.acked
+		}
+	}
+	return max(longest, s.now.Sub(last))
+}
+
+func (s *sim) mustPass(t *testing.T) {
+	t.Helper()
+	if err := s.check(); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestHealthyPrimaryIsNotDeposed(t *testing.T) {
+	slow := func(s *sim) {
+		for _, vm := range s.vms {
+			vm.slow = map[string]time.Duration{"a": 200 * time.Millisecond}
+		}
+	}
+	cases := []struct {
+		name   string
+		strike func(s *sim)
+	}{
+		{"one VM cut off from the primary", func(s *sim) { s.group.CutBoth("vm2", "a") }},
+		{"answers of the primary to one VM lost", func(s *sim) { s.group.Cut("a", "vm2") }},
+		{"domain of a replica cut off", func(s *sim) { s.cutDomain("d3") }},
+		{"slow primary", slow},
+		{"steward frozen", func(s *sim) { faultNamed("freeze_steward").strike(s, s.vms[0]) }},
+		{"platform outage", func(s *sim) { s.platformDown = true }},
+		{"VMs of two domains die", func(s *sim) { s.vms[0].kill(); s.vms[2].kill() }},
+		{"both replicas die", func(s *sim) { s.group.SetDown("b", true); s.group.SetDown("c", true) }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for seed := range int64(20) {
+				s := newSim(seed, sound)
+				s.after(simTrigger, func() { c.strike(s) })
+				s.run(6 * time.Second)
+				if p := s.record.promotions; len(p) > 0 {
+					t.Fatalf("seed %d: promotions %+v", seed, p)
+				}
+			}
+		})
+	}
+	t.Run("naive: one domain's view", func(t *testing.T) {
+		s := newSim(1, oneDomainsView)
+		s.after(simTrigger, func() { s.group.CutBoth("vm2", "a") })
+		s.run(6 * time.Second)
+		if len(s.record.promotions) == 0 {
+			t.Fatal("the check does not notice a deposed healthy primary")
+		}
+	})
+}
+
+func TestStewardWakesAfterSuccessorPromoted(t *testing.T) {
+	for _, state := range []string{stateFencing, statePromoting, stateFollowing} {
+		for seed := range int64(20) {
+			s := newSim(seed, sound)
+			var paused *simVM
+			s.trigger(state, func(vm *simVM) { paused, vm.frozen = vm, true })
+			s.after(simTrigger, func() { s.group.SetDown("a", true) })
+			s.run(4 * time.Second)
+			if paused == nil || len(s.record.promotions) == 0 {
+				t.Fatalf("%s seed %d: no successor", state, seed)
+			}
+			successor := s.record.promotions[len(s.record.promotions)-1]
+			paused.thaw()
+			s.run(5 * time.Second)
+			if last := s.record.promotions[len(s.record.promotions)-1]; last.term > successor.term {
+				t.Fatalf("%s seed %d: woken steward deposed %+v for %+v", state, seed, successor, last)
+			}
+			s.heal()
+			s.run(8 * time.Second)
+			s.mustPass(t)
+		}
+	}
+}
+
+func TestCutOffPrimaryWithProxiesInItsDomain(t *testing.T) {
+	for seed := range int64(20) {
+		s := newSim(seed, sound)
+		s.after(simTrigger, func() { s.cutDomain("d1") })
+		s.run(3 * time.Second)
+		if len(s.record.promotions) == 0 {
+			t.Fatalf("seed %d: no successor", seed)
+		}
+		cut := simStart.Add(simTrigger + 5*time.Millisecond)
+		tried := 0
+		for _, w := range s.record.writes {
+			if w.vm == "vm1" && w.instance == "a" && w.appended.After(cut) {
+				tried++
+				if !w.acked.IsZero() {
+					t.Fatalf("seed %d: write %s of the cut-off domain was acknowledged", seed, w.data)
+				}
+			}
+		}
+		if tried == 0 {
+			t.Fatalf("seed %d: the cut-off primary took no write", seed)
+		}
+		view := s.vms[0].tracker.Snapshot(s.now)
+		if id, _, ok := view.Primary(); ok {
+			t.Fatalf("seed %d: reads in the cut-off domain still go to %s", seed, id)
+		}
+		if at := view.ProvedAt(); at.After(cut) {
+			t.Fatalf("seed %d: a read index from %v, after the cut", seed, at)
+		}
+		if !s.group.Peek("a").Leads() {
+			t.Fatalf("seed %d: the cut-off primary does not believe that it leads", seed)
+		}
+		s.heal()
+		s.run(6 * time.Second)
+		s.mustPass(t)
+	}
+}
+
+func TestPlatformOutageDuringFailover(t *testing.T) {
+	for seed := range int64(50) {
+		s := newSim(seed, sound)
+		s.after(simTrigger+400*time.Millisecond, func() { s.platformDown = true })
+		s.after(simTrigger+500*time.Millisecond, func() { s.group.SetDown("a", true) })
+		s.run(4 * time.Second)
+		if len(s.record.promotions) == 0 {
+			t.Fatalf("seed %d: no promotion with the platform down", seed)
+		}
+		if gap := s.gap(simTrigger); gap > time.Second {
+			t.Fatalf("seed %d: gap %v", seed, gap)
+		}
+		s.heal()
+		s.run(7 * time.Second)
+		s.mustPass(t)
+	}
+}
+
+func TestTwoFailoversInARow(t *testing.T) {
+	for seed := range int64(50) {
+		s := newSim(seed, sound)
+		s.after(simTrigger, func() { s.group.SetDown("a", true) })
+		s.run(2500 * time.Millisecond)
+		first := s.record.promotions[0]
+		s.group.SetDown("a", false)
+		s.run(3500 * time.Millisecond)
+		s.group.SetDown(first.instance, true)
+		s.run(5500 * time.Millisecond)
+		second := s.record.promotions[len(s.record.promotions)-1]
+		if second.term <= first.term || second.instance == first.instance {
+			t.Fatalf("seed %d: %+v", seed, s.record.promotions)
+		}
+		s.heal()
+		s.run(9 * time.Second)
+		s.mustPass(t)
+	}
+}
+
+// TestTokenFromDiscardedTail: a session saw a position that only the lost
+// primary held. The new primary is past it by its higher term; an instance that
+// stands at the old term is not, however long its log is.
+func TestTokenFromDiscardedTail(t *testing.T) {
+	s := newSim(1, sound)
+	s.run(simTrigger)
+	s.group.SetDown("a", true)
+	s.group.SetDown("a", false)
+	s.group.SetLag("b", 1000)
+	s.group.SetLag("c", 1000)
+	var token position.Position
+	for i := range 100 {
+		p, err := s.group.Write("a", fmt.Sprintf("tail-%d", i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		token = p
+	}
+	s.cutDomain("d1")
+	s.run(simTrigger + 100*time.Millisecond)
+	s.group.SetLag("b", 0)
+	s.group.SetLag("c", 0)
+	s.run(2 * time.Second)
+	next := s.record.promotions[len(s.record.promotions)-1].instance
+	log := s.group.Peek(next).Log
+	if log.Offset >= token.Offset || !log.AtLeast(token) {
+		t.Fatalf("new primary at %s, token %s", log, token)
+	}
+	if behind := (position.Position{Term: token.Term, Offset: token.Offset - 1}); behind.AtLeast(token) {
+		t.Fatal("an instance at the old term counts as past the token")
+	}
+	s.heal()
+	s.run(5 * time.Second)
+	if s.group.Holds("a", "tail-99") || !s.group.Peek("a").Log.AtLeast(token) {
+		t.Fatalf("a kept the discarded tail or is not past the token: %+v", s.group.Peek("a"))
+	}
+	s.mustPass(t)
+}
+
+func TestPlannedHandover(t *testing.T) {
+	worst := time.Duration(0)
+	for seed := range int64(100) {
+		s := newSim(seed, sound)
+		s.after(simTrigger, s.vms[0].guard(func() { s.vms[0].step(HandoverRequested{ID: 1, Target: "b"}) }))
+		s.run(4 * time.Second)
+		if err, ok := s.handovers[1]; !ok || err != nil {
+			t.Fatalf("seed %d: %v, answered %v", seed, err, ok)
+		}
+		if p := s.record.promotions; len(p) != 1 || p[0].instance != "b" {
+			t.Fatalf("seed %d: promotions %+v", seed, p)
+		}
+		for _, w := range s.record.writes {
+			if w.acked.IsZero() && w.appended.Before(s.now.Add(-time.Second)) {
+				t.Fatalf("seed %d: write %s was cut off", seed, w.data)
+			}
+		}
+		worst = max(worst, s.gap(simTrigger))
+		s.mustPass(t)
+	}
+	t.Logf("write gap of a planned hand-over, 100 seeds, virtual time: worst %v", worst)
+}
+
+// TestHandoverToReplicaThatFellBehind: the target falls behind after it was
+// seen to catch up, while writes go on and the platform is slow.
+func TestHandoverToReplicaThatFellBehind(t *testing.T) {
+	run := func(seed int64, n naive) *sim {
+		s := newSim(seed, n)
+		s.hook = func(_ *simVM, chart, state string) (before, after func()) {
+			if chart != HandoverChart || state != stateClaiming {
+				return nil, nil
+			}
+			return func() {
+				s.held, s.platformSlow = false, 700*time.Millisecond
+				s.group.SetLag("b", 50)
+			}, nil
+		}
+		s.after(simTrigger, s.vms[0].guard(func() { s.vms[0].step(HandoverRequested{ID: 1, Target: "b"}) }))
+		s.run(3 * time.Second)
+		s.heal()
+		s.run(6 * time.Second)
+		return s
+	}
+	for seed := range int64(20) {
+		run(seed, sound).mustPass(t)
+	}
+	if s := run(1, forcedTarget); s.check() == nil || len(s.record.broken) == 0 {
+		t.Fatal("the check does not notice a target that lacks acknowledged writes")
+	}
+}
+
+func TestWriteGapOfFailover(t *testing.T) {
+	var total, worst time.Duration
+	const seeds = 200
+	for seed := range int64(seeds) {
+		s := newSim(seed, sound)
+		s.after(simTrigger, func() { s.group.SetDown("a", true) })
+		s.run(4 * time.Second)
+		gap := s.gap(simTrigger - 100*time.Millisecond)
+		total += gap
+		worst = max(worst, gap)
+	}
+	t.Logf("write gap of a failover, %d seeds, virtual time: mean %v, worst %v", seeds, total/seeds, worst)
+	if worst > 700*time.Millisecond {
+		t.Fatalf("worst gap %v", worst)
+	}
+}
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -158,9 +158,10 @@
 
 // rivalActive reports whether another steward claimed a term above the last
 // proved primary's and still has time to finish. Rivals get that time once in
-// each silence, however often they claim.
+// each silence, however often they claim, and none in a hand-over: while a
+// primary leads, a claim above its term was abandoned.
 func (s *Steward) rivalActive(row Row) bool {
-	if row.Incarnation == s.config.Incarnation || row.Term <= s.watch.proof.Term {
+	if s.plan != nil || row.Incarnation == s.config.Incarnation || row.Term <= s.watch.proof.Term {
 		return false
 	}
 	if s.claim.rivalSince.Before(s.watch.renewed) {
--- /dev/null
+++ b/internal/failover/explore_test.go
@@ -0,0 +1,50 @@
+package failover
+
+import (
+	"flag"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestRandomFaults explores interleavings that the matrix does not have: up to
+// six faults at random times, hand-overs among them, with and without terms
+// reserved ahead. The seed of the exploration is fixed.
+func TestRandomFaults(t *testing.T) {
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			if err := flag.Set(name, value); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	const horizon = 3000 // milliseconds in which faults strike
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Int64Range(0, 1<<40).Draw(t, "seed"), sound)
+		if rapid.Bool().Draw(t, "nothing reserved") {
+			for _, vm := range s.vms {
+				vm.steward.config.Settings.Block = 1
+			}
+		}
+		moment := func(label string) time.Duration {
+			return simTrigger + time.Duration(rapid.IntRange(0, horizon).Draw(t, label))*time.Millisecond
+		}
+		s.after(moment("primary dies at"), func() { s.group.SetDown("a", true) })
+		for range rapid.IntRange(1, 6).Draw(t, "faults") {
+			f := rapid.SampledFrom(append(faults, handoverFaults...)).Draw(t, "fault").strike
+			vm := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "vm")]
+			s.after(moment("at"), func() { f(s, vm) })
+		}
+		if rapid.Bool().Draw(t, "hand-over") {
+			vm := s.vms[rapid.IntRange(0, len(s.vms)-1).Draw(t, "by")]
+			s.after(moment("hand-over at"), vm.guard(func() { vm.step(HandoverRequested{ID: 1}) }))
+		}
+		s.run(simTrigger + horizon*time.Millisecond + simFreeze + 500*time.Millisecond)
+		s.heal()
+		s.run(simTrigger + horizon*time.Millisecond + simFreeze + 500*time.Millisecond + 2*simSettling)
+		if err := s.check(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
--- /dev/null
+++ b/internal/failover/faults_test.go
@@ -0,0 +1,118 @@
+package failover
+
+import (
+	"slices"
+	"time"
+)
+
+// simFreeze is longer than any failover of another steward takes.
+const simFreeze = 2 * time.Second
+
+// fault strikes a run; vm is the VM whose steward entered the cell's state.
+type fault struct {
+	name   string
+	strike func(s *sim, vm *simVM)
+}
+
+// others returns the two VMs that are not vm.
+func (s *sim) others(vm *simVM) []*simVM {
+	var list []*simVM
+	for _, o := range s.vms {
+		if o != vm {
+			list = append(list, o)
+		}
+	}
+	return list
+}
+
+// cutDomain cuts the domain off from all others, but not from the platform.
+func (s *sim) cutDomain(domain string) {
+	for _, other := range []string{"d1", "d2", "d3"} {
+		if other != domain {
+			s.group.CutBoth(domain, other)
+		}
+	}
+}
+
+// faults are those of the matrix. Instance a is the first primary, in domain d1.
+var faults = []fault{
+	{"kill_steward", func(_ *sim, vm *simVM) { vm.kill() }},
+	{"freeze_steward", func(s *sim, vm *simVM) {
+		vm.frozen = true
+		s.after(simFreeze, vm.thaw)
+	}},
+	{"cut_from_instance", func(s *sim, vm *simVM) { s.group.Cut("b", vm.id) }},
+	{"cut_to_instance", func(s *sim, vm *simVM) { s.group.Cut(vm.id, "c") }},
+	{"cut_instance", func(s *sim, vm *simVM) { s.group.CutBoth(vm.id, "b") }},
+	{"cut_own_domain", func(s *sim, vm *simVM) { s.cutDomain(vm.domain) }},
+	{"cut_primary_domain", func(s *sim, _ *simVM) {
+		s.group.SetDown("a", false)
+		s.cutDomain("d1")
+	}},
+	{"cut_platform", func(s *sim, vm *simVM) { s.group.CutBoth(vm.id, simPlatform) }},
+	{"platform_outage", func(s *sim, _ *simVM) { s.platformDown = true }},
+	{"platform_slow", func(s *sim, _ *simVM) { s.platformSlow = 700 * time.Millisecond }},
+	{"platform_answer_lost", func(s *sim, _ *simVM) { s.loseAnswers += 2 }},
+	{"replica_behind", func(s *sim, _ *simVM) { s.group.SetLag("b", 50) }},
+	{"late_answers", func(s *sim, _ *simVM) { s.answerDelay = 300 * time.Millisecond }},
+	{"repeated_answers", func(s *sim, _ *simVM) { s.duplicate = true }},
+	{"second_steward", func(s *sim, vm *simVM) {
+		for _, other := range s.others(vm) {
+			other.race()
+		}
+	}},
+	{"vm_list_lag", func(s *sim, vm *simVM) {
+		other := s.others(vm)[1]
+		other.restart()
+		other.unknown = true
+	}},
+	{"primary_returns", func(s *sim, _ *simVM) { s.group.SetDown("a", false) }},
+	{"second_instance_dies", func(s *sim, _ *simVM) { s.group.SetDown("b", true) }},
+}
+
+// writesNotHeld is a hold that the pool owners never began or ended early.
+const writesNotHeld = "writes_not_held"
+
+// handoverFaults strike a hand-over only.
+var handoverFaults = []fault{
+	{writesNotHeld, func(s *sim, _ *simVM) { s.held, s.neverHeld = false, true }},
+}
+
+// faultNames returns the faults of the chart's matrix.
+func faultNames(chart string) []string {
+	var names []string
+	for _, f := range faults {
+		names = append(names, f.name)
+	}
+	if chart == HandoverChart {
+		for _, f := range handoverFaults {
+			names = append(names, f.name)
+		}
+	}
+	return names
+}
+
+func faultNamed(name string) fault {
+	for _, f := range append(slices.Clone(faults), handoverFaults...) {
+		if f.name == name {
+			return f
+		}
+	}
+	panic("no fault " + name)
+}
+
+// race lets the VM's steward claim at once, as if its domain's views agreed.
+func (vm *simVM) race() {
+	if chart, state := vm.steward.State(); vm.dead || chart != FailoverChart || state != stateWatching && state != stateSuspect {
+		return
+	}
+	vm.guard(func() {
+		vm.steward.chart = failoverAt(stateConfirming)
+		vm.steward.watch.renewed = vm.sim.now.Add(-time.Second)
+		vm.steward.effects = nil
+		vm.steward.fire(eventViewsAgree)
+		for _, e := range vm.steward.effects {
+			vm.effect(e)
+		}
+	})()
+}
--- /dev/null
+++ b/internal/failover/sim_test.go
@@ -0,0 +1,356 @@
+package failover
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand"
+	"slices"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/position"
+)
+
+// The simulation runs three VMs, three instances and the platform table on one
+// goroutine and a virtual clock. A seed fixes every run.
+const (
+	simTravelMin      = time.Millisecond // one way
+	simTravelSpread   = time.Millisecond
+	simReplication    = 8 * time.Millisecond
+	simWriteInterval  = 60 * time.Millisecond
+	simPollInterval   = 12 * time.Millisecond
+	simCommitTimeout  = 600 * time.Millisecond
+	simProbeInterval  = 50 * time.Millisecond
+	simProbeTimeout   = 250 * time.Millisecond
+	simProofLifetime  = 500 * time.Millisecond
+	simCommandTimeout = 100 * time.Millisecond
+	simTableTimeout   = 400 * time.Millisecond
+	simHold           = 3 * time.Second // pool owners end a hold by themselves
+	simPlatform       = "platform"
+)
+
+// naive names a wrong design that the checks have to notice.
+type naive uint8
+
+const (
+	sound naive = iota
+	ackAtOnce
+	leaseOnly
+	firstReachable
+	forcedTarget
+	oneDomainsView
+)
+
+type simEvent struct {
+	at    time.Time
+	order int
+	run   func()
+}
+
+type simQueue []*simEvent
+
+func (q simQueue) Len() int { return len(q) }
+func (q simQueue) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].order < q[j].order
+}
+func (q simQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *simQueue) Push(x any)   { *q = append(*q, x.(*simEvent)) }
+func (q *simQueue) Pop() any {
+	old := *q
+	e := old[len(old)-1]
+	*q = old[:len(old)-1]
+	return e
+}
+
+// sim is one run.
+type sim struct {
+	naive naive
+	rand  *rand.Rand
+	now   time.Time
+	order int
+	queue simQueue
+
+	group *backend.FakeGroup
+	ids   []string
+	vms   []*simVM
+	rows  map[string]platform.Row
+
+	platformDown bool
+	platformSlow time.Duration
+	loseAnswers  int // of the next writes of the table
+	answerDelay  time.Duration
+	duplicate    bool
+	held         bool
+	neverHeld    bool
+	holds        int
+
+	hook      func(vm *simVM, chart, state string) (before, after func()) // on entering a state
+	record    record
+	handovers map[uint64]error
+}
+
+// record is what the checks look at.
+type record struct {
+	writes     []*simWrite
+	promotions []promotion
+	ackers     map[uint64]string // term to instance
+	broken     []string          // promises to callers
+	unserved   []string          // after all faults ended
+}
+
+type simWrite struct {
+	data     string
+	instance string
+	position position.Position
+	appended time.Time
+	acked    time.Time // zero: not acknowledged
+	vm       string
+}
+
+type promotion struct {
+	term     uint64
+	instance string
+	at       time.Time
+}
+
+var simStart = time.Unix(1_000_000, 0)
+
+func newSim(seed int64, n naive) *sim {
+	group := testGroup()
+	s := &sim{
+		naive:     n,
+		rand:      rand.New(rand.NewSource(seed)),
+		now:       simStart,
+		group:     backend.NewFakeGroup(group.Instances),
+		rows:      map[string]platform.Row{},
+		record:    record{ackers: map[uint64]string{}},
+		handovers: map[uint64]error{},
+	}
+	for _, instance := range group.Instances {
+		s.ids = append(s.ids, instance.ID)
+	}
+	for i, instance := range group.Instances {
+		s.addVM(fmt.Sprintf("vm%d", i+1), instance.Domain, i)
+	}
+	s.group.Bootstrap("a")
+	s.group.SetManual(true)
+	s.every(simReplication, func() {
+		for _, id := range s.ids {
+			s.group.Replicate(id)
+		}
+	})
+	return s
+}
+
+func (s *sim) after(d time.Duration, run func()) {
+	s.order++
+	heap.Push(&s.queue, &simEvent{s.now.Add(d), s.order, run})
+}
+
+func (s *sim) every(d time.Duration, run func()) {
+	s.after(d, func() { run(); s.every(d, run) })
+}
+
+// run goes on until the time since the start.
+func (s *sim) run(until time.Duration) {
+	end := simStart.Add(until)
+	for len(s.queue) > 0 && !s.queue[0].at.After(end) {
+		e := heap.Pop(&s.queue).(*simEvent)
+		s.now = e.at
+		e.run()
+	}
+	s.now = end
+}
+
+func (s *sim) travel() time.Duration {
+	return simTravelMin + time.Duration(s.rand.Int63n(int64(simTravelSpread)))
+}
+
+// send carries a message; a cut at its sending or arrival loses it.
+func (s *sim) send(from, to string, arrive func()) {
+	if !s.group.Connected(from, to) {
+		return
+	}
+	s.after(s.travel(), func() {
+		if s.group.Connected(from, to) {
+			arrive()
+		}
+	})
+}
+
+// answer carries an answer, which may be late or come twice.
+func (s *sim) answer(from, to string, arrive func()) {
+	late := time.Duration(0)
+	if s.answerDelay > 0 && s.rand.Intn(2) == 0 {
+		late = s.answerDelay
+	}
+	s.after(late, func() { s.send(from, to, arrive) })
+	if s.duplicate {
+		s.after(time.Duration(s.rand.Int63n(int64(400*time.Millisecond))), func() { s.send(from, to, arrive) })
+	}
+}
+
+// apply carries out a command at an instance and records promotions.
+func (s *sim) apply(id string, c backend.FakeCommand) (backend.Status, error) {
+	before := s.group.Peek(id)
+	status, err := s.group.Apply(id, c)
+	if err == nil && c.Op == backend.OpPromote && !(before.Leads() && before.Fence == c.Term) {
+		s.promoted(id, c.Term)
+	}
+	return status, err
+}
+
+// effective reports whether a primary of the term could gather a majority.
+func (s *sim) effective(term uint64) bool {
+	n := 0
+	for _, id := range s.ids {
+		if s.group.Peek(id).Fence <= term {
+			n++
+		}
+	}
+	return n >= backend.Majority(len(s.ids))
+}
+
+func (s *sim) promoted(id string, term uint64) {
+	for _, p := range s.record.promotions {
+		if p.term == term && p.instance != id {
+			s.breach("term %d promoted at %s and %s", term, p.instance, id)
+		}
+	}
+	s.record.promotions = append(s.record.promotions, promotion{term, id, s.now})
+	if s.naive != leaseOnly && !s.effective(term) {
+		return // overtaken on its way: no write of it can be acknowledged
+	}
+	for _, w := range s.record.writes {
+		if !w.acked.IsZero() && w.position.Term < term && !s.group.Holds(id, w.data) {
+			s.breach("acknowledged write %s is not at %s, promoted at term %d", w.data, id, term)
+		}
+	}
+}
+
+func (s *sim) breach(format string, args ...any) {
+	s.record.broken = append(s.record.broken, s.now.Sub(simStart).String()+" "+fmt.Sprintf(format, args...))
+}
+
+func (s *sim) stall(format string, args ...any) {
+	s.record.unserved = append(s.record.unserved, fmt.Sprintf(format, args...))
+}
+
+// ack records an acknowledgement and checks it against all promotions.
+func (s *sim) ack(w *simWrite) {
+	w.acked = s.now
+	if other, ok := s.record.ackers[w.position.Term]; ok && other != w.instance {
+		s.breach("%s and %s acknowledge at term %d", other, w.instance, w.position.Term)
+	}
+	s.record.ackers[w.position.Term] = w.instance
+	for _, p := range s.record.promotions {
+		if p.term <= w.position.Term {
+			continue
+		}
+		if s.naive != leaseOnly && !s.effective(p.term) {
+			continue
+		}
+		if w.appended.After(p.at) {
+			s.breach("replaced primary %s took %s after the promotion of %s and it was acknowledged", w.instance, w.data, p.instance)
+		}
+		if !s.group.Holds(p.instance, w.data) {
+			s.breach("write %s acknowledged but not at the later primary %s", w.data, p.instance)
+		}
+	}
+}
+
+// heal ends every fault.
+func (s *sim) heal() {
+	s.group.Heal()
+	for _, id := range s.ids {
+		s.group.SetDown(id, false)
+		s.group.SetLag(id, 0)
+	}
+	s.platformDown, s.platformSlow, s.loseAnswers, s.answerDelay, s.duplicate, s.neverHeld = false, 0, 0, 0, false, false
+	for _, vm := range s.vms {
+		if vm.dead {
+			vm.restart()
+		}
+		vm.thaw()
+	}
+}
+
+// check returns the breaches, and requires that the group serves every VM
+// during the last second and that all instances follow one primary.
+func (s *sim) check() error {
+	recent := map[string]bool{}
+	for _, w := range s.record.writes {
+		if !w.acked.IsZero() && s.now.Sub(w.acked) < time.Second {
+			recent[w.vm] = true
+		}
+	}
+	for _, vm := range s.vms {
+		if !recent[vm.id] {
+			s.stall("%s is not served after the faults ended", vm.id)
+		}
+	}
+	s.checkGroup()
+	found := append(slices.Clone(s.record.broken), s.record.unserved...)
+	if len(found) > 0 {
+		return errors.Errorf("%d breaches, first: %s", len(found), found[0])
+	}
+	return nil
+}
+
+func (s *sim) checkGroup() {
+	var leader backend.Status
+	for _, id := range s.ids {
+		if status := s.group.Peek(id); status.Leads() && status.Fence > leader.Fence {
+			leader = status
+		}
+	}
+	for _, id := range s.ids {
+		if status := s.group.Peek(id); id != leader.Instance && (status.Source != leader.Instance || status.Fence != leader.Fence) {
+			s.stall("%s does not follow %s at the end: %+v", id, leader.Instance, status)
+		}
+	}
+	for _, w := range s.record.writes {
+		if !w.acked.IsZero() && !s.group.Holds(leader.Instance, w.data) {
+			s.breach("acknowledged write %s is lost at the end", w.data)
+		}
+	}
+}
+
+// table carries out a call to the platform and answers with its row or error.
+func (s *sim) table(vm *simVM, write bool, call func() (platform.Row, error), answer func(platform.Row, error)) {
+	answered := false
+	reply := func(row platform.Row, err error) {
+		vm.deliver(func() {
+			if !answered {
+				answered = true
+				answer(row, err)
+			}
+		})
+	}
+	s.send(vm.id, simPlatform, func() {
+		if s.platformDown {
+			s.answer(simPlatform, vm.id, func() { reply(platform.Row{}, errkind.New(errkind.PlatformUnavailable, "down")) })
+			return
+		}
+		s.after(s.platformSlow, func() {
+			row, err := call()
+			if write && s.loseAnswers > 0 {
+				s.loseAnswers--
+				s.send(simPlatform, vm.id, func() { reply(platform.Row{}, errkind.New(errkind.PlatformUnknown, "broken off")) })
+				return
+			}
+			s.answer(simPlatform, vm.id, func() { reply(row, err) })
+		})
+	})
+	s.after(max(simTableTimeout, 2*s.platformSlow), func() {
+		kind := errkind.PlatformUnavailable
+		if write {
+			kind = errkind.PlatformUnknown
+		}
+		reply(platform.Row{}, errkind.New(kind, "no answer"))
+	})
+}
--- /dev/null
+++ b/internal/failover/simvm_test.go
@@ -0,0 +1,340 @@
+package failover
+
+import (
+	"fmt"
+	"math/rand"
+	"time"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/groupview"
+	"chicoryline/internal/platform"
+)
+
+// simVM is one VM: its probes, its steward and a caller that writes.
+type simVM struct {
+	sim     *sim
+	id      string
+	domain  string
+	rank    int
+	boot    int // start count; work of an earlier start is dropped
+	dead    bool
+	frozen  bool
+	unknown bool // missing from the VM list of others
+	inbox   []func()
+	slow    map[string]time.Duration // extra time of an instance's answers
+
+	tracker  *groupview.Tracker
+	sequence uint64
+	steward  *Steward
+	writes   int
+}
+
+func (s *sim) addVM(id, domain string, rank int) {
+	vm := &simVM{sim: s, id: id, domain: domain, rank: rank}
+	s.group.Place(id, domain)
+	s.vms = append(s.vms, vm)
+	vm.restart()
+}
+
+// restart begins with empty memory, as a new VM of the same id does.
+func (vm *simVM) restart() {
+	s := vm.sim
+	vm.boot++
+	vm.dead, vm.unknown, vm.frozen, vm.inbox = false, false, false, nil
+	vm.sequence = 0
+	vm.tracker = groupview.NewTracker(testGroup(), simProofLifetime)
+	vm.steward = NewSteward(StewardConfig{
+		Group:       testGroup(),
+		VM:          platform.VM{ID: vm.id, Domain: vm.domain},
+		Incarnation: fmt.Sprintf("%s-%d", vm.id, vm.boot),
+		Settings:    DefaultSettings(),
+		Now:         func() time.Time { return s.now },
+		Rand:        rand.New(rand.NewSource(s.rand.Int63())),
+	})
+	vm.steward.policy = s.naive.policy(vm.steward.policy)
+	for i := range s.ids {
+		vm.probe(i)
+	}
+	vm.loop(TickInterval, func() { vm.step(vm.tick()) })
+	vm.loop(simWriteInterval, vm.write)
+}
+
+// policy replaces the rule that the naive design leaves out.
+func (n naive) policy(p policy) policy {
+	switch n {
+	case leaseOnly:
+		p.fenceNeed = func(int) int { return 1 }
+	case forcedTarget:
+		p.choose = func(instances []platform.Instance, leaving map[string]bool, fenced map[string]backend.Status, preferred string) string {
+			if preferred != "" {
+				return preferred
+			}
+			return choose(instances, leaving, fenced, "")
+		}
+	case firstReachable:
+		p.choose = func(instances []platform.Instance, _ map[string]bool, fenced map[string]backend.Status, _ string) string {
+			for _, i := range instances {
+				if _, ok := fenced[i.ID]; ok {
+					return i.ID
+				}
+			}
+			return ""
+		}
+	case oneDomainsView:
+		p.decide = func(views []DomainView, _ int, after time.Duration) verdict { return decide(views[:1], 1, after) }
+	}
+	return p
+}
+
+// deliver runs work of this start of the VM; a frozen VM runs it when it thaws.
+func (vm *simVM) deliver(run func()) {
+	switch {
+	case vm.dead:
+	case vm.frozen:
+		vm.inbox = append(vm.inbox, run)
+	default:
+		run()
+	}
+}
+
+// guard binds work to the present start of the VM.
+func (vm *simVM) guard(run func()) func() {
+	boot := vm.boot
+	return func() {
+		if vm.boot == boot {
+			vm.deliver(run)
+		}
+	}
+}
+
+func (vm *simVM) loop(d time.Duration, run func()) {
+	vm.sim.after(d, vm.guard(func() { run(); vm.loop(d, run) }))
+}
+
+func (vm *simVM) kill() { vm.dead = true }
+
+func (vm *simVM) thaw() {
+	vm.frozen = false
+	inbox := vm.inbox
+	vm.inbox = nil
+	for _, run := range inbox {
+		vm.deliver(run)
+	}
+}
+
+// call sends a command to an instance and hands over its answer, or
+// errkind.OutcomeUnknown after the timeout. Late and repeated answers pass too.
+func (vm *simVM) call(id string, c backend.FakeCommand, timeout time.Duration, answer func(backend.Status, error, bool)) {
+	s := vm.sim
+	first := true
+	reply := func(status backend.Status, err error) func() {
+		return vm.guard(func() {
+			was := first
+			first = false
+			answer(status, err, was)
+		})
+	}
+	s.send(vm.id, id, func() {
+		status, err := s.apply(id, c)
+		s.after(vm.slow[id], func() { s.answer(id, vm.id, reply(status, err)) })
+	})
+	s.after(timeout, vm.guard(func() {
+		if first {
+			reply(backend.Status{}, errkind.New(errkind.OutcomeUnknown, "no answer from %s", id))()
+		}
+	}))
+}
+
+// probe asks one instance for its status, again and again. An answer that came
+// late or twice is dropped, as a connection that was given up does.
+func (vm *simVM) probe(i int) {
+	vm.sequence++
+	report := groupview.Report{Sequence: vm.sequence, Sent: vm.sim.now}
+	vm.call(vm.sim.ids[i], backend.FakeCommand{Op: backend.OpStatus}, simProbeTimeout, func(status backend.Status, err error, first bool) {
+		if !first {
+			return
+		}
+		if err != nil {
+			vm.tracker.Failed(i)
+		} else {
+			report.Status, report.Received = status, vm.sim.now
+			vm.tracker.Answered(i, report)
+		}
+		wait := max(0, simProbeInterval-vm.sim.now.Sub(report.Sent))
+		vm.sim.after(wait, vm.guard(func() { vm.probe(i) }))
+	})
+}
+
+func (vm *simVM) tick() Tick {
+	return Tick{View: vm.tracker.Snapshot(vm.sim.now), Domains: []string{"d1", "d2", "d3"}, Rank: vm.rank}
+}
+
+// step feeds the steward and carries its effects out. What the hook returns for
+// a state that is entered strikes before or after the effects have left.
+func (vm *simVM) step(e Event) {
+	effects := vm.steward.Step(e)
+	var strikes []func()
+	for _, e := range effects {
+		chart, state := entered(e)
+		if state == "" || vm.sim.hook == nil {
+			continue
+		}
+		before, after := vm.sim.hook(vm, chart, state)
+		if before != nil {
+			before()
+		}
+		if after != nil {
+			strikes = append(strikes, after)
+		}
+	}
+	vm.guard(func() {
+		for _, e := range effects {
+			vm.effect(e)
+		}
+	})()
+	for _, strike := range strikes {
+		strike()
+	}
+}
+
+// entered returns the chart and state that the effect tells of, if any.
+func entered(e Effect) (chart, state string) {
+	note, ok := e.(Note)
+	if !ok {
+		return "", ""
+	}
+	if note.Kind == "handover_started" {
+		return HandoverChart, stateDraining
+	}
+	return note.Fields["chart"], note.Fields["to"]
+}
+
+func (vm *simVM) effect(effect Effect) {
+	s := vm.sim
+	if vm.dead {
+		return
+	}
+	switch e := effect.(type) {
+	case AskViews:
+		vm.askViews(e)
+	case ReadRow:
+		s.table(vm, false, func() (platform.Row, error) {
+			if row, ok := s.rows["g"]; ok {
+				return row, nil
+			}
+			return platform.Row{}, errkind.New(errkind.NotFound, "g")
+		}, vm.rowAnswer(func(row platform.Row, err error) Event { return RowRead{e.Call, row, err} }))
+	case WriteRow:
+		s.table(vm, true, func() (platform.Row, error) {
+			return setRow(s.rows, "g", e.Version, e.Value, e.RequestID)
+		}, vm.rowAnswer(func(row platform.Row, err error) Event { return RowWritten{e.Call, row, err} }))
+	case Command:
+		ops := map[Op]backend.FakeOp{OpFence: backend.OpFence, OpPromote: backend.OpPromote, OpFollow: backend.OpFollow}
+		command := backend.FakeCommand{Op: ops[e.Op], Term: e.Term, Primary: e.Primary}
+		vm.call(e.Instance, command, simCommandTimeout, func(status backend.Status, err error, _ bool) {
+			vm.step(Commanded{e.Op, e.Instance, e.Term, status, err})
+		})
+	case Drain:
+		s.hold()
+		s.after(5*time.Millisecond, vm.guard(func() { vm.step(Drained{Attempt: e.Attempt}) }))
+	case Release:
+		s.held = false
+	case HandoverDone:
+		s.handovers[e.ID] = e.Err
+	}
+}
+
+// rowAnswer binds the answer of the table to the present start of the VM.
+func (vm *simVM) rowAnswer(event func(platform.Row, error) Event) func(platform.Row, error) {
+	boot := vm.boot
+	return func(row platform.Row, err error) {
+		if vm.boot == boot {
+			vm.step(event(row, err))
+		}
+	}
+}
+
+func (vm *simVM) askViews(e AskViews) {
+	for _, other := range vm.sim.vms {
+		if other.domain == vm.domain || other.unknown {
+			continue
+		}
+		vm.sim.send(vm.id, other.id, other.guard(func() {
+			view := other.steward.DomainView()
+			vm.sim.answer(other.id, vm.id, vm.guard(func() { vm.step(ViewAnswered{e.Round, view}) }))
+		}))
+	}
+}
+
+// hold keeps callers from writing until Release, or the pool owners' own bound.
+func (s *sim) hold() {
+	s.held = !s.neverHeld
+	s.holds++
+	mine := s.holds
+	s.after(simHold, func() {
+		if s.holds == mine {
+			s.held = false
+		}
+	})
+}
+
+// write sends one write to the primary that this VM sees and follows it up.
+func (vm *simVM) write() {
+	s := vm.sim
+	id, _, ok := vm.tracker.Snapshot(s.now).Primary()
+	if !ok || s.held {
+		return
+	}
+	vm.writes++
+	w := &simWrite{data: fmt.Sprintf("%s-%d-%d", vm.id, vm.boot, vm.writes), instance: id, vm: vm.id}
+	s.send(vm.id, id, func() {
+		p, err := s.group.Write(id, w.data)
+		if err != nil {
+			return
+		}
+		w.position, w.appended = p, s.now
+		s.send(id, vm.id, vm.guard(func() { vm.confirm(w) }))
+	})
+}
+
+// poll asks an instance for its status; nothing tells that an answer is lost.
+func (vm *simVM) poll(id string, answer func(backend.Status)) {
+	s := vm.sim
+	s.send(vm.id, id, func() {
+		status, err := s.apply(id, backend.FakeCommand{Op: backend.OpStatus})
+		if err == nil {
+			s.answer(id, vm.id, vm.guard(func() { answer(status) }))
+		}
+	})
+}
+
+// confirm waits for a majority, or for the primary's word in naive designs.
+func (vm *simVM) confirm(w *simWrite) {
+	s := vm.sim
+	s.record.writes = append(s.record.writes, w)
+	if s.naive == ackAtOnce || s.naive == leaseOnly {
+		s.ack(w)
+		return
+	}
+	tally := groupview.NewTally(w.position, len(s.ids))
+	deadline := s.now.Add(simCommitTimeout)
+	var poll func()
+	poll = func() {
+		if s.now.After(deadline) || tally.Outcome() != groupview.Pending {
+			return
+		}
+		for i, id := range s.ids {
+			vm.poll(id, func(status backend.Status) {
+				if s.now.After(deadline) || !w.acked.IsZero() {
+					return
+				}
+				if tally.Observe(i, status) && tally.Outcome() == groupview.Acknowledged {
+					s.ack(w)
+				}
+			})
+		}
+		s.after(simPollInterval, vm.guard(poll))
+	}
+	poll()
+}
--- a/internal/faultmatrix/faultmatrix.go
+++ b/internal/faultmatrix/faultmatrix.go
@@ -48,15 +48,19 @@
 	return cells
 }
 
-// Pairs returns a cell for each ordered pair of different faults at each state.
+// Pairs returns a cell for each pair of different faults at each state. Which
+// of the two is named first alternates, so that each comes first in half of its
+// pairs.
 func Pairs(chart *statechart.Chart, faults []string) []Cell {
 	var cells []Cell
 	for _, state := range chart.States() {
-		for _, f := range faults {
-			for _, g := range faults {
-				if f != g {
-					cells = append(cells, Cell{chart.Name, state, []string{f, g}})
+		for i, f := range faults {
+			for j, g := range faults[:i] {
+				pair := []string{f, g}
+				if (i+j)%2 == 0 {
+					pair = []string{g, f}
 				}
+				cells = append(cells, Cell{chart.Name, state, pair})
 			}
 		}
 	}
--- a/internal/faultmatrix/faultmatrix_test.go
+++ b/internal/faultmatrix/faultmatrix_test.go
@@ -14,7 +14,7 @@
 	m := New(chart)
 	faults := []string{"kill", "cut", "freeze"}
 	cells := append(Singles(chart, faults), Pairs(chart, faults)...)
-	if want := states * (3 + 6); len(cells) != want {
+	if want := states * (3 + 3); len(cells) != want {
 		t.Fatalf("%d cells, want %d", len(cells), want)
 	}
 	m.Run(cells[1:], func(c Cell) error {
@@ -23,7 +23,7 @@
 		}
 		return nil
 	})
-	if got, want := m.Summary(), "cells=44 passed=41 red=3"; got != want {
+	if got, want := m.Summary(), "cells=29 passed=26 red=3"; got != want {
 		t.Fatalf("summary %q, want %q", got, want)
 	}
 	err := m.Err()
