Failover: pauses of a steward are no silence of the primary

Fault found by a case of TestHealthyPrimaryIsNotDeposed: two stewards that pause for 400 ms and wake beside a third whose link to the primary is cut deposed a healthy primary. Cause: a steward counted its own pause as silence and voted so before its first new probe. Ruled out: the quorum of domains and the link cut alone, which depose nothing.

The Runner keeps only the newest command that waits for an instance, and asks for probes at once after a drain and a promotion.

--- a/internal/failover/attempt.go
+++ b/internal/failover/attempt.go
@@ -126,6 +126,7 @@
 // markPromoted starts the silence anew: the new primary has yet to be proved.
 func (s *Steward) markPromoted() {
 	s.watch.renewed = s.now()
+	s.emit(Refresh{})
 	s.note("promoted", map[string]string{
 		"primary": s.attempt.target,
 		"term":    strconv.FormatUint(s.attempt.term, 10),
--- a/internal/failover/cases_test.go
+++ b/internal/failover/cases_test.go
@@ -56,6 +56,21 @@
 		{"steward frozen", func(s *sim) { faultNamed("freeze_steward").strike(s, s.vms[0]) }},
 		{"platform outage", func(s *sim) { s.platformDown = true }},
 		{"VMs of two domains die", func(s *sim) { s.vms[0].kill(); s.vms[2].kill() }},
+		{"primary stalls for less than DeposeAfter", func(s *sim) {
+			s.group.CutBoth("a", "d1")
+			s.group.CutBoth("a", "d2")
+			s.group.CutBoth("a", "d3")
+			s.after(240*time.Millisecond, s.group.Heal)
+		}},
+		{"stewards that pause and wake beside one cut off from the primary", func(s *sim) {
+			s.group.CutBoth("vm2", "a")
+			for i := range 8 {
+				s.after(time.Duration(i)*500*time.Millisecond, func() {
+					s.vms[0].frozen, s.vms[2].frozen = true, true
+					s.after(400*time.Millisecond, func() { s.vms[0].thaw(); s.vms[2].thaw() })
+				})
+			}
+		}},
 		{"both replicas die", func(s *sim) { s.group.SetDown("b", true); s.group.SetDown("c", true) }},
 	}
 	for _, c := range cases {
--- a/internal/failover/effects.go
+++ b/internal/failover/effects.go
@@ -25,16 +25,15 @@
 			r.actor.Send(RowWritten{Call: e.Call, Row: row, Err: err})
 		})
 	case Command:
-		select {
-		case r.commands[e.Instance] <- e:
-		default:
-		}
+		r.queue(e)
 	case Drain:
 		r.drain(e)
 	case Release:
 		if r.config.Release != nil {
 			r.work.Go(r.config.Release)
 		}
+	case Refresh:
+		r.config.Watcher.Refresh()
 	case HandoverDone:
 		r.finishHandover(e)
 	case Note:
@@ -42,6 +41,17 @@
 	}
 }
 
+// queue hands the command to the instance's loop in place of one that still
+// waits there; the steward repeats what it needs. Only the actor calls it.
+func (r *Runner) queue(c Command) {
+	queue := r.commands[c.Instance]
+	select {
+	case <-queue:
+	default:
+	}
+	queue <- c
+}
+
 func (r *Runner) rowKey() string { return RowPrefix + r.config.Group.Name }
 
 // start runs a call on a goroutine of its own within the timeout.
--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -73,8 +73,8 @@
 func (Drained) isEvent()           {}
 func (LeavingChanged) isEvent()    {}
 
-// Effect is an output of Steward.Step. Every effect but Release, Note and
-// HandoverDone is answered by an event, or by none if it was lost.
+// Effect is an output of Steward.Step. AskViews, ReadRow, WriteRow, Command and
+// Drain are answered by an event, or by none if the answer was lost.
 type Effect interface{ isEffect() }
 
 // AskViews asks the stewards in other failure domains for their view.
@@ -115,6 +115,9 @@
 // Release ends what Drain began.
 type Release struct{}
 
+// Refresh asks for new probes at once: the steward waits for a proof.
+type Refresh struct{}
+
 // HandoverDone tells the requester how the hand-over ended.
 type HandoverDone struct {
 	ID      uint64
@@ -134,5 +137,6 @@
 func (Command) isEffect()      {}
 func (Drain) isEffect()        {}
 func (Release) isEffect()      {}
+func (Refresh) isEffect()      {}
 func (HandoverDone) isEffect() {}
 func (Note) isEffect()         {}
--- a/internal/failover/handover.go
+++ b/internal/failover/handover.go
@@ -97,6 +97,7 @@
 		return
 	}
 	s.plan.since = s.now()
+	s.emit(Refresh{})
 	s.fire(eventDrained)
 }
 
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -21,9 +21,6 @@
 const (
 	// mailboxSize is the number of events that wait for a steward.
 	mailboxSize = 256
-	// commandQueue is the number of commands that wait for one instance; more
-	// are dropped, and the steward repeats what it still needs.
-	commandQueue = 4
 	// commandTimeout bounds one command to an instance.
 	commandTimeout = 150 * time.Millisecond
 )
@@ -64,7 +61,7 @@
 	steward  *Steward // owned by the actor
 	actor    *frame.Ref
 	view     atomic.Pointer[domainViewAt]
-	commands map[string]chan Command
+	commands map[string]chan Command // capacity 1: the newest that waits
 	ctx      context.Context
 	cancel   context.CancelFunc
 	work     sync.WaitGroup
@@ -89,7 +86,7 @@
 		if config.Controls[i.ID] == nil {
 			return nil, errors.NotValidf("group %s: instance %s without control", config.Group.Name, i.ID)
 		}
-		r.commands[i.ID] = make(chan Command, commandQueue)
+		r.commands[i.ID] = make(chan Command, 1)
 	}
 	r.steward = NewSteward(StewardConfig{
 		Group:       config.Group,
@@ -149,9 +146,7 @@
 // DomainView returns what this steward sees of its group.
 func (r *Runner) DomainView() DomainView {
 	v := r.view.Load()
-	view := v.view
-	view.Silence += r.config.Now().Sub(v.at)
-	return view
+	return v.view.after(r.config.Now().Sub(v.at), r.config.Settings.PauseGap)
 }
 
 // SetLeaving names the instances of the group that are leaving. A leaving
--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"math/rand"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -15,6 +16,7 @@
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
 	"chicoryline/internal/groupview"
+	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
 )
 
@@ -211,3 +213,36 @@
 	c.await("another primary", func(id string, _ uint64) bool { return id != "a" })
 	c.write("w1")
 }
+
+func TestServiceOverNetRPC(t *testing.T) {
+	c := startCluster(t, true)
+	c.await("the first primary", func(id string, _ uint64) bool { return id == "a" })
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := peer.NewServer(listener, nil)
+	if err := server.Register(ServiceName, c.runners["vm2"].Service()); err != nil {
+		t.Fatal(err)
+	}
+	go server.Serve()
+	defer server.Close()
+	client := peer.NewClient(nil, nil)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+
+	views := PeerViews{Caller: client, List: func(string) []platform.VM { return nil }}
+	vm := platform.VM{ID: "vm2", Address: listener.Addr().String()}
+	view, err := views.View(ctx, vm, "g")
+	if err != nil || view.Domain != "d2" || view.Primary != "a" || !view.Proved {
+		t.Fatalf("view %+v: %v", view, err)
+	}
+	if _, err := views.View(ctx, vm, "other"); !errkind.Is(err, errkind.NotFound) {
+		t.Fatalf("view of a group without steward: %v", err)
+	}
+	var reply HandoverReply
+	if err := client.Call(ctx, vm.Address, ServiceName+".Handover", HandoverArgs{"g", "b"}, &reply); err != nil || reply.Primary != "b" {
+		t.Fatalf("hand-over: %v, primary %s", err, reply.Primary)
+	}
+}
--- a/internal/failover/settings.go
+++ b/internal/failover/settings.go
@@ -14,6 +14,9 @@
 	SuspectAfter time.Duration
 	// DeposeAfter is the silence after which views of other domains are asked.
 	DeposeAfter time.Duration
+	// PauseGap is the time between two ticks from which on the process counts
+	// as having been paused.
+	PauseGap time.Duration
 	// RankDelay is added to DeposeAfter for each rank.
 	RankDelay time.Duration
 	// ViewRetry separates the questions for views, ViewTimeout ends them.
@@ -57,6 +60,7 @@
 	return Settings{
 		SuspectAfter:   250 * time.Millisecond,
 		DeposeAfter:    300 * time.Millisecond,
+		PauseGap:       5 * TickInterval,
 		RankDelay:      150 * time.Millisecond,
 		ViewRetry:      30 * time.Millisecond,
 		ViewTimeout:    150 * time.Millisecond,
--- a/internal/failover/steward.go
+++ b/internal/failover/steward.go
@@ -113,6 +113,7 @@
 	proof   groupview.Proof
 	proved  bool
 	renewed time.Time
+	ticked  time.Time // the newest Tick
 	// holdUntil keeps the steward from a new suspicion, retryAt from a new attempt.
 	holdUntil time.Time
 	retryAt   time.Time
@@ -130,6 +131,7 @@
 		leaving: map[string]bool{},
 	}
 	s.watch.renewed = config.Now()
+	s.watch.ticked = config.Now()
 	for _, i := range config.Group.Instances {
 		s.leaving[i.ID] = i.Leaving
 	}
@@ -169,15 +171,16 @@
 
 // DomainView returns what other stewards are told on AskViews.
 func (s *Steward) DomainView() DomainView {
-	return DomainView{
+	view := DomainView{
 		VM:       s.config.VM.ID,
 		Domain:   s.config.VM.Domain,
 		Proved:   s.watch.proved,
 		Primary:  s.watch.proof.Primary,
 		Term:     s.watch.proof.Term,
-		Silence:  s.silence(),
+		Silence:  s.watch.ticked.Sub(s.watch.renewed),
 		MaxFence: s.watch.maxFence,
 	}
+	return view.after(s.now().Sub(s.watch.ticked), s.config.Settings.PauseGap)
 }
 
 // Step takes one event and returns what is to be done, in order.
@@ -252,9 +255,14 @@
 	return base + time.Duration(s.config.Rand.Int63n(int64(spread)+1))
 }
 
-// observe takes a new view.
+// observe takes a new view. Time without ticks is a pause of this process and
+// does not count as silence of the primary.
 func (s *Steward) observe(t Tick) {
 	w := &s.watch
+	if gap := s.now().Sub(w.ticked); gap > s.config.Settings.PauseGap {
+		w.renewed = w.renewed.Add(gap)
+	}
+	w.ticked = s.now()
 	w.view, w.domains, w.rank = t.View, t.Domains, t.Rank
 	w.maxFence = max(w.maxFence, t.View.MaxFence())
 	proof, ok := t.View.Proof()
--- a/internal/failover/votes.go
+++ b/internal/failover/votes.go
@@ -22,6 +22,18 @@
 	MaxFence uint64
 }
 
+// after returns the view as it stands some time later. A steward that did not
+// tick for longer than pauseGap was paused and cannot tell whether the primary
+// was silent.
+func (v DomainView) after(passed, pauseGap time.Duration) DomainView {
+	if passed > pauseGap {
+		v.Proved, v.Silence = false, 0
+		return v
+	}
+	v.Silence += passed
+	return v
+}
+
 // vote is a failure domain's stand on the suspicion.
 type vote uint8
 
--- a/internal/groupview/watcher.go
+++ b/internal/groupview/watcher.go
@@ -155,9 +155,7 @@
 	w.readers[r] = true
 	w.mu.Unlock()
 	defer w.forget(r)
-	for _, kick := range w.kicks {
-		signal(kick)
-	}
+	w.Refresh()
 	select {
 	case v := <-r.done:
 		return v, nil
@@ -168,6 +166,14 @@
 	}
 }
 
+// Refresh probes all instances now. An instance whose last probe failed waits
+// for its interval.
+func (w *Watcher) Refresh() {
+	for _, kick := range w.kicks {
+		signal(kick)
+	}
+}
+
 func (w *Watcher) forget(r *reader) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
