Fleet: bounded number of connections in a large fleet

Found in a trial: one net/rpc connection takes 60 KB at both ends together, and a large fleet called members at random, which in time opens a connection to every other member: 90 MB at 1,500 VMs, of 32 MB for all control. Ruled out as a remedy: closing idle connections, for a new one costs a handshake a call.

Now a member of a large fleet keeps four distant members, the first of its own rendezvous order, beside its view.

--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -53,6 +53,7 @@
 	generation uint64 // raised by every change that Members or the view can show
 	view       []*member
 	ordered    []*member // by VM id
+	distant    []*member // called at times, outside the view
 	viewAt     uint64    // generation of view, ordered and size
 	size       int       // members that are not dead, with self
 	digest     uint64
--- a/internal/fleet/tick.go
+++ b/internal/fleet/tick.go
@@ -16,9 +16,9 @@
 	callShare = 4
 	minCalls  = 2
 	maxCalls  = 3
-	// randomEvery is the number of intervals of a large fleet of which one goes
-	// to a member at random and the others to the view.
-	randomEvery = 3
+	// distantEvery is the number of intervals of a large fleet of which one goes
+	// to a distant member and the others to the view.
+	distantEvery = 3
 	// stretchSize is the fleet for which the platform is called at the set
 	// interval, and maxStretch bounds the factor for a larger one.
 	stretchSize = 8
@@ -96,7 +96,7 @@
 	if t.mesh() {
 		return t.timing.Suspect
 	}
-	round := time.Duration(len(t.view)) * t.timing.Heartbeat * randomEvery / (randomEvery - 1)
+	round := time.Duration(len(t.view)) * t.timing.Heartbeat * distantEvery / (distantEvery - 1)
 	return max(t.timing.Suspect, viewMargin*round)
 }
 
@@ -119,21 +119,21 @@
 func PlatformStretch(size int) int { return max(1, min(maxStretch, size/stretchSize)) }
 
 // calls returns the heartbeats of this interval: members of the view whose last
-// exchange is the longest ago, in a large fleet at times one at random, and now
-// and then a member held dead.
+// exchange is the longest ago, in a large fleet at times a distant one, and now and
+// then a member held dead or not heard yet.
 func (t *Table) calls() []Call {
 	var chosen []*member
 	switch {
 	case t.mesh():
 		chosen = t.due(max(minCalls, min(maxCalls, (t.size+callShare-2)/callShare)))
-	case t.self.Sequence%randomEvery == 0:
-		chosen = t.pick(func(m *member) bool { return (m.State == Alive || m.State == Joining) && m.watched < 0 })
+	case t.self.Sequence%distantEvery == 0:
+		chosen = t.nextDistant()
 	default:
 		chosen = t.due(1)
 	}
 	if t.attended-t.lastProbe >= probeInterval {
 		t.lastProbe = t.attended
-		chosen = append(chosen, t.pick(func(m *member) bool { return m.State == Dead })...)
+		chosen = append(chosen, t.pick(func(m *member) bool { return m.State == Dead || m.State == Joining })...)
 	}
 	calls := make([]Call, 0, len(chosen))
 	for _, m := range chosen {
@@ -155,6 +155,18 @@
 	return due[:min(limit, len(due))]
 }
 
+// nextDistant returns the distant members in turn.
+func (t *Table) nextDistant() []*member {
+	if len(t.distant) == 0 {
+		return nil
+	}
+	m := t.distant[t.self.Sequence/distantEvery%uint64(len(t.distant))]
+	if m.calling || m.State == Dead {
+		return nil
+	}
+	return []*member{m}
+}
+
 // pick returns one member at random that fits and has no call under way.
 func (t *Table) pick(fits func(*member) bool) []*member {
 	if len(t.ordered) == 0 {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -11,6 +11,10 @@
 	// of a VM, on the ring of its failure domain and on that of the fleet.
 	domainNeighbours = 2
 	fleetNeighbours  = 1
+	// distantMembers is the number of members outside the view that a VM of a
+	// large fleet calls too. They shorten the way of changes through the fleet,
+	// and they stay the same, so that the number of connections is bounded.
+	distantMembers = 4
 )
 
 // mesh reports whether the fleet is small enough for all-to-all heartbeats.
@@ -38,6 +42,24 @@
 		t.view = append(t.view, m)
 	}
 	sort.Slice(t.view, func(i, j int) bool { return t.view[i].VM.ID < t.view[j].VM.ID })
+	t.distant = t.chooseDistant(chosen)
+}
+
+// chooseDistant returns the first members of this VM's own rendezvous order.
+func (t *Table) chooseDistant(view map[*member]bool) []*member {
+	if t.mesh() {
+		return nil
+	}
+	var list []*member
+	score := map[*member]uint64{}
+	for _, m := range t.ordered {
+		if m.State != Dead && !view[m] {
+			list = append(list, m)
+			score[m] = xxhash.Sum64String(t.self.VM.ID + "\x00" + m.VM.ID)
+		}
+	}
+	sort.Slice(list, func(i, j int) bool { return score[list[i]] > score[list[j]] })
+	return list[:min(distantMembers, len(list))]
 }
 
 // order sorts the members and counts those that are not dead.
