Fleet: ready only once the list shows this VM

Cause: VMs that start together read an empty list while it lags, so each took itself for the only one and Directory.Ready said so. Now a VM registers before it reads the list and is ready when the list shows it, or after 5 s.

--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -11,15 +11,15 @@
 // platform, which takes a VM without them for gone.
 const maxRegisterInterval = 30 * time.Second
 
-// followList reads the platform's list and registers the VM until Close.
+// followList registers the VM and reads the platform's list until Close.
 func (f *Fleet) followList() {
 	var registered time.Time
 	for {
 		interval := f.config.ListInterval * time.Duration(f.stretch())
-		f.readList()
 		if now := f.config.Now(); now.Sub(registered) >= min(interval, maxRegisterInterval) && f.register() {
 			registered = now
 		}
+		f.readList()
 		if !f.pause(interval) {
 			return
 		}
--- a/internal/fleet/snapshot.go
+++ b/internal/fleet/snapshot.go
@@ -39,10 +39,14 @@
 	return events
 }
 
-// Settled reports whether the start is over: no listed VM is waited for, and
-// either the list has been read or the time that a silent member gets has passed.
+// settleWithin bounds the wait of a VM for its own registration to show.
+const settleWithin = 5 * time.Second
+
+// Settled reports whether no listed VM is waited for. At the start it also waits
+// for the list to show this VM itself: then the list shows whoever registered
+// before. Without the platform it waits for settleWithin.
 func (t *Table) Settled() bool {
-	if !t.listed && t.attended < t.timing.Dead {
+	if !t.selfListed && t.attended < settleWithin {
 		return false
 	}
 	for _, m := range t.members {
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -32,7 +32,9 @@
 	random *rand.Rand
 
 	self Record
-	// selfListedLeaving repeats what the platform's list says of this VM.
+	// selfListed and selfListedLeaving repeat what the platform's list says of
+	// this VM.
+	selfListed        bool
 	selfListedLeaving bool
 
 	members map[string]*member // by VM id, without self
@@ -213,10 +215,11 @@
 	for _, m := range t.members {
 		m.listed = false
 	}
+	t.selfListed = false
 	selfLeaving := false
 	for _, vm := range vms {
 		if vm.ID == t.self.VM.ID {
-			selfLeaving = vm.Leaving
+			t.selfListed, selfLeaving = true, vm.Leaving
 			continue
 		}
 		t.listVM(vm)
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -249,6 +249,33 @@
 	}
 }
 
+func TestSettled(t *testing.T) {
+	other := platform.VM{ID: "a", Address: "a:1"}
+	cases := []struct {
+		name  string
+		list  func(*Table) []platform.VM
+		after time.Duration
+		want  bool
+	}{
+		{"nothing listed yet", func(*Table) []platform.VM { return nil }, time.Second, false},
+		{"no list for long", func(*Table) []platform.VM { return nil }, settleWithin, true},
+		{"alone", func(s *Table) []platform.VM { return []platform.VM{s.self.VM} }, 0, true},
+		{"another not heard", func(s *Table) []platform.VM { return []platform.VM{s.self.VM, other} }, time.Second, false},
+		{"another given up", func(s *Table) []platform.VM { return []platform.VM{s.self.VM, other} }, 4 * time.Second, true},
+	}
+	for _, c := range cases {
+		table, now := aloneTable(), time.Unix(0, 0)
+		for passed := time.Duration(0); passed <= c.after; passed += testTiming.Heartbeat {
+			table.List(c.list(table))
+			now = now.Add(testTiming.Heartbeat)
+			table.Tick(now)
+		}
+		if got := table.Settled(); got != c.want {
+			t.Errorf("%s: settled %v", c.name, got)
+		}
+	}
+}
+
 // Records of any order, age and origin never take a member back.
 func TestRecordsNeverFlapBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
