--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -18,6 +18,7 @@
 	"chicoryline/internal/groupview"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
+	"chicoryline/internal/timeline"
 )
 
 // patience bounds every wait of these tests; it is no measure.
@@ -221,13 +222,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	server := peer.NewServer(listener, nil)
+	server := peer.NewServer(timeline.NewClock(time.Now), listener, nil)
 	if err := server.Register(ServiceName, c.runners["vm2"].Service()); err != nil {
 		t.Fatal(err)
 	}
 	go server.Serve()
 	defer server.Close()
-	client := peer.NewClient(nil, nil)
+	client := peer.NewClient(timeline.NewClock(time.Now), nil, nil)
 	defer client.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
