Load: cost and admitted statements are told apart; preparing a statement is free

Cause: the figures took a refused transaction for one that had used nothing, and counted each refusal of an overloading customer as wrongful while the bucket of reference stayed full; and Parse without Execute was charged.

--- a/internal/caller/execute.go
+++ b/internal/caller/execute.go
@@ -113,7 +113,7 @@
 }
 
 // admit refuses a batch that carries the caller's key and counts its
-// statements against the customer's rate. BEGIN pays for the transaction's end
+// statements against the customer's rate. Preparing a statement is free. BEGIN pays for the transaction's end
 // too, so that no transaction is caught between its work and its COMMIT.
 func (c *conn) admit(ctx context.Context, b *batch, customer catalog.Customer) error {
 	if len(c.key) >= minKeyBytes && bytes.Contains(b.messages, []byte(c.key)) {
@@ -123,6 +123,9 @@
 		return nil
 	}
 	cost := 0.0
+	if b.executions == 0 {
+		return nil
+	}
 	for _, class := range b.classes {
 		switch {
 		case class.begin:
--- a/internal/load/clock.go
+++ b/internal/load/clock.go
@@ -75,9 +75,12 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 	defer cancel()
-	r := Record{Customer: customer.Name, Group: group, Kind: Book, Statements: 1, Arrived: time.Now(), Sent: time.Now()}
+	r := Record{Customer: customer.Name, Group: group, Kind: Book, Cost: 1, Arrived: time.Now(), Sent: time.Now()}
 	_, err := conn.Exec(ctx, "UPDATE clock SET at = $1 WHERE k = $2", value, "now")
 	r.Done, r.Outcome = time.Now(), outcomeOf(err)
+	if err == nil {
+		r.Statements = r.Cost
+	}
 	l.record(r)
 	if err == nil {
 		l.clocks[group].acked(r.Done, value)
--- a/internal/load/judge_test.go
+++ b/internal/load/judge_test.go
@@ -51,7 +51,7 @@
 	c := Customer{Name: "c", Rate: 10, Burst: 2}
 	refusal := Outcome{Class: NotRun, Kind: "over_rate"}
 	admitted := []Record{{Statements: 1, Sent: at(0)}, {Statements: 1, Sent: at(1)}}
-	refused := []Record{{Statements: 1, Sent: at(2), Outcome: refusal}, {Statements: 1, Sent: at(500), Outcome: refusal}}
+	refused := []Record{{Cost: 1, Sent: at(2), Outcome: refusal}, {Cost: 1, Sent: at(100), Outcome: refusal}, {Cost: 1, Sent: at(120), Outcome: refusal}}
 	wrongful, inside := wrongfulRefusals(c, admitted, refused)
 	if wrongful != 1 || inside != 3 {
 		t.Fatalf("wrongful=%d inside=%d, want 1 and 3", wrongful, inside)
--- a/internal/load/load.go
+++ b/internal/load/load.go
@@ -91,7 +91,9 @@
 	Kind     Kind
 	// Booking is the id that the request wrote, if any.
 	Booking string
-	// Statements is the cost of the request.
+	// Cost is the number of statements that the request needs, Statements the
+	// number that surely were admitted.
+	Cost       int
 	Statements int
 	Arrived    time.Time
 	Sent       time.Time
--- a/internal/load/rates.go
+++ b/internal/load/rates.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -19,13 +20,13 @@
 		for _, r := range records {
 			switch {
 			case r.Customer != c.Name:
-			case r.Outcome.Class == Succeeded:
-				admitted = append(admitted, r)
 			case r.Outcome.OverRate():
 				refused = append(refused, r)
+			case r.Statements > 0:
+				admitted = append(admitted, r)
 			}
 		}
-		over := overRate(c, admitted)
+		over := overRate(c, append(slices.Clone(admitted), refused...))
 		if over > 0 {
 			f.note("over rate: %s had %d statements more in some window than rate and burst allow", c.Name, over)
 		}
@@ -87,9 +88,9 @@
 	}
 }
 
-// wrongfulRefusals replays the requests through one ideal bucket that the
-// admitted ones have emptied, and counts the refusals that it would not have
-// made. It also returns the number of requests inside the rate.
+// wrongfulRefusals replays the requests through one ideal bucket. What was
+// admitted empties it, and so does each refusal that it would not have made:
+// those are wrongful. It also returns the number of requests inside the rate.
 func wrongfulRefusals(c Customer, admitted, refused []Record) (wrongful, inside int) {
 	all := append(append([]Record(nil), admitted...), refused...)
 	if len(all) == 0 {
@@ -99,12 +100,13 @@
 	b := bucket{rate: c.Rate, burst: c.Burst, tokens: c.Burst, at: all[0].Sent}
 	for _, r := range all {
 		b.advance(r.Sent)
+		b.tokens -= float64(r.Statements)
 		if !r.Outcome.OverRate() {
 			inside++
-			b.tokens -= float64(r.Statements)
 			continue
 		}
-		if b.tokens >= float64(r.Statements) {
+		if missing := float64(r.Cost - r.Statements); b.tokens >= missing {
+			b.tokens -= missing
 			wrongful++
 			inside++
 		}
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -64,7 +64,7 @@
 }
 
 func (s *session) serve(arrived time.Time) {
-	r := Record{Customer: s.customer.Name, Group: s.group, Arrived: arrived, Kind: s.pick(), Statements: 1}
+	r := Record{Customer: s.customer.Name, Group: s.group, Arrived: arrived, Kind: s.pick(), Cost: 1}
 	if err := s.connect(); err != nil {
 		r.Sent, r.Done = arrived, time.Now()
 		r.Outcome = connectOutcome(err)
@@ -77,6 +77,9 @@
 	r.Sent = time.Now()
 	err := s.do(ctx, &r)
 	r.Done, r.Outcome = time.Now(), outcomeOf(err)
+	if r.Outcome.Class == Succeeded {
+		r.Statements = r.Cost
+	}
 	s.load.record(r)
 	if token := s.conn.PgConn().ParameterStatus("chicoryline.session"); token != "" {
 		s.token = token
@@ -181,14 +184,18 @@
 	return err
 }
 
+// beginCost is what BEGIN counts against the rate: itself and the end.
+const beginCost = 2
+
 // confirm writes a booking and the session's row in one transaction.
 func (s *session) confirm(ctx context.Context, r *Record) error {
 	s.newBooking(r)
-	r.Statements = 4
+	r.Cost = beginCost + 2
 	tx, err := s.conn.Begin(ctx)
 	if err != nil {
 		return err
 	}
+	r.Statements = beginCost
 	if err := s.fill(ctx, tx, r); err != nil {
 		_ = tx.Rollback(ctx)
 		return err
@@ -205,11 +212,13 @@
 	if _, err := tx.Exec(ctx, insertBooking, r.Booking, s.customer.Name, s.name, s.next); err != nil {
 		return err
 	}
+	r.Statements++
 	tag, err := tx.Exec(ctx, "UPDATE sessions SET v = $1 WHERE k = $2", s.next, s.name)
 	if err != nil || tag.RowsAffected() > 0 {
 		return err
 	}
 	r.Statements++
+	r.Cost++
 	_, err = tx.Exec(ctx, "INSERT INTO sessions (k, v) VALUES ($1, $2)", s.name, s.next)
 	return err
 }
