--- a/internal/bench/latency.go
+++ b/internal/bench/latency.go
@@ -57,7 +57,7 @@
 	s := site.Kremstal()
 	s.Name, s.Groups, s.Proxies = "loopback", 1, 3
 	s.OneWay, s.ClientDelay, s.ConnectDelay, s.ReplicationLag = 0, 0, 0, 0
-	s.Slots = throughputConns
+	s.Slots, s.Plain = throughputConns, true
 	s.Customers = []site.Customer{{Name: "bench", Rate: 1e6, Burst: 1e6}}
 	return s
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -72,8 +72,10 @@
 	topology *topology
 	liveness *liveness
 	pool     *pool.Manager
-	router   *router.Router
-	callers  *caller.Server
+	// poolService answers entries, this process's own without the network.
+	poolService *poolService
+	router      *router.Router
+	callers     *caller.Server
 
 	callerListener  net.Listener
 	metricsListener net.Listener
@@ -147,8 +149,9 @@
 		return err
 	}
 	p.pool = pool.NewManager(p.log, p)
+	p.poolService = &poolService{Service: pool.NewService(p.pool), proxy: p}
 	p.router = router.New(router.Config{
-		Domain: p.vm.Domain, Topology: p.topology, Liveness: p.liveness, Peers: p.peers,
+		Domain: p.vm.Domain, Topology: p.topology, Liveness: p.liveness, Peers: p.withLocalPool(),
 		RetryWindow: p.settings.RetryWindow, Rand: p.newRand(),
 	})
 	p.fleet.Directory().Watch(p.membersChanged)
@@ -195,7 +198,7 @@
 
 func (p *Proxy) register() error {
 	services := map[string]any{
-		"Pool": &poolService{Service: pool.NewService(p.pool), proxy: p}, "Fleet": p.fleet.Service(),
+		"Pool": p.poolService, "Fleet": p.fleet.Service(),
 		"Config": p.config.Service(), quota.ServiceName: p.quota.Service(), voters.ServiceName: p.voters.Service(),
 		failover.ServiceName: p.stewards, "Timeline": timeline.NewService(p.ring), "Proxy": &Service{proxy: p},
 	}
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -29,6 +29,16 @@
 	return nil
 }
 
+// withLocalPool returns a caller that takes the short way to this process's
+// own pool.
+func (p *Proxy) withLocalPool() peer.Caller {
+	s := p.poolService
+	return &peer.WithLocal{Caller: p.peers, Address: p.vm.Address, Methods: map[string]peer.Method{
+		"Pool.Execute": peer.Typed(s.Execute), "Pool.Fetch": peer.Typed(s.Fetch), "Pool.View": peer.Typed(s.View),
+		"Pool.Abort": peer.Typed(s.Abort), "Pool.Cancel": peer.Typed(s.Cancel),
+	}}
+}
+
 // Service answers calls that concern the process as a whole; it is registered
 // as "Proxy".
 type Service struct{ proxy *Proxy }
--- a/internal/site/network.go
+++ b/internal/site/network.go
@@ -19,6 +19,8 @@
 	OneWay time.Duration
 	// Client is the delay between a caller and a proxy.
 	Client time.Duration
+	// Plain leaves connections as they are: no delays and no cuts.
+	Plain bool
 
 	mu      sync.Mutex
 	places  map[string]Place
@@ -85,6 +87,9 @@
 // Dial returns the dial function of a process at the place.
 func (n *Network) Dial(from Place) func(ctx context.Context, network, address string) (net.Conn, error) {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		if n.Plain {
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
 		n.mu.Lock()
 		to := n.places[address]
 		n.mu.Unlock()
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -48,6 +48,9 @@
 	// MaxAge is the stated age of the route for reads with an age.
 	MaxAge    time.Duration
 	Customers []Customer
+	// Plain joins the processes without delays and cuts, for measurements of
+	// what the proxy itself adds.
+	Plain bool
 }
 
 // DefaultCustomers are a few large and several small customers.
@@ -115,6 +118,7 @@
 		Spec: spec, Network: NewNetwork(spec.OneWay, spec.ClientDelay), Instances: map[string]*dbinstance.Server{},
 		Keys: map[string]string{}, log: log, stopped: map[int]bool{},
 	}
+	s.Network.Plain = spec.Plain
 	if err := s.start(ctx); err != nil {
 		s.Close()
 		return nil, err
