--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -358,7 +358,7 @@
 			for !f.manager.running(args.Session) {
 				time.Sleep(time.Millisecond)
 			}
-			f.server.Freeze() // so that the server cannot say goodbye
+
 			f.server.Kill()
 			if err := <-result; !errkind.Is(err, c.want) {
 				t.Fatalf("%v, want %s", err, c.want)
--- a/internal/standin/dbinstance/server.go
+++ b/internal/standin/dbinstance/server.go
@@ -162,29 +162,39 @@
 // Close ends all connections and waits until nothing runs any more. The store
 // keeps what was committed.
 func (s *Server) Close() {
-	s.end((*link).Close)
+	conns := s.takeConns()
+	s.endWork()
+	for l := range conns {
+		_ = l.Close()
+	}
 	s.wait.Wait()
 	s.log.Info("instance_stopped")
 }
 
-// Kill ends the instance at once: its connections are reset and its listeners
-// closed. Close may follow.
+// Kill ends the instance at once: its connections are reset before a running
+// statement can answer that it was ended. Close may follow.
 func (s *Server) Kill() {
-	s.end(func(l *link) error { l.reset(); return nil })
+	for l := range s.takeConns() {
+		l.reset()
+	}
+	s.endWork()
 	s.log.Info("instance_killed")
 }
 
-func (s *Server) end(closeLink func(*link) error) {
+// takeConns closes the server for new connections and returns the present ones.
+func (s *Server) takeConns() map[*link]struct{} {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.closed = true
 	conns := s.conns
 	s.conns = map[*link]struct{}{}
-	s.mu.Unlock()
+	return conns
+}
+
+// endWork ends running statements, replication and the listeners.
+func (s *Server) endWork() {
 	s.stop()
 	_ = s.listener.Close()
-	for l := range conns {
-		_ = closeLink(l)
-	}
 	if s.admin != nil {
 		_ = s.admin.Close()
 	}
