Config sync: clean up after holders that died

The first live holder starts an attempt without a patch when a holder's counter has stood still for 30 s. The first attempt bars the dead holder, the second removes its row. Before, VMs that were all replaced between two patches left a dead holder whose voters were gone, and only an operator's release put the next patch in force.

--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -30,6 +30,9 @@
 	// patienceSlack is added to the time in which a dead holder is found lapsed
 	// before a patch is withdrawn.
 	patienceSlack = time.Second
+	// cleanAfter is how long a holder's counter stands still before the others
+	// clean up after it, and the pause between two attempts to do so.
+	cleanAfter = 30 * time.Second
 	// maxFormer bounds the ids of earlier registrations in a holder's row.
 	maxFormer = 8
 )
@@ -42,6 +45,7 @@
 	incarnation uint64
 	length      time.Duration // of a grant
 	interval    time.Duration // between renewals
+	cleanAfter  time.Duration // cleanAfter, shorter in tests
 	observer    bool          // holds no grant, lives on leases
 }
 
--- a/internal/configsync/decide.go
+++ b/internal/configsync/decide.go
@@ -163,3 +163,6 @@
 	s, ok := w.seen[holderKey(h.ID)]
 	return ok && s.still >= h.Length+lapseMargin(h.Length)
 }
+
+// still returns how long the holder's counter is known to have stood still.
+func (w *lapseWatch) still(h Holder) time.Duration { return w.seen[holderKey(h.ID)].still }
--- a/internal/configsync/events.go
+++ b/internal/configsync/events.go
@@ -22,6 +22,8 @@
 	case finishDone:
 		delete(c.open, "finish")
 		c.firePatch(now, "decided")
+	case proposed:
+		delete(c.open, "propose")
 	case gaveBack:
 		delete(c.open, "give_back")
 		if m.ok {
@@ -132,6 +134,37 @@
 	if c.patch.State() == "acknowledged" && m.record == c.snap.row.Version {
 		c.decide(now)
 	}
+	c.cleanUp(now)
+}
+
+// cleanUp starts an attempt without a patch when a holder has been dead for
+// long: the first attempt bars it and a second one removes its row. Without it
+// the voters of a dead holder could all be replaced before the next patch, which
+// nothing but an operator's release could then put in force.
+func (c *core) cleanUp(now time.Time) {
+	if c.snap.record.Pending != nil || !c.valid(now) || !c.first() {
+		return
+	}
+	dead := func(h Holder) bool { return c.watch.still(h) >= c.cfg.cleanAfter }
+	if slices.ContainsFunc(c.holders, dead) {
+		c.ask(now, "propose", c.cfg.cleanAfter, c.cleaning)
+	}
+}
+
+func (c *core) cleaning() any {
+	r := c.snap.record
+	next := r.withPending("", r.Object, r.Version)
+	return propose{version: c.snap.row.Version, value: encode(next), request: fmt.Sprintf("%s+%d", c.own.id, next.Attempt)}
+}
+
+// first reports whether this process is the first holder that has not lapsed.
+func (c *core) first() bool {
+	for _, h := range c.holders {
+		if !c.watch.lapsed(h) {
+			return h.ID == c.own.id
+		}
+	}
+	return false
 }
 
 // decide ends the pending patch if the holders' rows allow it, or if it has
--- a/internal/configsync/hard_test.go
+++ b/internal/configsync/hard_test.go
@@ -208,3 +208,24 @@
 		w.settled()
 	}))
 }
+
+// TestAllVMsReplacedBetweenPatches kills one VM after another and starts a new
+// one in its place, with no patch meanwhile.
+func TestAllVMsReplacedBetweenPatches(t *testing.T) {
+	expectGreen(t, runWorld(t, 3, 4, func(w *world) {
+		w.ready()
+		for _, m := range w.members[:4] {
+			m.kill()
+			w.add(m.id+"-new", m.domain, false)
+			time.Sleep(5 * cleanAfter)
+		}
+		holders, err := Holders(context.Background(), w.store)
+		if err != nil || len(holders) != 4 {
+			w.fail("%d holders are registered after the replacements: %v", len(holders), err)
+		}
+		if n := len(w.recordNow().History); n != 1 {
+			w.fail("cleaning up left %d outcomes", n)
+		}
+		w.settled()
+	}))
+}
--- a/internal/configsync/message.go
+++ b/internal/configsync/message.go
@@ -41,6 +41,12 @@
 		request string
 		gone    []platform.Row
 	}
+	// propose makes an attempt pending that changes no document.
+	propose struct {
+		version uint64
+		value   []byte
+		request string
+	}
 	// notify sends the configuration row to other processes.
 	notify struct {
 		addresses []string
@@ -98,6 +104,8 @@
 	}
 	// finishDone ends finish.
 	finishDone struct{}
+	// proposed ends propose.
+	proposed struct{}
 	// gaveBack ends giveBack.
 	gaveBack struct{ ok bool }
 	// leaveAsked starts the planned stop.
--- a/internal/configsync/node.go
+++ b/internal/configsync/node.go
@@ -122,6 +122,7 @@
 	n.core = newCore(coreConfig{
 		vm: cfg.VM.ID, domain: cfg.VM.Domain, address: cfg.VM.Address, incarnation: cfg.Incarnation,
 		length: cfg.GrantLength, interval: cfg.RenewInterval, observer: cfg.Observer,
+		cleanAfter: cleanAfter,
 	})
 	n.shown.Store(&shown{view: catalog.View{Expired: true}, state: n.core.grant.State(), patch: n.core.patch.State()})
 	return n
--- a/internal/configsync/run.go
+++ b/internal/configsync/run.go
@@ -26,6 +26,9 @@
 	case finish:
 		n.finish(a)
 		return finishDone{}
+	case propose:
+		n.propose(a)
+		return proposed{}
 	case notify:
 		n.notify(a)
 	case giveBack:
@@ -221,6 +224,14 @@
 	}
 }
 
+func (n *Node) propose(a propose) {
+	ctx, cancel := n.callPlatform()
+	defer cancel()
+	if row, err := n.cfg.Services.CompareAndSet(ctx, recordKey, a.version, a.value, a.request); err == nil {
+		n.show(row)
+	}
+}
+
 // notify tells other processes of a configuration row at once; those that miss
 // it read it at their next poll.
 func (n *Node) notify(a notify) {
