--- a/internal/load/outcome.go
+++ b/internal/load/outcome.go
@@ -30,13 +30,17 @@
 func (o Outcome) OverRate() bool { return o.Kind == "over_rate" }
 
 // outcomeOf reads the class from the error that the caller got. A connection
-// that broke after sending says nothing.
+// that broke after sending says nothing; one that the client library found
+// closed before it sent anything did not run the request.
 func outcomeOf(err error) Outcome {
 	if err == nil {
 		return Outcome{}
 	}
 	var pg *pgconn.PgError
 	if !errors.As(err, &pg) {
+		if pgconn.SafeToRetry(err) {
+			return Outcome{Class: NotRun, Kind: "connection"}
+		}
 		return Outcome{Class: Unknown, Kind: "connection"}
 	}
 	kind, class, ok := parseDetail(pg.Detail)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -10,6 +10,7 @@
 	oldrand "math/rand"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -180,7 +181,7 @@
 		Spacing: quota.DefaultPromiseLifetime + p.settings.ShareLease, Now: time.Now, Log: p.log,
 	})
 	p.quota = quota.NewNode(quota.Config{
-		VM: p.vm, Holders: p.voters.VMs, Caller: p.peers, System: p.system, Now: time.Now, Log: p.log,
+		VM: p.vm, Holders: p.shareHolders, Caller: p.peers, System: p.system, Now: time.Now, Log: p.log,
 		Rand: p.newOldRand(), ShareLease: p.settings.ShareLease, OnEvent: p.onEvent,
 	})
 	p.stewards = failover.NewService()
@@ -218,6 +219,21 @@
 // newOldRand returns a random source for parts that take math/rand's.
 func (p *Proxy) newOldRand() *oldrand.Rand { return oldrand.New(oldrand.NewSource(rand.Int64())) }
 
+// shareHolders lists the voters and marks those that are stopping, so that no
+// share home is sought among them.
+func (p *Proxy) shareHolders() []platform.VM {
+	list := slices.Clone(p.voters.VMs())
+	for _, m := range p.fleet.Directory().Members() {
+		if m.State != fleet.Leaving {
+			continue
+		}
+		if i := slices.IndexFunc(list, func(vm platform.VM) bool { return vm.ID == m.VM.ID }); i >= 0 {
+			list[i].Leaving = true
+		}
+	}
+	return list
+}
+
 // registered lists the VMs that hold configuration grants.
 func (p *Proxy) registered(ctx context.Context) ([]platform.VM, error) {
 	holders, err := configsync.Holders(ctx, p.services)
