--- a/cmd/chicoryline/bench.go
+++ b/cmd/chicoryline/bench.go
@@ -9,6 +9,7 @@
 
 	"chicoryline/internal/bench"
 	"chicoryline/internal/demo"
+	"chicoryline/internal/spread"
 )
 
 // benchCommand measures the product on stand-ins inside one process.
@@ -25,6 +26,9 @@
 	JSON      bool          `long:"json" description:"print the figures as JSON"`
 	Latency   bool          `long:"latency" description:"measure what the proxy adds to a statement instead"`
 	Idle      int           `long:"idle" value-name:"N" description:"measure the memory of N idle callers instead"`
+	Policy    bool          `long:"policy" description:"measure the split of rates and the fair queue beside their baselines, in virtual time, instead"`
+	Spreading bool          `long:"spreading" description:"measure ways to spread a version over 8 to 1,500 VMs, in virtual time, instead"`
+	Capacity  bool          `long:"capacity" description:"measure the slopes behind docs/CAPACITY.md instead"`
 	Verbose   bool          `long:"verbose" short:"v" description:"log the events of all proxies"`
 }
 
@@ -34,6 +38,13 @@
 	defer stop()
 	log := demoLogger(c.Verbose)
 	switch {
+	case c.Policy:
+		bench.Policy(os.Stdout, int64(c.Seed))
+		return nil
+	case c.Spreading:
+		return spread.Run(os.Stdout, int64(c.Seed))
+	case c.Capacity:
+		return bench.Capacity(ctx, os.Stdout, log)
 	case c.Latency:
 		return bench.Latency(ctx, os.Stdout, log)
 	case c.Idle > 0:
--- /dev/null
+++ b/internal/bench/capacity.go
@@ -0,0 +1,214 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand"
+	"net"
+	"runtime"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/backend"
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/failover"
+	"chicoryline/internal/frame"
+	"chicoryline/internal/groupview"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/timeline"
+)
+
+const (
+	// watchTime is how long each number of groups is watched.
+	watchTime = 4 * time.Second
+	// groupInstances is the number of instances of a measured group.
+	groupInstances = 3
+	// authorizations is the number of checks that are timed.
+	authorizations = 200_000
+)
+
+// Sizes at which the slopes are measured.
+var (
+	watchSizes   = []int{1, 8, 32, 128}
+	catalogSizes = []int{10, 100, 1000, 10000}
+	linkSizes    = []int{50, 100, 200, 400}
+	idleSizes    = []int{500, 1000, 2000, 4000}
+)
+
+// Capacity prints, for each part whose cost grows with the fleet, one line for
+// each of several sizes.
+func Capacity(ctx context.Context, out io.Writer, log *logrus.Entry) error {
+	for _, n := range watchSizes {
+		if err := watchCost(out, log, n); err != nil {
+			return err
+		}
+	}
+	for _, n := range catalogSizes {
+		if err := catalogCost(out, n); err != nil {
+			return err
+		}
+	}
+	for _, n := range linkSizes {
+		if err := linkCost(ctx, out, n); err != nil {
+			return err
+		}
+	}
+	ringCost(out)
+	for _, n := range idleSizes {
+		if err := IdleMemory(ctx, out, log, n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// watchCost measures the watching of n groups with a standing-by steward each;
+// the instances are fakes, so the time is that of the watcher and the steward.
+func watchCost(out io.Writer, log *logrus.Entry, n int) error {
+	before := memoryInUse()
+	var ends []func()
+	for i := range n {
+		end, err := watchGroup(log, fmt.Sprintf("group%d", i))
+		if err != nil {
+			return err
+		}
+		ends = append(ends, end)
+	}
+	time.Sleep(settleTime)
+	used, started := processorTime(), time.Now()
+	time.Sleep(watchTime)
+	cpu := float64(processorTime()-used) / float64(time.Since(started))
+	memory := memoryInUse() - before
+	for _, end := range ends {
+		end()
+	}
+	_, _ = fmt.Fprintf(out, "part=group_watch groups=%d core_percent=%.3f core_percent_per_group=%.4f bytes_per_group=%d\n",
+		n, 100*cpu, 100*cpu/float64(n), memory/int64(n))
+	return nil
+}
+
+func watchGroup(log *logrus.Entry, name string) (func(), error) {
+	group := platform.Group{Name: name}
+	for i := range groupInstances {
+		group.Instances = append(group.Instances, platform.Instance{ID: fmt.Sprintf("%s-db%d", name, i+1), Domain: fmt.Sprintf("domain%d", i+1)})
+	}
+	fake := backend.NewFakeGroup(group.Instances)
+	fake.Bootstrap(group.Instances[0].ID)
+	vm := platform.VM{ID: "vm1", Domain: "domain1", Address: "127.0.0.1:1"}
+	controls := map[string]backend.Control{}
+	for _, i := range group.Instances {
+		controls[i.ID] = fake.Control(vm.ID, i.ID)
+	}
+	watcher, err := groupview.New(groupview.Config{Group: group, Controls: controls, WaitControls: controls, Log: log})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	system := frame.New(log)
+	runner, err := failover.NewRunner(failover.Config{
+		Group: group, Controls: controls, Watcher: watcher, Table: platform.NewMemory(time.Now), VM: vm,
+		Peers: failover.PeerViews{List: func(string) []platform.VM { return nil }}, Rank: func() int { return 0 },
+		System: system, Rand: rand.New(rand.NewSource(1)), Log: log,
+	})
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	watcher.Start()
+	if err := runner.Start(); err != nil {
+		return nil, errors.Trace(err)
+	}
+	return func() {
+		runner.Close()
+		watcher.Close()
+		system.Shutdown()
+	}, nil
+}
+
+// catalogCost measures a document of n customers with as many routes.
+func catalogCost(out io.Writer, n int) error {
+	doc := &catalog.Document{
+		TokenSecret: make([]byte, 16), Customers: map[string]catalog.Customer{},
+		Groups: map[string]catalog.Group{"g": {Name: "g"}}, Routes: map[string]catalog.Route{},
+	}
+	key := "measured-key"
+	for i := range n {
+		name := fmt.Sprintf("customer%d", i)
+		doc.Customers[name] = catalog.Customer{Name: name, Rate: 100, Burst: 100, Weight: 1, Keys: map[string]catalog.KeyHash{"main": catalog.HashKey(key, []byte("0123456789abcdef"))}}
+		doc.Routes[name] = catalog.Route{Name: name, Group: "g", Mode: catalog.ReadSession}
+	}
+	data := catalog.Encode(doc)
+	before := memoryInUse()
+	used := processorTime()
+	decoded, err := catalog.Decode(data)
+	if err != nil {
+		return errors.Trace(err)
+	}
+	decodeTime := processorTime() - used
+	held := memoryInUse() - before
+	view := catalog.View{Current: decoded}
+	ref, _ := view.MatchKey("customer0", key)
+	used = processorTime()
+	for range authorizations {
+		if _, _, err := view.AuthorizeKey("customer0", ref, "customer0"); err != nil {
+			return err
+		}
+	}
+	each := (processorTime() - used) / authorizations
+	_, _ = fmt.Fprintf(out, "part=catalog customers=%d routes=%d document_bytes=%d held_bytes=%d decode_ms=%.2f authorize_ns=%d\n",
+		n, n, len(data), held, float64(decodeTime)/float64(time.Millisecond), each.Nanoseconds())
+	runtime.KeepAlive(decoded)
+	return nil
+}
+
+// Ping is the service of linkCost.
+type Ping struct{}
+
+// Ping answers with its argument.
+func (Ping) Ping(args int, reply *int) error {
+	*reply = args
+	return nil
+}
+
+// linkCost measures the memory of n links between processes, both ends.
+func linkCost(ctx context.Context, out io.Writer, n int) error {
+	clock := timeline.NewClock(time.Now)
+	before := memoryInUse()
+	var ends []func()
+	for range n {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return errors.Trace(err)
+		}
+		server := peer.NewServer(clock, listener, nil)
+		if err := server.Register("Ping", Ping{}); err != nil {
+			return errors.Trace(err)
+		}
+		go server.Serve()
+		client := peer.NewClient(clock, nil, nil)
+		var reply int
+		if err := client.Call(ctx, listener.Addr().String(), "Ping.Ping", 1, &reply); err != nil {
+			return errors.Trace(err)
+		}
+		ends = append(ends, func() { client.Close(); server.Close() })
+	}
+	used := memoryInUse() - before
+	for _, end := range ends {
+		end()
+	}
+	_, _ = fmt.Fprintf(out, "part=peer_link links=%d bytes_per_link_both_ends=%d\n", n, used/int64(n))
+	return nil
+}
+
+// ringCost measures the memory of a full ring of events.
+func ringCost(out io.Writer) {
+	before := memoryInUse()
+	ring := timeline.NewRing(timeline.NewClock(time.Now), "vm1", "domain1", timeline.DefaultRingSize)
+	for i := range timeline.DefaultRingSize {
+		ring.Add(timeline.Event{Kind: "request_refused", Group: "group1", Customer: "customer", Detail: fmt.Sprintf("event %d of the measurement", i)})
+	}
+	_, _ = fmt.Fprintf(out, "part=timeline events=%d bytes=%d\n", timeline.DefaultRingSize, memoryInUse()-before)
+	runtime.KeepAlive(ring)
+}
--- a/internal/load/judge.go
+++ b/internal/load/judge.go
@@ -42,8 +42,11 @@
 	WriteGap           time.Duration
 	WorstCustomerShare float64
 	WorstCustomer      string
-	WrongfulRefusals   int
-	InsideRate         int
+	// WrongfulRefusals and InsideRate are those of customers that keep to their
+	// rate; OverloadUnused is the same count for the others.
+	WrongfulRefusals int
+	InsideRate       int
+	OverloadUnused   int
 
 	ReadP50, ReadP99   time.Duration
 	WriteP50, WriteP99 time.Duration
@@ -227,10 +230,10 @@
 		refusedShare = float64(f.WrongfulRefusals) / float64(f.InsideRate)
 	}
 	return fmt.Sprintf("requests=%d succeeded=%d lost=%d doubled=%d stale=%d mixed=%d after_withdrawal=%d over_rate=%d false_not_run=%d "+
-		"replica_read_share=%.4f write_gap_ms=%d worst_customer_share=%.4f wrongful_refusals=%d wrongful_refusal_share=%.5f "+
+		"replica_read_share=%.4f write_gap_ms=%d worst_customer_share=%.4f wrongful_refusals=%d wrongful_refusal_share=%.5f overload_unused=%d "+
 		"read_p50_ms=%.2f read_p99_ms=%.2f write_p50_ms=%.2f write_p99_ms=%.2f not_served=%s",
 		f.Requests, f.Succeeded, f.Lost, f.Doubled, f.Stale, f.Mixed, f.AfterWithdrawal, f.OverRate, f.FalseNotRun,
-		f.ReplicaReadShare, f.WriteGap.Milliseconds(), f.WorstCustomerShare, f.WrongfulRefusals, refusedShare,
+		f.ReplicaReadShare, f.WriteGap.Milliseconds(), f.WorstCustomerShare, f.WrongfulRefusals, refusedShare, f.OverloadUnused,
 		milliseconds(f.ReadP50), milliseconds(f.ReadP99), milliseconds(f.WriteP50), milliseconds(f.WriteP99), strings.Join(kinds, ","))
 }
 
--- a/internal/load/rates.go
+++ b/internal/load/rates.go
@@ -13,7 +13,9 @@
 	rateSlack = 1e-6
 )
 
-// judgeRates counts admissions over the rate and refusals inside it.
+// judgeRates counts admissions over the rate and refusals inside it. Refusals of
+// a customer that sends more than its rate are told apart: they say how much of
+// its rate and burst it could not use.
 func (f *Figures) judgeRates(cfg Config, records []Record) {
 	for _, c := range cfg.Customers {
 		var admitted, refused []Record
@@ -32,6 +34,10 @@
 		}
 		f.OverRate += over
 		wrongful, inside := wrongfulRefusals(c, admitted, refused)
+		if c.Overloads() {
+			f.OverloadUnused += wrongful
+			continue
+		}
 		f.WrongfulRefusals += wrongful
 		f.InsideRate += inside
 	}
