--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -70,9 +70,11 @@
 // the instances are fakes, so the time is that of the watcher and the steward.
 func watchCost(out io.Writer, log *logrus.Entry, n int) error {
 	before := memoryInUse()
+	system := frame.New(log)
+	defer system.Shutdown()
 	var ends []func()
 	for i := range n {
-		end, err := watchGroup(log, fmt.Sprintf("group%d", i))
+		end, err := watchGroup(system, log, fmt.Sprintf("group%d", i))
 		if err != nil {
 			return err
 		}
@@ -91,7 +93,7 @@
 	return nil
 }
 
-func watchGroup(log *logrus.Entry, name string) (func(), error) {
+func watchGroup(system *frame.System, log *logrus.Entry, name string) (func(), error) {
 	group := platform.Group{Name: name}
 	for i := range groupInstances {
 		group.Instances = append(group.Instances, platform.Instance{ID: fmt.Sprintf("%s-db%d", name, i+1), Domain: fmt.Sprintf("domain%d", i+1)})
@@ -107,7 +109,6 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	system := frame.New(log)
 	runner, err := failover.NewRunner(failover.Config{
 		Group: group, Controls: controls, Watcher: watcher, Table: platform.NewMemory(time.Now), VM: vm,
 		Peers: failover.PeerViews{List: func(string) []platform.VM { return nil }}, Rank: func() int { return 0 },
@@ -123,7 +124,6 @@
 	return func() {
 		runner.Close()
 		watcher.Close()
-		system.Shutdown()
 	}, nil
 }
 
--- a/internal/catalog/apply.go
+++ b/internal/catalog/apply.go
@@ -170,9 +170,10 @@
 // check reports what does not hold in the document as a whole. The lines are
 // those of the patch; an object that the patch does not name has none.
 func check(doc *Document, patch *Patch, faults *faultList) {
+	sections := newSectionIndex(patch)
 	for _, n := range slices.Sorted(maps.Keys(doc.Customers)) {
 		c := doc.Customers[n]
-		s := patch.find(kindCustomer, n)
+		s := sections.find(kindCustomer, n)
 		if c.Rate <= 0 {
 			faults.add(s, entry{key: "rate"}, "is missing")
 		}
@@ -181,7 +182,7 @@
 		}
 	}
 	for _, n := range slices.Sorted(maps.Keys(doc.Routes)) {
-		checkRoute(doc, doc.Routes[n], patch.find(kindRoute, n), faults)
+		checkRoute(doc, doc.Routes[n], sections.find(kindRoute, n), faults)
 	}
 }
 
@@ -206,11 +207,21 @@
 	}
 }
 
-func (p *Patch) find(kind, name string) section {
-	for _, s := range p.sections {
-		if s.kind == kind && s.name == name {
-			return s
-		}
+// sectionIndex finds the sections of a patch by kind and name.
+type sectionIndex map[[2]string]section
+
+func newSectionIndex(patch *Patch) sectionIndex {
+	index := make(sectionIndex, len(patch.sections))
+	for _, s := range patch.sections {
+		index[[2]string{s.kind, s.name}] = s
+	}
+	return index
+}
+
+// find returns the section, or an empty one of the name.
+func (i sectionIndex) find(kind, name string) section {
+	if s, ok := i[[2]string{kind, name}]; ok {
+		return s
 	}
 	return section{kind: kind, name: name}
 }
--- a/internal/groupview/watcher.go
+++ b/internal/groupview/watcher.go
@@ -70,6 +70,7 @@
 	loops   sync.WaitGroup
 
 	sequence atomic.Uint64
+	interval atomic.Int64 // time.Duration between two probes of an instance
 
 	mu      sync.Mutex
 	tracker *Tracker
@@ -100,10 +101,15 @@
 		w.wakes = append(w.wakes, make(chan struct{}, 1))
 	}
 	w.ctx, w.cancel = context.WithCancel(context.Background())
+	w.interval.Store(int64(config.Interval))
 	w.publish()
 	return w, nil
 }
 
+// SetInterval changes the interval of probes from the next one on. A VM that
+// only stands by probes less often.
+func (w *Watcher) SetInterval(interval time.Duration) { w.interval.Store(int64(interval)) }
+
 func (c *Config) setDefaults() {
 	if c.Interval == 0 {
 		c.Interval = DefaultInterval
@@ -216,7 +222,7 @@
 		} else {
 			w.record(i, report)
 		}
-		w.pause(w.config.Interval-w.config.Now().Sub(report.Sent), kick)
+		w.pause(time.Duration(w.interval.Load())-w.config.Now().Sub(report.Sent), kick)
 	}
 }
 
--- a/internal/proxy/duty.go
+++ b/internal/proxy/duty.go
@@ -23,6 +23,9 @@
 	// connection to each instance, to wait for the confirmation of commits: the
 	// owners of the primary.
 	confirmConnections = ownersPerInstance
+	// standbyFactor is how much less often a VM probes a group of which it is
+	// the first owner of no instance.
+	standbyFactor = 4
 	// firstOwnerPart is the part of an instance's connections that its first
 	// owner asks for; the second asks for the rest, so that it can go on at once.
 	firstOwnerPart = 0.7
@@ -115,11 +118,11 @@
 }
 
 func (p *Proxy) reconcileGroup(name string, group platform.Group) {
-	owned := false
+	owned, first := false, false
 	for _, instance := range group.Instances {
-		if rank := p.topology.rank(instance, p.vm.ID); rank >= 0 && !instance.Leaving {
-			owned = true
-		}
+		rank := p.topology.rank(instance, p.vm.ID)
+		owned = owned || rank >= 0 && !instance.Leaving
+		first = first || rank == 0
 	}
 	duty := p.duty(name)
 	if owned && duty != nil && !sameInstances(duty.group, group) {
@@ -133,9 +136,15 @@
 		p.endDuty(name)
 		duty = nil
 	}
-	if duty != nil {
-		p.reconcileOwners(duty, group)
+	if duty == nil {
+		return
+	}
+	interval := p.settings.ProbeInterval
+	if !first {
+		interval *= standbyFactor
 	}
+	duty.watcher.SetInterval(interval)
+	p.reconcileOwners(duty, group)
 }
 
 // sameInstances reports whether two descriptions name the same instances at
--- a/internal/proxy/topology.go
+++ b/internal/proxy/topology.go
@@ -86,7 +86,8 @@
 	return vms
 }
 
-// stewards lists the VMs that watch the group, the first steward first.
+// stewards lists the VMs that watch the group closely: the first owner of each
+// instance, in the order in which they lead a failover.
 func (t *topology) stewards(name string) []fleet.Member {
 	group, ok := t.Group(name)
 	if !ok {
@@ -95,7 +96,7 @@
 	var members []fleet.Member
 	seen := map[string]bool{}
 	for _, instance := range group.Instances {
-		for _, m := range t.directory.Owners(instance, ownersPerInstance) {
+		for _, m := range t.directory.Owners(instance, 1) {
 			if !seen[m.VM.ID] {
 				seen[m.VM.ID] = true
 				members = append(members, m)
@@ -115,7 +116,8 @@
 	return -1
 }
 
-// stewardRank returns this VM's place among the stewards of the group.
+// stewardRank returns this VM's place among the stewards of the group; a VM
+// that only stands by comes after all of them.
 func (p *Proxy) stewardRank(group string) int {
 	for i, m := range p.topology.stewards(group) {
 		if m.VM.ID == p.vm.ID {
@@ -125,7 +127,7 @@
 	return len(p.topology.stewards(group))
 }
 
-// otherStewards lists the other VMs that watch the group.
+// otherStewards lists the other VMs that watch the group closely.
 func (p *Proxy) otherStewards(group string) []platform.VM {
 	return p.others(p.topology.stewards(group))
 }
