--- a/cmd/chicoryline/bench.go
+++ b/cmd/chicoryline/bench.go
@@ -22,6 +22,7 @@
 	Scale     float64       `long:"scale" default:"1" description:"factor on what every customer offers"`
 	Overload  float64       `long:"overload" default:"5" description:"factor by which the first customer exceeds its rate; 0 for none"`
 	NoFaults  bool          `long:"no-faults" description:"bring no faults about"`
+	Planned   bool          `long:"planned" description:"hand the primary over instead of cutting it off"`
 	Compare   string        `long:"compare" choice:"naive" description:"run the same seed through a pass-through proxy too"`
 	JSON      bool          `long:"json" description:"print the figures as JSON"`
 	Latency   bool          `long:"latency" description:"measure what the proxy adds to a statement instead"`
@@ -53,5 +54,6 @@
 	o := demo.DefaultOptions()
 	o.Spec, o.Duration, o.Seed, o.Out, o.Log = siteSpec(c.Site), c.Duration, c.Seed, os.Stdout, log
 	o.ReadShare, o.RoamShare, o.Scale, o.Overload, o.Faults = c.ReadShare, c.RoamShare, c.Scale, c.Overload, !c.NoFaults
+	o.Planned = c.Planned
 	return bench.Load(ctx, o, c.Compare == "naive", c.JSON)
 }
--- a/cmd/chicoryline/commands.go
+++ b/cmd/chicoryline/commands.go
@@ -9,6 +9,7 @@
 		{"config", "show or release the configuration", "Shows the configuration in force or its history, or releases a failure domain.", &configCommand{}},
 		{"key", "make or withdraw customers' keys", "Makes a key with the patch line that grants it, or withdraws one.", &keyCommand{}},
 		{"status", "print the state of every process", "Prints one key=value line for each process.", &statusCommand{}},
+		{"handover", "move a group's primary", "Hands the primary of a database group over to another backend server, without a loss or a refused write.", &handoverCommand{}},
 		{"timeline", "print the events of all processes", "Gathers the events of all processes and merges them, causes before effects.", &timelineCommand{}},
 		{"demo", "show the product on stand-ins", "Runs a site of stand-ins and proxies in one process, with load and faults, and tells whether a promise broke.", &demoCommand{}},
 		{"bench", "measure the product on stand-ins", "Measures load figures, latency or memory on stand-ins in one process, beside a pass-through proxy.", &benchCommand{}},
--- a/cmd/chicoryline/operator.go
+++ b/cmd/chicoryline/operator.go
@@ -13,6 +13,7 @@
 
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/configsync"
+	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
@@ -289,6 +290,36 @@
 // processTimeout bounds the call to one process.
 const processTimeout = 3 * time.Second
 
+// handoverCommand moves a group's primary.
+type handoverCommand struct {
+	fleetFlags
+	Group  string `long:"group" required:"true" description:"database group"`
+	Target string `long:"target" required:"true" description:"backend server that becomes the primary"`
+}
+
+// Execute implements flags.Commander.
+func (c *handoverCommand) Execute([]string) error {
+	done := false
+	err := c.each(func(ctx context.Context, client *peer.Client, address string) error {
+		if done {
+			return nil
+		}
+		err := client.Call(ctx, address, "Proxy.Handover", &proxy.HandoverArgs{Group: c.Group, Target: c.Target}, &pool.Empty{})
+		if errkind.Is(err, errkind.NotEligible) {
+			return nil
+		}
+		done = err == nil
+		return err
+	})
+	if err == nil && !done {
+		err = errors.Errorf("no process has handed over group %s", c.Group)
+	}
+	if err == nil {
+		fmt.Printf("group=%s primary=%s\n", c.Group, c.Target)
+	}
+	return err
+}
+
 // timelineCommand gathers the events of all processes.
 type timelineCommand struct {
 	fleetFlags
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -21,6 +21,8 @@
 	Seed     uint64
 	// Faults lets the run cut a primary off, withdraw a key and stop a proxy.
 	Faults bool
+	// Planned hands the primary over instead of cutting it off.
+	Planned bool
 	// ReadShare, RoamShare and Scale shape the load; Scale multiplies every
 	// customer's offered rate.
 	ReadShare float64
@@ -153,11 +155,19 @@
 	customer := o.Spec.Customers[len(o.Spec.Customers)-1].Name
 	stopped := o.Spec.Proxies - 1
 	var events []load.Event
-	steps := []step{
-		{0.25, "primary_cut group=" + group + " backend_server=" + primary, func() error {
+	first := step{0.25, "primary_cut group=" + group + " backend_server=" + primary, func() error {
+		events = append(events, load.Event{At: time.Now(), Name: "primary_cut", Group: group})
+		return s.CutInstance(primary)
+	}}
+	if o.Planned {
+		target := s.OtherInstance(group, primary)
+		first = step{0.25, "primary_handed_over group=" + group + " from=" + primary + " to=" + target, func() error {
 			events = append(events, load.Event{At: time.Now(), Name: "primary_cut", Group: group})
-			return s.CutInstance(primary)
-		}},
+			return s.Handover(ctx, group, target)
+		}}
+	}
+	steps := []step{
+		first,
 		{0.5, "key_withdrawn customer=" + customer, func() error {
 			err := s.WithdrawKey(ctx, customer)
 			events = append(events, load.Event{At: time.Now(), Name: "key_withdrawn", Customer: customer})
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -65,6 +66,8 @@
 	cfg   OwnerConfig
 	conns *fairqueue.Gate
 	slots *fairqueue.Gate
+	// heldUntil is the end of a hold of writes, in nanoseconds since 1970.
+	heldUntil atomic.Int64
 
 	mu     sync.Mutex
 	idle   []*conn
@@ -223,6 +226,9 @@
 		if !ok || primary != id {
 			return errkind.New(errkind.NoPrimary, "%s is not the proved primary", id)
 		}
+		if o.held() {
+			return errkind.New(errkind.NoPrimary, "%s is handing over", id)
+		}
 		return nil
 	}
 	if o.cfg.Watcher.Silence(id) > silenceLimit {
--- a/internal/proxy/duty.go
+++ b/internal/proxy/duty.go
@@ -56,10 +56,18 @@
 	d.watcher = watcher
 	d.runner, err = failover.NewRunner(failover.Config{
 		Group: group, Controls: controls, Watcher: watcher, Table: p.services, VM: p.vm,
-		Peers:  failover.PeerViews{Caller: p.peers, List: p.otherStewards},
-		Rank:   func() int { return p.stewardRank(group.Name) },
-		System: p.system, Rand: p.newOldRand(), Log: p.log,
-		OnEvent: func(kind string, fields map[string]string) { p.note(kind, timeline.Event{Group: group.Name}, fields) },
+		Peers:    failover.PeerViews{Caller: p.peers, List: p.otherStewards},
+		Rank:     func() int { return p.stewardRank(group.Name) },
+		Settings: p.failoverSettings(),
+		Drain:    func(ctx context.Context) error { return p.holdWrites(ctx, d, false) },
+		Release:  func() { _ = p.holdWrites(context.Background(), d, true) },
+		System:   p.system, Rand: p.newOldRand(), Log: p.log,
+		OnEvent: func(kind string, fields map[string]string) {
+			p.note(kind, timeline.Event{Group: group.Name}, fields)
+			if kind == promotedEvent {
+				go p.refreshWatchers(group)
+			}
+		},
 	})
 	if err != nil {
 		return nil, errors.Trace(err)
@@ -144,6 +152,7 @@
 		interval *= standbyFactor
 	}
 	duty.watcher.SetInterval(interval)
+	duty.runner.SetLeaving(leavingInstances(group))
 	p.reconcileOwners(duty, group)
 }
 
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -29,6 +29,14 @@
 	return nil
 }
 
+// Refresh makes this VM probe the group at once.
+func (s *poolService) Refresh(args *pool.ViewArgs, _ *pool.Empty) error {
+	if duty := s.proxy.duty(args.Group); duty != nil {
+		duty.watcher.Refresh()
+	}
+	return nil
+}
+
 // withLocalPool returns a caller that takes the short way to this process's
 // own pool.
 func (p *Proxy) withLocalPool() peer.Caller {
@@ -120,13 +128,19 @@
 
 // Handover moves the primary of a group to the target instance.
 func (s *Service) Handover(args *HandoverArgs, _ *pool.Empty) error {
-	duty := s.proxy.duty(args.Group)
-	if duty == nil {
-		return peer.Encode(errkind.New(errkind.NotEligible, "group %s is not watched here", args.Group))
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), handOverTimeout)
 	defer cancel()
-	return peer.Encode(duty.runner.Handover(ctx, args.Target))
+	return peer.Encode(s.proxy.Handover(ctx, args.Group, args.Target))
+}
+
+// Handover moves the primary of a group that this VM watches to the target
+// instance. Errors: errkind.NotEligible where the group is not watched.
+func (p *Proxy) Handover(ctx context.Context, group, target string) error {
+	duty := p.duty(group)
+	if duty == nil {
+		return errkind.New(errkind.NotEligible, "group %s is not watched here", group)
+	}
+	return duty.runner.Handover(ctx, target)
 }
 
 // ForwardCancel implements caller.CancelForwarder.
--- a/internal/site/faults.go
+++ b/internal/site/faults.go
@@ -104,3 +104,28 @@
 	result, err := configsync.Submit(ctx, services, doc.Version, []byte(patch), "withdraw-"+customer)
 	return errors.Annotatef(err, "withdrawal: %s", result.Reason)
 }
+
+// OtherInstance returns an instance of the group that is not the named one.
+func (s *Site) OtherInstance(group, id string) string {
+	for _, other := range s.InstanceIDs(group) {
+		if other != id {
+			return other
+		}
+	}
+	return ""
+}
+
+// Handover asks the proxies that watch the group for a planned hand-over of its
+// primary to the target.
+func (s *Site) Handover(ctx context.Context, group, target string) error {
+	err := errors.NotFoundf("watcher of group %q", group)
+	for i, p := range s.Proxies {
+		if s.stopped[i] {
+			continue
+		}
+		if err = p.Handover(ctx, group, target); err == nil {
+			return nil
+		}
+	}
+	return err
+}
