--- a/internal/configsync/node.go
+++ b/internal/configsync/node.go
@@ -97,12 +97,13 @@
 	work   sync.WaitGroup
 	left   chan struct{} // closed when the grant has been given back
 
-	mu       sync.Mutex
-	watchers []func(catalog.View)
-	peers    []platform.VM // last list of the platform
-	closed   bool
-	lessor   string   // address that gave the last lease
-	hints    []string // addresses of holders that others named
+	mu        sync.Mutex
+	watchers  []func(catalog.View)
+	peers     []platform.VM // last list of the platform
+	peersNext time.Time     // when the list is read next at the earliest
+	closed    bool
+	lessor    string   // address that gave the last lease
+	hints     []string // addresses of holders that others named
 }
 
 // shown is what View reads.
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -3,14 +3,19 @@
 import (
 	"math/rand/v2"
 	"slices"
+	"time"
 
 	"chicoryline/internal/platform"
 )
 
+// peersInterval is how often the platform's list of VMs is read at most: if
+// 1,500 VMs have lost their leases at once, that is 300 reads a second.
+const peersInterval = 5 * time.Second
+
 // refreshPeers reads the platform's list of VMs while nothing else tells of
 // other processes, so that a start with no holders in view finds some.
 func (n *Node) refreshPeers() {
-	if n.cfg.Peers != nil || !n.View().Expired {
+	if n.cfg.Peers != nil || !n.View().Expired || !n.peersDue() {
 		return
 	}
 	ctx, cancel := n.callPlatform()
@@ -24,6 +29,17 @@
 	n.mu.Unlock()
 }
 
+func (n *Node) peersDue() bool {
+	now := n.cfg.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if now.Before(n.peersNext) {
+		return false
+	}
+	n.peersNext = now.Add(peersInterval)
+	return true
+}
+
 // peerTries is how many processes are asked at most before a pause.
 const peerTries = 8
 
--- a/internal/configsync/service.go
+++ b/internal/configsync/service.go
@@ -20,7 +20,8 @@
 // Arguments and replies of Service.
 type (
 	// VersionAsk asks for the newest configuration row that a process knows.
-	VersionAsk struct{}
+	// Row is the version that the asker knows.
+	VersionAsk struct{ Row uint64 }
 	// VersionReply answers VersionAsk.
 	VersionReply struct{ Row platform.Row }
 	// DocumentAsk asks for an encoded document by its name in the object store.
@@ -29,8 +30,8 @@
 	DocumentReply struct{ Data []byte }
 	// NotifyAsk shows a configuration row.
 	NotifyAsk struct{ Row platform.Row }
-	// NotifyReply answers NotifyAsk.
-	NotifyReply struct{}
+	// NotifyReply answers NotifyAsk. Row is the version known before.
+	NotifyReply struct{ Row uint64 }
 )
 
 // Promise answers another holder; a refusal carries the newer row.
@@ -78,11 +79,12 @@
 }
 
 // Notify takes a configuration row that another process has read.
-func (s *Service) Notify(ask NotifyAsk, _ *NotifyReply) error {
+func (s *Service) Notify(ask NotifyAsk, reply *NotifyReply) error {
 	if !s.node.enter() {
 		return peer.Encode(errkind.New(errkind.ShuttingDown, "configuration"))
 	}
 	defer s.node.work.Done()
+	reply.Row = s.node.shown.Load().row.Version
 	s.node.show(ask.Row)
 	return nil
 }
