Config sync: the monitor checks Node's own view; tables for the decisions

Cause: the monitor computed the expiry itself, so a View that ignored the clock passed (found by breaking it on a scratch copy). Former ids had no test that fails without them; decide, conclude and lapseWatch now have tables.

--- /dev/null
+++ b/internal/configsync/decide_test.go
@@ -0,0 +1,88 @@
+package configsync
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chicoryline/internal/platform"
+)
+
+func TestDecide(t *testing.T) {
+	all := []string{"a", "b", "c"}
+	holder := func(id string, acked uint64, former ...string) Holder {
+		return Holder{ID: id, Acked: acked, Voters: all, Former: former}
+	}
+	cases := []struct {
+		name    string
+		holders []Holder
+		lapsed  string
+		want    bool
+	}{
+		{"no holders", nil, "", true},
+		{"all acknowledged", []Holder{holder("a", 2), holder("b", 2), holder("c", 3)}, "", true},
+		{"an older attempt", []Holder{holder("a", 2), holder("b", 2), holder("c", 1)}, "", false},
+		{"one lapsed", []Holder{holder("a", 2), holder("b", 2), holder("c", 0)}, "c", true},
+		{"lapsed without a majority", []Holder{holder("a", 2), holder("c", 0)}, "c", false},
+		{"acknowledged under a new id", []Holder{holder("a", 2), holder("b2", 2, "b"), holder("c", 0)}, "c", true},
+		{"old id of a live process", []Holder{holder("a", 2), holder("b", 0), holder("b2", 2, "b")}, "", true},
+		{"replaced without a former id", []Holder{holder("a", 2), holder("b2", 2), holder("c", 0)}, "c", false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			v := decide(2, c.holders, func(h Holder) bool { return h.ID == c.lapsed })
+			if v.agreed != c.want || v.agreed != (v.reason() == "") {
+				t.Errorf("agreed %t (%s), want %t", v.agreed, v.reason(), c.want)
+			}
+		})
+	}
+}
+
+func TestConcludeBarsAndRemoves(t *testing.T) {
+	record := Record{Version: 1, Barred: []string{"old"}, Attempt: 2, Pending: &Pending{Attempt: 2, Version: 2, Object: "o", Patch: "p"}}
+	voters := []string{"a", "b", "old"}
+	holders := []Holder{
+		{ID: "a", Acked: 2}, {ID: "b", Acked: 2, Former: []string{"b0"}},
+		{ID: "old", Voters: voters}, {ID: "new", Voters: voters},
+	}
+	e := conclude(record, holders, func(h Holder) bool { return h.Acked == 0 }, false)
+	if diff := cmp.Diff([]string{"old", "new"}, e.next.Barred); diff != "" {
+		t.Errorf("barred: %s", diff)
+	}
+	if diff := cmp.Diff([]string{"old", "b0"}, e.gone); diff != "" {
+		t.Errorf("rows to remove: %s", diff)
+	}
+}
+
+func TestLapseWatch(t *testing.T) {
+	const length = 3 * time.Second
+	h := Holder{ID: "a", Length: length}
+	start := time.Unix(1000, 0)
+	watch := lapseWatch{}
+	at := start
+	look := func(pause time.Duration, version uint64) bool {
+		at = at.Add(pause)
+		watch.observe([]platform.Row{{Key: holderKey("a"), Version: version}}, at, at)
+		return watch.lapsed(h)
+	}
+	steps := []struct {
+		name    string
+		pause   time.Duration
+		version uint64
+		want    bool
+	}{
+		{"first sight", 0, 1, false},
+		{"half of the grant", 1500 * time.Millisecond, 1, false},
+		{"the grant without a margin", 1500 * time.Millisecond, 1, false},
+		{"renewed", 400 * time.Millisecond, 2, false},
+		{"again", 1800 * time.Millisecond, 2, false},
+		{"grant and margin", 1800 * time.Millisecond, 2, true},
+		{"after a gap between lists", maxListGap + time.Millisecond, 2, false},
+	}
+	for _, s := range steps {
+		if got := look(s.pause, s.version); got != s.want {
+			t.Errorf("%s: lapsed %t, want %t", s.name, got, s.want)
+		}
+	}
+}
--- a/internal/configsync/node.go
+++ b/internal/configsync/node.go
@@ -173,10 +173,12 @@
 
 // View returns what may be served now. It takes no lock and looks at the clock,
 // so that a process that was paused sees its grant as expired at once.
-func (n *Node) View() catalog.View {
+func (n *Node) View() catalog.View { return n.viewAt(n.cfg.Now()) }
+
+func (n *Node) viewAt(now time.Time) catalog.View {
 	s := n.shown.Load()
 	v := s.view
-	v.Expired = !inTime(n.cfg.Now(), s.until)
+	v.Expired = !inTime(now, s.until)
 	return v
 }
 
--- a/internal/configsync/world_test.go
+++ b/internal/configsync/world_test.go
@@ -333,9 +333,7 @@
 // view is what Node.View returns now, or at the thaw of a frozen member before
 // anything else runs there.
 func (m *member) view() catalog.View {
-	s := m.node.shown.Load()
-	v := s.view
-	v.Expired = !inTime(m.clock(), s.until)
+	v := m.node.viewAt(m.clock())
 	m.w.mu.Lock()
 	naive := m.w.naive
 	m.w.mu.Unlock()
