--- a/internal/configsync/node.go
+++ b/internal/configsync/node.go
@@ -97,12 +97,13 @@
 	work   sync.WaitGroup
 	left   chan struct{} // closed when the grant has been given back
 
-	mu       sync.Mutex
-	watchers []func(catalog.View)
-	peers    []platform.VM // last list of the platform
-	closed   bool
-	lessor   string   // address that gave the last lease
-	hints    []string // addresses of holders that others named
+	mu        sync.Mutex
+	watchers  []func(catalog.View)
+	peers     []platform.VM // last list of the platform
+	peersNext time.Time     // when the list is read next at the earliest
+	closed    bool
+	lessor    string   // address that gave the last lease
+	hints     []string // addresses of holders that others named
 }
 
 // shown is what View reads.
@@ -172,10 +173,12 @@
 
 // View returns what may be served now. It takes no lock and looks at the clock,
 // so that a process that was paused sees its grant as expired at once.
-func (n *Node) View() catalog.View {
+func (n *Node) View() catalog.View { return n.viewAt(n.cfg.Now()) }
+
+func (n *Node) viewAt(now time.Time) catalog.View {
 	s := n.shown.Load()
 	v := s.view
-	v.Expired = !inTime(n.cfg.Now(), s.until)
+	v.Expired = !inTime(now, s.until)
 	return v
 }
 
