Pool: sessions follow the chart transaction; a planned stop counts every taken request

Cause: a session's life was spread over a flag and the order of calls, and two parts of it were not listed at all: a request that waited for a connection, and a commit that waited for its majority. Busy, which a planned stop waits for, left both out, so a stop could cut the answer of another VM's commit; an abort by the entry found nothing, and the request ran after it was given up. A request that came while a part of an answer was unread went out on that connection.

Change: charts session and transaction; internal/pool fires their events. A session is listed from arrival to answer, an abort ends its waits, and a request before an unread part ends the session.

Ruled out: statechart.Machine on this path.

--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -1,7 +1,6 @@
 package pool
 
 import (
-	"context"
 	"sync"
 	"time"
 
@@ -41,6 +40,8 @@
 	log      *logrus.Entry
 	observer Observer
 	stop     chan struct{}
+	// trace, if set before use, is told each state that a session enters.
+	trace func(id SessionID, state string)
 
 	mu       sync.Mutex
 	owners   map[string]*Owner
@@ -48,36 +49,6 @@
 	draining bool
 }
 
-// session is a caller's open transaction or unfinished answer at this VM. Its
-// mutex is held while one of its requests runs; cancel reads target under
-// keyMu only.
-type session struct {
-	id SessionID
-
-	mu       sync.Mutex
-	owner    *Owner
-	conn     *conn
-	exchange *exchange
-	args     *ExecuteArgs
-	index    <-chan indexResult
-	part     int
-	release  func() // place in the connection queue
-	slot     func() // execution slot
-	lastUse  time.Time
-	ended    bool
-
-	keyMu  sync.Mutex
-	target *cancelTarget
-}
-
-// cancelTarget is the statement that a session runs at present.
-type cancelTarget struct {
-	key   cancelKey
-	owner *Owner
-	conn  *conn
-	write bool
-}
-
 type indexResult struct {
 	position position.Position
 	err      error
@@ -123,7 +94,8 @@
 	m.draining = true
 }
 
-// Busy returns the number of open transactions and unfinished answers.
+// Busy returns the number of requests that were taken and not yet answered,
+// waiting ones included, and of open transactions and unfinished answers.
 func (m *Manager) Busy() int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -218,95 +190,6 @@
 	}
 }
 
-// abort closes the session's connection, which rolls its transaction back.
-func (m *Manager) abort(s *session, why string) {
-	s.keyMu.Lock()
-	target := s.target
-	s.keyMu.Unlock()
-	if target != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-		_ = target.key.sendCancel(ctx, target.owner.cfg.Dial, target.owner.cfg.Instance.Address)
-		cancel()
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.ended {
-		return
-	}
-	s.conn.close()
-	m.end(s)
-	m.observer.PoolEvent("session_aborted", s.id, s.owner.cfg.Group.Name, s.owner.cfg.Instance.ID, why)
-}
-
-// end gives back what the session holds. The caller holds s.mu.
-func (m *Manager) end(s *session) {
-	if s.ended {
-		return
-	}
-	s.ended = true
-	s.freeSlot()
-	s.setTarget(nil)
-	if s.conn != nil {
-		s.owner.put(s.conn)
-	}
-	if s.release != nil {
-		s.release()
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.sessions[s.id] == s {
-		delete(m.sessions, s.id)
-	}
-}
-
-func (s *session) freeSlot() {
-	if s.slot != nil {
-		s.slot()
-		s.slot = nil
-	}
-}
-
-func (s *session) setTarget(t *cancelTarget) {
-	s.keyMu.Lock()
-	s.target = t
-	s.keyMu.Unlock()
-}
-
-// begin makes the session of a request that is not part of an open transaction.
-func (m *Manager) begin(ctx context.Context, args *ExecuteArgs) (*session, error) {
-	m.mu.Lock()
-	owner, ok := m.owners[args.Instance]
-	draining := m.draining
-	_, open := m.sessions[args.Session]
-	m.mu.Unlock()
-	switch {
-	case draining:
-		return nil, errkind.New(errkind.ShuttingDown, "pool owner")
-	case !ok:
-		return nil, errkind.New(errkind.NotEligible, "not an owner of %s", args.Instance)
-	case open:
-		return nil, errkind.New(errkind.ProtocolViolation, "session has an open transaction here")
-	}
-	if err := owner.admit(args); err != nil {
-		return nil, err
-	}
-	s := &session{id: args.Session, owner: owner, lastUse: time.Now()}
-	release, err := owner.conns.Acquire(ctx, args.Customer, queueWeight(args.Weight), queueDeadline(args))
-	if err != nil {
-		return nil, err
-	}
-	s.release = release
-	s.conn, err = owner.take(ctx)
-	if err != nil {
-		release()
-		return nil, err
-	}
-	m.mu.Lock()
-	m.sessions[s.id] = s
-	m.mu.Unlock()
-	return s, nil
-}
-
 func queueDeadline(args *ExecuteArgs) time.Time {
 	timeout := args.QueueTimeout
 	if timeout <= 0 {
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -28,6 +28,8 @@
 	confirmed atomic.Int64
 	age       time.Duration
 	silence   atomic.Int64
+	// hold, if set, holds Confirm back until it is closed.
+	hold chan struct{}
 }
 
 func (w *watcher) setPrimary(id string) { w.primary.Store(&id) }
@@ -38,8 +40,15 @@
 func (w *watcher) ReadIndex(context.Context) (position.Position, error) {
 	return position.Position{Term: 1, Offset: 1}, w.index
 }
-func (w *watcher) Confirm(context.Context, position.Position) error {
+func (w *watcher) Confirm(ctx context.Context, _ position.Position) error {
 	w.confirmed.Add(1)
+	if w.hold != nil {
+		select {
+		case <-w.hold:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 	return w.confirm
 }
 func (w *watcher) Log(string) position.Position     { return position.Position{} }
@@ -52,7 +61,7 @@
 
 // fixture is a manager that owns one stand-in instance.
 type fixture struct {
-	t       *testing.T
+	t       testing.TB
 	server  *dbinstance.Server
 	watcher *watcher
 	manager *Manager
@@ -60,7 +69,7 @@
 	next    uint64
 }
 
-func newFixture(t *testing.T, slots int) *fixture {
+func newFixture(t testing.TB, slots int) *fixture {
 	t.Helper()
 	server, err := dbinstance.Start(dbinstance.Config{ID: "db1", Group: "g", Listen: "127.0.0.1:0", InitialPrimary: true, User: "u", Password: "p"})
 	if err != nil {
@@ -75,7 +84,7 @@
 	t.Cleanup(f.manager.Close)
 	f.owner = NewOwner(OwnerConfig{
 		Instance: platform.Instance{ID: "db1", Address: server.Addr()}, Group: platform.Group{Name: "g", Slots: slots},
-		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "test"},
+		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
 		Dial: (&net.Dialer{}).DialContext, Log: logrus.NewEntry(log),
 	}, slots)
 	f.manager.SetOwner("db1", f.owner)
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -50,51 +50,40 @@
 	}
 	defer s.mu.Unlock()
 	s.lastUse = time.Now()
-	if err := m.run(ctx, s, args, reply); err != nil {
-		if !args.Continue || s.conn.broken {
-			m.end(s)
-		}
-		return err
-	}
-	return nil
+	return m.run(s, args, reply)
 }
 
 // open returns the session of the request, locked.
 func (m *Manager) open(ctx context.Context, args *ExecuteArgs) (*session, error) {
-	if args.Continue {
-		s, err := m.find(args.Session)
-		if err != nil {
-			return nil, err
-		}
-		s.mu.Lock()
-		if s.ended {
-			s.mu.Unlock()
-			return nil, errkind.New(errkind.TransactionLost, "transaction was ended")
-		}
-		return s, nil
-	}
-	s, err := m.begin(ctx, args)
+	if !args.Continue {
+		return m.begin(ctx, args)
+	}
+	s, err := m.find(args.Session)
 	if err != nil {
 		return nil, err
 	}
 	s.mu.Lock()
+	m.fire(s, "request")
+	if s.chart.State() != "resuming" {
+		// An answer is left unread; its connection cannot take the request.
+		m.fire(s, "aborted")
+		s.mu.Unlock()
+		return nil, errkind.New(errkind.TransactionLost, "transaction was ended")
+	}
 	return s, nil
 }
 
-func (m *Manager) run(ctx context.Context, s *session, args *ExecuteArgs, reply *ExecuteReply) error {
-	slot, err := s.owner.slots.Acquire(ctx, args.Customer, queueWeight(args.Weight), queueDeadline(args))
-	if err != nil {
-		return err
-	}
-	s.slot = slot
-	if err := m.prepareRead(ctx, s, args, reply); err != nil {
+func (m *Manager) run(s *session, args *ExecuteArgs, reply *ExecuteReply) error {
+	if err := m.prepare(s, args, reply); err != nil {
 		s.freeSlot()
-		return err
+		m.fire(s, s.refusal())
+		return s.refused(err)
 	}
 	s.args, s.part = args, 0
 	s.conn.position = position.Position{}
 	s.exchange = &exchange{conn: s.conn, deadline: time.Now().Add(statementTimeout)}
 	s.setTarget(&cancelTarget{key: s.conn.key, owner: s.owner, conn: s.conn, write: args.Write})
+	m.fire(s, "sent")
 	if err := s.exchange.start(args); err != nil {
 		sent := s.exchange.sent
 		m.stopExchange(s)
@@ -103,6 +92,19 @@
 	return m.receive(s, reply)
 }
 
+// prepare waits for an execution slot and for what the request has to see.
+func (m *Manager) prepare(s *session, args *ExecuteArgs, reply *ExecuteReply) error {
+	slot, err := s.owner.slots.Acquire(s.ctx, args.Customer, queueWeight(args.Weight), queueDeadline(args))
+	if err != nil {
+		return err
+	}
+	s.slot = slot
+	if err := m.prepareRead(s.ctx, s, args, reply); err != nil {
+		return err
+	}
+	return s.ctx.Err()
+}
+
 // prepareRead brings about that a request for current data sees all that was
 // acknowledged before it arrived. At the primary the read index is learned
 // while the request runs; at a replica it must be known and reached before.
@@ -159,31 +161,56 @@
 }
 
 func (m *Manager) settle(s *session, reply *ExecuteReply) error {
-	x, args, owner, index := s.exchange, s.args, s.owner, s.index
-	committed := s.conn.position
+	x, args, committed, index := s.exchange, s.args, s.conn.position, s.index
 	s.exchange = nil
 	s.freeSlot()
 	s.setTarget(nil)
-	if s.conn.status == statusIdle {
-		if args.ResetAfter {
-			s.conn.reset()
-		}
-		m.end(s)
+	idle := s.conn.status == statusIdle
+	if idle && args.ResetAfter {
+		s.conn.reset()
 	}
 	if x.readOnlyRefused && !args.Continue && s.part == 0 {
-		m.discard(s)
+		m.fire(s, answered(idle))
+		m.fire(s, "aborted")
 		return refusedWrite(args)
 	}
-	if !committed.IsZero() {
-		return m.confirm(s, owner, committed, reply)
+	if committed.IsZero() && index == nil {
+		m.fire(s, answered(idle))
+		return nil
 	}
-	if err := awaitIndex(index, reply); err != nil {
-		m.discard(s)
+	m.fire(s, held(idle))
+	err := m.prove(s, committed, index, reply)
+	if err != nil {
+		m.fire(s, "unconfirmed")
 		return err
 	}
+	m.fire(s, "confirmed")
 	return nil
 }
 
+func answered(idle bool) string {
+	if idle {
+		return "answered_idle"
+	}
+	return "answered_open"
+}
+
+func held(idle bool) string {
+	if idle {
+		return "held_idle"
+	}
+	return "held_open"
+}
+
+// prove holds the answer back until a majority has the commit, or until it is
+// sure that the primary still led after the request arrived.
+func (m *Manager) prove(s *session, committed position.Position, index <-chan indexResult, reply *ExecuteReply) error {
+	if committed.IsZero() {
+		return awaitIndex(index, reply)
+	}
+	return m.confirm(s, committed, reply)
+}
+
 // refusedWrite gives the kind of a request that the server refused because it
 // is a replica. The refusal proves that nothing took effect.
 func refusedWrite(args *ExecuteArgs) error {
@@ -193,21 +220,12 @@
 	return errkind.New(errkind.ReadOnly, "%s is a replica", args.Instance)
 }
 
-// discard ends the session without reuse of its connection.
-func (m *Manager) discard(s *session) {
-	if s.ended {
-		return
-	}
-	s.conn.close()
-	m.end(s)
-}
-
-func (m *Manager) confirm(s *session, owner *Owner, p position.Position, reply *ExecuteReply) error {
-	ctx, cancel := context.WithTimeout(context.Background(), confirmTimeout)
+func (m *Manager) confirm(s *session, p position.Position, reply *ExecuteReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
 	defer cancel()
-	if err := owner.cfg.Watcher.Confirm(ctx, p); err != nil {
-		m.observer.PoolEvent("commit_unconfirmed", s.id, owner.cfg.Group.Name, owner.cfg.Instance.ID, err.Error())
-		m.discard(s)
+	owner := s.owner.cfg
+	if err := owner.Watcher.Confirm(ctx, p); err != nil {
+		m.observer.PoolEvent("commit_unconfirmed", s.id, owner.Group.Name, owner.Instance.ID, err.Error())
 		return errkind.New(errkind.OutcomeUnknown, "commit at %s was not confirmed by a majority", p)
 	}
 	reply.Position, reply.Committed = p, true
@@ -232,7 +250,7 @@
 // stopExchange ends the session after its connection broke.
 func (m *Manager) stopExchange(s *session) {
 	s.exchange = nil
-	m.discard(s)
+	m.fire(s, "connection_broke")
 }
 
 // lostKind gives the kind of a request whose connection broke: nothing is
@@ -260,7 +278,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ended || s.exchange == nil || s.args.Seq != args.Seq || s.part+1 != args.Part {
+	if s.over() || s.exchange == nil || s.args.Seq != args.Seq || s.part+1 != args.Part {
 		return errkind.New(errkind.AnswerIncomplete, "part %d is not next", args.Part)
 	}
 	s.part = args.Part
--- /dev/null
+++ b/internal/pool/session_test.go
@@ -0,0 +1,113 @@
+package pool
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"chicoryline/internal/errkind"
+)
+
+// follow returns a channel of the states that sessions enter from now on.
+func (f *fixture) follow() <-chan string {
+	states := make(chan string, 64)
+	f.manager.trace = func(_ SessionID, state string) { states <- state }
+	return states
+}
+
+func (f *fixture) start(args *ExecuteArgs) <-chan error {
+	result := make(chan error, 1)
+	go func() {
+		_, err := f.execute(args)
+		result <- err
+	}()
+	return result
+}
+
+func await(t *testing.T, states <-chan string, want string) {
+	t.Helper()
+	for {
+		select {
+		case got := <-states:
+			if got == want {
+				return
+			}
+		case <-time.After(time.Minute):
+			t.Fatalf("state %s was not entered", want)
+		}
+	}
+}
+
+// TestBusyCountsTakenRequests shows what a planned stop waits for: a request
+// that waits for its connection and a commit that waits for its majority are
+// both counted until they are answered.
+func TestBusyCountsTakenRequests(t *testing.T) {
+	f := newFixture(t, 1)
+	hold := f.query("BEGIN")
+	f.must(hold)
+	states := f.follow()
+	f.watcher.hold = make(chan struct{})
+	write := f.query("INSERT INTO t (k, v) VALUES (1, 'a')")
+	write.QueueTimeout = time.Minute
+	result := f.start(write)
+	await(t, states, "waiting")
+	f.manager.Drain()
+	if got := f.manager.Busy(); got != 2 {
+		t.Errorf("waiting for a connection: %d busy, want 2", got)
+	}
+	f.must(f.continued(hold, "ROLLBACK"))
+	await(t, states, "confirming")
+	if got := f.manager.Busy(); got != 1 {
+		t.Errorf("waiting for the majority: %d busy, want 1", got)
+	}
+	close(f.watcher.hold)
+	if err := <-result; err != nil {
+		t.Fatal(err)
+	}
+	if got := f.manager.Busy(); got != 0 {
+		t.Errorf("answered: %d busy, want 0", got)
+	}
+}
+
+// TestAbortedRequestIsNotSent aborts a request that waits for its connection,
+// as an entry does that has given the request up.
+func TestAbortedRequestIsNotSent(t *testing.T) {
+	f := newFixture(t, 1)
+	hold := f.query("BEGIN")
+	f.must(hold)
+	states := f.follow()
+	write := f.query("INSERT INTO t (k, v) VALUES (1, 'a')")
+	write.QueueTimeout = time.Minute
+	result := f.start(write)
+	await(t, states, "waiting")
+	if err := NewService(f.manager).Abort(&SessionArgs{Session: write.Session}, &Empty{}); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-result; !errkind.Is(err, errkind.Canceled) {
+		t.Fatalf("%v, want canceled", err)
+	}
+	f.must(f.continued(hold, "ROLLBACK"))
+	if reply := f.must(f.query("SELECT count(*) FROM t")); !strings.Contains(string(reply.Answer), "\x00\x00\x00\x010") {
+		t.Fatalf("the aborted request ran: %q", reply.Answer)
+	}
+}
+
+// TestRequestBeforeUnreadPart sends a request while a part of the answer before
+// it was not fetched. Its connection must not take it.
+func TestRequestBeforeUnreadPart(t *testing.T) {
+	f := newFixture(t, 1)
+	for _, k := range []string{"1", "2", "3"} {
+		f.must(f.query("INSERT INTO t (k, v) VALUES (" + k + ", '" + strings.Repeat("x", 64<<10) + "')"))
+	}
+	begin := f.query("BEGIN")
+	f.must(begin)
+	if reply := f.must(f.continued(begin, "SELECT v FROM t")); !reply.More {
+		t.Fatal("the answer was not split")
+	}
+	if reply, err := f.execute(f.continued(begin, "SELECT 'second'")); !errkind.Is(err, errkind.TransactionLost) {
+		t.Fatalf("%v %d bytes, want transaction lost", err, len(reply.Answer))
+	}
+	if f.manager.Busy() != 0 {
+		t.Fatalf("%d sessions left", f.manager.Busy())
+	}
+}
