Pool: fault matrix of the chart transaction; the instance ends idle transactions

Cause: a VM that vanishes without closing its sockets left its transactions and row locks at the instance for as long as TCP keeps the connection. Of the pool's faults, only a few had tests, at the states that came to mind.

Change: each pool connection sets idle_in_transaction_session_timeout to 130 s, above the pool's own limit of 2 min, also after a reset. TestFaultMatrix strikes 20 faults at each of the 10 states of the chart and compares answers, errors, rows, row locks and the next sessions' answers with what is promised.

Ruled out: the startup packet, since DISCARD ALL of an instance need not return to its values; a SET costs one round trip for each new connection.

Pairs of faults were not run.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"net"
 	"strings"
 	"time"
@@ -47,6 +48,8 @@
 	position position.Position
 	broken   bool
 	lastUse  time.Time
+	// idleLimit is the server's idle_in_transaction_session_timeout.
+	idleLimit time.Duration
 }
 
 type cancelKey struct {
@@ -54,19 +57,24 @@
 	secret []byte
 }
 
-// openConn connects and logs in.
-func openConn(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error), address string, cred Credentials) (*conn, error) {
+// openConn connects, logs in and makes the session ready for transactions.
+func openConn(ctx context.Context, cfg *OwnerConfig) (*conn, error) {
+	address := cfg.Instance.Address
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	socket, err := dial(ctx, "tcp", address)
+	socket, err := cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, errkind.New(errkind.Unreachable, "%s: %v", address, err)
 	}
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = socket.SetDeadline(deadline)
 	}
-	c := &conn{net: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), prepared: map[string]bool{}}
-	if err := c.login(cred); err != nil {
+	c := &conn{net: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), prepared: map[string]bool{}, idleLimit: cfg.IdleTransaction}
+	if err := c.login(cfg.Credentials); err != nil {
+		_ = socket.Close()
+		return nil, err
+	}
+	if err := c.limitIdle(); err != nil {
 		_ = socket.Close()
 		return nil, err
 	}
@@ -217,6 +225,16 @@
 		c.broken = true
 	}
 	c.prepared = map[string]bool{}
+	if !c.broken && c.limitIdle() != nil {
+		c.broken = true
+	}
+}
+
+// limitIdle makes the server end a transaction without requests, so that its
+// row locks go also when this VM vanishes and its sockets are never closed.
+func (c *conn) limitIdle() error {
+	_, err := c.query(fmt.Sprintf("SET idle_in_transaction_session_timeout = %d", c.idleLimit.Milliseconds()), connectTimeout)
+	return err
 }
 
 // sendCancel asks the server to end the statement that runs on the connection.
--- /dev/null
+++ b/internal/pool/fixture_test.go
@@ -0,0 +1,148 @@
+package pool
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/platform"
+	"chicoryline/internal/position"
+	"chicoryline/internal/standin/dbinstance"
+)
+
+// watcher is a group's watcher whose answers the test sets.
+type watcher struct {
+	primary   atomic.Pointer[string]
+	index     error
+	confirm   error
+	confirmed atomic.Int64
+	age       atomic.Int64
+	// refuse lets every confirmation fail.
+	refuse  atomic.Bool
+	silence atomic.Int64
+	// hold, if set, holds Confirm back until it is closed.
+	hold chan struct{}
+}
+
+func (w *watcher) setPrimary(id string) { w.primary.Store(&id) }
+func (w *watcher) Primary() (string, uint64, bool) {
+	id := *w.primary.Load()
+	return id, 1, id != ""
+}
+func (w *watcher) ReadIndex(context.Context) (position.Position, error) {
+	return position.Position{Term: 1, Offset: 1}, w.index
+}
+func (w *watcher) Confirm(ctx context.Context, _ position.Position) error {
+	w.confirmed.Add(1)
+	if w.hold != nil {
+		select {
+		case <-w.hold:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if w.refuse.Load() {
+		return errors.New("no majority")
+	}
+	return w.confirm
+}
+func (w *watcher) Log(string) position.Position     { return position.Position{} }
+func (w *watcher) Age(string) (time.Duration, bool) { return time.Duration(w.age.Load()), true }
+func (w *watcher) Silence(string) time.Duration     { return time.Duration(w.silence.Load()) }
+
+type silent struct{}
+
+func (silent) PoolEvent(string, SessionID, string, string, string) {}
+
+// fixture is a manager that owns one stand-in instance.
+type fixture struct {
+	t       testing.TB // nil in a cell of the fault matrix
+	server  *dbinstance.Server
+	watcher *watcher
+	manager *Manager
+	owner   *Owner
+	next    atomic.Uint64
+}
+
+func newFixture(t testing.TB, slots int) *fixture {
+	t.Helper()
+	f, err := buildFixture(slots)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.t = t
+	t.Cleanup(f.close)
+	return f
+}
+
+func buildFixture(slots int) (*fixture, error) {
+	server, err := dbinstance.Start(dbinstance.Config{ID: "db1", Group: "g", Listen: "127.0.0.1:0", InitialPrimary: true, User: "u", Password: "p"})
+	if err != nil {
+		return nil, err
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f := &fixture{server: server, watcher: &watcher{}}
+	f.watcher.setPrimary("db1")
+	f.manager = NewManager(logrus.NewEntry(log), silent{})
+	f.owner = f.newOwner(slots, 0)
+	f.manager.SetOwner("db1", f.owner)
+	_, err = f.execute(f.query("CREATE TABLE t (k bigint PRIMARY KEY, v text)"))
+	return f, err
+}
+
+func (f *fixture) close() {
+	f.manager.Close()
+	f.server.Close()
+}
+
+// newOwner returns an owner of the instance; idle is its limit for
+// transactions without requests, or 0 for the default.
+func (f *fixture) newOwner(slots int, idle time.Duration) *Owner {
+	return NewOwner(OwnerConfig{
+		Instance: platform.Instance{ID: "db1", Address: f.server.Addr()}, Group: platform.Group{Name: "g", Slots: slots},
+		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
+		Dial: (&net.Dialer{}).DialContext, Log: f.manager.log, IdleTransaction: idle,
+	}, slots)
+}
+
+// query describes a simple query of a new session.
+func (f *fixture) query(sql string) *ExecuteArgs {
+	data, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	if err != nil {
+		panic(err) // the text is too long for a message
+	}
+	return &ExecuteArgs{
+		Session: SessionID{VM: "vm", Number: f.next.Add(1)}, Seq: 1, Group: "g", Instance: "db1", Customer: "c", Weight: 1,
+		Write: true, MayCommit: true, Messages: data, QueueTimeout: 200 * time.Millisecond,
+	}
+}
+
+func (f *fixture) execute(args *ExecuteArgs) (*ExecuteReply, error) {
+	reply := &ExecuteReply{}
+	err := f.manager.execute(context.Background(), args, reply)
+	return reply, err
+}
+
+func (f *fixture) must(args *ExecuteArgs) *ExecuteReply {
+	f.t.Helper()
+	reply, err := f.execute(args)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return reply
+}
+
+// continued is the next request of the session's open transaction.
+func (f *fixture) continued(args *ExecuteArgs, sql string) *ExecuteArgs {
+	next := f.query(sql)
+	next.Session, next.Seq, next.Continue = args.Session, args.Seq+1, true
+	return next
+}
--- /dev/null
+++ b/internal/pool/matrix_test.go
@@ -0,0 +1,180 @@
+package pool
+
+import (
+	"testing"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/faultmatrix"
+	"chicoryline/internal/standin/dbinstance"
+)
+
+// poolFaults are the faults of the matrix.
+var poolFaults = map[string]func(w *world) error{
+	"owner_killed":     killOwner,
+	"instance_killed":  func(w *world) error { w.server.Kill(); return nil },
+	"freeze_thaw":      func(w *world) error { w.server.Freeze(); w.healed(w.server.Thaw); return nil },
+	"cut_to_instance":  cut(dbinstance.CutInbound, "vm:vm"),
+	"cut_to_owner":     cut(dbinstance.CutOutbound, "vm:vm"),
+	"cut_both":         cut(dbinstance.CutBoth, "vm:vm"),
+	"domain_cut":       cut(dbinstance.CutBoth, "domain:domain1"),
+	"primary_replaced": replacePrimary,
+	"platform_outage":  func(*world) error { return nil },
+	"replica_behind":   func(w *world) error { w.watcher.age.Store(int64(time.Hour)); return nil },
+	"late_answer":      func(w *world) error { w.server.DelayNextAnswer(20 * time.Millisecond); return nil },
+	"crossed_answer":   crossAnswer,
+	"answer_cut":       func(w *world) error { w.server.CutNextAnswer(0); return nil },
+	"commit_lost":      func(w *world) error { w.server.BreakNextCommit(dbinstance.BreakAfterCommit); return nil },
+	"commit_broken":    func(w *world) error { w.server.BreakNextCommit(dbinstance.BreakBeforeCommit); return nil },
+	"unconfirmed":      func(w *world) error { w.watcher.refuse.Store(true); return nil },
+	"key_withdrawn":    abortSession,
+	"operator_stop":    func(w *world) error { w.manager.Drain(); return nil },
+	"entry_killed":     func(w *world) error { go w.manager.DropVM("vm", 1); return nil },
+	"vm_list_lag":      func(w *world) error { w.manager.SetOwner("db1", nil); return nil },
+}
+
+// harmless lists the faults under which a request that was taken succeeds.
+var harmless = map[string]bool{
+	"platform_outage": true, "replica_behind": true, "late_answer": true, "crossed_answer": true,
+	"operator_stop": true, "vm_list_lag": true, "freeze_thaw": true,
+	"cut_to_instance": true, "cut_to_owner": true, "cut_both": true, "domain_cut": true,
+}
+
+func (w *world) healed(f func()) { w.heal = append(w.heal, f) }
+
+func cut(d dbinstance.Direction, party string) func(*world) error {
+	return func(w *world) error {
+		w.server.Cut(d, party)
+		w.healed(func() { w.server.Heal(party) })
+		return nil
+	}
+}
+
+// killOwner ends the process's sockets at once.
+func killOwner(w *world) error {
+	for _, s := range w.manager.list(func(SessionID) bool { return true }) {
+		s.cancel()
+		s.keyMu.Lock()
+		if s.target != nil {
+			_ = s.target.conn.net.Close()
+		}
+		s.keyMu.Unlock()
+		if s.mu.TryLock() {
+			_ = s.conn.net.Close()
+			s.mu.Unlock()
+		}
+	}
+	return nil
+}
+
+func replacePrimary(w *world) error {
+	w.server.Cut(dbinstance.CutBoth, dbinstance.EveryParty)
+	w.watcher.setPrimary("db2")
+	w.healed(func() {
+		w.server.Heal()
+		w.watcher.setPrimary("db1")
+	})
+	return nil
+}
+
+// crossAnswer asks for parts and statements of other requests.
+func crossAnswer(w *world) error {
+	id := SessionID{VM: "vm", Number: w.fixture.next.Add(1)}
+	if w.last != nil {
+		id = w.last.Session
+	}
+	if w.first != nil || w.last == nil {
+		reply := &ExecuteReply{}
+		if err := w.manager.fetch(&FetchArgs{Session: id, Seq: 99, Part: 1}, reply); err == nil {
+			return errors.New("a part of another request was given")
+		}
+	}
+	stranger := w.query("SELECT 1")
+	stranger.Continue = true
+	if _, err := w.execute(stranger); !errkind.Is(err, errkind.TransactionLost) {
+		return errors.Errorf("another session continued the transaction: %v", err)
+	}
+	return nil
+}
+
+func abortSession(w *world) error {
+	for _, args := range []*ExecuteArgs{w.begin, w.last} {
+		if args != nil {
+			go func() { _ = NewService(w.manager).Abort(&SessionArgs{Session: args.Session}, &Empty{}) }()
+		}
+	}
+	return nil
+}
+
+func runCell(c faultmatrix.Cell) error {
+	w, err := newWorld()
+	if err != nil {
+		return errors.Annotate(err, "setup")
+	}
+	defer w.close()
+	if err := w.enter(c.State); err != nil {
+		return errors.Annotate(err, "enter")
+	}
+	for _, f := range c.Faults {
+		if err := poolFaults[f](w); err != nil {
+			return err
+		}
+	}
+	for _, proceed := range w.proceed {
+		proceed()
+	}
+	if c.State != "open" && c.State != "answer_pending" {
+		w.lift()
+	}
+	late := make(chan outcome, 1)
+	go func() { late <- w.finish(c.State) }()
+	w.lift()
+	o := <-late
+	if err := w.judgeTaken(c, o); err != nil {
+		return err
+	}
+	return w.judgeAfter()
+}
+
+// judgeTaken is judge, and that no harmless fault cuts a request that was taken.
+func (w *world) judgeTaken(c faultmatrix.Cell, o outcome) error {
+	if err := w.judge(c.State, o); err != nil {
+		return err
+	}
+	if o.err != nil && w.mustSucceed(c) {
+		return errors.Annotate(o.err, "the request was taken and cut")
+	}
+	return nil
+}
+
+func (w *world) lift() {
+	for _, heal := range w.heal {
+		heal()
+	}
+	w.heal = nil
+}
+
+func (w *world) mustSucceed(c faultmatrix.Cell) bool {
+	for _, f := range c.Faults {
+		if !harmless[f] {
+			return false
+		}
+	}
+	return true
+}
+
+// TestFaultMatrix strikes every fault at every state of the chart transaction.
+func TestFaultMatrix(t *testing.T) {
+	m := faultmatrix.New(transactionChart)
+	var faults []string
+	for f := range poolFaults {
+		faults = append(faults, f)
+	}
+	m.Run(faultmatrix.Singles(transactionChart, faults), func(c faultmatrix.Cell) error { return runCell(c) })
+	t.Log(m.Summary())
+	if err := m.Err(); err != nil {
+		t.Fatal(err)
+	}
+}
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -40,6 +40,9 @@
 	// silenceLimit is the silence of an instance after which reads there are
 	// given up and no new ones begin.
 	silenceLimit = time.Second
+	// DefaultIdleTransaction is the backend server's limit for a transaction
+	// without requests. The pool's own limit strikes first.
+	DefaultIdleTransaction = idleTransactionTimeout + 10*sweepInterval
 	// idleLifetime is the age at which an unused connection is closed.
 	idleLifetime = 5 * time.Minute
 )
@@ -54,7 +57,10 @@
 	Watcher     GroupWatcher
 	Credentials Credentials
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
-	Log         *logrus.Entry
+	// IdleTransaction is the time after which the backend server ends a
+	// transaction without requests; zero means DefaultIdleTransaction.
+	IdleTransaction time.Duration
+	Log             *logrus.Entry
 }
 
 // Owner holds this VM's connections to one instance. Two fair queues stand in
@@ -75,6 +81,9 @@
 
 // NewOwner returns an owner with the budget of connections.
 func NewOwner(cfg OwnerConfig, budget int) *Owner {
+	if cfg.IdleTransaction == 0 {
+		cfg.IdleTransaction = DefaultIdleTransaction
+	}
 	return &Owner{
 		cfg:   cfg,
 		conns: fairqueue.NewGate(budget, queueLimits, time.Now),
@@ -116,7 +125,7 @@
 		if enough {
 			return
 		}
-		c, err := openConn(ctx, o.cfg.Dial, o.cfg.Instance.Address, o.cfg.Credentials)
+		c, err := openConn(ctx, &o.cfg)
 		if err != nil {
 			o.forget()
 			return
@@ -138,7 +147,7 @@
 	if c := o.takeIdle(); c != nil {
 		return c, nil
 	}
-	c, err := openConn(ctx, o.cfg.Dial, o.cfg.Instance.Address, o.cfg.Credentials)
+	c, err := openConn(ctx, &o.cfg)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -3,131 +3,17 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
-	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
-	"chicoryline/internal/position"
-	"chicoryline/internal/standin/dbinstance"
 )
 
-// watcher is a group's watcher whose answers the test sets.
-type watcher struct {
-	primary   atomic.Pointer[string]
-	index     error
-	confirm   error
-	confirmed atomic.Int64
-	age       time.Duration
-	silence   atomic.Int64
-	// hold, if set, holds Confirm back until it is closed.
-	hold chan struct{}
-}
-
-func (w *watcher) setPrimary(id string) { w.primary.Store(&id) }
-func (w *watcher) Primary() (string, uint64, bool) {
-	id := *w.primary.Load()
-	return id, 1, id != ""
-}
-func (w *watcher) ReadIndex(context.Context) (position.Position, error) {
-	return position.Position{Term: 1, Offset: 1}, w.index
-}
-func (w *watcher) Confirm(ctx context.Context, _ position.Position) error {
-	w.confirmed.Add(1)
-	if w.hold != nil {
-		select {
-		case <-w.hold:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
-	}
-	return w.confirm
-}
-func (w *watcher) Log(string) position.Position     { return position.Position{} }
-func (w *watcher) Age(string) (time.Duration, bool) { return w.age, true }
-func (w *watcher) Silence(string) time.Duration     { return time.Duration(w.silence.Load()) }
-
-type silent struct{}
-
-func (silent) PoolEvent(string, SessionID, string, string, string) {}
-
-// fixture is a manager that owns one stand-in instance.
-type fixture struct {
-	t       testing.TB
-	server  *dbinstance.Server
-	watcher *watcher
-	manager *Manager
-	owner   *Owner
-	next    uint64
-}
-
-func newFixture(t testing.TB, slots int) *fixture {
-	t.Helper()
-	server, err := dbinstance.Start(dbinstance.Config{ID: "db1", Group: "g", Listen: "127.0.0.1:0", InitialPrimary: true, User: "u", Password: "p"})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(server.Close)
-	log := logrus.New()
-	log.SetOutput(io.Discard)
-	f := &fixture{t: t, server: server, watcher: &watcher{}}
-	f.watcher.setPrimary("db1")
-	f.manager = NewManager(logrus.NewEntry(log), silent{})
-	t.Cleanup(f.manager.Close)
-	f.owner = NewOwner(OwnerConfig{
-		Instance: platform.Instance{ID: "db1", Address: server.Addr()}, Group: platform.Group{Name: "g", Slots: slots},
-		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
-		Dial: (&net.Dialer{}).DialContext, Log: logrus.NewEntry(log),
-	}, slots)
-	f.manager.SetOwner("db1", f.owner)
-	f.must(f.query("CREATE TABLE t (k bigint PRIMARY KEY, v text)"))
-	return f
-}
-
-// query describes a simple query of a new session.
-func (f *fixture) query(sql string) *ExecuteArgs {
-	f.t.Helper()
-	data, err := (&pgproto3.Query{String: sql}).Encode(nil)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	f.next++
-	return &ExecuteArgs{
-		Session: SessionID{VM: "vm", Number: f.next}, Seq: 1, Group: "g", Instance: "db1", Customer: "c", Weight: 1,
-		Write: true, MayCommit: true, Messages: data, QueueTimeout: 200 * time.Millisecond,
-	}
-}
-
-func (f *fixture) execute(args *ExecuteArgs) (*ExecuteReply, error) {
-	reply := &ExecuteReply{}
-	err := f.manager.execute(context.Background(), args, reply)
-	return reply, err
-}
-
-func (f *fixture) must(args *ExecuteArgs) *ExecuteReply {
-	f.t.Helper()
-	reply, err := f.execute(args)
-	if err != nil {
-		f.t.Fatal(err)
-	}
-	return reply
-}
-
-// continued is the next request of the session's open transaction.
-func (f *fixture) continued(args *ExecuteArgs, sql string) *ExecuteArgs {
-	next := f.query(sql)
-	next.Session, next.Seq, next.Continue = args.Session, args.Seq+1, true
-	return next
-}
-
 func TestCommitWaitsForMajority(t *testing.T) {
 	f := newFixture(t, 2)
 	reply := f.must(f.query("INSERT INTO t (k, v) VALUES (1, 'a')"))
--- /dev/null
+++ b/internal/pool/world_test.go
@@ -0,0 +1,389 @@
+package pool
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/juju/errors"
+
+	"chicoryline/internal/errkind"
+)
+
+const (
+	// worldDeadline bounds each wait of a cell; no promise depends on it.
+	worldDeadline = time.Minute
+	// bulkRows and bulkBytes make an answer of several parts.
+	bulkRows  = 3
+	bulkBytes = 64 << 10
+)
+
+// world is one cell's manager and instance, with the session that the cell
+// follows. Its write puts the row 'mine' into the table w, which has no key, so
+// that a write that ran twice shows.
+type world struct {
+	*fixture
+	states chan string
+	begin  *ExecuteArgs // the open transaction, if the state has one
+	last   *ExecuteArgs // the request that runs when the faults strike
+	result chan outcome
+	// proceed lifts what holds the session in its state.
+	proceed []func()
+	heal    []func()
+	// commits tells that the request that the cell judges may commit the row.
+	commits bool
+	// parts tells that the answer of last was taken up to its first part.
+	first *ExecuteReply
+}
+
+type outcome struct {
+	reply *ExecuteReply
+	err   error
+}
+
+func newWorld() (*world, error) {
+	f, err := buildFixture(2)
+	if err != nil {
+		return nil, err
+	}
+	w := &world{fixture: f, states: make(chan string, 256), result: make(chan outcome, 1), commits: true}
+	for _, sql := range []string{"CREATE TABLE w (k bigint, v text)", "CREATE TABLE big (k bigint PRIMARY KEY, v text)", "INSERT INTO t (k, v) VALUES (0, 'locked')"} {
+		if _, err := w.execute(w.query(sql)); err != nil {
+			return nil, err
+		}
+	}
+	for k := range bulkRows {
+		sql := fmt.Sprintf("INSERT INTO big (k, v) VALUES (%d, '%s')", k, strings.Repeat("x", bulkBytes))
+		if _, err := w.execute(w.query(sql)); err != nil {
+			return nil, err
+		}
+	}
+	return w, nil
+}
+
+// follow lists the states of one session.
+func (w *world) follow(id SessionID) {
+	w.manager.trace = func(s SessionID, state string) {
+		if s == id {
+			w.states <- state
+		}
+	}
+}
+
+func (w *world) await(state string) error {
+	timer := time.NewTimer(worldDeadline)
+	defer timer.Stop()
+	for {
+		select {
+		case got := <-w.states:
+			if got == state {
+				return nil
+			}
+		case <-timer.C:
+			return errors.Errorf("state %s was not entered", state)
+		}
+	}
+}
+
+const write = "INSERT INTO w (k, v) VALUES (1, 'mine') RETURNING k"
+
+// run starts the request that the cell judges.
+func (w *world) run(args *ExecuteArgs) {
+	args.QueueTimeout = worldDeadline
+	w.last = args
+	go func() {
+		reply, err := w.execute(args)
+		w.result <- outcome{reply, err}
+	}()
+}
+
+// open begins the cell's transaction and writes the row in it.
+func (w *world) open() error {
+	w.begin = w.query("BEGIN")
+	if _, err := w.execute(w.begin); err != nil {
+		return err
+	}
+	_, err := w.execute(w.next(write))
+	return err
+}
+
+// next is the following request of the open transaction.
+func (w *world) next(sql string) *ExecuteArgs {
+	args := w.continued(w.begin, sql)
+	args.MayCommit = strings.Contains(sql, "COMMIT")
+	w.begin = args
+	return args
+}
+
+// enter brings the session into the state.
+func (w *world) enter(state string) error {
+	switch state {
+	case "waiting":
+		return w.enterWaiting()
+	case "starting", "resuming":
+		return w.enterQueued(state)
+	case "executing":
+		return w.enterExecuting()
+	case "answer_pending":
+		return w.enterPending()
+	case "open":
+		return w.open()
+	case "confirming", "confirming_open":
+		return w.enterConfirming(state)
+	case "ended":
+		_, err := w.execute(w.query(write))
+		return err
+	case "aborted":
+		if err := w.open(); err != nil {
+			return err
+		}
+		w.commits = false
+		return NewService(w.manager).Abort(&SessionArgs{Session: w.begin.Session}, &Empty{})
+	}
+	return errors.Errorf("no way into state %s", state)
+}
+
+func (w *world) enterWaiting() error {
+	for range 2 {
+		release, err := w.owner.conns.Acquire(context.Background(), "other", 1, time.Now().Add(worldDeadline))
+		if err != nil {
+			return err
+		}
+		w.proceed = append(w.proceed, release)
+	}
+	args := w.query(write)
+	w.follow(args.Session)
+	w.run(args)
+	return w.await("waiting")
+}
+
+func (w *world) enterQueued(state string) error {
+	args := w.query(write)
+	if state == "resuming" {
+		if err := w.open(); err != nil {
+			return err
+		}
+		args = w.next("COMMIT")
+	}
+	for range 2 {
+		release, err := w.owner.slots.Acquire(context.Background(), "other", 1, time.Now().Add(worldDeadline))
+		if err != nil {
+			return err
+		}
+		w.proceed = append(w.proceed, release)
+	}
+	w.follow(args.Session)
+	w.run(args)
+	return w.await(state)
+}
+
+// enterExecuting lets the request wait for a row lock.
+func (w *world) enterExecuting() error {
+	holder, err := openConn(context.Background(), &w.owner.cfg)
+	if err != nil {
+		return err
+	}
+	w.proceed = append(w.proceed, holder.close)
+	for _, sql := range []string{"BEGIN", "UPDATE t SET v = 'held' WHERE k = 0"} {
+		if _, err := holder.query(sql, worldDeadline); err != nil {
+			return err
+		}
+	}
+	args := w.query(write + "; UPDATE t SET v = 'mine' WHERE k = 0")
+	w.follow(args.Session)
+	w.run(args)
+	return w.await("executing")
+}
+
+func (w *world) enterPending() error {
+	if err := w.open(); err != nil {
+		return err
+	}
+	return w.firstPart()
+}
+
+// firstPart takes the first part of a long answer inside the transaction.
+func (w *world) firstPart() error {
+	w.commits = false
+	w.last = w.next("SELECT v FROM big")
+	reply, err := w.execute(w.last)
+	if err == nil && !reply.More {
+		err = errors.Errorf("the answer came in one part")
+	}
+	w.first = reply
+	return err
+}
+
+func (w *world) enterConfirming(state string) error {
+	args := w.query(write)
+	if state == "confirming_open" {
+		if err := w.open(); err != nil {
+			return err
+		}
+		args = w.next("COMMIT; BEGIN")
+	}
+	w.watcher.hold = make(chan struct{})
+	w.proceed = append(w.proceed, func() { close(w.watcher.hold) })
+	w.follow(args.Session)
+	w.run(args)
+	return w.await(state)
+}
+
+// finish takes the answer of the request that the cell judges.
+func (w *world) finish(state string) outcome {
+	switch state {
+	case "ended", "aborted":
+		return outcome{}
+	case "open":
+		reply, err := w.execute(w.next("COMMIT"))
+		return outcome{reply, err}
+	case "answer_pending":
+		return w.fetchRest()
+	}
+	select {
+	case o := <-w.result:
+		return o
+	case <-time.After(worldDeadline):
+		return outcome{err: errors.New("no answer")}
+	}
+}
+
+func (w *world) fetchRest() outcome {
+	reply := w.first
+	whole := &ExecuteReply{Answer: reply.Answer}
+	for part := 1; reply.More; part++ {
+		reply = &ExecuteReply{}
+		if err := w.manager.fetch(&FetchArgs{Session: w.last.Session, Seq: w.last.Seq, Part: part}, reply); err != nil {
+			return outcome{whole, err}
+		}
+		whole.Answer = append(whole.Answer, reply.Answer...)
+		whole.Status = reply.Status
+	}
+	return outcome{whole, nil}
+}
+
+// rows counts the cell's rows at the instance itself.
+func (w *world) rows() (int, error) {
+	results, _, err := w.server.Store().Run(context.Background(), "SELECT k FROM w WHERE v = 'mine'")
+	if err != nil {
+		return 0, err
+	}
+	return len(results[0].Rows), nil
+}
+
+// judge checks what the state's request promises.
+func (w *world) judge(state string, o outcome) error {
+	n, err := w.rows()
+	if code := serverError(o.reply); o.err == nil && code != "" {
+		if n != 0 {
+			return errors.Errorf("the instance answered SQLSTATE %s, and the row is there", code)
+		}
+		return err
+	}
+	switch {
+	case err != nil:
+		return err
+	case n > 1:
+		return errors.Errorf("the write ran %d times", n)
+	case o.err == nil && w.commits && n != 1:
+		return errors.Errorf("acknowledged, and %d rows", n)
+	case o.err != nil && errkind.KindOf(o.err).Answer().Class == errkind.NotRun && n != 0:
+		return errors.Errorf("reported as not run, and the row is there: %v", o.err)
+	case o.err != nil && errkind.Is(o.err, errkind.TransactionLost) && n != 0:
+		return errors.Errorf("reported as rolled back, and the row is there")
+	case !w.commits && n != 0:
+		return errors.Errorf("the open transaction's row is visible")
+	}
+	return w.judgeAnswer(state, o)
+}
+
+// serverError returns the SQLSTATE of the answer's ErrorResponse, if it has one.
+func serverError(reply *ExecuteReply) string {
+	if reply == nil {
+		return ""
+	}
+	frames, _ := splitFrames(reply.Answer)
+	for _, f := range frames {
+		if f.kind() == 'E' {
+			return errorCode(f.body())
+		}
+	}
+	return ""
+}
+
+func (w *world) judgeAnswer(state string, o outcome) error {
+	if o.err != nil || o.reply == nil {
+		return nil
+	}
+	frames, err := splitFrames(o.reply.Answer)
+	if err != nil {
+		return errors.Annotate(err, "answer")
+	}
+	rows, tags := 0, 0
+	for _, f := range frames {
+		switch f.kind() {
+		case 'D':
+			rows++
+		case 'C':
+			tags++
+		}
+	}
+	status := byte('I')
+	if state == "confirming_open" || state == "answer_pending" {
+		status = 'T'
+	}
+	switch {
+	case state == "answer_pending" && (rows != bulkRows || tags != 1):
+		return errors.Errorf("short answer: %d rows of %d", rows, bulkRows)
+	case tags == 0:
+		return errors.Errorf("answer without its end")
+	case o.reply.Status != status:
+		return errors.Errorf("status %c, want %c", o.reply.Status, status)
+	}
+	return nil
+}
+
+// judgeAfter ends the cell's session and checks that nothing of it is left: no
+// session, no row lock, no uncommitted row, and connections that answer the
+// next session with its own answer.
+func (w *world) judgeAfter() error {
+	if w.begin != nil {
+		_ = NewService(w.manager).Abort(&SessionArgs{Session: w.begin.Session}, &Empty{})
+	}
+	if n := w.manager.Busy(); n != 0 {
+		return errors.Errorf("%d sessions left", n)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), worldDeadline)
+	defer cancel()
+	if _, _, err := w.server.Store().Run(ctx, "UPDATE t SET v = 'after' WHERE k = 0"); err != nil {
+		return errors.Annotate(err, "row lock")
+	}
+	return w.probe()
+}
+
+func (w *world) probe() error {
+	select {
+	case <-w.server.Done():
+		return nil
+	default:
+	}
+	w.watcher.setPrimary("db1")
+	manager := NewManager(w.manager.log, silent{})
+	defer manager.Close()
+	manager.SetOwner("db1", w.owner)
+	for i := range 3 {
+		args := w.query(fmt.Sprintf("SELECT 'probe %d'", i))
+		reply := &ExecuteReply{}
+		armed := w.server.Faults().CutAfterRows >= 0
+		if err := manager.execute(context.Background(), args, reply); err != nil && armed {
+			continue // the fault struck the probe
+		} else if err != nil {
+			return errors.Annotate(err, "probe")
+		}
+		if !strings.Contains(string(reply.Answer), fmt.Sprintf("probe %d", i)) || reply.Status != statusIdle {
+			return errors.Errorf("probe %d got %q status %c", i, reply.Answer, reply.Status)
+		}
+	}
+	return nil
+}
