Router: tests of crossed answers, repeats and lost answers

Cause: the comparison of Session and Seq, and the rule that only what surely did not run is sent again, had no test in the router itself.

Change: tests with a fake pool owner. Each way in which an answer can be another request's is refused at Execute, Continue and Fetch; the naive variant that takes any reply turns the check red. One lost call takes effect at most once.

--- /dev/null
+++ b/internal/router/router_test.go
@@ -0,0 +1,180 @@
+package router
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/pool"
+)
+
+// fakePeers answers calls to one pool owner. Its mutex guards the fields.
+type fakePeers struct {
+	mu       sync.Mutex
+	executed int
+	aborted  chan pool.SessionID
+	// fail, if set, is the error of the next Execute; ran tells whether the
+	// request took effect first.
+	fail error
+	ran  bool
+	// cross changes whose answer comes.
+	cross func(reply *pool.ExecuteReply)
+}
+
+func (p *fakePeers) Call(_ context.Context, _, method string, args, reply any) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch method {
+	case "Pool.View":
+		*reply.(*pool.ViewReply) = pool.ViewReply{Primary: "db1", Term: 1}
+	case "Pool.Abort":
+		p.aborted <- args.(*pool.SessionArgs).Session
+	case "Pool.Execute":
+		return p.execute(args.(*pool.ExecuteArgs), reply.(*pool.ExecuteReply))
+	case "Pool.Fetch":
+		a := args.(*pool.FetchArgs)
+		p.answer(a.Session, a.Seq, reply.(*pool.ExecuteReply))
+	}
+	return nil
+}
+
+func (p *fakePeers) execute(args *pool.ExecuteArgs, reply *pool.ExecuteReply) error {
+	err := p.fail
+	p.fail = nil
+	if err == nil || p.ran {
+		p.executed++
+	}
+	if err == nil {
+		p.answer(args.Session, args.Seq, reply)
+	}
+	return err
+}
+
+func (p *fakePeers) answer(id pool.SessionID, seq uint64, reply *pool.ExecuteReply) {
+	reply.Session, reply.Seq, reply.Status = id, seq, 'I'
+	if p.cross != nil {
+		p.cross(reply)
+	}
+}
+
+type oneOwner struct{}
+
+func (oneOwner) Group(name string) (platform.Group, bool) {
+	return platform.Group{Name: name, Instances: []platform.Instance{{ID: "db1"}}}, true
+}
+func (oneOwner) Owners(platform.Instance) []platform.VM {
+	return []platform.VM{{ID: "owner", Address: "owner:1"}}
+}
+func (oneOwner) Alive(string) context.Context { return context.Background() }
+
+func newTestRouter(t *testing.T) (*Router, *fakePeers) {
+	peers := &fakePeers{aborted: make(chan pool.SessionID, 64)}
+	r := New(Config{Topology: oneOwner{}, Liveness: oneOwner{}, Peers: peers, RetryWindow: time.Minute, Rand: rand.New(rand.NewPCG(1, 2))})
+	t.Cleanup(r.Close)
+	return r, peers
+}
+
+var testPin = Pin{VM: "owner", Address: "owner:1", Instance: "db1", Primary: true}
+
+func testRequest() *Request {
+	return &Request{Session: pool.SessionID{VM: "vm", Number: 7}, Seq: 3, Group: "g", MayCommit: true, WriteAllowed: true}
+}
+
+// crossings are the ways in which an answer can be another request's.
+var crossings = map[string]func(*pool.ExecuteReply){
+	"another session":     func(r *pool.ExecuteReply) { r.Session.Number++ },
+	"another VM":          func(r *pool.ExecuteReply) { r.Session.VM = "vm2" },
+	"another incarnation": func(r *pool.ExecuteReply) { r.Session.Incarnation++ },
+	"an earlier request":  func(r *pool.ExecuteReply) { r.Seq-- },
+}
+
+// TestCrossedAnswerIsRefused gives another request's answer to each call. The
+// naive variant takes it unseen; the check goes red on it.
+func TestCrossedAnswerIsRefused(t *testing.T) {
+	for name, cross := range crossings {
+		r, peers := newTestRouter(t)
+		peers.cross = cross
+		request := testRequest()
+		if _, err := r.Execute(context.Background(), request); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("execute, %s: %v", name, err)
+		}
+		if _, err := r.Continue(context.Background(), testPin, request); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("continue, %s: %v", name, err)
+		}
+		if _, err := r.Fetch(context.Background(), testPin, pool.FetchArgs{Session: request.Session, Seq: request.Seq, Part: 1}); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("fetch, %s: %v", name, err)
+		}
+		var naive pool.ExecuteReply
+		if err := peers.Call(context.Background(), "owner:1", "Pool.Execute", executeArgs(request, testPin, false), &naive); err != nil {
+			t.Fatal(err)
+		}
+		if ownAnswer(request, &naive) {
+			t.Errorf("naive, %s: the check stayed green", name)
+		}
+		t.Logf("naive=accept_any_reply crossed=%q red: answer of %v/%d for %v/%d", name, naive.Session, naive.Seq, request.Session, request.Seq)
+	}
+}
+
+// ownAnswer is the check of a cell: the reply names the request.
+func ownAnswer(r *Request, reply *pool.ExecuteReply) bool {
+	return reply.Session == r.Session && reply.Seq == r.Seq
+}
+
+// TestRetryOnlyOfWhatDidNotRun fails one call and counts how often the request
+// took effect, and whether it was sent again.
+func TestRetryOnlyOfWhatDidNotRun(t *testing.T) {
+	for _, c := range []struct {
+		kind  errkind.Kind
+		ran   bool
+		again bool
+	}{
+		{errkind.Unreachable, false, true},
+		{errkind.NotEligible, false, true},
+		{errkind.NoPrimary, false, true},
+		{errkind.ShuttingDown, false, true},
+		{errkind.QueueFull, false, false},
+		{errkind.Canceled, false, false},
+		{errkind.OutcomeUnknown, true, false},
+		{errkind.OutcomeUnknown, false, false},
+		{errkind.AnswerIncomplete, true, false},
+		{errkind.TransactionLost, true, false},
+	} {
+		r, peers := newTestRouter(t)
+		peers.fail, peers.ran = errkind.New(c.kind, "fault"), c.ran
+		_, err := r.Execute(context.Background(), testRequest())
+		want := 0
+		if c.ran || c.again {
+			want = 1
+		}
+		peers.mu.Lock()
+		got := peers.executed
+		peers.mu.Unlock()
+		if got != want || (err == nil) != c.again {
+			t.Errorf("%s ran %t: took effect %d times, %v; want %d, sent again %t", c.kind, c.ran, got, err, want, c.again)
+		}
+	}
+}
+
+// TestLostAnswerEndsTheTransaction loses answers inside a transaction: the
+// owner is told to end it, and the kind says what is known.
+func TestLostAnswerEndsTheTransaction(t *testing.T) {
+	for _, c := range []struct {
+		mayCommit, readOnly bool
+		want                errkind.Kind
+	}{{false, false, errkind.TransactionLost}, {true, false, errkind.OutcomeUnknown}, {true, true, errkind.AnswerIncomplete}} {
+		r, peers := newTestRouter(t)
+		peers.fail, peers.ran = errkind.New(errkind.OutcomeUnknown, "fault"), true
+		request := testRequest()
+		request.MayCommit, request.ReadOnly = c.mayCommit, c.readOnly
+		if _, err := r.Continue(context.Background(), testPin, request); !errkind.Is(err, c.want) {
+			t.Errorf("%+v: %v", c, err)
+		}
+		if got := <-peers.aborted; got != request.Session {
+			t.Errorf("aborted %v", got)
+		}
+	}
+}
