Recorded histories of the current route judged as linearizable registers

Why: the load's judge counts lost and doubled bookings, but nothing checked that concurrent reads without a token and writes fit one order of operations while primaries are replaced.

Failed and not-run operations are left out, unknown ones may apply at any later time.

--- /dev/null
+++ b/test/history/caller_test.go
@@ -0,0 +1,129 @@
+package history
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"chicoryline/internal/site"
+)
+
+const (
+	// readShare and swapShare are parts of the operations; the rest are writes.
+	readShare = 0.5
+	swapShare = 0.2
+	// roamShare is the part of operations after which a caller changes the proxy.
+	roamShare = 0.1
+	// pause is the longest pause of a caller between two operations.
+	pause = 20 * time.Millisecond
+	// valueStride separates the values that different callers write.
+	valueStride = 1_000_000
+)
+
+// caller works on random registers through random proxies. Its goroutine owns it.
+type caller struct {
+	site     *site.Site
+	recorder *recorder
+	number   int
+	keys     []string
+	random   *rand.Rand
+	conn     *pgx.Conn
+	written  int64
+	// seen maps keys to the value that the caller last read.
+	seen map[string]int64
+}
+
+func newCaller(s *site.Site, r *recorder, seed uint64, number int, keys []string) *caller {
+	return &caller{site: s, recorder: r, number: number, keys: keys,
+		random: rand.New(rand.NewPCG(seed, uint64(number))), seen: map[string]int64{}}
+}
+
+// run works until stop is closed.
+func (c *caller) run(stop <-chan struct{}) {
+	defer c.leave()
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(time.Duration(c.random.Int64N(int64(pause)))):
+			c.work(c.pick())
+		}
+	}
+}
+
+// pick draws the next operation; every value is written once.
+func (c *caller) pick() input {
+	in := input{key: c.keys[c.random.IntN(len(c.keys))]}
+	x := c.random.Float64()
+	if x < readShare {
+		return in
+	}
+	c.written++
+	in.op, in.value = write, int64(c.number+1)*valueStride+c.written
+	if x < readShare+swapShare {
+		in.op, in.old = swap, c.seen[in.key]
+	}
+	return in
+}
+
+// work carries the operation out and records it.
+func (c *caller) work(in input) {
+	if !c.join() {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
+	defer cancel()
+	sent := c.recorder.now()
+	out, err := perform(ctx, c.conn, in)
+	c.recorder.record(c.number, in, out, sent, err)
+	if err == nil && in.op == read {
+		c.seen[in.key] = out.value
+	}
+	if c.conn.IsClosed() || c.random.Float64() < roamShare {
+		c.leave()
+	}
+}
+
+// join connects to a random proxy; false means that it could not.
+func (c *caller) join() bool {
+	if c.conn != nil {
+		return true
+	}
+	conn, err := dial(c.site, c.random.IntN(len(c.site.Proxies)), group, nil)
+	if err != nil {
+		return false
+	}
+	c.conn = conn
+	return true
+}
+
+func (c *caller) leave() {
+	if c.conn != nil {
+		hangUp(c.conn)
+		c.conn = nil
+	}
+}
+
+// perform runs the operation as one statement. A register without a row holds 0.
+func perform(ctx context.Context, conn *pgx.Conn, in input) (output, error) {
+	switch in.op {
+	case read:
+		var out output
+		err := conn.QueryRow(ctx, "SELECT v FROM sessions WHERE k = $1", in.key).Scan(&out.value)
+		if errors.Is(err, pgx.ErrNoRows) {
+			err = nil
+		}
+		return out, err
+	case write:
+		_, err := conn.Exec(ctx, "UPDATE sessions SET v = $1 WHERE k = $2", in.value, in.key)
+		return output{}, err
+	case add:
+		_, err := conn.Exec(ctx, "UPDATE sessions SET v = v + $1 WHERE k = $2", in.value, in.key)
+		return output{}, err
+	}
+	tag, err := conn.Exec(ctx, "UPDATE sessions SET v = $1 WHERE k = $2 AND v = $3", in.value, in.key, in.old)
+	return output{swapped: tag.RowsAffected() > 0}, err
+}
--- /dev/null
+++ b/test/history/linear_test.go
@@ -0,0 +1,91 @@
+package history
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+
+	"chicoryline/internal/site"
+)
+
+const (
+	// linearSeed draws the operations of the recorded histories.
+	linearSeed = 20417
+	// linearCallers is the number of concurrent callers.
+	linearCallers = 6
+	// failovers is the number of primaries that are cut off in a row.
+	failovers = 2
+	// progress is the number of acknowledged changes between two faults.
+	progress = 30
+)
+
+// startCallers lets the callers work; the returned function ends them.
+func startCallers(s *site.Site, r *recorder, keys []string) func() {
+	stop := make(chan struct{})
+	var running sync.WaitGroup
+	for n := range linearCallers {
+		c := newCaller(s, r, linearSeed, n, keys)
+		running.Go(func() { c.run(stop) })
+	}
+	return func() {
+		close(stop)
+		running.Wait()
+	}
+}
+
+// awaitProgress waits until the callers have more acknowledged changes.
+func awaitProgress(t *testing.T, r *recorder) {
+	t.Helper()
+	least := r.acknowledged() + progress
+	eventually(t, "progress of the callers", func() error {
+		if now := r.acknowledged(); now < least {
+			return fmt.Errorf("%d acknowledged changes of %d, refused %v", now, least, r.refusals())
+		}
+		return nil
+	})
+}
+
+// readAll reads every register once through every proxy.
+func readAll(t *testing.T, s *site.Site, r *recorder, keys []string) {
+	t.Helper()
+	for proxy := range s.Proxies {
+		conn := connect(t, s, proxy, group, nil)
+		for _, key := range keys {
+			eventually(t, "last read of "+key, func() error {
+				sent := r.now()
+				out, err := perform(t.Context(), conn, input{key: key})
+				r.record(linearCallers+proxy, input{key: key}, out, sent, err)
+				return err
+			})
+		}
+	}
+}
+
+// TestCurrentRouteIsLinearizable cuts off two primaries in a row under load.
+// Whatever the callers were told must fit one order of the operations:
+// acknowledged ones in it, failed and not-run ones out of it, unknown ones
+// anywhere after they were sent.
+func TestCurrentRouteIsLinearizable(t *testing.T) {
+	s := startSite(t, 4)
+	keys := []string{"r1", "r2", "r3"}
+	insertRows(t, s, keys...)
+	r := newRecorder()
+	end := sync.OnceFunc(startCallers(s, r, keys))
+	t.Cleanup(end)
+	for range failovers {
+		awaitProgress(t, r)
+		old := replacePrimary(t, s)
+		awaitProgress(t, r)
+		heal(t, s, old)
+	}
+	awaitProgress(t, r)
+	end()
+	readAll(t, s, r, keys)
+	history := r.all()
+	t.Logf("seed=%d %s refused=%v", linearSeed, summary(history), r.refusals())
+	if v := judge(history); v.result != porcupine.Ok {
+		t.Errorf("seed=%d result=%s line=%q", linearSeed, v.result, v.line)
+	}
+}
--- /dev/null
+++ b/test/history/register_test.go
@@ -0,0 +1,163 @@
+// Package history records what callers of a whole installation saw while
+// backend servers are cut off and replaced, and judges the records: against a
+// linearizable register, against the promises of a session, and against a
+// model with one copy of the data.
+package history
+
+import (
+	"fmt"
+	"math"
+	"sort"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// operation is what a caller asked of one register.
+type operation uint8
+
+// The operations.
+const (
+	read operation = iota
+	write
+	swap
+	add
+)
+
+// input is one request on a register.
+type input struct {
+	key string
+	op  operation
+	// value is written, or added; swap writes it if the register holds old.
+	value, old int64
+}
+
+// output is the answer to an input.
+type output struct {
+	// unknown marks a write that may take effect at any later time, or never.
+	unknown bool
+	// value is what a read returned.
+	value int64
+	// swapped tells whether a swap found the old value.
+	swapped bool
+}
+
+const (
+	// never is the return time of an operation of unknown outcome.
+	never = math.MaxInt64
+	// judgeLimit bounds one judgement; a judgement that takes longer fails the test.
+	judgeLimit = 60 * time.Second
+)
+
+// registers is the specification: independent registers that begin with 0.
+var registers = porcupine.Model{
+	Partition:         partition,
+	Init:              func() any { return int64(0) },
+	Step:              step,
+	DescribeOperation: describe,
+}
+
+func partition(history []porcupine.Operation) [][]porcupine.Operation {
+	byKey := map[string][]porcupine.Operation{}
+	for _, o := range history {
+		key := o.Input.(input).key
+		byKey[key] = append(byKey[key], o)
+	}
+	var parts [][]porcupine.Operation
+	for _, part := range byKey {
+		parts = append(parts, part)
+	}
+	return parts
+}
+
+// step applies one operation. An unknown one is always possible: it may take
+// effect after everything else, which is the same as never.
+func step(state, in, out any) (bool, any) {
+	held, i, o := state.(int64), in.(input), out.(output)
+	switch i.op {
+	case read:
+		return o.value == held, held
+	case write:
+		return true, i.value
+	case add:
+		return true, held + i.value
+	}
+	if !o.unknown && o.swapped != (held == i.old) {
+		return false, held
+	}
+	if held == i.old {
+		held = i.value
+	}
+	return true, held
+}
+
+func describe(in, out any) string {
+	i, o := in.(input), out.(output)
+	text := ""
+	switch i.op {
+	case read:
+		return fmt.Sprintf("read %s gave %d", i.key, o.value)
+	case write:
+		text = fmt.Sprintf("write %s = %d", i.key, i.value)
+	case add:
+		text = fmt.Sprintf("add %d to %s", i.value, i.key)
+	default:
+		text = fmt.Sprintf("swap %s from %d to %d", i.key, i.old, i.value)
+		if !o.unknown {
+			text += fmt.Sprintf(" found=%t", o.swapped)
+		}
+	}
+	if o.unknown {
+		return text + " outcome unknown"
+	}
+	return text + " acknowledged"
+}
+
+// verdict is the result of a judgement.
+type verdict struct {
+	result porcupine.CheckResult
+	// line is the first answer that cannot be explained.
+	line string
+}
+
+// judge checks the history, and on a violation looks for the first answer, in
+// the order of returns, that no order of the operations explains.
+func judge(history []porcupine.Operation) verdict {
+	result := porcupine.CheckOperationsTimeout(registers, history, judgeLimit)
+	if result != porcupine.Illegal {
+		return verdict{result: result}
+	}
+	var returns []porcupine.Operation
+	for _, o := range history {
+		if o.Return != never {
+			returns = append(returns, o)
+		}
+	}
+	sort.Slice(returns, func(a, b int) bool { return returns[a].Return < returns[b].Return })
+	first := sort.Search(len(returns), func(n int) bool {
+		return porcupine.CheckOperationsTimeout(registers, until(history, returns[n].Return), judgeLimit) == porcupine.Illegal
+	})
+	if first == len(returns) {
+		return verdict{result: result, line: "no single answer"}
+	}
+	o := returns[first]
+	return verdict{result: result, line: fmt.Sprintf("caller=%d sent_us=%d answered_us=%d %s", o.ClientId,
+		time.Duration(o.Call).Microseconds(), time.Duration(o.Return).Microseconds(), describe(o.Input, o.Output))}
+}
+
+// until returns the history as it was known at the time: what was sent and not
+// yet answered is of unknown outcome.
+func until(history []porcupine.Operation, at int64) []porcupine.Operation {
+	var known []porcupine.Operation
+	for _, o := range history {
+		switch {
+		case o.Return <= at:
+		case o.Call <= at && o.Input.(input).op != read:
+			o.Return, o.Output = never, output{unknown: true}
+		default:
+			continue
+		}
+		known = append(known, o)
+	}
+	return known
+}
