Session histories, a differential test and naive paths that must be found out

Why: read-your-writes over failover, agreement with plain SQL semantics and the ability of the checks to fail had no test.

The product under a lagging replica and under a lost commit answer must stay legal.

--- /dev/null
+++ b/test/history/differential_test.go
@@ -0,0 +1,299 @@
+package history
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/load"
+	"chicoryline/internal/site"
+)
+
+const (
+	// differentialSeed draws the sequential histories.
+	differentialSeed = 20420
+	// differentialChecks is the number of histories.
+	differentialChecks = 40
+	// minSteps and maxSteps bound the length of a history.
+	minSteps, maxSteps = 20, 50
+	// keyRange is the number of different keys; few, so that they meet.
+	keyRange = 5
+)
+
+// product runs statements through the proxies as one roaming session.
+type product struct {
+	site  *site.Site
+	conn  *pgx.Conn
+	token string
+	// answered and refused count statements by whether the product ran them.
+	answered, refused int
+}
+
+func (p *product) roam(s statement) error {
+	p.leave()
+	route := group
+	if s.aged {
+		route = agedRoute
+	}
+	var err error
+	p.conn, err = dial(p.site, s.proxy%len(p.site.Proxies), route, &p.token)
+	return err
+}
+
+func (p *product) leave() {
+	if p.conn != nil {
+		hangUp(p.conn)
+	}
+	p.conn = nil
+}
+
+// run returns the answer in the form of the model.
+func (p *product) run(s statement) (string, error) {
+	if s.act == actRoam {
+		return "", p.roam(s)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), requestLimit)
+	defer cancel()
+	answer, err := p.send(ctx, s)
+	if token := p.conn.PgConn().ParameterStatus("chicoryline.session"); token != "" {
+		p.token = token
+	}
+	var pg *pgconn.PgError
+	if errors.As(err, &pg) && !strings.HasPrefix(pg.Detail, "kind=") {
+		return "error " + pg.Code, nil
+	}
+	return answer, err
+}
+
+// sqlOf lists the statements with parameters.
+var sqlOf = map[action]string{
+	actInsert: "INSERT INTO diff (k, v) VALUES ($1, $2)",
+	actUpdate: "UPDATE diff SET v = v + $2 WHERE k = $1",
+	actMove:   "UPDATE diff SET k = $2 WHERE k = $1",
+	actDelete: "DELETE FROM diff WHERE k = $1",
+	actSelect: "SELECT k, v FROM diff WHERE k >= $1 ORDER BY k",
+	actCount:  "SELECT count(*) FROM diff",
+	actBegin:  "BEGIN", actCommit: "COMMIT", actRollback: "ROLLBACK",
+}
+
+func (p *product) send(ctx context.Context, s statement) (string, error) {
+	if s.act == actPair {
+		return p.sendPair(ctx, s)
+	}
+	args := []any{pgx.QueryExecModeCacheStatement}
+	if s.simple {
+		args[0] = pgx.QueryExecModeSimpleProtocol
+	}
+	sql := sqlOf[s.act]
+	for i, value := range []int64{s.k, s.v} {
+		if strings.Contains(sql, "$"+strconv.Itoa(i+1)) {
+			args = append(args, value)
+		}
+	}
+	rows, err := p.conn.Query(ctx, sql, args...)
+	if err != nil {
+		return "", err
+	}
+	defer rows.Close()
+	var b strings.Builder
+	for rows.Next() {
+		values, err := rows.Values()
+		if err != nil {
+			return "", err
+		}
+		fmt.Fprintf(&b, "%v ", values)
+	}
+	return b.String() + rows.CommandTag().String(), rows.Err()
+}
+
+// sendPair sends two inserts as one message.
+func (p *product) sendPair(ctx context.Context, s statement) (string, error) {
+	sql := fmt.Sprintf("INSERT INTO diff (k, v) VALUES (%d, %d); INSERT INTO diff (k, v) VALUES (%d, %d)", s.k, s.v, s.v, s.k)
+	results, err := p.conn.PgConn().Exec(ctx, sql).ReadAll()
+	var tags []string
+	for _, r := range results {
+		tags = append(tags, r.CommandTag.String())
+	}
+	return strings.Join(tags, ";"), err
+}
+
+// compare runs one history through the product and the models that are still
+// possible; an unknown outcome leaves both possible.
+func (p *product) compare(models []oneCopy, history []statement) error {
+	for i, s := range history {
+		if !models[0].applies(s) {
+			continue
+		}
+		answer, err := p.run(s)
+		if err != nil {
+			p.refused++
+			if models, err = p.afterError(models, s, err); err != nil {
+				return err
+			}
+			continue
+		}
+		p.answered++
+		if models, err = p.agree(models, s, answer); err != nil {
+			return fmt.Errorf("step %d of %v: %w", i, history, err)
+		}
+	}
+	p.leave()
+	return p.compareTables(models)
+}
+
+// agree keeps the models that give the answer.
+func (p *product) agree(models []oneCopy, s statement, answer string) ([]oneCopy, error) {
+	var left []oneCopy
+	var want []string
+	for _, m := range models {
+		expected, after := m.run(s)
+		want = append(want, fmt.Sprintf("%q status %c", expected, after.status()))
+		if expected == answer && after.status() == p.conn.PgConn().TxStatus() {
+			left = append(left, after)
+		}
+	}
+	if len(left) == 0 {
+		return nil, fmt.Errorf("%s answered %q status %c, the model says %v", s, answer, p.conn.PgConn().TxStatus(), want)
+	}
+	return left, nil
+}
+
+// afterError follows an error of the proxy or of the connection. Without an
+// open transaction left at the proxy, the model's one is rolled back.
+func (p *product) afterError(models []oneCopy, s statement, cause error) ([]oneCopy, error) {
+	var left []oneCopy
+	for _, m := range models {
+		if _, after := m.run(s); classOf(cause) == load.Unknown && after.open == nil {
+			left = append(left, after)
+		}
+		if p.conn == nil || p.conn.IsClosed() || p.conn.PgConn().TxStatus() == 'I' {
+			m = m.leave()
+		}
+		left = append(left, m)
+	}
+	if p.conn != nil && !p.conn.IsClosed() {
+		return left, nil
+	}
+	return left, p.roam(s)
+}
+
+// compareTables compares the final table as current data at every proxy and at
+// the primary.
+func (p *product) compareTables(models []oneCopy) error {
+	var want []string
+	for _, m := range models {
+		want = append(want, list(m.rows, 0))
+	}
+	for proxy := range p.site.Proxies {
+		if err := p.roam(statement{proxy: proxy}); err != nil {
+			return err
+		}
+		answer, err := p.run(statement{act: actSelect})
+		if err != nil {
+			return err
+		}
+		if !slices.Contains(want, answer) {
+			return fmt.Errorf("proxy %d holds %q in the end, the model %v", proxy, answer, want)
+		}
+	}
+	return nil
+}
+
+// clear empties the table and returns the model of that.
+func (p *product) clear() ([]oneCopy, error) {
+	if err := p.roam(statement{}); err != nil {
+		return nil, err
+	}
+	if _, err := p.conn.Exec(context.Background(), "DELETE FROM diff"); err != nil {
+		return nil, err
+	}
+	p.token = p.conn.PgConn().ParameterStatus("chicoryline.session")
+	return []oneCopy{{rows: map[int64]int64{}}}, nil
+}
+
+// weights tells how often each action is drawn.
+var weights = map[action]int{
+	actInsert: 5, actPair: 2, actUpdate: 3, actMove: 2, actDelete: 2, actSelect: 4, actCount: 1,
+	actBegin: 4, actCommit: 3, actRollback: 2, actRoam: 2,
+}
+
+func drawStatement() *rapid.Generator[statement] {
+	var acts []action
+	for _, act := range slices.Sorted(maps.Keys(weights)) {
+		acts = append(acts, slices.Repeat([]action{act}, weights[act])...)
+	}
+	return rapid.Custom(func(t *rapid.T) statement {
+		return statement{
+			act: rapid.SampledFrom(acts).Draw(t, "act"),
+			k:   rapid.Int64Range(0, keyRange-1).Draw(t, "k"), v: rapid.Int64Range(0, keyRange-1).Draw(t, "v"),
+			simple: rapid.Bool().Draw(t, "simple"), proxy: rapid.IntRange(0, 2).Draw(t, "proxy"), aged: rapid.Bool().Draw(t, "aged"),
+		}
+	})
+}
+
+func fixSeed(t *testing.T) {
+	for name, value := range map[string]int{"rapid.seed": differentialSeed, "rapid.checks": differentialChecks} {
+		if err := flag.Set(name, strconv.Itoa(value)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := flag.Set("rapid.nofailfile", "true"); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func newProduct(t *testing.T) *product {
+	p := &product{site: startSite(t, 3)}
+	t.Cleanup(func() { p.leave() })
+	if _, err := connect(t, p.site, 0, group, nil).Exec(t.Context(), "CREATE TABLE diff (k bigint PRIMARY KEY, v bigint)"); err != nil {
+		t.Fatal(err)
+	}
+	return p
+}
+
+// TestProductAgreesWithOneCopy runs random sequential histories of one roaming
+// session through the product and through a table in memory: answers,
+// transaction states and final tables agree.
+func TestProductAgreesWithOneCopy(t *testing.T) {
+	t.Parallel()
+	fixSeed(t)
+	p := newProduct(t)
+	t.Run("random histories", func(t *testing.T) {
+		rapid.Check(t, func(rt *rapid.T) {
+			history := rapid.SliceOfN(drawStatement(), minSteps, maxSteps).Draw(rt, "history")
+			models, err := p.clear()
+			if err == nil {
+				err = p.compare(models, history)
+			}
+			if err != nil {
+				rt.Fatalf("seed=%d %v", differentialSeed, err)
+			}
+		})
+		t.Logf("seed=%d answered=%d refused=%d", differentialSeed, p.answered, p.refused)
+		if p.answered <= p.refused {
+			t.Errorf("the product refused %d statements and answered %d", p.refused, p.answered)
+		}
+	})
+	t.Run("wrong model is found out", func(t *testing.T) {
+		models, err := p.clear()
+		if err != nil {
+			t.Fatal(err)
+		}
+		models[0].keepsRolledBack = true
+		err = p.compare(models, []statement{{act: actBegin}, {act: actInsert, k: 1}, {act: actRollback}, {act: actSelect}})
+		if err == nil {
+			t.Fatal("a model that keeps rolled-back rows was not found out")
+		}
+		t.Logf("seed=%d violation=%q", differentialSeed, err)
+	})
+}
--- a/test/history/linear_test.go
+++ b/test/history/linear_test.go
@@ -68,6 +68,7 @@
 // acknowledged ones in it, failed and not-run ones out of it, unknown ones
 // anywhere after they were sent.
 func TestCurrentRouteIsLinearizable(t *testing.T) {
+	t.Parallel()
 	s := startSite(t, 4)
 	keys := []string{"r1", "r2", "r3"}
 	insertRows(t, s, keys...)
--- /dev/null
+++ b/test/history/naive_test.go
@@ -0,0 +1,145 @@
+package history
+
+import (
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/jackc/pgx/v5"
+
+	"chicoryline/internal/load"
+	"chicoryline/internal/site"
+	"chicoryline/internal/standin/dbinstance"
+)
+
+// naiveSeed names the fixed order of operations of the naive histories.
+const naiveSeed = 20419
+
+// naiveValue is what the naive paths write.
+const naiveValue = 7
+
+// direct connects past the proxies.
+func direct(t *testing.T, s *site.Site, id string) *pgx.Conn {
+	t.Helper()
+	conn, err := s.ConnectInstance(t.Context(), id)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { hangUp(conn) })
+	return conn
+}
+
+// must performs the operation, records it and returns the answer.
+func must(t *testing.T, r *recorder, caller int, conn *pgx.Conn, in input) output {
+	t.Helper()
+	sent := r.now()
+	out, err := perform(t.Context(), conn, in)
+	if err != nil {
+		t.Fatalf("%s: %v", describe(in, out), err)
+	}
+	r.record(caller, in, out, sent, nil)
+	return out
+}
+
+// finalRead reads the register through the product as current data.
+func finalRead(t *testing.T, s *site.Site, r *recorder, key string) {
+	t.Helper()
+	conn := connect(t, s, 0, group, nil)
+	eventually(t, "read "+key, func() error {
+		sent := r.now()
+		out, err := perform(t.Context(), conn, input{key: key})
+		r.record(1, input{key: key}, out, sent, err)
+		return err
+	})
+}
+
+// expectViolation passes only if the judge finds the history impossible.
+func expectViolation(t *testing.T, r *recorder) {
+	t.Helper()
+	v := judge(r.all())
+	if v.result != porcupine.Illegal || v.line == "" {
+		t.Fatalf("seed=%d the naive path was not found out: result=%s", naiveSeed, v.result)
+	}
+	t.Logf("seed=%d violation=%q", naiveSeed, v.line)
+}
+
+// expectLegal is the counterpart for the product under the same fault.
+func expectLegal(t *testing.T, r *recorder) {
+	t.Helper()
+	if v := judge(r.all()); v.result != porcupine.Ok {
+		t.Fatalf("seed=%d result=%s line=%q", naiveSeed, v.result, v.line)
+	}
+}
+
+// TestNaivePathsAreFoundOut shows that the judge can fail: each naive path
+// must be found out, and the product under the same fault must not.
+func TestNaivePathsAreFoundOut(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 3)
+	insertRows(t, s, "any", "product-any", "retry", "product-retry", "early")
+	t.Run("read any replica", func(t *testing.T) { readAnyReplica(t, s) })
+	t.Run("blind retry", func(t *testing.T) { blindRetry(t, s) })
+	t.Run("acknowledge at once", func(t *testing.T) { acknowledgeAtOnce(t, s) })
+}
+
+// readAnyReplica reads from a replica without asking how far it has come.
+func readAnyReplica(t *testing.T, s *site.Site) {
+	lagging := laggingReplica(t, s)
+	defer s.Instances[lagging].SetReplicationLag(s.Spec.ReplicationLag)
+	writer, replica := connect(t, s, 0, group, nil), direct(t, s, lagging)
+	r := newRecorder()
+	must(t, r, 0, writer, input{key: "any", op: write, value: naiveValue})
+	must(t, r, 1, replica, input{key: "any"})
+	expectViolation(t, r)
+
+	r = newRecorder()
+	must(t, r, 0, writer, input{key: "product-any", op: write, value: naiveValue})
+	for proxy := range s.Proxies {
+		must(t, r, 1, connect(t, s, proxy, group, nil), input{key: "product-any"})
+	}
+	expectLegal(t, r)
+}
+
+// blindRetry repeats an increment whose answer was lost after its commit.
+func blindRetry(t *testing.T, s *site.Site) {
+	primary := s.Primary(group)
+	in := input{key: "retry", op: add, value: 1}
+	r := newRecorder()
+	first := direct(t, s, primary)
+	s.Instances[primary].BreakNextCommit(dbinstance.BreakAfterCommit)
+	sent := r.now()
+	if _, err := perform(t.Context(), first, in); classOf(err) != load.Unknown {
+		t.Fatalf("the answer was not lost: %v", err)
+	}
+	if _, err := perform(t.Context(), direct(t, s, primary), in); err != nil {
+		t.Fatal(err)
+	}
+	r.record(0, in, output{}, sent, nil)
+	finalRead(t, s, r, in.key)
+	expectViolation(t, r)
+
+	r = newRecorder()
+	in.key = "product-retry"
+	conn := connect(t, s, 0, group, nil)
+	s.Instances[primary].BreakNextCommit(dbinstance.BreakAfterCommit)
+	sent = r.now()
+	_, err := perform(t.Context(), conn, in)
+	r.record(0, in, output{}, sent, err)
+	t.Logf("the product answered the lost commit with %s", answerOf(err))
+	finalRead(t, s, r, in.key)
+	expectLegal(t, r)
+}
+
+// acknowledgeAtOnce takes the word of a primary that no replica can follow and
+// that is replaced afterwards.
+func acknowledgeAtOnce(t *testing.T, s *site.Site) {
+	old := s.Primary(group)
+	if err := s.CutInstance(old); err != nil {
+		t.Fatal(err)
+	}
+	r := newRecorder()
+	must(t, r, 0, direct(t, s, old), input{key: "early", op: write, value: naiveValue})
+	awaitSuccessor(t, s, old)
+	heal(t, s, old)
+	finalRead(t, s, r, "early")
+	expectViolation(t, r)
+}
