--- a/internal/configsync/service_test.go
+++ b/internal/configsync/service_test.go
@@ -14,6 +14,7 @@
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/platform"
+	"chicoryline/internal/timeline"
 )
 
 // TestServiceOverLoopback calls every method of the service through net/rpc.
@@ -23,7 +24,7 @@
 		t.Fatal(err)
 	}
 	address := listener.Addr().String()
-	client, server := peer.NewClient(nil, nil), peer.NewServer(listener, nil)
+	client, server := peer.NewClient(timeline.NewClock(time.Now), nil, nil), peer.NewServer(timeline.NewClock(time.Now), listener, nil)
 	defer client.Close()
 	defer server.Close()
 	store := newFakePlatform()
--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -48,6 +48,8 @@
 	MaxAge time.Duration
 	// QueueTimeout is the admission deadline, counted from arrival.
 	QueueTimeout time.Duration
+	// WantView asks for the owner's view of the group along with the answer.
+	WantView bool
 	// Continue marks a request inside the session's open transaction.
 	Continue bool
 	// MayCommit marks a request that can end the open transaction with a commit.
@@ -76,6 +78,8 @@
 	Position position.Position
 	// Committed tells that Position is that of a commit.
 	Committed bool
+	// View is the owner's view of the group, if it was asked for.
+	View *ViewReply
 }
 
 // FetchArgs asks for the next part of an answer.
--- a/internal/proxy/service.go
+++ b/internal/proxy/service.go
@@ -19,6 +19,19 @@
 	proxy *Proxy
 }
 
+// Execute adds the view of the group to the answer where the entry asks for it,
+// so that a group in use costs no calls for its views.
+func (s *poolService) Execute(args *pool.ExecuteArgs, reply *pool.ExecuteReply) error {
+	if err := s.Service.Execute(args, reply); err != nil {
+		return err
+	}
+	if duty := s.proxy.duty(args.Group); args.WantView && duty != nil {
+		view := groupWatcher{duty.watcher}.view()
+		reply.View = &view
+	}
+	return nil
+}
+
 // View returns this VM's view of a group that it watches.
 func (s *poolService) View(args *pool.ViewArgs, reply *pool.ViewReply) error {
 	duty := s.proxy.duty(args.Group)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -95,10 +95,14 @@
 	}
 }
 
-// awaitView waits for the first reading of a group's view.
+// awaitView waits for the first reading of a group's view, and renews one that
+// nobody has used for a while.
 func (r *Router) awaitView(ctx context.Context, a *attempt) {
 	select {
 	case <-a.view.first:
+		if a.view.old() {
+			r.views.read(a.group.Name, a.view)
+		}
 		return
 	default:
 	}
@@ -123,9 +127,7 @@
 	for _, vm := range r.cfg.Topology.Owners(instance) {
 		pin := Pin{VM: vm.ID, Address: vm.Address, Instance: instance.ID, Primary: atPrimary}
 		var result *Result
-		a.view.enter(instance.ID)
-		result, err = r.send(ctx, a.request, pin, false)
-		a.view.leave(instance.ID)
+		result, err = r.sendFor(ctx, a, pin)
 		if err == nil || !moveOn(err, atPrimary) {
 			return result, err
 		}
@@ -136,6 +138,21 @@
 	return nil, err
 }
 
+// sendFor sends the request of an attempt and renews the group's view with the
+// answer when it is stale.
+func (r *Router) sendFor(ctx context.Context, a *attempt, pin Pin) (*Result, error) {
+	a.view.enter(pin.Instance)
+	defer a.view.leave(pin.Instance)
+	args := executeArgs(a.request, pin, false)
+	args.WantView = a.view.stale()
+	started := time.Now()
+	result, err := r.send(ctx, a.request, pin, args)
+	if err == nil && result.View != nil && result.View.Primary != "" {
+		a.view.take(*result.View, started)
+	}
+	return result, err
+}
+
 // moveOn reports whether another owner of the same instance may do better.
 func moveOn(err error, atPrimary bool) bool {
 	switch errkind.KindOf(err) {
@@ -201,7 +218,7 @@
 
 // Continue runs a request inside the session's open transaction.
 func (r *Router) Continue(ctx context.Context, pin Pin, request *Request) (*Result, error) {
-	result, err := r.send(ctx, request, pin, true)
+	result, err := r.send(ctx, request, pin, executeArgs(request, pin, true))
 	if errkind.Is(err, errkind.Unreachable) {
 		return nil, errkind.New(errkind.TransactionLost, "pool owner %s is gone", pin.VM)
 	}
@@ -210,8 +227,7 @@
 
 // send makes one call. An answer that is not the request's own is an error of
 // unknown outcome.
-func (r *Router) send(ctx context.Context, request *Request, pin Pin, inside bool) (*Result, error) {
-	args := executeArgs(request, pin, inside)
+func (r *Router) send(ctx context.Context, request *Request, pin Pin, args *pool.ExecuteArgs) (*Result, error) {
 	if request.OnTarget != nil {
 		request.OnTarget(pin)
 	}
--- a/internal/router/views.go
+++ b/internal/router/views.go
@@ -12,8 +12,13 @@
 )
 
 const (
-	// viewInterval is the pause between two reads of the view of a group in use.
+	// viewInterval is the age at which the view of a group in use is renewed,
+	// with the next answer or, without one, by a call.
 	viewInterval = 50 * time.Millisecond
+	// quietInterval is the pause between two calls for the view of a group that
+	// had no request in viewQuiet.
+	quietInterval = time.Second
+	viewQuiet     = 200 * time.Millisecond
 	// viewIdle is the time without requests after which a view is let go.
 	viewIdle = 10 * time.Second
 	// viewTimeout bounds the call to one owner.
@@ -87,6 +92,10 @@
 			return
 		case <-v.refresh:
 		case <-timer.C:
+			if started && v.fresh() {
+				timer.Reset(v.pause())
+				continue
+			}
 		}
 		if g.read(group, v) && !started {
 			started = true
@@ -95,7 +104,7 @@
 		if time.Since(time.Unix(0, v.lastUse.Load())) > viewIdle && g.forget(group, v) {
 			return
 		}
-		timer.Reset(viewInterval)
+		timer.Reset(v.pause())
 	}
 }
 
@@ -136,9 +145,7 @@
 	if !found {
 		return false
 	}
-	v.mu.Lock()
-	v.view, v.at = best, at
-	v.mu.Unlock()
+	v.take(best, at)
 	return true
 }
 
@@ -165,6 +172,49 @@
 
 func (g *groupViews) close() { close(g.stop) }
 
+// take keeps a view that was made after the time at, unless a newer one is
+// known or it names a primary of a lower term.
+func (v *groupView) take(view pool.ViewReply, at time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if at.Before(v.at) || view.Primary != "" && view.Term < v.view.Term {
+		return
+	}
+	v.view, v.at = view, at
+}
+
+// stale reports whether the view should be renewed with the next answer.
+func (v *groupView) stale() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.at) >= viewInterval
+}
+
+// old reports whether the view is too old to choose a replica by.
+func (v *groupView) old() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.at) > viewQuiet
+}
+
+// fresh reports whether an answer has renewed the view lately.
+func (v *groupView) fresh() bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return time.Since(v.at) < 2*viewInterval
+}
+
+// pause returns the time until the next call for the view. Answers renew the
+// view of a busy group, so that the call is put off again and again.
+func (v *groupView) pause() time.Duration {
+	if time.Since(time.Unix(0, v.lastUse.Load())) > viewQuiet {
+		return quietInterval
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return max(2*viewInterval-time.Since(v.at), time.Millisecond)
+}
+
 // poke asks for a new reading at once.
 func (v *groupView) poke() {
 	select {
