Config sync: a holder without enough voters never blocks patches

Fault: TestAllVMsReplacedBetweenPatches was red in one of several runs under the race detector: 8 holders, patches refused for ever. Cause by reading, not by a trace: a holder that dies within its first renewals names only the few holders that it has seen, at first itself alone, and no majority of these is left. Ruled out: clean-up not starting, since later patches were refused for the same rows. Now a list of fewer than three voters is written as empty, which forgoes promises and makes its lapse enough; a holder renews at once when its list changes. TestHolderThatDiesAtTheStartBlocksNothing is new.

--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -33,6 +33,8 @@
 	// cleanAfter is how long a holder's counter stands still before the others
 	// clean up after it, and the pause between two attempts to do so.
 	cleanAfter = 30 * time.Second
+	// minVoters is the least number of voters of which one can be lost.
+	minVoters = 3
 	// maxFormer bounds the ids of earlier registrations in a holder's row.
 	maxFormer = 8
 )
@@ -207,7 +209,9 @@
 	return renew{holder: h, version: c.own.version, reread: !c.own.sure, request: request}
 }
 
-// liveVoters are this process and the holders not known to have lapsed.
+// liveVoters are this process and the holders not known to have lapsed. With
+// fewer than minVoters the list is empty (never nil): the holder then forgoes
+// extensions by promises, and its lapse alone is enough for a patch.
 func (c *core) liveVoters() []string {
 	ids := []string{c.own.id}
 	for _, h := range c.holders {
@@ -215,6 +219,9 @@
 			ids = append(ids, h.ID)
 		}
 	}
+	if len(ids) < minVoters {
+		return []string{}
+	}
 	slices.Sort(ids)
 	return ids
 }
--- a/internal/configsync/decide.go
+++ b/internal/configsync/decide.go
@@ -23,7 +23,8 @@
 // A holder agrees if it has acknowledged. A holder that has lapsed agrees if a
 // majority of its own voters has acknowledged: from then on no majority of them
 // promises it anything before it knows the attempt, so it can not extend its
-// grant without the platform; and with the platform it reads the attempt.
+// grant without the platform; and with the platform it reads the attempt. One
+// without voters never extends its grant without the platform.
 func decide(attempt uint64, holders []Holder, lapsed func(Holder) bool) verdict {
 	acked := map[string]bool{}
 	for _, h := range holders {
@@ -41,7 +42,7 @@
 		case acked[h.ID]:
 		case !lapsed(h):
 			v.blockers = append(v.blockers, fmt.Sprintf("domain %s VM %s has not acknowledged", h.Domain, h.VM))
-		case !majority(h.Voters, acked):
+		case len(h.Voters) > 0 && !majority(h.Voters, acked):
 			v.blockers = append(v.blockers, fmt.Sprintf("domain %s VM %s has lapsed without a majority of the others", h.Domain, h.VM))
 		default:
 			v.lapsed = append(v.lapsed, h.ID)
--- a/internal/configsync/decide_test.go
+++ b/internal/configsync/decide_test.go
@@ -25,6 +25,7 @@
 		{"an older attempt", []Holder{holder("a", 2), holder("b", 2), holder("c", 1)}, "", false},
 		{"one lapsed", []Holder{holder("a", 2), holder("b", 2), holder("c", 0)}, "c", true},
 		{"lapsed without a majority", []Holder{holder("a", 2), holder("c", 0)}, "c", false},
+		{"lapsed without voters", []Holder{holder("a", 2), {ID: "c"}}, "c", true},
 		{"acknowledged under a new id", []Holder{holder("a", 2), holder("b2", 2, "b"), holder("c", 0)}, "c", true},
 		{"old id of a live process", []Holder{holder("a", 2), holder("b", 0), holder("b2", 2, "b")}, "", true},
 		{"replaced without a former id", []Holder{holder("a", 2), holder("b2", 2), holder("c", 0)}, "c", false},
@@ -86,3 +87,40 @@
 		}
 	}
 }
+
+// TestNewVotersNeedAReading renews with a new list of voters and loses the
+// reading of the configuration: the new voters alone must not extend the grant.
+// The naive variant takes them at once.
+func TestNewVotersNeedAReading(t *testing.T) {
+	const length = 3 * time.Second
+	now := time.Unix(1000, 0)
+	cases := []struct {
+		name    string
+		naive   bool
+		granted []string
+		want    bool
+	}{
+		{"new voters only", false, []string{"e", "f"}, false},
+		{"old voters only", false, []string{"a", "b"}, false},
+		{"both lists", false, []string{"a", "b", "e"}, true},
+		{"naive variant", true, []string{"e", "f"}, true},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := newCore(coreConfig{vm: "h", length: length, interval: length / 2})
+			old, next := []string{n.own.id, "a", "b", "c"}, []string{n.own.id, "e", "f"}
+			n.handle(now, renewed{sent: now, id: n.own.id, version: 1, voters: old, wrote: true, read: true})
+			n.own.attempted = next
+			n.handle(now, renewed{sent: now, id: n.own.id, version: 2, voters: next, wrote: true})
+			later := now.Add(2 * length)
+			n.step(later)
+			if c.naive {
+				n.own.voters, n.own.attempted = next, nil
+			}
+			n.handle(later, promisesDone{sent: later, id: n.own.id, granted: c.granted})
+			if n.valid(later) != c.want {
+				t.Errorf("extended %t, want %t", n.valid(later), c.want)
+			}
+		})
+	}
+}
--- a/internal/configsync/events.go
+++ b/internal/configsync/events.go
@@ -131,6 +131,9 @@
 	c.holders = holders
 	c.rows = m.rows
 	c.watch.observe(m.rows, m.began, m.ended)
+	if c.own.registered && c.own.attempted == nil && len(c.own.voters) != len(c.liveVoters()) {
+		c.soon("renew")
+	}
 	if c.patch.State() == "acknowledged" && m.record == c.snap.row.Version {
 		c.decide(now)
 	}
--- a/internal/configsync/hard_test.go
+++ b/internal/configsync/hard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"time"
 
@@ -229,3 +230,22 @@
 		w.settled()
 	}))
 }
+
+// TestHolderThatDiesAtTheStartBlocksNothing kills a holder at its first grant,
+// when it knew of no other holder to name as its voter.
+func TestHolderThatDiesAtTheStartBlocksNothing(t *testing.T) {
+	expectGreen(t, runWorld(t, 3, 4, func(w *world) {
+		m := w.members[0]
+		var once sync.Once
+		m.tell(func(grant, _ string) {
+			if grant == "held" {
+				once.Do(m.kill)
+			}
+		})
+		if !w.until(20*time.Second, func() bool { dead, _ := m.state(); return dead }) {
+			w.fail("the holder never got a grant")
+		}
+		w.ready()
+		w.settled()
+	}))
+}
