--- /dev/null
+++ b/internal/proxy/stopworld_test.go
@@ -0,0 +1,240 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/caller"
+	"chicoryline/internal/catalog"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+	"chicoryline/internal/platform"
+	"chicoryline/internal/pool"
+	"chicoryline/internal/position"
+	"chicoryline/internal/router"
+	"chicoryline/internal/standin/dbinstance"
+)
+
+// stopDeadline bounds each wait of a cell; no promise depends on it.
+const stopDeadline = time.Minute
+
+// stopWorld is a process's callers, router and pool before a stand-in instance.
+// Only the calls between router and pool are a fake's.
+type stopWorld struct {
+	proxy   *Proxy
+	server  *dbinstance.Server
+	watcher *stopWatcher
+	peers   *stopPeers
+	access  *stopAccess
+	address string
+	heal    []func()
+	conns   []*pgconn.PgConn
+}
+
+func newStopWorld() (*stopWorld, error) {
+	server, err := dbinstance.Start(dbinstance.Config{ID: "db1", Group: "g", Listen: "127.0.0.1:0", InitialPrimary: true, User: "u", Password: "p"})
+	if err != nil {
+		return nil, err
+	}
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	discard := logrus.New()
+	discard.SetOutput(io.Discard)
+	log := logrus.NewEntry(discard)
+	w := &stopWorld{server: server, watcher: &stopWatcher{}, access: &stopAccess{}, address: listener.Addr().String()}
+	w.watcher.hold.Store(make(chan struct{}))
+	manager := pool.NewManager(log, noEvents{})
+	manager.SetOwner("db1", pool.NewOwner(pool.OwnerConfig{
+		Instance: platform.Instance{ID: "db1", Address: server.Addr()}, Group: platform.Group{Name: "g", Slots: 4},
+		Watcher: w.watcher, Credentials: pool.Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
+		Dial: (&net.Dialer{}).DialContext, Log: log,
+	}, 4))
+	service := pool.NewService(manager)
+	w.peers = &stopPeers{local: &peer.WithLocal{Address: "owner:1", Methods: map[string]peer.Method{
+		"Pool.Execute": peer.Typed(service.Execute), "Pool.Fetch": peer.Typed(service.Fetch), "Pool.Abort": peer.Typed(service.Abort),
+	}}}
+	r := router.New(router.Config{Topology: w.peers, Liveness: w.peers, Peers: w.peers, Rand: rand.New(rand.NewPCG(1, 2)), RetryWindow: stopDeadline})
+	callers := caller.NewServer(listener, caller.Config{
+		VM: "vm", Incarnation: 1, Access: func() caller.Access { return w.access }, Limiter: noLimit{}, Router: r, Observer: noEvents{}, Log: log,
+	})
+	w.proxy = &Proxy{pool: manager, callers: callers, router: r, log: log}
+	go callers.Serve()
+	_, _, err = server.Store().Run(context.Background(), "CREATE TABLE w (k bigint, v text)")
+	return w, err
+}
+
+func (w *stopWorld) close() {
+	for _, c := range w.conns {
+		_ = c.Conn().Close()
+	}
+	w.proxy.callers.Close()
+	w.proxy.router.Close()
+	w.proxy.pool.Close()
+	w.server.Close()
+}
+
+func (w *stopWorld) connect() (*pgconn.PgConn, error) {
+	config, err := pgconn.ParseConfig("postgres://c1:key-of-c1-0001@" + w.address + "/r?sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), stopDeadline)
+	defer cancel()
+	c, err := pgconn.ConnectConfig(ctx, config)
+	if err == nil {
+		w.conns = append(w.conns, c)
+	}
+	return c, err
+}
+
+func exec(c *pgconn.PgConn, sql string) error {
+	ctx, cancel := context.WithTimeout(context.Background(), stopDeadline)
+	defer cancel()
+	_, err := c.Exec(ctx, sql).ReadAll()
+	return err
+}
+
+// rows counts the rows of one writer at the instance.
+func (w *stopWorld) rows(writer string) (int, error) {
+	results, _, err := w.server.Store().Run(context.Background(), "SELECT k FROM w WHERE v = '"+writer+"'")
+	if err != nil {
+		return 0, err
+	}
+	return len(results[0].Rows), nil
+}
+
+// stopWatcher is the group's watcher; hold keeps confirmations back.
+type stopWatcher struct {
+	hold     atomic.Value // chan struct{}
+	held     atomic.Int64
+	replaced atomic.Bool
+	refuse   atomic.Bool
+	age      atomic.Int64
+}
+
+func (s *stopWatcher) Primary() (string, uint64, bool) {
+	if s.replaced.Load() {
+		return "db2", 2, true
+	}
+	return "db1", 1, true
+}
+
+func (s *stopWatcher) ReadIndex(context.Context) (position.Position, error) {
+	return position.Position{Term: 1, Offset: 1}, nil
+}
+
+func (s *stopWatcher) Confirm(ctx context.Context, _ position.Position) error {
+	s.held.Add(1)
+	select {
+	case <-s.hold.Load().(chan struct{}):
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	if s.refuse.Load() {
+		return errors.New("no majority")
+	}
+	return nil
+}
+
+func (s *stopWatcher) Log(string) position.Position     { return position.Position{} }
+func (s *stopWatcher) Age(string) (time.Duration, bool) { return time.Duration(s.age.Load()), true }
+func (s *stopWatcher) Silence(string) time.Duration     { return 0 }
+
+// stopPeers passes calls on to the pool in this process. Its mutex guards fault.
+type stopPeers struct {
+	local peer.Caller
+
+	mu sync.Mutex
+	// fault, if set, is done to the next call of a request.
+	fault func(run func() error, reply *pool.ExecuteReply) error
+	// noOwners tells that the VM list has no owner.
+	noOwners bool
+}
+
+func (p *stopPeers) take() func(func() error, *pool.ExecuteReply) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	fault := p.fault
+	p.fault = nil
+	return fault
+}
+
+func (p *stopPeers) arm(fault func(run func() error, reply *pool.ExecuteReply) error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.fault = fault
+}
+
+func (p *stopPeers) Call(ctx context.Context, address, method string, args, reply any) error {
+	run := func() error { return p.local.Call(ctx, address, method, args, reply) }
+	switch method {
+	case "Pool.View":
+		*reply.(*pool.ViewReply) = pool.ViewReply{Primary: "db1", Term: 1}
+		return nil
+	case "Pool.Execute":
+		if fault := p.take(); fault != nil {
+			return fault(run, reply.(*pool.ExecuteReply))
+		}
+	}
+	return run()
+}
+
+func (p *stopPeers) Group(name string) (platform.Group, bool) {
+	return platform.Group{Name: name, Instances: []platform.Instance{{ID: "db1"}}}, true
+}
+
+func (p *stopPeers) Owners(platform.Instance) []platform.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.noOwners {
+		return nil
+	}
+	return []platform.VM{{ID: "owner", Address: "owner:1"}}
+}
+
+func (p *stopPeers) Alive(string) context.Context { return context.Background() }
+
+// stopAccess lets one key in until it is withdrawn.
+type stopAccess struct{ withdrawn atomic.Bool }
+
+func (a *stopAccess) Authorize(_, key, route string) (catalog.Customer, catalog.Route, error) {
+	if key == "" {
+		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.Unauthorized, "")
+	}
+	return a.AuthorizeKey("c1", "k", route)
+}
+
+func (a *stopAccess) MatchKey(string, string) (catalog.KeyRef, bool) { return "k", true }
+
+func (a *stopAccess) AuthorizeKey(string, catalog.KeyRef, string) (catalog.Customer, catalog.Route, error) {
+	if a.withdrawn.Load() {
+		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.Unauthorized, "")
+	}
+	return catalog.Customer{Name: "c1", Weight: 1}, catalog.Route{Name: "r", Group: "g", Mode: catalog.ReadSession}, nil
+}
+
+func (a *stopAccess) Sealer() *position.Sealer {
+	return position.NewSealer(bytes.Repeat([]byte("s"), 32), nil)
+}
+
+type noLimit struct{}
+
+func (noLimit) AdmitWait(context.Context, string, float64) error { return nil }
+
+type noEvents struct{}
+
+func (noEvents) Request(string, string, bool, bool, time.Duration, error) {}
+func (noEvents) CallerEvent(string, string, string, string)               {}
+func (noEvents) PoolEvent(string, pool.SessionID, string, string, string) {}
