Pool: a late cancel request cannot strike another session's statement

Cause: a cancel request goes out on its own connection. If its statement ended before it arrived, the pooled connection could already serve another session, whose statement was then canceled (57014). Abort had the same gap.

Change: the connection is not given back while a cancel request for it is under way, and sendCancel returns when the instance has closed that socket, which it does after it has dealt with the request. If it does not within 2 s, the pooled connection is closed.

Ruled out: a check of the session before sending alone; the request can be overtaken after any check on this side.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -3,9 +3,12 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -237,20 +240,31 @@
 	return err
 }
 
-// sendCancel asks the server to end the statement that runs on the connection.
-func (k cancelKey) sendCancel(ctx context.Context, dial func(context.Context, string, string) (net.Conn, error), address string) error {
-	socket, err := dial(ctx, "tcp", address)
+// sendCancel asks the server to end the statement that runs on the connection
+// and returns when the server has dealt with it, which it shows by closing the
+// socket. If that stays open, the connection is closed: the request may strike
+// later, when another session has it.
+func (t *cancelTarget) sendCancel(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	address := t.owner.cfg.Instance.Address
+	socket, err := t.owner.cfg.Dial(ctx, "tcp", address)
 	if err != nil {
 		return errkind.New(errkind.Unreachable, "%s: %v", address, err)
 	}
 	defer func() { _ = socket.Close() }()
 	_ = socket.SetDeadline(time.Now().Add(connectTimeout))
-	data, err := (&pgproto3.CancelRequest{ProcessID: k.pid, SecretKey: k.secret}).Encode(nil)
+	data, err := (&pgproto3.CancelRequest{ProcessID: t.key.pid, SecretKey: t.key.secret}).Encode(nil)
 	if err != nil {
 		return err
 	}
-	_, err = socket.Write(data)
-	return err
+	if _, err = socket.Write(data); err == nil {
+		_, err = socket.Read(make([]byte, 1))
+	}
+	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, syscall.ECONNRESET) {
+		_ = t.conn.net.Close()
+	}
+	return nil
 }
 
 // isReadOnlyRefusal reports whether the SQLSTATE says that the server refused a
--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -156,7 +156,9 @@
 // The statement's own goroutine then answers with the kind that fits.
 func (m *Manager) giveUp() {
 	for _, s := range m.list(func(SessionID) bool { return true }) {
-		s.keyMu.Lock()
+		if !s.keyMu.TryLock() {
+			continue // a cancel request is under way
+		}
 		if t := s.target; t != nil && t.owner.hopeless(t.write) {
 			_ = t.conn.net.Close()
 		}
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -290,13 +290,5 @@
 	if err != nil {
 		return err
 	}
-	s.keyMu.Lock()
-	target := s.target
-	s.keyMu.Unlock()
-	if target == nil {
-		return nil
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-	defer cancel()
-	return target.key.sendCancel(ctx, target.owner.cfg.Dial, target.owner.cfg.Instance.Address)
+	return s.cancelStatement()
 }
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -14,7 +14,7 @@
 
 // session is a caller's request, open transaction or unfinished answer at this
 // VM. It is listed from the request's arrival to its end. Its mutex is held
-// while one of its requests runs; cancel reads target under keyMu only.
+// while one of its requests runs; a cancel uses target under keyMu only.
 type session struct {
 	id SessionID
 	// ctx ends when the session is aborted or over.
@@ -177,14 +177,7 @@
 // A request that still waits is not sent any more.
 func (m *Manager) abort(s *session, why string) {
 	s.cancel()
-	s.keyMu.Lock()
-	target := s.target
-	s.keyMu.Unlock()
-	if target != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-		_ = target.key.sendCancel(ctx, target.owner.cfg.Dial, target.owner.cfg.Instance.Address)
-		cancel()
-	}
+	_ = s.cancelStatement()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.over() {
@@ -201,6 +194,18 @@
 	}
 }
 
+// cancelStatement asks the backend server to end the statement that runs. It
+// holds keyMu meanwhile, so that the connection is not given back before the
+// request was dealt with: it would strike the next session's statement.
+func (s *session) cancelStatement() error {
+	s.keyMu.Lock()
+	defer s.keyMu.Unlock()
+	if s.target == nil {
+		return nil
+	}
+	return s.target.sendCancel(context.Background())
+}
+
 func (s *session) setTarget(t *cancelTarget) {
 	s.keyMu.Lock()
 	s.target = t
--- a/internal/pool/session_test.go
+++ b/internal/pool/session_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"errors"
 	"strings"
 	"testing"
 	"time"
@@ -18,7 +19,10 @@
 func (f *fixture) start(args *ExecuteArgs) <-chan error {
 	result := make(chan error, 1)
 	go func() {
-		_, err := f.execute(args)
+		reply, err := f.execute(args)
+		if code := serverError(reply); err == nil && code != "" {
+			err = errors.New("SQLSTATE " + code)
+		}
 		result <- err
 	}()
 	return result
