Pool, caller: pairs of faults in the matrices

Cause: faults that strike together were not tried.

Change: every pair at every state of the charts transaction and session. Two checks of the caller's matrix were wrong and are replaced by ones as strict: the status byte is compared with the transaction's state after the request that it answers, not with that of a later moment, when a withdrawn key may have ended the transaction; and a cell's route has a name of its own, because the port of a stopped front may meanwhile belong to another cell.

--- a/internal/caller/bench_test.go
+++ b/internal/caller/bench_test.go
@@ -17,14 +17,14 @@
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	access := &fakeAccess{}
+	access := &fakeAccess{route: "r"}
 	server := NewServer(listener, Config{
 		VM: "vm", Access: func() Access { return access }, Limiter: &fakeLimiter{},
 		Router: newFakeRouter(), Observer: silent{}, Log: logrus.NewEntry(log),
 	})
 	go server.Serve()
 	defer server.Close()
-	c, err := dialClient(listener.Addr().String())
+	c, err := dialClient(listener.Addr().String(), "r")
 	if err != nil {
 		b.Fatal(err)
 	}
--- a/internal/caller/fake_test.go
+++ b/internal/caller/fake_test.go
@@ -40,8 +40,10 @@
 	rows     int
 	open     map[pool.SessionID]*fakeTx
 	executed int
-	fault    *fakeFault
-	hold     chan struct{}
+	// last is the transaction status after the last request that came.
+	last  byte
+	fault *fakeFault
+	hold  chan struct{}
 	// fetchHold holds parts after the first.
 	fetchHold chan struct{}
 }
@@ -51,7 +53,7 @@
 	failed bool
 }
 
-func newFakeRouter() *fakeRouter { return &fakeRouter{open: map[pool.SessionID]*fakeTx{}} }
+func newFakeRouter() *fakeRouter { return &fakeRouter{open: map[pool.SessionID]*fakeTx{}, last: 'I'} }
 
 func (f *fakeRouter) Execute(_ context.Context, r *router.Request) (*router.Result, error) {
 	return f.run(r, false)
@@ -74,6 +76,7 @@
 	f.await()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	defer func() { f.last = f.status(r.Session) }()
 	fault := f.fault
 	f.fault = nil
 	if fault != nil && !fault.ran {
@@ -221,6 +224,9 @@
 
 // fakeAccess lets one key in until it is withdrawn.
 type fakeAccess struct {
+	// route is the cell's own, since a port may serve another cell later.
+	route string
+
 	mu    sync.Mutex
 	fault error
 	// atConnect checks the key only when the caller connects, a naive variant.
@@ -234,6 +240,9 @@
 }
 
 func (a *fakeAccess) Authorize(_, shown, route string) (catalog.Customer, catalog.Route, error) {
+	if route != a.route {
+		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.UnknownRoute, "")
+	}
 	if shown != key {
 		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.Unauthorized, "")
 	}
@@ -248,7 +257,7 @@
 	if a.fault != nil && !a.atConnect {
 		return catalog.Customer{}, catalog.Route{}, a.fault
 	}
-	return catalog.Customer{Name: customer, Weight: 1}, catalog.Route{Name: "r", Group: "g", Mode: catalog.ReadSession}, nil
+	return catalog.Customer{Name: customer, Weight: 1}, catalog.Route{Name: a.route, Group: "g", Mode: catalog.ReadSession}, nil
 }
 
 func (a *fakeAccess) Sealer() *position.Sealer {
--- a/internal/caller/matrix_test.go
+++ b/internal/caller/matrix_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"sort"
 	"testing"
 	"time"
 
@@ -80,12 +81,17 @@
 // judge checks what the state's request promises.
 func (w *world) judge(c faultmatrix.Cell, a answer) error {
 	rows, _, executed := w.router.counts()
-	plan, fault := plans[c.State], c.Faults[0]
+	plan := plans[c.State]
+	mayEnd, mustSucceed := false, true
+	for _, f := range c.Faults {
+		mayEnd = mayEnd || ends[f]
+		mustSucceed = mustSucceed && harmless[f]
+	}
 	writes := plan.held == insert || plan.held == "COMMIT" || plan.after == insert || plan.after == "COMMIT"
 	switch {
 	case rows > 1:
 		return errors.Errorf("the write ran %d times", rows)
-	case a.broken != nil && a.code == "" && !ends[fault] && c.State != "closed":
+	case a.broken != nil && a.code == "" && !mayEnd && c.State != "closed":
 		return errors.Errorf("no answer")
 	case a.code == "" && a.broken == nil && a.tags != 1:
 		return errors.Errorf("answer without its end")
@@ -97,7 +103,7 @@
 		return errors.Errorf("reported as not run, and the row is there")
 	case a.class == errkind.Failed.String() && rows != 0:
 		return errors.Errorf("reported as without effect, and the row is there")
-	case plan.held != "" && harmless[fault] && a.code != "":
+	case plan.held != "" && mustSucceed && a.code != "":
 		return errors.Errorf("the request was taken and cut")
 	}
 	if w.withdrawnAt >= 0 && plan.held == "" && executed != w.withdrawnAt {
@@ -106,19 +112,16 @@
 	return w.judgeStatus(a)
 }
 
-// judgeStatus compares ReadyForQuery with the transaction at the instance.
+// judgeStatus compares ReadyForQuery with the transaction at the instance after
+// the request.
 func (w *world) judgeStatus(a answer) error {
 	if a.broken != nil {
 		return nil
 	}
 	w.router.mu.Lock()
 	defer w.router.mu.Unlock()
-	want := byte('I')
-	for id := range w.router.open {
-		want = w.router.status(id)
-	}
-	if a.status != want {
-		return errors.Errorf("status %c, want %c", a.status, want)
+	if a.status != w.router.last {
+		return errors.Errorf("status %c, want %c", a.status, w.router.last)
 	}
 	return nil
 }
@@ -146,7 +149,9 @@
 	for f := range callerFaults {
 		faults = append(faults, f)
 	}
+	sort.Strings(faults)
 	m.Run(faultmatrix.Singles(sessionChart, faults), runCell)
+	m.Run(faultmatrix.Pairs(sessionChart, faults), runCell)
 	t.Log(m.Summary())
 	if err := m.Err(); err != nil {
 		t.Fatal(err)
--- a/internal/caller/world_test.go
+++ b/internal/caller/world_test.go
@@ -1,9 +1,11 @@
 package caller
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -14,6 +16,9 @@
 // worldDeadline bounds each wait of a cell; no promise depends on it.
 const worldDeadline = time.Minute
 
+// worlds counts the cells, for the names of their routes.
+var worlds atomic.Int64
+
 // world is one front with a fake router and one caller that the cell follows.
 type world struct {
 	server  *Server
@@ -38,7 +43,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	w := &world{
-		address: listener.Addr().String(), router: newFakeRouter(), access: &fakeAccess{},
+		address: listener.Addr().String(), router: newFakeRouter(), access: &fakeAccess{route: fmt.Sprintf("r%d", worlds.Add(1))},
 		limiter: &fakeLimiter{refuse: make(chan error, 1)}, states: make(chan string, 256),
 		proceed: func() {}, withdrawnAt: -1,
 	}
@@ -48,7 +53,7 @@
 	})
 	w.server.trace = func(state string) { w.states <- state }
 	go w.server.Serve()
-	w.client, err = dialClient(w.address)
+	w.client, err = dialClient(w.address, w.access.route)
 	return w, err
 }
 
@@ -144,7 +149,7 @@
 			return answer{code: w.client.code, class: w.client.class, broken: err}
 		}
 	case "closed":
-		again, err := dialClient(w.address)
+		again, err := dialClient(w.address, w.access.route)
 		if err != nil {
 			return answer{broken: err}
 		}
@@ -161,6 +166,7 @@
 
 // client speaks the protocol message by message.
 type client struct {
+	route string
 	net   net.Conn
 	front *pgproto3.Frontend
 	code  string
@@ -177,13 +183,13 @@
 	broken error
 }
 
-func dialClient(address string) (*client, error) {
+func dialClient(address, route string) (*client, error) {
 	socket, err := net.Dial("tcp", address)
 	if err != nil {
 		return &client{}, err
 	}
 	_ = socket.SetDeadline(time.Now().Add(worldDeadline))
-	return &client{net: socket, front: pgproto3.NewFrontend(socket, socket)}, nil
+	return &client{route: route, net: socket, front: pgproto3.NewFrontend(socket, socket)}, nil
 }
 
 func (c *client) close() {
@@ -194,7 +200,7 @@
 
 // startup sends the startup message and waits for the request for the key.
 func (c *client) startup() error {
-	c.front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": customer, "database": "r"}})
+	c.front.Send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": customer, "database": c.route}})
 	if err := c.front.Flush(); err != nil {
 		return err
 	}
--- a/internal/pool/hard_test.go
+++ b/internal/pool/hard_test.go
@@ -103,6 +103,9 @@
 func TestAnswerCutHalfWay(t *testing.T) {
 	for _, rows := range []int{0, 1, bulkRows - 1} {
 		w := newTestWorld(t)
+		if err := w.fill(); err != nil {
+			t.Fatal(err)
+		}
 		w.server.CutNextAnswer(rows)
 		args := w.query("SELECT v FROM big")
 		args.ReadOnly = true
--- a/internal/pool/matrix_test.go
+++ b/internal/pool/matrix_test.go
@@ -1,6 +1,7 @@
 package pool
 
 import (
+	"sort"
 	"testing"
 	"time"
 
@@ -172,7 +173,9 @@
 	for f := range poolFaults {
 		faults = append(faults, f)
 	}
-	m.Run(faultmatrix.Singles(transactionChart, faults), func(c faultmatrix.Cell) error { return runCell(c) })
+	sort.Strings(faults)
+	m.Run(faultmatrix.Singles(transactionChart, faults), runCell)
+	m.Run(faultmatrix.Pairs(transactionChart, faults), runCell)
 	t.Log(m.Summary())
 	if err := m.Err(); err != nil {
 		t.Fatal(err)
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -48,18 +48,9 @@
 		return nil, err
 	}
 	w := &world{fixture: f, states: make(chan string, 256), result: make(chan outcome, 1), commits: true}
-	for _, sql := range []string{"CREATE TABLE w (k bigint, v text)", "CREATE TABLE big (k bigint PRIMARY KEY, v text)", "INSERT INTO t (k, v) VALUES (0, 'locked')"} {
-		if _, err := w.execute(w.query(sql)); err != nil {
-			return nil, err
-		}
-	}
-	for k := range bulkRows {
-		sql := fmt.Sprintf("INSERT INTO big (k, v) VALUES (%d, '%s')", k, strings.Repeat("x", bulkBytes))
-		if _, err := w.execute(w.query(sql)); err != nil {
-			return nil, err
-		}
-	}
-	return w, nil
+	setup := "CREATE TABLE w (k bigint, v text); CREATE TABLE big (k bigint PRIMARY KEY, v text); INSERT INTO t (k, v) VALUES (0, 'locked')"
+	_, _, err = f.server.Store().Run(context.Background(), setup)
+	return w, err
 }
 
 // follow lists the states of one session.
@@ -205,6 +196,9 @@
 
 // firstPart takes the first part of a long answer inside the transaction.
 func (w *world) firstPart() error {
+	if err := w.fill(); err != nil {
+		return err
+	}
 	w.commits = false
 	w.last = w.next("SELECT v FROM big")
 	reply, err := w.execute(w.last)
@@ -215,6 +209,17 @@
 	return err
 }
 
+// fill puts the rows of a long answer into the table big.
+func (w *world) fill() error {
+	for k := range bulkRows {
+		sql := fmt.Sprintf("INSERT INTO big (k, v) VALUES (%d, '%s')", k, strings.Repeat("x", bulkBytes))
+		if _, _, err := w.server.Store().Run(context.Background(), sql); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (w *world) enterConfirming(state string) error {
 	args := w.query(write)
 	if state == "confirming_open" {
--- a/internal/proxy/stopworld_test.go
+++ b/internal/proxy/stopworld_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -28,6 +29,9 @@
 // stopDeadline bounds each wait of a cell; no promise depends on it.
 const stopDeadline = time.Minute
 
+// stopWorlds counts the cells, for the names of their routes.
+var stopWorlds atomic.Int64
+
 // stopWorld is a process's callers, router and pool before a stand-in instance.
 // Only the calls between router and pool are a fake's.
 type stopWorld struct {
@@ -53,7 +57,7 @@
 	discard := logrus.New()
 	discard.SetOutput(io.Discard)
 	log := logrus.NewEntry(discard)
-	w := &stopWorld{server: server, watcher: &stopWatcher{}, access: &stopAccess{}, address: listener.Addr().String()}
+	w := &stopWorld{server: server, watcher: &stopWatcher{}, access: &stopAccess{route: fmt.Sprintf("r%d", stopWorlds.Add(1))}, address: listener.Addr().String()}
 	w.watcher.hold.Store(make(chan struct{}))
 	manager := pool.NewManager(log, noEvents{})
 	manager.SetOwner("db1", pool.NewOwner(pool.OwnerConfig{
@@ -86,7 +90,7 @@
 }
 
 func (w *stopWorld) connect() (*pgconn.PgConn, error) {
-	config, err := pgconn.ParseConfig("postgres://c1:key-of-c1-0001@" + w.address + "/r?sslmode=disable")
+	config, err := pgconn.ParseConfig("postgres://c1:key-of-c1-0001@" + w.address + "/" + w.access.route + "?sslmode=disable")
 	if err != nil {
 		return nil, err
 	}
@@ -207,9 +211,16 @@
 func (p *stopPeers) Alive(string) context.Context { return context.Background() }
 
 // stopAccess lets one key in until it is withdrawn.
-type stopAccess struct{ withdrawn atomic.Bool }
+type stopAccess struct {
+	// route is the cell's own, since a port may serve another cell later.
+	route     string
+	withdrawn atomic.Bool
+}
 
 func (a *stopAccess) Authorize(_, key, route string) (catalog.Customer, catalog.Route, error) {
+	if route != a.route {
+		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.UnknownRoute, "")
+	}
 	if key == "" {
 		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.Unauthorized, "")
 	}
@@ -222,7 +233,7 @@
 	if a.withdrawn.Load() {
 		return catalog.Customer{}, catalog.Route{}, errkind.New(errkind.Unauthorized, "")
 	}
-	return catalog.Customer{Name: "c1", Weight: 1}, catalog.Route{Name: "r", Group: "g", Mode: catalog.ReadSession}, nil
+	return catalog.Customer{Name: "c1", Weight: 1}, catalog.Route{Name: a.route, Group: "g", Mode: catalog.ReadSession}, nil
 }
 
 func (a *stopAccess) Sealer() *position.Sealer {
