--- a/internal/proxy/stopmatrix_test.go
+++ b/internal/proxy/stopmatrix_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sort"
 	"testing"
 	"time"
 
@@ -181,10 +183,13 @@
 // judgeStop checks that the stop cut nothing, that what callers were told is
 // true, and that the process takes nothing more.
 func (w *stopWorld) judgeStop(c faultmatrix.Cell, l *load) error {
-	late := c.State == "handing_over" || c.State == "stopped"
+	mustSucceed := c.State == "handing_over" || c.State == "stopped" // the load has ended
+	if !mustSucceed {
+		mustSucceed = !slices.ContainsFunc(c.Faults, func(f string) bool { return !stopHarmless[f] })
+	}
 	for writer, result := range map[string]chan error{"long": l.ended, "short": l.commit} {
 		err := <-result
-		if err != nil && (late || stopHarmless[c.Faults[0]]) {
+		if err != nil && mustSucceed {
 			return errors.Annotatef(err, "%s: the request was taken and cut", writer)
 		}
 		if err := w.judgeOutcome(writer, err); err != nil {
@@ -228,7 +233,9 @@
 	for f := range stopFaults {
 		faults = append(faults, f)
 	}
+	sort.Strings(faults)
 	m.Run(faultmatrix.Singles(chart, faults), runStopCell)
+	m.Run(faultmatrix.Pairs(chart, faults), runStopCell)
 	t.Log(m.Summary())
 	if err := m.Err(); err != nil {
 		t.Fatal(err)
