Pool: an abort can name the last request that it concerns

Cause: an entry that has lost an answer sends its abort apart from the session's next request. An abort that came late ended the transaction that had begun meanwhile; the caller was told transaction_lost, truly but without need.

Change: SessionArgs.Seq. An abort leaves a session alone that began with a later request; zero means any, as before. The router does not send it yet.

Before, after: the field is new; TestLateAbortLeavesLaterTransaction shows that an abort of the lost request leaves the next transaction open and that one of its own request ends it.

Conclusion: of use when the router fills in the field.

--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -90,6 +90,9 @@
 type SessionArgs struct {
 	Session SessionID
 	Group   string
+	// Seq, if not zero, is the last request that an abort concerns. It leaves a
+	// transaction alone that began with a later one.
+	Seq uint64
 }
 
 // Empty is the reply of a call that returns nothing.
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -32,7 +32,8 @@
 
 // Abort ends the session's open transaction and unfinished answer.
 func (s *Service) Abort(args *SessionArgs, _ *Empty) error {
-	if found, err := s.manager.find(args.Session); err == nil {
+	found, err := s.manager.find(args.Session)
+	if err == nil && (args.Seq == 0 || found.first <= args.Seq) {
 		s.manager.abort(found, "caller is gone")
 	}
 	return nil
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -17,6 +17,8 @@
 // while one of its requests runs; a cancel uses target under keyMu only.
 type session struct {
 	id SessionID
+	// first is the Seq of the request that began the session.
+	first uint64
 	// ctx ends when the session is aborted or over.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,7 +50,7 @@
 // begin makes the session of a request that is not part of an open transaction
 // and returns it locked.
 func (m *Manager) begin(ctx context.Context, args *ExecuteArgs) (*session, error) {
-	s := &session{id: args.Session, lastUse: time.Now(), chart: transactionChart.Cursor()}
+	s := &session{id: args.Session, first: args.Seq, lastUse: time.Now(), chart: transactionChart.Cursor()}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.mu.Lock()
 	if err := m.enlist(s, args.Instance); err != nil {
--- a/internal/pool/session_test.go
+++ b/internal/pool/session_test.go
@@ -115,3 +115,25 @@
 		t.Fatalf("%d sessions left", f.manager.Busy())
 	}
 }
+
+// TestLateAbortLeavesLaterTransaction lets the abort of a lost request arrive
+// when the session has begun its next transaction.
+func TestLateAbortLeavesLaterTransaction(t *testing.T) {
+	f := newFixture(t, 1)
+	lost := f.query("SELECT 1")
+	f.must(lost)
+	begin := f.query("BEGIN")
+	begin.Session, begin.Seq = lost.Session, lost.Seq+1
+	f.must(begin)
+	for _, c := range []struct {
+		seq  uint64
+		open int
+	}{{lost.Seq, 1}, {begin.Seq, 0}} {
+		if err := NewService(f.manager).Abort(&SessionArgs{Session: lost.Session, Seq: c.seq}, &Empty{}); err != nil {
+			t.Fatal(err)
+		}
+		if got := f.manager.Busy(); got != c.open {
+			t.Fatalf("abort of request %d: %d open, want %d", c.seq, got, c.open)
+		}
+	}
+}
