--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -14,9 +14,11 @@
 
 // session is a caller's request, open transaction or unfinished answer at this
 // VM. It is listed from the request's arrival to its end. Its mutex is held
-// while one of its requests runs; cancel reads target under keyMu only.
+// while one of its requests runs; a cancel uses target under keyMu only.
 type session struct {
 	id SessionID
+	// first is the Seq of the request that began the session.
+	first uint64
 	// ctx ends when the session is aborted or over.
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -48,7 +50,7 @@
 // begin makes the session of a request that is not part of an open transaction
 // and returns it locked.
 func (m *Manager) begin(ctx context.Context, args *ExecuteArgs) (*session, error) {
-	s := &session{id: args.Session, lastUse: time.Now(), chart: transactionChart.Cursor()}
+	s := &session{id: args.Session, first: args.Seq, lastUse: time.Now(), chart: transactionChart.Cursor()}
 	s.ctx, s.cancel = context.WithCancel(ctx)
 	s.mu.Lock()
 	if err := m.enlist(s, args.Instance); err != nil {
@@ -177,14 +179,7 @@
 // A request that still waits is not sent any more.
 func (m *Manager) abort(s *session, why string) {
 	s.cancel()
-	s.keyMu.Lock()
-	target := s.target
-	s.keyMu.Unlock()
-	if target != nil {
-		ctx, cancel := context.WithTimeout(context.Background(), connectTimeout)
-		_ = target.key.sendCancel(ctx, target.owner.cfg.Dial, target.owner.cfg.Instance.Address)
-		cancel()
-	}
+	_ = s.cancelStatement()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.over() {
@@ -201,6 +196,18 @@
 	}
 }
 
+// cancelStatement asks the backend server to end the statement that runs. It
+// holds keyMu meanwhile, so that the connection is not given back before the
+// request was dealt with: it would strike the next session's statement.
+func (s *session) cancelStatement() error {
+	s.keyMu.Lock()
+	defer s.keyMu.Unlock()
+	if s.target == nil {
+		return nil
+	}
+	return s.target.sendCancel(context.Background())
+}
+
 func (s *session) setTarget(t *cancelTarget) {
 	s.keyMu.Lock()
 	s.target = t
