--- a/test/history/differential_test.go
+++ b/test/history/differential_test.go
@@ -254,6 +254,7 @@
 
 func newProduct(t *testing.T) *product {
 	p := &product{site: startSite(t, 3)}
+	slowDown(p.site)
 	t.Cleanup(func() { p.leave() })
 	if _, err := connect(t, p.site, 0, group, nil).Exec(t.Context(), "CREATE TABLE diff (k bigint PRIMARY KEY, v bigint)"); err != nil {
 		t.Fatal(err)
--- a/test/history/harness_test.go
+++ b/test/history/harness_test.go
@@ -54,6 +54,17 @@
 	return s
 }
 
+// slowLag is the replication lag of the slow replica: long enough that a read
+// there right after a write misses it.
+const slowLag = 150 * time.Millisecond
+
+// slowDown makes the group's last backend server a slow replica, so that a read
+// which does not ask how far its replica has come is found out.
+func slowDown(s *site.Site) {
+	ids := s.InstanceIDs(group)
+	s.Instances[ids[len(ids)-1]].SetReplicationLag(slowLag)
+}
+
 // dial connects through the i-th proxy; a nil token is none.
 func dial(s *site.Site, proxy int, route string, token *string) (*pgx.Conn, error) {
 	config, err := pgx.ParseConfig("postgres://" + s.Proxies[proxy].CallerAddress() + "/?sslmode=disable")
--- a/test/history/linear_test.go
+++ b/test/history/linear_test.go
@@ -70,6 +70,7 @@
 func TestCurrentRouteIsLinearizable(t *testing.T) {
 	t.Parallel()
 	s := startSite(t, 4)
+	slowDown(s)
 	keys := []string{"r1", "r2", "r3"}
 	insertRows(t, s, keys...)
 	r := newRecorder()
--- a/test/history/session_test.go
+++ b/test/history/session_test.go
@@ -125,6 +125,7 @@
 func TestSessionsReadTheirWrites(t *testing.T) {
 	t.Parallel()
 	s := startSite(t, 4)
+	slowDown(s)
 	list, end := startRoamers(t, s)
 	for range failovers {
 		awaitReads(t, list)
