Linearizable test: primaries hold a tail that the failover discards

Cause: a cut of everything at once leaves the old primary almost nothing unreplicated, so an acknowledgement without a majority would seldom show.

What: the primary is first separated from its replicas alone, until it has written two entries that only it holds, and then cut off from the proxies.

--- a/test/history/linear_test.go
+++ b/test/history/linear_test.go
@@ -19,6 +19,9 @@
 	failovers = 2
 	// progress is the number of acknowledged changes between two faults.
 	progress = 30
+	// tail is the number of log entries that a primary writes before it is
+	// replaced and that only it holds.
+	tail = 2
 )
 
 // startCallers lets the callers work; the returned function ends them.
@@ -47,6 +50,19 @@
 	})
 }
 
+// awaitTail waits until the isolated primary holds entries that no other
+// backend server has.
+func awaitTail(t *testing.T, s *site.Site, old string) {
+	t.Helper()
+	begin := s.Instances[old].Store().Status().Log.Offset
+	eventually(t, "entries that only "+old+" holds", func() error {
+		if now := s.Instances[old].Store().Status().Log.Offset; now < begin+tail {
+			return fmt.Errorf("%d entries of %d", now-begin, tail)
+		}
+		return nil
+	})
+}
+
 // readAll reads every register once through every proxy.
 func readAll(t *testing.T, s *site.Site, r *recorder, keys []string) {
 	t.Helper()
@@ -63,7 +79,9 @@
 	}
 }
 
-// TestCurrentRouteIsLinearizable cuts off two primaries in a row under load.
+// TestCurrentRouteIsLinearizable replaces two primaries in a row under load.
+// Each is first separated from its replicas alone, so that it holds entries
+// that the failover discards, and then cut off from the proxies as well.
 // Whatever the callers were told must fit one order of the operations:
 // acknowledged ones in it, failed and not-run ones out of it, unknown ones
 // anywhere after they were sent.
@@ -78,7 +96,11 @@
 	t.Cleanup(end)
 	for range failovers {
 		awaitProgress(t, r)
-		old := replacePrimary(t, s)
+		old := s.Primary(group)
+		isolate(s, old)
+		awaitTail(t, s, old)
+		replacePrimary(t, s)
+		rejoin(s, old)
 		awaitProgress(t, r)
 		heal(t, s, old)
 	}
