Site: the addresses of backend servers are guarded; aborts name the request

Aborts carry the request's number, so that a late one cannot end the session's next transaction, and a crossed answer is followed by one.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -238,6 +238,7 @@
 		return nil, r.lost(pin, args, err)
 	}
 	if result.Session != request.Session || result.Seq != request.Seq {
+		r.abort(pin, request.Session, request.Seq)
 		return nil, errkind.New(errkind.OutcomeUnknown, "answer of another request")
 	}
 	return result, nil
@@ -259,7 +260,7 @@
 	if !errkind.Is(err, errkind.OutcomeUnknown) {
 		return err
 	}
-	r.Abort(pin, args.Session)
+	r.abort(pin, args.Session, args.Seq)
 	switch {
 	case args.ReadOnly:
 		return errkind.New(errkind.AnswerIncomplete, "pool owner %s did not answer", pin.VM)
@@ -293,10 +294,11 @@
 	reply := &pool.ExecuteReply{}
 	err := r.cfg.Peers.Call(ctx, pin.Address, "Pool.Fetch", &args, reply)
 	if err != nil {
-		r.Abort(pin, args.Session)
+		r.abort(pin, args.Session, args.Seq)
 		return nil, brokenAnswer(pin, err)
 	}
 	if reply.Session != args.Session || reply.Seq != args.Seq {
+		r.abort(pin, args.Session, args.Seq)
 		return nil, errkind.New(errkind.OutcomeUnknown, "answer of another request")
 	}
 	return reply, nil
@@ -312,11 +314,15 @@
 }
 
 // Abort ends the session's transaction and unfinished answer at the owner.
-func (r *Router) Abort(pin Pin, session pool.SessionID) {
+func (r *Router) Abort(pin Pin, session pool.SessionID) { r.abort(pin, session, 0) }
+
+// abort ends what the session's request of the number, or an earlier one, has
+// left at the owner; 0 stands for any.
+func (r *Router) abort(pin Pin, session pool.SessionID, seq uint64) {
 	go func() {
 		ctx, cancel := context.WithTimeout(context.Background(), controlTimeout)
 		defer cancel()
-		_ = r.cfg.Peers.Call(ctx, pin.Address, "Pool.Abort", &pool.SessionArgs{Session: session}, &pool.Empty{})
+		_ = r.cfg.Peers.Call(ctx, pin.Address, "Pool.Abort", &pool.SessionArgs{Session: session, Seq: seq}, &pool.Empty{})
 	}()
 }
 
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -157,7 +157,7 @@
 func GroupName(i int) string { return fmt.Sprintf("group%d", i+1) }
 
 func (s *Site) startInstances() error {
-	addresses := map[string]string{}
+	addresses := newAddressBook()
 	for g := range s.Spec.Groups {
 		group := platform.Group{Name: GroupName(g), Connections: s.Spec.Connections, Slots: s.Spec.Slots}
 		first := fmt.Sprintf("%s-db%d", group.Name, 1)
@@ -170,7 +170,7 @@
 			}
 			server, err := dbinstance.Start(dbinstance.Config{
 				ID: id, Group: group.Name, Domain: domain, Listen: "127.0.0.1:0",
-				Peers:          func(id string) string { return addresses[id] },
+				Peers:          addresses.get,
 				InitialPrimary: i == 0, InitialSource: source,
 				Connections: s.Spec.Connections, Slots: s.Spec.Slots, ConnectDelay: s.Spec.ConnectDelay,
 				StatementDelay: s.Spec.StatementDelay, ReplicationLag: s.Spec.ReplicationLag,
@@ -179,7 +179,7 @@
 			if err != nil {
 				return err
 			}
-			addresses[id] = server.Addr()
+			addresses.set(id, server.Addr())
 			s.Instances[id] = server
 			s.Network.Locate(server.Addr(), Place{Name: id, Domain: domain})
 			group.Instances = append(group.Instances, platform.Instance{ID: id, Address: server.Addr(), Domain: domain})
--- a/internal/site/tables.go
+++ b/internal/site/tables.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/juju/errors"
@@ -48,3 +49,23 @@
 	conn, err := pgx.Connect(ctx, url)
 	return conn, errors.Trace(err)
 }
+
+// addressBook tells backend servers where the others are. The mutex guards the map.
+type addressBook struct {
+	mu        sync.Mutex
+	addresses map[string]string
+}
+
+func newAddressBook() *addressBook { return &addressBook{addresses: map[string]string{}} }
+
+func (b *addressBook) set(id, address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.addresses[id] = address
+}
+
+func (b *addressBook) get(id string) string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.addresses[id]
+}
