--- a/test/blackbox/harness_test.go
+++ b/test/blackbox/harness_test.go
@@ -8,6 +8,7 @@
 	"bytes"
 	"context"
 	"crypto/rand"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"net"
@@ -58,6 +59,8 @@
 	instances map[string]*process
 	proxies   map[string]*process
 	callers   map[string]string
+	peers     map[string]string
+	spec      spec
 	admins    map[string]string
 }
 
@@ -164,6 +167,10 @@
 	proxies, groups, instances, domains int
 	customers                           []string
 	rate, burst                         float64
+	// settings is added to the settings file of every proxy, tls is the
+	// configuration of callers; nil connects without TLS.
+	settings string
+	tls      *tls.Config
 }
 
 // newInstallation starts all processes and waits until every proxy serves.
@@ -175,7 +182,8 @@
 	}
 	in := &installation{
 		t: t, binary: binary, dir: t.TempDir(), keys: map[string]string{},
-		instances: map[string]*process{}, proxies: map[string]*process{}, callers: map[string]string{}, admins: map[string]string{},
+		instances: map[string]*process{}, proxies: map[string]*process{}, callers: map[string]string{}, peers: map[string]string{},
+		admins: map[string]string{}, spec: s,
 	}
 	in.startInstances(s)
 	in.startPlatform()
@@ -285,13 +293,13 @@
 password = %s
 [limits]
 drain_timeout = 5s
-`, id, failureDomain, in.platform, backendPassword)
+`, id, failureDomain, in.platform, backendPassword) + in.spec.settings
 	path := filepath.Join(in.dir, id+".ini")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		in.t.Fatal(err)
 	}
 	p, said := in.start(id, "serve", "--settings", path)
-	in.proxies[id], in.callers[id] = p, said["callers"]
+	in.proxies[id], in.callers[id], in.peers[id] = p, said["callers"], said["peers"]
 }
 
 // ping writes through one proxy to nothing: it reads from every group.
@@ -322,6 +330,7 @@
 		return nil, err
 	}
 	config.User, config.Password, config.Database = customer, in.keys[customer], route
+	config.TLSConfig = in.spec.tls
 	if token != "" {
 		config.RuntimeParams["chicoryline.session"] = token
 	}
