--- /dev/null
+++ b/test/history/dirty_test.go
@@ -0,0 +1,40 @@
+package history
+
+import (
+	"context"
+	"sync"
+	"testing"
+
+	"github.com/anishathalye/porcupine"
+)
+
+// TestUnconfirmedValueIsNotRead reads a value that only the separated primary
+// holds, then replaces the primary. A read that returned the value must not be
+// followed by one that returns the older value.
+func TestUnconfirmedValueIsNotRead(t *testing.T) {
+	t.Parallel()
+	s := startSite(t, 2)
+	insertRows(t, s, "dirty")
+	r := newRecorder()
+	old := s.Primary(group)
+	isolate(s, old)
+	begin := s.Instances[old].Store().Status().Log.Offset
+	var writing sync.WaitGroup
+	writer, reader := connect(t, s, 0, group, nil), connect(t, s, 1, group, nil)
+	in := input{key: "dirty", op: write, value: naiveValue}
+	writing.Go(func() {
+		sent := r.now()
+		_, err := perform(context.Background(), writer, in)
+		r.record(0, in, output{}, sent, err)
+	})
+	awaitOffset(t, s, old, begin+1)
+	sent := r.now()
+	out, err := perform(t.Context(), reader, input{key: "dirty"})
+	r.record(1, input{key: "dirty"}, out, sent, err)
+	replacePrimary(t, s)
+	writing.Wait()
+	finalRead(t, s, r, "dirty")
+	if v := judge(r.all()); v.result != porcupine.Ok {
+		t.Errorf("seed=%d result=%s line=%q", naiveSeed, v.result, v.line)
+	}
+}
--- a/test/history/linear_test.go
+++ b/test/history/linear_test.go
@@ -54,10 +54,15 @@
 // backend server has.
 func awaitTail(t *testing.T, s *site.Site, old string) {
 	t.Helper()
-	begin := s.Instances[old].Store().Status().Log.Offset
-	eventually(t, "entries that only "+old+" holds", func() error {
-		if now := s.Instances[old].Store().Status().Log.Offset; now < begin+tail {
-			return fmt.Errorf("%d entries of %d", now-begin, tail)
+	awaitOffset(t, s, old, s.Instances[old].Store().Status().Log.Offset+tail)
+}
+
+// awaitOffset waits until the backend server's log has reached the offset.
+func awaitOffset(t *testing.T, s *site.Site, id string, least uint64) {
+	t.Helper()
+	eventually(t, "log of "+id, func() error {
+		if now := s.Instances[id].Store().Status().Log.Offset; now < least {
+			return fmt.Errorf("offset %d, not %d", now, least)
 		}
 		return nil
 	})
@@ -111,5 +116,6 @@
 	t.Logf("seed=%d %s refused=%v", linearSeed, summary(history), r.refusals())
 	if v := judge(history); v.result != porcupine.Ok {
 		t.Errorf("seed=%d result=%s line=%q", linearSeed, v.result, v.line)
+		show(t, v, history)
 	}
 }
--- a/test/history/register_test.go
+++ b/test/history/register_test.go
@@ -118,6 +118,9 @@
 	result porcupine.CheckResult
 	// line is the first answer that cannot be explained.
 	line string
+	// key and at are the register and the time of that answer.
+	key string
+	at  int64
 }
 
 // judge checks the history, and on a violation looks for the first answer, in
@@ -141,7 +144,7 @@
 		return verdict{result: result, line: "no single answer"}
 	}
 	o := returns[first]
-	return verdict{result: result, line: fmt.Sprintf("caller=%d sent_us=%d answered_us=%d %s", o.ClientId,
+	return verdict{result: result, key: o.Input.(input).key, at: o.Return, line: fmt.Sprintf("caller=%d sent_us=%d answered_us=%d %s", o.ClientId,
 		time.Duration(o.Call).Microseconds(), time.Duration(o.Return).Microseconds(), describe(o.Input, o.Output))}
 }
 
--- a/test/history/summary_test.go
+++ b/test/history/summary_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"sort"
+	"testing"
+	"time"
 
 	"github.com/anishathalye/porcupine"
 )
@@ -21,3 +24,20 @@
 	}
 	return fmt.Sprintf("reads=%d acknowledged=%d unknown=%d", reads, acknowledged, unknown)
 }
+
+// shownOperations is the number of operations that a report shows.
+const shownOperations = 40
+
+// show logs the operations on the verdict's register up to its line.
+func show(t *testing.T, v verdict, history []porcupine.Operation) {
+	var part []porcupine.Operation
+	for _, o := range history {
+		if o.Input.(input).key == v.key && o.Call <= v.at {
+			part = append(part, o)
+		}
+	}
+	sort.Slice(part, func(a, b int) bool { return part[a].Call < part[b].Call })
+	for _, o := range part[max(0, len(part)-shownOperations):] {
+		t.Logf("caller=%d sent_us=%d took_us=%d %s", o.ClientId, time.Duration(o.Call).Microseconds(), time.Duration(o.Return-o.Call).Microseconds(), describe(o.Input, o.Output))
+	}
+}
