Answers of the primary wait until a majority has what they show; refusals keep their kind

Two faults found by recorded histories and the differential test.

Cause: the read index proves who leads, not that what was read is confirmed; an UPDATE that touched no row was not proved at all. Now the round begins after the statement has run, and the answer waits until a majority has the log up to the position that the round found. Ruled out: confirming the position of the round that runs beside the statement, which may be older than what the statement saw.

Cause: the session's context had ended before the kind was taken from it. Now it is taken before; TestRefusalKeepsItsKind.

--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -144,5 +144,6 @@
 func (f *fixture) continued(args *ExecuteArgs, sql string) *ExecuteArgs {
 	next := f.query(sql)
 	next.Session, next.Seq, next.Continue = args.Session, args.Seq+1, true
+	next.MayCommit = sql != "ROLLBACK"
 	return next
 }
--- a/internal/pool/manager.go
+++ b/internal/pool/manager.go
@@ -7,7 +7,6 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/position"
 )
 
 const (
@@ -49,11 +48,6 @@
 	draining bool
 }
 
-type indexResult struct {
-	position position.Position
-	err      error
-}
-
 // NewManager returns a manager without owners.
 func NewManager(log *logrus.Entry, observer Observer) *Manager {
 	m := &Manager{
--- a/internal/pool/service.go
+++ b/internal/pool/service.go
@@ -77,8 +77,9 @@
 func (m *Manager) run(s *session, args *ExecuteArgs, reply *ExecuteReply) error {
 	if err := m.prepare(s, args, reply); err != nil {
 		s.freeSlot()
+		err = s.refused(err) // before the session ends, which ends its context
 		m.fire(s, s.refusal())
-		return s.refused(err)
+		return err
 	}
 	s.args, s.part = args, 0
 	s.conn.position = position.Position{}
@@ -107,22 +108,15 @@
 }
 
 // prepareRead brings about that a request for current data sees all that was
-// acknowledged before it arrived. At the primary the read index is learned
-// while the request runs; at a replica it must be known and reached before.
+// acknowledged before it arrived. At the primary that is proved after the request
+// has run; at a replica the read index must be known and reached before.
 func (m *Manager) prepareRead(ctx context.Context, s *session, args *ExecuteArgs, reply *ExecuteReply) error {
-	s.index = nil
-	if args.Write && !args.Current {
+	if args.Write {
 		return nil
 	}
-	primary, _, ok := s.owner.cfg.Watcher.Primary()
-	atPrimary := ok && primary == s.owner.cfg.Instance.ID
 	if !args.Current {
 		return s.owner.reach(ctx, s.conn, args.Min)
 	}
-	if atPrimary {
-		s.index = readIndex(ctx, s.owner.cfg.Watcher)
-		return nil
-	}
 	at, err := s.owner.cfg.Watcher.ReadIndex(ctx)
 	if err != nil {
 		return err
@@ -134,17 +128,8 @@
 	return s.owner.reach(ctx, s.conn, at)
 }
 
-func readIndex(ctx context.Context, w GroupWatcher) <-chan indexResult {
-	result := make(chan indexResult, 1)
-	go func() {
-		p, err := w.ReadIndex(ctx)
-		result <- indexResult{position: p, err: err}
-	}()
-	return result
-}
-
 // receive reads the next part of the answer and, at its end, settles the
-// request: the commit's confirmation, the read index, the connection's fate.
+// request: the proof of what it answers, the connection's fate.
 func (m *Manager) receive(s *session, reply *ExecuteReply) error {
 	answer, err := s.exchange.receive(nil)
 	s.lastUse = time.Now()
@@ -162,7 +147,7 @@
 }
 
 func (m *Manager) settle(s *session, reply *ExecuteReply) error {
-	x, args, committed, index := s.exchange, s.args, s.conn.position, s.index
+	x, args, committed := s.exchange, s.args, s.conn.position
 	s.exchange = nil
 	s.freeSlot()
 	s.setTarget(nil)
@@ -175,12 +160,12 @@
 		m.fire(s, "aborted")
 		return refusedWrite(args)
 	}
-	if committed.IsZero() && index == nil {
+	if committed.IsZero() && !showsState(args, idle) {
 		m.fire(s, answered(idle))
 		return nil
 	}
 	m.fire(s, held(idle))
-	err := m.prove(s, committed, index, reply)
+	err := m.prove(s, committed, reply)
 	if err != nil {
 		m.fire(s, "unconfirmed")
 		return err
@@ -203,11 +188,18 @@
 	return "held_open"
 }
 
-// prove holds the answer back until a majority has the commit, or until it is
-// sure that the primary still led after the request arrived.
-func (m *Manager) prove(s *session, committed position.Position, index <-chan indexResult, reply *ExecuteReply) error {
+// showsState reports whether the answer of a request without a commit of its own
+// tells what the primary holds: a read of current data, or a change that touched
+// nothing.
+func showsState(args *ExecuteArgs, idle bool) bool {
+	return args.Write && (args.Current || idle && args.MayCommit)
+}
+
+// prove holds the answer back until a majority has the commit, or all that the
+// answer shows.
+func (m *Manager) prove(s *session, committed position.Position, reply *ExecuteReply) error {
 	if committed.IsZero() {
-		return awaitIndex(index, reply)
+		return m.proveShown(s, reply)
 	}
 	return m.confirm(s, committed, reply)
 }
@@ -233,18 +225,22 @@
 	return nil
 }
 
-// awaitIndex holds an answer of the primary back until it is proved that the
-// primary still led after the request arrived. Without the proof the answer is
-// dropped: it may be that of a replaced primary.
-func awaitIndex(index <-chan indexResult, reply *ExecuteReply) error {
-	if index == nil {
-		return nil
+// proveShown holds an answer of the primary back until a round that began after
+// it has proved the primary, and a majority has the log up to the position that
+// the round found. Without the first the answer may be that of a replaced
+// primary; without the second it may show a commit that a failover discards.
+func (m *Manager) proveShown(s *session, reply *ExecuteReply) error {
+	ctx, cancel := context.WithTimeout(s.ctx, confirmTimeout)
+	defer cancel()
+	watcher := s.owner.cfg.Watcher
+	at, err := watcher.ReadIndex(ctx)
+	if err == nil {
+		err = watcher.Confirm(ctx, at)
 	}
-	result := <-index
-	if result.err != nil {
-		return errkind.New(errkind.AnswerIncomplete, "the primary's leadership was not proved")
+	if err != nil {
+		return errkind.New(errkind.AnswerIncomplete, "what the primary showed was not proved")
 	}
-	reply.Position = result.position
+	reply.Position = at
 	return nil
 }
 
--- a/internal/pool/session.go
+++ b/internal/pool/session.go
@@ -29,7 +29,6 @@
 	conn     *conn
 	exchange *exchange
 	args     *ExecuteArgs
-	index    <-chan indexResult
 	part     int
 	release  func() // place in the connection queue
 	slot     func() // execution slot
--- a/internal/pool/session_test.go
+++ b/internal/pool/session_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
 )
 
 // follow returns a channel of the states that sessions enter from now on.
@@ -137,3 +138,15 @@
 		}
 	}
 }
+
+// TestRefusalKeepsItsKind asks a replica that is behind: the entry must learn
+// that it is not eligible, so that it goes elsewhere.
+func TestRefusalKeepsItsKind(t *testing.T) {
+	f := newFixture(t, 1)
+	args := f.query("SELECT v FROM t")
+	args.Write, args.ReadOnly, args.MaxAge = false, true, time.Minute
+	args.Min = position.Position{Term: 99}
+	if _, err := f.execute(args); !errkind.Is(err, errkind.NotEligible) {
+		t.Fatalf("%v, want not eligible", err)
+	}
+}
--- a/internal/pool/world_test.go
+++ b/internal/pool/world_test.go
@@ -373,7 +373,10 @@
 		return nil
 	default:
 	}
+	// The probe looks for mixed answers, so leadership and majority are healed:
+	// without them no answer of the primary is let out at all.
 	w.watcher.setPrimary("db1")
+	w.watcher.refuse.Store(false)
 	manager := NewManager(w.manager.log, silent{})
 	defer manager.Close()
 	manager.SetOwner("db1", w.owner)
