Recorded histories: the isolated primary's tail is written by the test

Cause: since reads wait for a majority, all six callers end up in reads that cannot be proved, and no write lengthens the tail (goroutine dump: six in proveShown); the test waited 96 s in vain. Ruled out: a stuck wait, each ends after 5 s. The callers' own operations and the judgement stay as they were.

--- a/test/history/linear_test.go
+++ b/test/history/linear_test.go
@@ -50,11 +50,23 @@
 	})
 }
 
-// awaitTail waits until the isolated primary holds entries that no other
-// backend server has.
+// awaitTail brings about that the isolated primary holds entries that no other
+// backend server has. It writes them itself: the callers' reads wait until a
+// majority has what they would show, so soon no caller writes any more.
 func awaitTail(t *testing.T, s *site.Site, old string) {
 	t.Helper()
-	awaitOffset(t, s, old, s.Instances[old].Store().Status().Log.Offset+tail)
+	least := s.Instances[old].Store().Status().Log.Offset + tail
+	conn, err := s.ConnectInstance(t.Context(), old)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close(t.Context()) }()
+	for i := range tail {
+		if _, err := conn.Exec(t.Context(), "INSERT INTO bookings (id, customer, session, n) VALUES ($1, 'tail', 'tail', $2)", fmt.Sprintf("tail-%s-%d", old, i), int64(i)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitOffset(t, s, old, least)
 }
 
 // awaitOffset waits until the backend server's log has reached the offset.
