--- a/cmd/chicoryline/operator.go
+++ b/cmd/chicoryline/operator.go
@@ -46,6 +46,18 @@
 	return platform.NewClient(urls, platform.VM{ID: "operator"})
 }
 
+// run connects to the platform and does the command's work there.
+func (f *platformFlags) run(do func(ctx context.Context, services *platform.Client) error) error {
+	services, err := f.connect()
+	if err != nil {
+		return err
+	}
+	defer services.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
+	defer cancel()
+	return do(ctx, services)
+}
+
 // patchCommand submits a patch.
 type patchCommand struct {
 	platformFlags
@@ -59,25 +71,21 @@
 
 // Execute implements flags.Commander.
 func (c *patchCommand) Execute([]string) error {
-	services, err := c.connect()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	if c.Ask {
-		result, err := configsync.Ask(ctx, services, c.ID)
+	return c.run(func(ctx context.Context, services *platform.Client) error {
+		if c.Ask {
+			result, err := configsync.Ask(ctx, services, c.ID)
+			return printResult(result, err)
+		}
+		data, err := os.ReadFile(c.Args.File)
+		if err != nil {
+			return errors.Annotate(err, "patch")
+		}
+		if c.ID == "" {
+			c.ID = newID()
+		}
+		result, err := configsync.Submit(ctx, services, c.Base, data, c.ID)
 		return printResult(result, err)
-	}
-	data, err := os.ReadFile(c.Args.File)
-	if err != nil {
-		return errors.Annotate(err, "patch")
-	}
-	if c.ID == "" {
-		c.ID = newID()
-	}
-	result, err := configsync.Submit(ctx, services, c.Base, data, c.ID)
-	return printResult(result, err)
+	})
 }
 
 func printResult(result configsync.Result, err error) error {
@@ -102,38 +110,30 @@
 
 // Execute implements flags.Commander.
 func (c *configShowCommand) Execute([]string) error {
-	services, err := c.connect()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	doc, err := configsync.Show(ctx, services)
-	if err != nil {
-		return err
-	}
-	fmt.Printf("; version = %d\n%s", doc.Version, catalog.Encode(doc))
-	return nil
+	return c.run(func(ctx context.Context, services *platform.Client) error {
+		doc, err := configsync.Show(ctx, services)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("; version = %d\n%s", doc.Version, catalog.Encode(doc))
+		return nil
+	})
 }
 
 type configHistoryCommand struct{ platformFlags }
 
 // Execute implements flags.Commander.
 func (c *configHistoryCommand) Execute([]string) error {
-	services, err := c.connect()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	entries, err := configsync.History(ctx, services)
-	if err != nil {
-		return err
-	}
-	for _, e := range entries {
-		fmt.Println(e)
-	}
-	return nil
+	return c.run(func(ctx context.Context, services *platform.Client) error {
+		entries, err := configsync.History(ctx, services)
+		if err != nil {
+			return err
+		}
+		for _, e := range entries {
+			fmt.Println(e)
+		}
+		return nil
+	})
 }
 
 type configReleaseCommand struct {
@@ -145,15 +145,11 @@
 
 // Execute implements flags.Commander.
 func (c *configReleaseCommand) Execute([]string) error {
-	services, err := c.connect()
-	if err != nil {
+	return c.run(func(ctx context.Context, services *platform.Client) error {
+		released, err := configsync.Release(ctx, services, c.Args.Domain)
+		fmt.Printf("released=%s\n", strings.Join(released, ","))
 		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	released, err := configsync.Release(ctx, services, c.Args.Domain)
-	fmt.Printf("released=%s\n", strings.Join(released, ","))
-	return err
+	})
 }
 
 // keyCommand makes and withdraws customers' keys.
@@ -185,19 +181,15 @@
 
 // Execute implements flags.Commander.
 func (c *keyWithdrawCommand) Execute([]string) error {
-	services, err := c.connect()
-	if err != nil {
-		return err
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
-	defer cancel()
-	doc, err := configsync.Show(ctx, services)
-	if err != nil {
-		return err
-	}
-	patch := fmt.Sprintf("[customer %s]\nkey.%s = withdrawn\n", c.Customer, c.Name)
-	result, err := configsync.Submit(ctx, services, doc.Version, []byte(patch), newID())
-	return printResult(result, err)
+	return c.run(func(ctx context.Context, services *platform.Client) error {
+		doc, err := configsync.Show(ctx, services)
+		if err != nil {
+			return err
+		}
+		patch := fmt.Sprintf("[customer %s]\nkey.%s = withdrawn\n", c.Customer, c.Name)
+		result, err := configsync.Submit(ctx, services, doc.Version, []byte(patch), newID())
+		return printResult(result, err)
+	})
 }
 
 // fleetFlags reach the processes of the fleet.
--- a/internal/catalog/parse.go
+++ b/internal/catalog/parse.go
@@ -1,13 +1,11 @@
 package catalog
 
 import (
-	"bytes"
 	"regexp"
 	"strings"
 
-	"gopkg.in/ini.v1"
-
 	"chicoryline/internal/errkind"
+	"chicoryline/internal/inifile"
 )
 
 // MaxPatchBytes bounds a patch and an encoded document.
@@ -81,41 +79,20 @@
 	return &Patch{sections: sections}, nil
 }
 
-func loadOptions() ini.LoadOptions {
-	return ini.LoadOptions{
-		IgnoreContinuation:      true,
-		IgnoreInlineComment:     true,
-		KeyValueDelimiters:      "=",
-		ChildSectionDelimiter:   "\x00",
-		PreserveSurroundedQuote: true,
-	}
-}
-
-// parseSections reads the file's sections. The INI library gives no line
-// numbers and merges repeated sections and keys, so a scan of the lines finds
-// both beforehand.
+// parseSections reads the file's sections.
 func parseSections(data []byte) ([]section, error) {
 	if len(data) > MaxPatchBytes {
 		return nil, errkind.New(errkind.InvalidPatch, "longer than %d bytes", MaxPatchBytes)
 	}
-	index, faults := scanLines(data)
-	if err := faults.err(); err != nil {
+	loaded, faults := inifile.Parse(data)
+	if err := faults.Err(errkind.InvalidPatch); err != nil {
 		return nil, err
 	}
-	file, err := ini.LoadSources(loadOptions(), data)
-	if err != nil {
-		return nil, errkind.New(errkind.InvalidPatch, "%v", err)
-	}
 	var sections []section
-	for _, loaded := range file.Sections() {
-		title := loaded.Name()
-		if title == ini.DefaultSection && len(loaded.Keys()) == 0 {
-			continue
-		}
-		s := newSection(title, index[lineKey{section: title}])
-		for _, key := range loaded.Keys() {
-			line := index[lineKey{section: title, key: key.Name()}]
-			s.entries = append(s.entries, entry{key: key.Name(), value: key.Value(), line: line})
+	for _, l := range loaded {
+		s := newSection(l.Title, l.Line)
+		for _, k := range l.Keys {
+			s.entries = append(s.entries, entry{key: k.Name, value: k.Value, line: k.Line})
 		}
 		sections = append(sections, s)
 	}
@@ -126,42 +103,3 @@
 	kind, name, _ := strings.Cut(title, " ")
 	return section{kind: kind, name: strings.TrimSpace(name), line: line}
 }
-
-type lineKey struct{ section, key string }
-
-// scanLines maps sections and keys to their lines and reports repeated ones,
-// keys before the first section and quoted values that could span lines.
-func scanLines(data []byte) (map[lineKey]int, faultList) {
-	index := map[lineKey]int{}
-	var faults faultList
-	title := ""
-	for i, raw := range bytes.Split(data, []byte("\n")) {
-		text := strings.TrimSpace(string(raw))
-		if text == "" || text[0] == '#' || text[0] == ';' {
-			continue
-		}
-		found := entry{line: i + 1}
-		if text[0] == '[' {
-			title = strings.TrimSpace(text[1:max(1, strings.LastIndexByte(text, ']'))])
-		} else {
-			key, value, _ := strings.Cut(text, "=")
-			found.key, found.value = strings.TrimSpace(key), strings.TrimSpace(value)
-		}
-		checkLine(title, found, index, &faults)
-		index[lineKey{title, found.key}] = found.line
-	}
-	return index, faults
-}
-
-func checkLine(title string, found entry, index map[lineKey]int, faults *faultList) {
-	s := newSection(title, found.line)
-	if first, twice := index[lineKey{title, found.key}]; twice {
-		faults.add(s, found, "already given in line %d", first)
-	}
-	if title == "" {
-		faults.add(s, found, "stands in no section")
-	}
-	if strings.HasPrefix(found.value, "`") || strings.HasPrefix(found.value, `"`) || strings.HasPrefix(found.key, `"`) || strings.HasPrefix(found.key, "`") {
-		faults.add(s, found, "quotes are not allowed")
-	}
-}
