--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -184,8 +184,11 @@
 			return events
 		case <-timer.C:
 		}
-		err := step.do()
-		fmt.Fprintf(o.Out, "fault=%s error=%v\n", step.what, err)
+		line := "fault=" + step.what
+		if err := step.do(); err != nil {
+			line += fmt.Sprintf(" error=%q", err)
+		}
+		fmt.Fprintln(o.Out, line)
 	}
 	return events
 }
