--- a/cmd/chicoryline/operator.go
+++ b/cmd/chicoryline/operator.go
@@ -130,7 +130,7 @@
 			return err
 		}
 		for _, e := range entries {
-			fmt.Println(e)
+			fmt.Printf("patch=%s state=%s version=%d object=%s reason=%q\n", e.Patch, e.State, e.Version, e.Object, e.Reason)
 		}
 		return nil
 	})
