--- a/internal/voters/keeper.go
+++ b/internal/voters/keeper.go
@@ -44,7 +44,7 @@
 }
 
 // Keeper reads the list and takes part in its changes. One goroutine owns it
-// but for list, which is read anywhere, and seen, which the mutex guards.
+// but for list, which is read anywhere, and started, which the mutex guards.
 type Keeper struct {
 	cfg  Config
 	list atomic.Pointer[List]
