The queue_timeout setting reaches the pool owners

Cause: the caller front held the setting but its requests left it out, so every pool owner used its own default of 2 s whatever the file said. Ruled out: the owner, which honours the argument (the pool's tests set it). The default of the setting is the same 2 s, so only files that set it see a change.

--- a/internal/caller/execute.go
+++ b/internal/caller/execute.go
@@ -157,6 +157,7 @@
 		ReadOnly:     c.readOnlyTx || b.any(isReadOnlyBegin),
 		MaxAge:       c.session.acceptedAge(route),
 		Min:          c.session.seen[route.Group],
+		QueueTimeout: c.server.cfg.QueueTimeout,
 		MayCommit:    c.status() == 'I' || b.any(mayCommit),
 		ResetAfter:   b.any(leavesState),
 		Messages:     b.messages,
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -30,6 +30,9 @@
 	Current  bool
 	Min      position.Position
 	MaxAge   time.Duration
+	// QueueTimeout is the admission deadline at the pool owner, counted from the
+	// request's arrival there; 0 takes the owner's default.
+	QueueTimeout time.Duration
 	// MayCommit marks a request that can commit.
 	MayCommit  bool
 	ResetAfter bool
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -278,7 +278,8 @@
 		ReadOnly: request.ReadOnly || !pin.Primary,
 		Current:  request.Read && (pin.Primary || request.Current),
 		Min:      request.Min, MaxAge: request.MaxAge,
-		Continue: inside, MayCommit: request.MayCommit, ResetAfter: request.ResetAfter,
+		QueueTimeout: request.QueueTimeout,
+		Continue:     inside, MayCommit: request.MayCommit, ResetAfter: request.ResetAfter,
 		Messages: request.Messages, Statements: request.Statements,
 	}
 	if !pin.Primary && inside {
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -178,3 +178,14 @@
 		}
 	}
 }
+
+// TestQueueTimeoutReachesTheOwner follows the operator's admission deadline to
+// the pool owner, outside and inside of a transaction.
+func TestQueueTimeoutReachesTheOwner(t *testing.T) {
+	request := &Request{Group: "g", QueueTimeout: 123 * time.Millisecond}
+	for _, inside := range []bool{false, true} {
+		if got := executeArgs(request, Pin{}, inside).QueueTimeout; got != request.QueueTimeout {
+			t.Errorf("inside %t: %s, want %s", inside, got, request.QueueTimeout)
+		}
+	}
+}
