--- a/cmd/chicoryline/commands.go
+++ b/cmd/chicoryline/commands.go
@@ -4,6 +4,7 @@
 func commands() []command {
 	return []command{
 		{"serve", "run one proxy process", "Runs one proxy process until SIGINT or SIGTERM, which begin a planned stop.", &serveCommand{}},
+		{"entry", "run one process on the users' platform", "Serves callers on the users' platform. The settings file is the one that the environment names; SIGINT or SIGTERM begin a planned stop.", &entryCommand{}},
 		{"check", "check a settings file", "Checks a settings file whole and reports every fault with section, key and line.", &checkCommand{}},
 		{"patch", "submit a patch of the configuration", "Submits a patch that is based on a numbered version. It ends in force, refused or unknown.", &patchCommand{}},
 		{"config", "show or release the configuration", "Shows the configuration in force or its history, or releases a failure domain.", &configCommand{}},
--- /dev/null
+++ b/internal/connset/align.go
@@ -0,0 +1,150 @@
+package connset
+
+import (
+	"encoding/hex"
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+// maxPrepared bounds the prepared statements of one connection; more are dropped
+// by a reset.
+const maxPrepared = 256
+
+// Prepared is a prepared statement. Its name at backend servers follows from what
+// it does, so that connections share it and callers' names never collide.
+type Prepared struct {
+	Shape    string
+	ReadOnly bool
+	Name     string
+}
+
+// NewPrepared returns the prepared statement of the shape.
+func NewPrepared(shape string, readOnly bool) *Prepared {
+	kind := "w"
+	if readOnly {
+		kind = "r"
+	}
+	h := xxhash.Sum64String(shape)
+	sum := []byte{byte(h >> 56), byte(h >> 48), byte(h >> 40), byte(h >> 32), byte(h >> 24), byte(h >> 16), byte(h >> 8), byte(h)}
+	return &Prepared{Shape: shape, ReadOnly: readOnly, Name: kind + hex.EncodeToString(sum)}
+}
+
+// key identifies a prepared statement on a connection. The shape is part of it,
+// so a collision of names shows as a new preparation.
+func (p *Prepared) key() string { return p.Name + " " + p.Shape }
+
+// Needs is what the server's session must hold for a statement.
+type Needs struct {
+	Values   map[string]string
+	Prepared *Prepared
+}
+
+// setup returns the commands that bring the server's session to what is needed.
+func (c *Conn) setup(n Needs, texts Texts) []statement.Command {
+	var commands []statement.Command
+	if c.dirty || c.hasOthers(n.Values) || len(c.prepared) >= maxPrepared {
+		commands = append(commands, statement.Command{Text: texts.Reset()})
+		clear(c.values)
+		clear(c.prepared)
+		c.dirty = false
+	}
+	for name, value := range n.Values {
+		if have, ok := c.values[name]; !ok || have != value {
+			commands = append(commands, statement.Command{Text: texts.Set(name, value)})
+		}
+	}
+	if p := n.Prepared; p != nil {
+		if _, ok := c.prepared[p.key()]; !ok {
+			commands = append(commands, statement.Command{Text: texts.Prepare(p.Name, p.Shape, p.ReadOnly)})
+		}
+	}
+	return commands
+}
+
+// hasOthers reports whether the server's session holds a value that is not among
+// those wanted; only a reset takes a value away.
+func (c *Conn) hasOthers(wanted map[string]string) bool {
+	for name := range c.values {
+		if _, ok := wanted[name]; !ok {
+			return true
+		}
+	}
+	return false
+}
+
+// Align brings the server's session to what is needed and, if begin is set, sends
+// it as the last command. It returns begin's answer. After an error the connection
+// has to be discarded; nothing of the caller has run.
+func (c *Conn) Align(n Needs, texts Texts, begin *statement.Command, wait time.Duration) (statement.Result, error) {
+	if err := c.drain(wait); err != nil {
+		return statement.Result{}, err
+	}
+	commands := c.setup(n, texts)
+	setups := len(commands)
+	c.changed = c.changed || setups > 0
+	if begin != nil {
+		commands = append(commands, *begin)
+	}
+	if len(commands) == 0 {
+		return statement.Result{}, nil
+	}
+	if err := c.Conn.Send(commands...); err != nil {
+		return statement.Result{}, errkind.New(errkind.Unreachable, "%v", err)
+	}
+	for i := range setups {
+		r, err := c.Conn.Receive(wait)
+		if err != nil {
+			return r, errkind.New(errkind.Unreachable, "%v", err)
+		}
+		if r.Err != nil {
+			c.dirty = true
+			return r, errkind.New(errkind.Unreachable, "set-up %d of a connection failed: %v", i, r.Err)
+		}
+	}
+	maps.Copy(c.values, n.Values)
+	if p := n.Prepared; p != nil {
+		c.prepared[p.key()] = struct{}{}
+	}
+	if begin == nil {
+		return statement.Result{}, nil
+	}
+	r, err := c.Conn.Receive(wait)
+	if err != nil {
+		return r, errkind.New(errkind.Unreachable, "%v", err)
+	}
+	return r, nil
+}
+
+// Start sends a command whose answer is wanted, and commands whose answers are
+// left to the next user, behind answers that this user has to read first. An error
+// of kind Unreachable proves that nothing was sent.
+func (c *Conn) Start(command statement.Command, trailing ...statement.Command) error {
+	if err := c.drain(drainTime); err != nil {
+		return err
+	}
+	if len(trailing) == 0 {
+		return c.Conn.Send(command)
+	}
+	c.unread += len(trailing)
+	return c.Conn.Send(append([]statement.Command{command}, trailing...)...)
+}
+
+// drainTime bounds the wait for answers of an earlier user: two round trips
+// between failure domains and the server's processing, several times over.
+const drainTime = 150 * time.Millisecond
+
+// drain reads the answers that were left to this user.
+func (c *Conn) drain(wait time.Duration) error {
+	for c.unread > 0 {
+		if _, err := c.Conn.Receive(wait); err != nil {
+			return errkind.New(errkind.Unreachable, "%v", err)
+		}
+		c.unread--
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/connset/connset.go
@@ -0,0 +1,396 @@
+// Package connset holds one VM's connections to one backend server. Each belongs
+// to one customer; the VM may open a bounded number, its part of the server's
+// limit. Who waits for one is served by priority, then by customer in turn.
+package connset
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+const (
+	// maxWaiters bounds the queue: at 33 ms a statement and a few connections the
+	// last one would wait for half a second.
+	maxWaiters = 48
+	// dialTimeout bounds the opening of one connection. A handshake takes up to
+	// 30 ms of a slot, and waits behind a full queue of the server for some 300 ms.
+	dialTimeout = 700 * time.Millisecond
+	// limitPause is how long no connection beyond those open is tried after the
+	// server refused one for its limit.
+	limitPause = 300 * time.Millisecond
+	// lingerTime is how long an answer that came too late for its caller is still
+	// awaited, so that the server's work is not broken off.
+	lingerTime = 3 * time.Second
+)
+
+// Dialer opens connections.
+type Dialer interface {
+	Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error)
+}
+
+// Texts gives the texts of statements that the product sends by itself.
+type Texts interface {
+	Begin(readOnly bool) string
+	Rollback() string
+	Reset() string
+	Set(name, value string) string
+	Prepare(name, shape string, readOnly bool) string
+	Execute(name, args string) string
+}
+
+// Conn is a connection with what its session at the server holds.
+type Conn struct {
+	statement.Conn
+	Customer string
+
+	set      *Set
+	values   map[string]string
+	prepared map[string]struct{}
+	// unread counts answers that nobody waits for.
+	unread int
+	// changed tells that set-up was sent since TakeChanged.
+	changed bool
+	// dirty tells that the values and prepared statements are not known.
+	dirty   bool
+	lastUse boottime.Time
+}
+
+// waiter is a request for a connection.
+type waiter struct {
+	customer string
+	priority int
+	// ready gets a connection, or nil for the right to open one.
+	ready chan *Conn
+}
+
+// Set is the connections to one server. The mutex guards the fields below it.
+type Set struct {
+	dialer                 Dialer
+	address, group, server string
+
+	mu      sync.Mutex
+	limit   int
+	open    int // connections that exist or are being opened
+	idle    []*Conn
+	waiters []*waiter
+	inUse   map[string]int // by customer
+	paused  boottime.Time  // no growth until then
+	closed  bool
+
+	dials, evictions int64
+	dialTime         time.Duration // smoothed
+}
+
+// New returns an empty set that opens at most limit connections.
+func New(d Dialer, address, group, server string, limit int) *Set {
+	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}}
+}
+
+// SetLimit changes the number of connections that the VM may have open.
+func (s *Set) SetLimit(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = n
+	for s.open > s.limit && len(s.idle) > 0 {
+		s.dropOldest()
+	}
+}
+
+// Load tells how the next request of the customer would fare.
+type Load struct {
+	// Idle tells that the customer has an idle connection.
+	Idle bool
+	// InUse and Waiting count requests of this VM at the server.
+	InUse, Waiting int
+	// Full tells that a connection can be had only by waiting for one.
+	Full bool
+}
+
+// Load returns the present load.
+func (s *Set) Load(customer string) Load {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	l := Load{InUse: s.open - len(s.idle), Waiting: len(s.waiters)}
+	for _, c := range s.idle {
+		if c.Customer == customer {
+			l.Idle = true
+		}
+	}
+	l.Full = !l.Idle && len(s.idle) == 0 && !s.mayGrow()
+	return l
+}
+
+// mayGrow reports whether one more connection may be opened.
+func (s *Set) mayGrow() bool { return s.open < s.limit && boottime.Now() >= s.paused }
+
+// Acquire returns a connection of the customer. It waits for one until the
+// context ends, which is errkind.QueueTimeout; a full queue is errkind.QueueFull.
+func (s *Set) Acquire(ctx context.Context, customer string, priority int) (*Conn, error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, errkind.New(errkind.Unreachable, "%s is gone", s.server)
+	}
+	if c := s.takeIdle(customer); c != nil {
+		s.mu.Unlock()
+		return c, nil
+	}
+	if s.mayGrow() {
+		s.open++
+		s.inUse[customer]++
+		s.mu.Unlock()
+		return s.dial(ctx, customer)
+	}
+	if len(s.idle) > 0 {
+		s.dropOldest()
+		s.open++
+		s.inUse[customer]++
+		s.mu.Unlock()
+		return s.dial(ctx, customer)
+	}
+	if len(s.waiters) >= maxWaiters {
+		s.mu.Unlock()
+		return nil, errkind.New(errkind.QueueFull, "%d requests wait for %s", maxWaiters, s.server)
+	}
+	if s.open == 0 {
+		s.mu.Unlock()
+		return nil, errkind.New(errkind.ConnectionLimit, "%s", s.server)
+	}
+	w := &waiter{customer: customer, priority: priority, ready: make(chan *Conn, 1)}
+	s.waiters = append(s.waiters, w)
+	s.mu.Unlock()
+	return s.wait(ctx, w)
+}
+
+func (s *Set) wait(ctx context.Context, w *waiter) (*Conn, error) {
+	select {
+	case c := <-w.ready:
+		if c != nil {
+			return c, nil
+		}
+		return s.dial(ctx, w.customer)
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	for i, x := range s.waiters {
+		if x == w {
+			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+			s.mu.Unlock()
+			return nil, errkind.New(errkind.QueueTimeout, "no connection to %s in time", s.server)
+		}
+	}
+	s.mu.Unlock()
+	// The connection was granted at the same moment.
+	if c := <-w.ready; c != nil {
+		c.Release()
+	} else {
+		s.mu.Lock()
+		s.forget(w.customer)
+		s.mu.Unlock()
+	}
+	return nil, errkind.New(errkind.QueueTimeout, "no connection to %s in time", s.server)
+}
+
+// takeIdle returns the customer's most recently used idle connection.
+func (s *Set) takeIdle(customer string) *Conn {
+	for i := len(s.idle) - 1; i >= 0; i-- {
+		if c := s.idle[i]; c.Customer == customer {
+			s.idle = append(s.idle[:i], s.idle[i+1:]...)
+			s.inUse[customer]++
+			return c
+		}
+	}
+	return nil
+}
+
+// dropOldest closes the idle connection that was not used for the longest time.
+func (s *Set) dropOldest() {
+	c := s.idle[0]
+	s.idle = s.idle[1:]
+	s.open--
+	s.evictions++
+	c.Conn.Close()
+}
+
+func (s *Set) dial(ctx context.Context, customer string) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	start := boottime.Now()
+	c, err := s.dialer.Dial(ctx, s.address, s.group, s.server, customer)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dials++
+	if err == nil && s.closed {
+		c.Close()
+		err = errkind.New(errkind.Unreachable, "%s is gone", s.server)
+	}
+	if err != nil {
+		s.forget(customer)
+		if errkind.Is(err, errkind.ConnectionLimit) {
+			s.paused = boottime.Now().Add(limitPause)
+		}
+		return nil, err
+	}
+	s.dialTime += (boottime.Since(start) - s.dialTime) / 8
+	return &Conn{Conn: c, Customer: customer, set: s, values: map[string]string{}, prepared: map[string]struct{}{}}, nil
+}
+
+// forget takes back a connection that ended, and lets a waiter open another. The
+// mutex is held.
+func (s *Set) forget(customer string) {
+	s.open--
+	s.leave(customer)
+	if w := s.nextWaiter(); w != nil && s.open < s.limit {
+		s.removeWaiter(w)
+		s.open++
+		s.inUse[w.customer]++
+		w.ready <- nil
+	}
+}
+
+func (s *Set) leave(customer string) {
+	s.inUse[customer]--
+	if s.inUse[customer] <= 0 {
+		delete(s.inUse, customer)
+	}
+}
+
+// nextWaiter returns who is served next: the highest priority, among these the
+// customer with the fewest connections in use, then the longest wait.
+func (s *Set) nextWaiter() *waiter {
+	var best *waiter
+	for _, w := range s.waiters {
+		if best == nil || w.priority < best.priority || w.priority == best.priority && s.inUse[w.customer] < s.inUse[best.customer] {
+			best = w
+		}
+	}
+	return best
+}
+
+func (s *Set) removeWaiter(w *waiter) {
+	for i, x := range s.waiters {
+		if x == w {
+			s.waiters = append(s.waiters[:i], s.waiters[i+1:]...)
+			return
+		}
+	}
+}
+
+// Release gives an idle connection back.
+func (c *Conn) Release() {
+	s := c.set
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.lastUse = boottime.Now()
+	s.leave(c.Customer)
+	if s.closed || s.open > s.limit {
+		s.open--
+		c.Conn.Close()
+		return
+	}
+	w := s.nextWaiter()
+	if w == nil {
+		s.idle = append(s.idle, c)
+		return
+	}
+	s.removeWaiter(w)
+	s.inUse[w.customer]++
+	if w.customer == c.Customer {
+		w.ready <- c
+		return
+	}
+	c.Conn.Close()
+	w.ready <- nil
+}
+
+// Discard closes a connection that is of no further use.
+func (c *Conn) Discard() {
+	c.Conn.Close()
+	c.set.mu.Lock()
+	defer c.set.mu.Unlock()
+	c.set.forget(c.Customer)
+}
+
+// Linger waits for an answer that nobody needs any more and then gives the
+// connection back.
+func (c *Conn) Linger(texts Texts) {
+	go func() {
+		if _, err := c.Conn.Receive(lingerTime); err != nil {
+			c.Discard()
+			return
+		}
+		c.Finish(texts)
+	}()
+}
+
+// Finish ends a transaction, if one may be open, and gives the connection back.
+// The answer is read by the next user.
+func (c *Conn) Finish(texts Texts) {
+	if err := c.Conn.Send(statement.Command{Text: texts.Rollback()}); err != nil {
+		c.Discard()
+		return
+	}
+	c.unread++
+	c.Release()
+}
+
+// MarkDirty notes that what the server's session holds is not known.
+func (c *Conn) MarkDirty() { c.dirty = true }
+
+// TakeChanged reports whether set-up was sent since the last call.
+func (c *Conn) TakeChanged() bool {
+	changed := c.changed
+	c.changed = false
+	return changed
+}
+
+// Usable reports whether the idle connection seems to stand.
+func (c *Conn) Usable() bool { return c.unread > 0 || c.Conn.Alive() }
+
+// Close closes all idle connections and refuses new ones; those in use end with
+// their requests.
+func (s *Set) Close() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for _, c := range s.idle {
+		s.open--
+		c.Conn.Close()
+	}
+	s.idle = nil
+	for _, w := range s.waiters {
+		s.open++
+		s.inUse[w.customer]++
+		w.ready <- nil // dial finds the set closed
+	}
+	s.waiters = nil
+}
+
+// CloseIdle closes idle connections that were not used since the moment; they may
+// have gone silent.
+func (s *Set) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.idle) > 0 {
+		s.dropOldest()
+	}
+}
+
+// Stats counts what the set did.
+type Stats struct {
+	Open, Idle, Waiting int
+	Dials, Evictions    int64
+	DialTime            time.Duration
+}
+
+// Stats returns the counters.
+func (s *Set) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Stats{Open: s.open, Idle: len(s.idle), Waiting: len(s.waiters), Dials: s.dials, Evictions: s.evictions, DialTime: s.dialTime}
+}
--- /dev/null
+++ b/internal/coord/coord.go
@@ -0,0 +1,144 @@
+// Package coord describes the store that all VMs share and follows its tables.
+package coord
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+)
+
+// Row is one row of a table.
+type Row struct {
+	Table   string
+	Key     string
+	Value   []byte
+	Version uint64
+	// Deleted marks a row that is gone, in answers of Watch.
+	Deleted bool
+}
+
+// Condition is a row version that must hold; version 0: the row does not exist.
+type Condition struct {
+	Table   string
+	Key     string
+	Version uint64
+}
+
+// Change is an atomic change of rows.
+type Change struct {
+	If      []Condition
+	Put     []Row
+	Deletes []Row
+}
+
+// Store is the shared transactional table service. Errors are
+// errkind.PlatformUnavailable (surely no effect), errkind.PlatformUnknown (the
+// effect may come, even later), errkind.Conflict and errkind.HistoryGone.
+type Store interface {
+	// Rows returns all rows of the table and the version they are as of.
+	Rows(ctx context.Context, table string) ([]Row, uint64, error)
+	// Watch returns the changes after the version, waiting up to wait for one.
+	Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
+	// Apply makes the change and returns the version that its rows have now.
+	Apply(ctx context.Context, c Change) (uint64, error)
+}
+
+// Follower keeps up with one table.
+type Follower struct {
+	Store Store
+	Table string
+	// Wait is how long one call waits for a change.
+	Wait time.Duration
+	// Timeout bounds a call beyond Wait.
+	Timeout time.Duration
+	// Reset takes the whole table after a gap, Update a change, both in order.
+	Reset  func([]Row)
+	Update func([]Row)
+	// Proof, if set, is told that all changes up to the moment have been delivered.
+	Proof func(boottime.Time)
+	Log   *logrus.Entry
+
+	version uint64
+	loaded  bool
+	failing bool
+}
+
+const (
+	// firstPause and lastPause bound the pause after a failed call; the last is a
+	// quarter of the shortest lease that rests on a follower.
+	firstPause = 50 * time.Millisecond
+	lastPause  = 800 * time.Millisecond
+)
+
+// Run follows the table until the context ends.
+func (f *Follower) Run(ctx context.Context) {
+	pause := firstPause
+	for ctx.Err() == nil {
+		start := boottime.Now()
+		err := f.step(ctx)
+		if err == nil {
+			f.noteHealth(nil)
+			if f.Proof != nil {
+				f.Proof(start)
+			}
+			pause = firstPause
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		f.noteHealth(err)
+		if errkind.Is(err, errkind.HistoryGone) {
+			f.loaded = false
+			continue
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause):
+		}
+		pause = min(2*pause, lastPause)
+	}
+}
+
+func (f *Follower) noteHealth(err error) {
+	failing := err != nil
+	if failing == f.failing {
+		return
+	}
+	f.failing = failing
+	entry := f.Log.WithFields(logrus.Fields{"event": "store_watch", "table": f.Table, "store_version": f.version})
+	if failing {
+		entry.WithField("cause", err.Error()).Warn("lost")
+		return
+	}
+	entry.Info("regained")
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.loaded {
+		ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+		defer cancel()
+		rows, version, err := f.Store.Rows(ctx, f.Table)
+		if err != nil {
+			return err
+		}
+		f.Reset(rows)
+		f.version, f.loaded = version, true
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Timeout)
+	defer cancel()
+	rows, version, err := f.Store.Watch(ctx, f.Table, f.version, f.Wait)
+	if err != nil {
+		return err
+	}
+	if len(rows) > 0 {
+		f.Update(rows)
+	}
+	f.version = max(f.version, version)
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/server.go
@@ -0,0 +1,118 @@
+package dispatch
+
+import (
+	"sync"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/connset"
+	"chicoryline/internal/position"
+)
+
+// ServerInfo is what service discovery says of a backend server.
+type ServerInfo struct {
+	ID      string
+	Group   string
+	Address string
+	Domain  string
+	// Slots is the number of statements that it runs at once.
+	Slots int
+	// Leaving tells that it will stop soon.
+	Leaving bool
+	// Primary tells that it believes it leads.
+	Primary bool
+	// Started tells its incarnation: the time of day in milliseconds.
+	Started int64
+	// Version rises with each change of the entry.
+	Version uint64
+}
+
+const (
+	// firstBackoff and lastBackoff bound how long a server that failed is avoided.
+	// The first is a few round trips, the last half the time of a planned restart.
+	firstBackoff = 100 * time.Millisecond
+	lastBackoff  = 1500 * time.Millisecond
+	// lagBackoff is how long a replica that lacked a position is taken to lack it.
+	lagBackoff = 60 * time.Millisecond
+	// responseWeight is the part of a new response time in the smoothed one.
+	responseWeight = 8
+	// responseDecay halves the excess of a server that has not been asked, so that
+	// it is tried again.
+	responseDecay = time.Second
+)
+
+// Server is one backend server as this VM sees it. The mutex guards the fields
+// below it.
+type Server struct {
+	Conns *connset.Set
+
+	mu       sync.Mutex
+	info     ServerInfo
+	failures int
+	avoid    boottime.Time
+	// applied is the highest position that the server has shown; behind was
+	// lacking at behindAt.
+	applied  position.Position
+	behind   position.Position
+	behindAt boottime.Time
+	// response is the smoothed time of statements, measured at measuredAt.
+	response   time.Duration
+	measuredAt boottime.Time
+	missing    boottime.Time
+}
+
+// Info returns what discovery says.
+func (s *Server) Info() ServerInfo {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.info
+}
+
+// noteSuccess records an answer of the server.
+func (s *Server) noteSuccess(took time.Duration, p position.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failures, s.avoid = 0, 0
+	s.response += (took - s.response) / responseWeight
+	s.measuredAt = boottime.Now()
+	if p.Compare(s.applied) > 0 {
+		s.applied = p
+	}
+}
+
+// noteFailure records that the server could not be reached or gave no answer.
+func (s *Server) noteFailure() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := boottime.Now()
+	if now < s.avoid {
+		return
+	}
+	s.avoid = now.Add(min(firstBackoff<<min(s.failures, 8), lastBackoff))
+	s.failures++
+}
+
+func (s *Server) noteBehind(p position.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.behind, s.behindAt = p, boottime.Now()
+}
+
+// eligible reports whether the server may have the position and may be asked.
+func (s *Server) eligible(need position.Position, now boottime.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if now < s.avoid || s.info.Leaving {
+		return false
+	}
+	return s.applied.AtLeast(need) || !need.AtLeast(s.behind) || now.Sub(s.behindAt) > lagBackoff
+}
+
+// expected returns the smoothed response time, faded with the time since it was
+// measured.
+func (s *Server) expected(now boottime.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	halvings := now.Sub(s.measuredAt) / responseDecay
+	return s.response >> min(halvings, 16)
+}
--- /dev/null
+++ b/internal/dispatch/tx.go
@@ -0,0 +1,188 @@
+package dispatch
+
+import (
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/connset"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+	"chicoryline/internal/statement"
+)
+
+// Tx is an open transaction on a connection of its own.
+type Tx struct {
+	group  *Group
+	server *Server
+	conn   *connset.Conn
+	// current tells that the primary runs it and proves with each answer that it
+	// leads.
+	current bool
+	changed bool
+	wrote   bool
+}
+
+// Begin opens a transaction at the primary.
+func (g *Group) Begin(call *Call) (*Tx, error) {
+	ctx, cancel := call.context()
+	defer cancel()
+	s, c, err := g.begin(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	return &Tx{group: g, server: s, conn: c, current: true}, nil
+}
+
+// BeginRead opens a read-only transaction at a server that has all commits
+// acknowledged before the moment, and own.
+func (g *Group) BeginRead(call *Call, before boottime.Time, own position.Position) (*Tx, error) {
+	ctx, cancel := call.context()
+	defer cancel()
+	var last error
+	var tried []*Server
+	for call.remaining() > 0 {
+		need, ok := g.History.Need(before)
+		if !ok {
+			if err := g.Prove(ctx, call); err != nil {
+				return nil, err
+			}
+			continue
+		}
+		if own.Compare(need) > 0 {
+			need = own
+		}
+		s := g.pickReader(call.Customer, need, tried)
+		if s == nil {
+			tried = nil
+			select {
+			case <-ctx.Done():
+			case <-time.After(retryPause):
+			}
+			continue
+		}
+		tried = append(tried, s)
+		c, err := s.Conns.Acquire(ctx, call.Customer, call.Priority)
+		if err != nil {
+			last = err
+			continue
+		}
+		r, err := c.Align(call.Needs, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(true), After: need}, min(beginWait, call.remaining()))
+		if err != nil {
+			last = err
+			c.Discard()
+			s.noteFailure()
+			continue
+		}
+		if r.Err == nil {
+			c.TakeChanged()
+			return &Tx{group: g, server: s, conn: c}, nil
+		}
+		last = r.Err
+		if errkind.Is(r.Err, errkind.NotEligible) {
+			s.noteBehind(need)
+		}
+		c.Finish(g.cfg.Texts)
+	}
+	return nil, call.timeUp(last)
+}
+
+// Run runs a statement of the transaction. After an error that carries no answer
+// of the server the transaction is over.
+func (t *Tx) Run(call *Call, write bool) (statement.Result, error) {
+	if _, err := t.conn.Align(call.Needs, t.group.cfg.Texts, nil, beginWait); err != nil {
+		t.drop(err)
+		return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
+	}
+	t.changed = t.conn.TakeChanged() || t.changed
+	r, err := t.exchange(call)
+	if err != nil {
+		t.drop(err)
+		return statement.Result{}, errkind.New(errkind.TransactionLost, "%s: %v", t.server.Info().ID, err)
+	}
+	t.wrote = t.wrote || write && r.Err == nil
+	return r, r.Err
+}
+
+// Commit ends the transaction. A missing answer leaves the outcome unknown if the
+// transaction wrote.
+func (t *Tx) Commit(call *Call) (statement.Result, error) {
+	r, err := t.exchange(call)
+	if err != nil {
+		t.drop(err)
+		if t.wrote {
+			t.group.noteWriteFailure()
+			return statement.Result{}, errkind.New(errkind.OutcomeUnknown, "%s: %v", t.server.Info().ID, err)
+		}
+		return statement.Result{}, errkind.New(errkind.TransactionLost, "%s: %v", t.server.Info().ID, err)
+	}
+	if r.Err != nil {
+		t.Rollback()
+		return r, r.Err
+	}
+	if t.current && t.wrote {
+		t.group.noteWrite()
+	}
+	t.release(r.Status)
+	return r, nil
+}
+
+func (t *Tx) exchange(call *Call) (statement.Result, error) {
+	sent := boottime.Now()
+	if err := t.conn.Start(call.Command); err != nil {
+		return statement.Result{}, err
+	}
+	r, err := t.conn.Receive(call.remaining())
+	if err != nil {
+		t.server.noteFailure()
+		return r, err
+	}
+	if r.Err == nil {
+		t.server.noteSuccess(boottime.Since(sent), position.Position{})
+		if t.current {
+			t.group.History.Add(sent, r.Position)
+		}
+	} else if errkind.Is(r.Err, errkind.ReadOnly) && t.current {
+		t.group.Deny(t.server)
+	}
+	return r, nil
+}
+
+// Rollback ends the transaction without effect.
+func (t *Tx) Rollback() {
+	if t.conn == nil {
+		return
+	}
+	if t.changed {
+		t.conn.MarkDirty()
+	}
+	t.conn.Finish(t.group.cfg.Texts)
+	t.conn = nil
+}
+
+func (t *Tx) release(status statement.Status) {
+	if status != statement.Idle {
+		t.Rollback()
+		return
+	}
+	t.conn.Release()
+	t.conn = nil
+}
+
+// drop ends the transaction after an answer did not come. Without a commit it is
+// rolled back, by the end of the connection or, where the server is still at work,
+// once it has answered.
+func (t *Tx) drop(err error) {
+	if t.conn == nil {
+		return
+	}
+	if statement.IsTimeout(err) {
+		t.conn.MarkDirty()
+		t.conn.Linger(t.group.cfg.Texts)
+	} else {
+		t.conn.Discard()
+	}
+	t.conn = nil
+}
+
+// Over reports whether the transaction has ended.
+func (t *Tx) Over() bool { return t.conn == nil }
--- /dev/null
+++ b/internal/entry/entry.go
@@ -0,0 +1,392 @@
+// Package entry assembles the process that serves callers on the platform: the
+// front, the view of the configuration, the database groups, the rates, the mesh
+// with the other VMs and the stewardship of primaries.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/connset"
+	"chicoryline/internal/coord"
+	"chicoryline/internal/dispatch"
+	"chicoryline/internal/mesh"
+	"chicoryline/internal/ratelimit"
+	"chicoryline/internal/session"
+)
+
+// Settings is what a process learns at its start.
+type Settings struct {
+	VM, Domain, IP string
+	// PeerPort takes the mesh's datagrams, MetricsPort serves the metrics.
+	PeerPort, MetricsPort          int
+	FrontAddress, ReadyAddress     string
+	StoreAddress, PromotionAddress string
+	MemoryBytes                    int64
+	// KeyLifetime is how long a withdrawn key may go on working.
+	KeyLifetime time.Duration
+	// StopTime is from the request to stop until the process is killed.
+	StopTime time.Duration
+	// LeaveTime is how long a leaving backend server may still get work.
+	LeaveTime time.Duration
+}
+
+const (
+	// leaseMargin is taken off a key's lifetime: the rates of two clocks and the
+	// way of a statement to the backend server.
+	leaseMargin = 400 * time.Millisecond
+	// configWait is how long one watch of the configuration waits. The lease counts
+	// from the sending of an answered watch, so that two of them fit into it.
+	configWait = 1500 * time.Millisecond
+	// serverWait and memberWait are for tables on which no lease rests.
+	serverWait = 20 * time.Second
+	memberWait = 25 * time.Second
+	// storeTimeout bounds a call of the store beyond its wait: 4 ms an answer, 60
+	// times that when the store is slow.
+	storeTimeout = 800 * time.Millisecond
+	// upkeepInterval is the pause between two rounds of upkeep.
+	upkeepInterval = 200 * time.Millisecond
+	// unreadyTime is from the first refusal of the readiness check until the
+	// balancer, which asks every second and forgives one miss, sends no more.
+	unreadyTime = 2200 * time.Millisecond
+	// exitReserve is left of StopTime for the end of the process.
+	exitReserve = 500 * time.Millisecond
+	// gcPercent trades memory for processor time; the live heap is a few MB.
+	gcPercent = 400
+	// memoryPart is the part of the VM's memory that the runtime aims to stay under.
+	memoryPart = 0.7
+)
+
+// tableMembers holds one row for each VM.
+const tableMembers = "members"
+
+// Platform is what the adapter gives.
+type Platform struct {
+	Store  coord.Store
+	Dialer connset.Dialer
+	Texts  connset.Texts
+	// ConfigTable and ConfigKey name the row of the newest configuration;
+	// ServerTable holds the backend servers.
+	ConfigTable, ConfigKey, ServerTable string
+	DecodeConfig                        func([]byte) (*access.Config, error)
+	DecodeServer                        func(id string, value []byte) (dispatch.ServerInfo, error)
+	// NewFront makes the front towards callers.
+	NewFront func(net.Listener, *session.Core, *logrus.Entry) Front
+}
+
+// Front accepts callers.
+type Front interface {
+	Serve(ctx context.Context)
+	// Drain stops accepting and ends all connections, gracefully until the
+	// context ends.
+	Drain(ctx context.Context)
+}
+
+// Process is one running process.
+type Process struct {
+	settings Settings
+	platform Platform
+	log      *logrus.Entry
+	view     *access.View
+	router   *dispatch.Router
+	limiter  *ratelimit.Limiter
+	mesh     *mesh.Mesh
+	core     *session.Core
+	observer *observer
+	ready    atomic.Bool
+	leaving  atomic.Bool
+
+	// mu guards members.
+	mu      sync.Mutex
+	members map[string]member
+}
+
+// member is the row of a VM.
+type member struct {
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Started int64  `json:"started"`
+}
+
+// New assembles a process.
+func New(s Settings, p Platform, log *logrus.Entry) *Process {
+	log = log.WithField("vm", s.VM)
+	e := &Process{
+		settings: s, platform: p, log: log, members: map[string]member{},
+		view:     access.NewView(s.KeyLifetime - leaseMargin),
+		limiter:  ratelimit.New(boottime.Now),
+		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
+		observer: newObserver(log),
+	}
+	e.core = &session.Core{Access: e.view, Limiter: e.limiter, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
+	e.view.OnChange(e.configure)
+	return e
+}
+
+// Run serves until the context ends, then stops gracefully.
+func (e *Process) Run(ctx context.Context) error {
+	debug.SetGCPercent(gcPercent)
+	if e.settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(e.settings.MemoryBytes) * memoryPart))
+	}
+	listener, err := net.Listen("tcp4", e.settings.FrontAddress)
+	if err != nil {
+		return err
+	}
+	readyListener, err := net.Listen("tcp4", e.settings.ReadyAddress)
+	if err != nil {
+		return err
+	}
+	meshConn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.ParseIP(e.settings.IP), Port: e.settings.PeerPort})
+	if err != nil {
+		return err
+	}
+	work, stop := context.WithCancel(context.Background())
+	defer stop()
+	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Receive: e.hear, Lost: e.limiter.Forget, Log: e.log})
+	go e.serveReady(readyListener)
+	go e.serveMetrics(work)
+	go e.followConfig(work)
+	go e.followServers(work)
+	go e.followMembers(work)
+	go e.register(work)
+	go e.mesh.Run(work)
+	go e.upkeep(work)
+	front := e.platform.NewFront(listener, e.core, e.log)
+	go front.Serve(work)
+	e.log.WithFields(logrus.Fields{"event": "start", "failure_domain": e.settings.Domain}).Info("process started")
+	<-ctx.Done()
+	return e.stop(front)
+}
+
+// stop leaves the balancer's rotation, then ends connections between operations.
+func (e *Process) stop(front Front) error {
+	e.leaving.Store(true)
+	e.log.WithFields(logrus.Fields{"event": "stop"}).Info("planned stop began")
+	time.Sleep(min(unreadyTime, e.settings.StopTime/2))
+	rest := e.settings.StopTime - unreadyTime - exitReserve
+	drain, cancel := context.WithTimeout(context.Background(), max(rest, 0))
+	defer cancel()
+	front.Drain(drain)
+	e.log.WithFields(logrus.Fields{"event": "stop"}).Info("process ended")
+	return nil
+}
+
+func (e *Process) isReady() bool { return !e.leaving.Load() && e.view.Fresh() }
+
+func (e *Process) serveReady(l net.Listener) {
+	server := &http.Server{ReadHeaderTimeout: storeTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if !e.isReady() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
+	})}
+	if err := server.Serve(l); err != nil {
+		e.log.WithError(err).Error("readiness check ended")
+	}
+}
+
+func (e *Process) followConfig(ctx context.Context) {
+	apply := func(rows []coord.Row) {
+		for _, r := range rows {
+			if r.Key != e.platform.ConfigKey || r.Deleted {
+				continue
+			}
+			c, err := e.platform.DecodeConfig(r.Value)
+			if err != nil {
+				e.log.WithError(err).WithField("event", "config").Error("configuration was not read")
+				continue
+			}
+			if e.view.Apply(c) {
+				e.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "customers": len(c.Customers)}).Info("in force")
+			}
+		}
+	}
+	f := &coord.Follower{
+		Store: e.platform.Store, Table: e.platform.ConfigTable, Wait: configWait, Timeout: storeTimeout,
+		Reset: apply, Update: apply, Log: e.log,
+		Proof: func(at boottime.Time) {
+			if c := e.view.Config(); c != nil {
+				e.view.Prove(c.Version, at)
+			}
+		},
+	}
+	f.Run(ctx)
+}
+
+func (e *Process) followServers(ctx context.Context) {
+	update := func(rows []coord.Row) {
+		for _, r := range rows {
+			if r.Deleted {
+				e.router.Missing(r.Key)
+				continue
+			}
+			info, err := e.platform.DecodeServer(r.Key, r.Value)
+			if err != nil {
+				e.log.WithError(err).WithField("event", "backend_server").Warn("entry was not read")
+				e.router.Missing(r.Key)
+				continue
+			}
+			info.Version = r.Version
+			e.router.Update(info)
+		}
+	}
+	f := &coord.Follower{
+		Store: e.platform.Store, Table: e.platform.ServerTable, Wait: serverWait, Timeout: storeTimeout, Log: e.log,
+		Update: update,
+		Reset: func(rows []coord.Row) {
+			present := map[string]bool{}
+			for _, r := range rows {
+				present[r.Key] = true
+			}
+			for _, id := range e.router.Known() {
+				if !present[id] {
+					e.router.Missing(id)
+				}
+			}
+			update(rows)
+		},
+	}
+	f.Run(ctx)
+}
+
+func (e *Process) followMembers(ctx context.Context) {
+	f := &coord.Follower{
+		Store: e.platform.Store, Table: tableMembers, Wait: memberWait, Timeout: storeTimeout, Log: e.log,
+		Update: func(rows []coord.Row) { e.updateMembers(rows, false) },
+		Reset:  func(rows []coord.Row) { e.updateMembers(rows, true) },
+	}
+	f.Run(ctx)
+}
+
+func (e *Process) updateMembers(rows []coord.Row, all bool) {
+	e.mu.Lock()
+	if all {
+		clear(e.members)
+	}
+	for _, r := range rows {
+		var m member
+		if r.Deleted {
+			delete(e.members, r.Key)
+		} else if err := json.Unmarshal(r.Value, &m); err != nil {
+			e.log.WithError(err).WithFields(logrus.Fields{"event": "member", "vm": r.Key}).Warn("row was not read")
+		} else {
+			e.members[r.Key] = m
+		}
+	}
+	peers := make([]mesh.Peer, 0, len(e.members))
+	for vm, m := range e.members {
+		peers = append(peers, mesh.Peer{VM: vm, Address: m.Address})
+	}
+	e.mu.Unlock()
+	e.mesh.SetPeers(peers)
+	e.share()
+	e.log.WithFields(logrus.Fields{"event": "members", "count": len(peers)}).Info("changed")
+}
+
+// register writes this VM's row. The same row twice does no harm, so an answer
+// that was lost needs no care.
+func (e *Process) register(ctx context.Context) {
+	value, err := json.Marshal(member{
+		Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
+		Domain:  e.settings.Domain, Started: time.Now().UnixMilli(),
+	})
+	if err != nil {
+		e.log.WithError(err).Error("member row was not encoded")
+		return
+	}
+	change := coord.Change{Put: []coord.Row{{Table: tableMembers, Key: e.settings.VM, Value: value}}}
+	for pause := 100 * time.Millisecond; ctx.Err() == nil; pause = min(2*pause, 2*time.Second) {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		_, err := e.platform.Store.Apply(call, change)
+		cancel()
+		if err == nil {
+			return
+		}
+		e.log.WithError(err).WithField("event", "member").Warn("row was not written")
+		time.Sleep(pause + rand.N(pause))
+	}
+}
+
+// configure takes a new configuration.
+func (e *Process) configure(c *access.Config) {
+	e.limiter.Configure(c.Customers)
+	e.share()
+}
+
+// share splits what counts over all VMs.
+func (e *Process) share() {
+	heard, all := 0, 0
+	if e.mesh != nil {
+		heard, all = e.mesh.Heard()
+	}
+	e.limiter.SetFleet(heard+1, all+1)
+	c := e.view.Config()
+	if c == nil {
+		return
+	}
+	for _, g := range c.Groups {
+		e.router.SetLimit(g.Name, max(1, g.MaxConnections/(all+1)))
+	}
+}
+
+// upkeep runs what has to be looked at again as time passes.
+func (e *Process) upkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		heard, all := e.mesh.Heard()
+		e.limiter.SetFleet(heard+1, all+1)
+		e.router.Expire()
+		if ready := e.isReady(); ready != e.ready.Swap(ready) {
+			e.log.WithFields(logrus.Fields{"event": "ready", "ready": ready, "config_age_ms": e.view.Age().Milliseconds()}).Info("changed")
+		}
+	}
+}
+
+// compose returns this VM's news.
+func (e *Process) compose() mesh.News {
+	version, proved := e.view.Proved()
+	n := mesh.News{
+		VM: e.settings.VM, Leaving: e.leaving.Load(), ConfigVersion: version, ConfigAge: boottime.Since(proved).Milliseconds() + 1,
+		Usage: e.limiter.Report(), Groups: map[string]mesh.GroupNews{},
+	}
+	for _, g := range e.router.Groups() {
+		point := g.History.Newest()
+		if point.At == 0 {
+			continue
+		}
+		n.Groups[g.Name] = mesh.GroupNews{Position: point.Position, PositionAge: boottime.Since(point.At).Milliseconds() + 1}
+	}
+	return n
+}
+
+// hear takes another VM's news.
+func (e *Process) hear(n mesh.News, since boottime.Time) {
+	e.limiter.Hear(n.VM, n.Usage)
+	if since == 0 {
+		return
+	}
+	e.view.Prove(n.ConfigVersion, since.Add(-time.Duration(n.ConfigAge)*time.Millisecond))
+	for name, g := range n.Groups {
+		if g.PositionAge >= 0 {
+			e.router.Group(name).History.Add(since.Add(-time.Duration(g.PositionAge)*time.Millisecond), g.Position)
+		}
+	}
+}
--- /dev/null
+++ b/internal/entry/observer.go
@@ -0,0 +1,130 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	gometrics "github.com/rcrowley/go-metrics"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/session"
+)
+
+const (
+	// failureLines bounds the lines of failed statements, per second.
+	failureLines = 60
+	// sampleEvery is the share of successes that get a line.
+	sampleEvery = 256
+	// sampleSize and sampleAlpha are those of the decaying latency sample.
+	sampleSize, sampleAlpha = 256, 0.015
+	// quantile bounds of the metrics page.
+	median, tail = 0.5, 0.99
+)
+
+// observer logs and counts how statements ended.
+type observer struct {
+	log      *logrus.Entry
+	registry gometrics.Registry
+	outcomes map[errkind.Kind]gometrics.Counter
+	served   gometrics.Counter
+	latency  gometrics.Histogram
+	seen     atomic.Uint64
+	second   atomic.Int64
+	lines    atomic.Int64
+	withheld gometrics.Counter
+}
+
+func newObserver(log *logrus.Entry) *observer {
+	o := &observer{
+		log: log, registry: gometrics.NewRegistry(), outcomes: map[errkind.Kind]gometrics.Counter{},
+		served: gometrics.NewCounter(), withheld: gometrics.NewCounter(),
+		latency: gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha)),
+	}
+	for _, k := range errkind.All() {
+		o.outcomes[k] = gometrics.GetOrRegisterCounter("statements.refused."+k.String(), o.registry)
+	}
+	for name, m := range map[string]any{"statements.served": o.served, "statements.latency_us": o.latency, "log.withheld": o.withheld} {
+		if err := o.registry.Register(name, m); err != nil {
+			log.WithError(err).Error("metric was not registered")
+		}
+	}
+	return o
+}
+
+// Statement takes one decided statement.
+func (o *observer) Statement(e session.Event) {
+	if e.Err == nil {
+		o.served.Inc(1)
+		o.latency.Update(e.Took.Microseconds())
+		if o.seen.Add(1)%sampleEvery == 0 {
+			o.entry(e).Info("served")
+		}
+		return
+	}
+	o.outcomes[errkind.KindOf(e.Err)].Inc(1)
+	if !o.mayLog() {
+		o.withheld.Inc(1)
+		return
+	}
+	o.entry(e).WithFields(logrus.Fields{"kind": errkind.KindOf(e.Err).String(), "cause": e.Err.Error()}).Warn("not served")
+}
+
+// mayLog bounds the lines of failures to a number a second.
+func (o *observer) mayLog() bool {
+	now := time.Now().Unix()
+	if o.second.Swap(now) != now {
+		o.lines.Store(0)
+	}
+	return o.lines.Add(1) <= failureLines
+}
+
+func (o *observer) entry(e session.Event) *logrus.Entry {
+	return o.log.WithFields(logrus.Fields{
+		"event": "statement", "id": e.ID, "customer": e.Customer, "database": e.Database, "group": e.Group,
+		"took_ms": e.Took.Milliseconds(), "config_version": e.ConfigVersion, "config_age_ms": e.ConfigAge.Milliseconds(),
+	})
+}
+
+// serveMetrics serves counters and latencies as text.
+func (e *Process) serveMetrics(ctx context.Context) {
+	address := net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.MetricsPort))
+	server := &http.Server{Addr: address, ReadHeaderTimeout: storeTimeout, Handler: http.HandlerFunc(e.writeMetrics)}
+	go func() { <-ctx.Done(); server.Close() }()
+	if err := server.ListenAndServe(); err != nil && ctx.Err() == nil {
+		e.log.WithError(err).Error("metrics are not served")
+	}
+}
+
+func (e *Process) writeMetrics(w http.ResponseWriter, _ *http.Request) {
+	var lines []string
+	e.observer.registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case gometrics.Counter:
+			if m.Count() > 0 {
+				lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+			}
+		case gometrics.Histogram:
+			s := m.Snapshot()
+			lines = append(lines, fmt.Sprintf("%s.p50 %.0f", name, s.Percentile(median)), fmt.Sprintf("%s.p99 %.0f", name, s.Percentile(tail)))
+		}
+	})
+	for _, g := range e.router.Groups() {
+		for _, s := range g.Servers() {
+			stats := s.Conns.Stats()
+			prefix := "backend_servers." + s.Info().ID
+			lines = append(lines, fmt.Sprintf("%s.connections %d", prefix, stats.Open), fmt.Sprintf("%s.opened %d", prefix, stats.Dials),
+				fmt.Sprintf("%s.evicted %d", prefix, stats.Evictions), fmt.Sprintf("%s.waiting %d", prefix, stats.Waiting))
+		}
+	}
+	sort.Strings(lines)
+	for _, l := range lines {
+		fmt.Fprintln(w, l)
+	}
+}
--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -83,6 +83,16 @@
 	Fenced
 	// Canceled is a statement ended by the caller's cancel request.
 	Canceled
+	// HistoryGone is a watch of the store from a version that it no longer holds.
+	HistoryGone
+	// WrongServer means that another backend server answers at the address.
+	WrongServer
+	// ConnectionLimit means that the backend server takes no further connection.
+	ConnectionLimit
+	// NoStatement is a prepared statement that the connection does not hold.
+	NoStatement
+	// StatementTimeout is a statement that passed its time limit.
+	StatementTimeout
 	kindCount
 )
 
@@ -167,6 +177,11 @@
 	Conflict:            {"conflict", "40002", NotRun, RetryNow, logrus.DebugLevel, "another writer was first"},
 	Fenced:              {"fenced", "55006", NotRun, RetryNever, logrus.InfoLevel, "a higher term is in force"},
 	Canceled:            {"canceled", "57014", Failed, RetryNever, logrus.InfoLevel, "statement was canceled"},
+	HistoryGone:         {"history_gone", "58P01", NotRun, RetryNow, logrus.InfoLevel, "history of the store is gone"},
+	WrongServer:         {"wrong_server", "08004", NotRun, RetryNow, logrus.WarnLevel, "another backend server is at the address"},
+	ConnectionLimit:     {"connection_limit", "53300", NotRun, RetryLater, logrus.WarnLevel, "backend server takes no further connection"},
+	NoStatement:         {"no_statement", "26000", NotRun, RetryNow, logrus.InfoLevel, "prepared statement does not exist"},
+	StatementTimeout:    {"statement_timeout", "57014", Unknown, CheckFirst, logrus.WarnLevel, "statement passed its time limit"},
 }
 
 // All returns every kind in the order of the list.
--- /dev/null
+++ b/internal/evidence/evidence.go
@@ -0,0 +1,92 @@
+// Package evidence keeps what is known of a database group's log over time: a
+// position that, at a moment, covered every acknowledged commit. A replica that
+// has applied the position serves reads that may be as old as the moment.
+package evidence
+
+import (
+	"sync"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/position"
+)
+
+const (
+	// capacity is the number of points kept: reads up to 6 s old at one point per
+	// spacing.
+	capacity = 128
+	// spacing is the least time between two points that are kept.
+	spacing = 50 * time.Millisecond
+)
+
+// Point says that Position covered all commits acknowledged before At.
+type Point struct {
+	At       boottime.Time
+	Position position.Position
+}
+
+// History is the points of one group in the order of time. The mutex guards
+// points.
+type History struct {
+	mu     sync.Mutex
+	points []Point
+	newest Point
+}
+
+// Add notes that the position covered all commits acknowledged before at.
+func (h *History) Add(at boottime.Time, p position.Position) {
+	if p.IsZero() {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if at <= h.newest.At {
+		return
+	}
+	h.newest.At = at
+	if p.Compare(h.newest.Position) > 0 {
+		h.newest.Position = p
+	}
+	if n := len(h.points); n > 0 && h.newest.At.Sub(h.points[n-1].At) < spacing {
+		return
+	}
+	if len(h.points) == capacity {
+		h.points = append(h.points[:0], h.points[1:]...)
+	}
+	h.points = append(h.points, h.newest)
+}
+
+// Newest returns the latest point; its At is zero if there is none.
+func (h *History) Newest() Point {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.newest
+}
+
+// Need returns the lowest known position that covers all commits acknowledged
+// before the moment. It is false if nothing that recent is known.
+func (h *History) Need(before boottime.Time) (position.Position, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for _, p := range h.points {
+		if p.At >= before {
+			return h.current(p.Position), true
+		}
+	}
+	return h.newest.Position, h.newest.At >= before && h.newest.At > 0
+}
+
+// current replaces a position of an older term by one of the newest term: the
+// old term's tail may have been discarded by the failover, and then no server
+// will ever reach it.
+func (h *History) current(p position.Position) position.Position {
+	if p.Term == h.newest.Position.Term {
+		return p
+	}
+	for _, q := range h.points {
+		if q.Position.Term == h.newest.Position.Term {
+			return q.Position
+		}
+	}
+	return h.newest.Position
+}
--- /dev/null
+++ b/internal/ratelimit/ratelimit.go
@@ -0,0 +1,221 @@
+// Package ratelimit keeps customers within their rate and burst over all VMs
+// without a coordinator. Every VM keeps a copy of each customer's token bucket and
+// tells the others what it has taken; between two reports it takes at most the
+// part of the tokens that its share of the demand gives it. A VM that hears only
+// some of the others counts on the same part of the rate as it hears VMs, so that
+// two sides of a network partition together stay within it.
+package ratelimit
+
+import (
+	"sync"
+	"time"
+
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+)
+
+const (
+	// reportInterval is the time between two reports of a VM to the others.
+	reportInterval = 200 * time.Millisecond
+	// demandDecay is the time over which demand is averaged.
+	demandDecay = time.Second
+	// demandFloor is the part of an even share that a VM without demand counts
+	// with, so that its first operations find tokens.
+	demandFloor = 0.3
+	// allowanceTime is how far ahead a VM may spend its own part of the rate
+	// between reports: a report and its way.
+	allowanceTime = 1.5
+	// lowerDelay is the time after which a lowered limit takes effect: by then all
+	// VMs in touch have the configuration, so none refuses what another admits. It
+	// is within the 3 s in which a configuration has to be in force.
+	lowerDelay = 2500 * time.Millisecond
+)
+
+// Usage is what one VM has taken and wanted of one customer's tokens, since its
+// start.
+type Usage struct {
+	Taken  float64
+	Demand float64 // operations per second, smoothed
+}
+
+// bucket is one customer's tokens. Own and peers' takings are subtracted.
+type bucket struct {
+	customer access.Customer
+	// lowered takes the place of customer at lowerAt, if that is not 0.
+	lowered   access.Customer
+	lowerAt   boottime.Time
+	tokens    float64
+	filled    boottime.Time
+	taken     float64
+	wanted    float64 // since demandAt
+	demand    float64
+	demandAt  boottime.Time
+	allowance float64 // own operations until the next report
+	peers     map[string]Usage
+}
+
+// Limiter admits operations. The mutex guards the fields below it.
+type Limiter struct {
+	now func() boottime.Time
+
+	mu      sync.Mutex
+	buckets map[string]*bucket
+	heard   int // VMs in touch, this one included
+	members int // VMs that may serve
+}
+
+// New returns a limiter whose buckets start empty: what was taken before a
+// restart is not known.
+func New(now func() boottime.Time) *Limiter {
+	return &Limiter{now: now, buckets: map[string]*bucket{}, heard: 1, members: 1}
+}
+
+// SetFleet tells how many VMs may serve and how many of them are in touch, this
+// one included.
+func (l *Limiter) SetFleet(heard, members int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.heard, l.members = max(heard, 1), max(members, heard, 1)
+}
+
+// Configure takes the customers' limits.
+func (l *Limiter) Configure(customers map[string]access.Customer) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, c := range customers {
+		b := l.bucket(name)
+		l.fill(b)
+		b.set(c)
+	}
+	for name := range l.buckets {
+		if _, ok := customers[name]; !ok {
+			delete(l.buckets, name)
+		}
+	}
+}
+
+func (l *Limiter) bucket(name string) *bucket {
+	b := l.buckets[name]
+	if b == nil {
+		now := l.now()
+		b = &bucket{filled: now, demandAt: now, peers: map[string]Usage{}}
+		l.buckets[name] = b
+	}
+	return b
+}
+
+// set takes a limit; a lower one takes effect later.
+func (b *bucket) set(c access.Customer) {
+	if c.Rate >= b.customer.Rate {
+		b.customer, b.lowerAt = c, 0
+		return
+	}
+	if b.lowerAt == 0 {
+		b.lowerAt = b.filled.Add(lowerDelay)
+	}
+	b.lowered = c
+}
+
+// part is the part of every rate that the VMs in touch may use together.
+func (l *Limiter) part() float64 { return float64(l.heard) / float64(l.members) }
+
+// fill adds the tokens since the last call.
+func (l *Limiter) fill(b *bucket) {
+	now := l.now()
+	if b.lowerAt != 0 && now >= b.lowerAt {
+		b.customer, b.lowerAt = b.lowered, 0
+	}
+	passed := now.Sub(b.filled).Seconds()
+	b.filled = now
+	gain := passed * b.customer.Rate * l.part()
+	b.tokens = min(b.tokens+gain, b.customer.Burst*l.part())
+	b.allowance = min(b.allowance+gain*l.share(b)*allowanceTime, l.fullAllowance(b))
+	if age := now.Sub(b.demandAt); age >= reportInterval {
+		weight := min(1, age.Seconds()/demandDecay.Seconds())
+		b.demand += (b.wanted/age.Seconds() - b.demand) * weight
+		b.wanted, b.demandAt = 0, now
+	}
+}
+
+// share is this VM's part of the demand of the VMs in touch.
+func (l *Limiter) share(b *bucket) float64 {
+	total, floor := b.demand, demandFloor*b.customer.Rate/float64(l.members)
+	for _, p := range b.peers {
+		total += max(p.Demand, floor)
+	}
+	total += max(0, floor-b.demand)
+	if total <= 0 {
+		return 1 / float64(l.heard)
+	}
+	return max(b.demand, floor) / total
+}
+
+// fullAllowance is what this VM may take between two reports: its share of the
+// tokens that are there and of those that come meanwhile, one at least.
+func (l *Limiter) fullAllowance(b *bucket) float64 {
+	return max(1, l.share(b)*(max(b.tokens, 0)+b.customer.Rate*l.part()*reportInterval.Seconds()*allowanceTime))
+}
+
+// Admit takes one operation, or tells when there is room for one.
+func (l *Limiter) Admit(c access.Customer) (time.Duration, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.bucket(c.Name)
+	l.fill(b)
+	b.wanted++
+	if b.tokens >= 1 && b.allowance >= 1 {
+		b.tokens--
+		b.allowance--
+		b.taken++
+		return 0, true
+	}
+	missing := max(1-b.tokens, 1-b.allowance)
+	perSecond := max(0.1, c.Rate*l.part()*l.share(b))
+	return time.Duration(missing / perSecond * float64(time.Second)), false
+}
+
+// Report returns what this VM has taken, for the others, and renews what it may
+// take until the next report.
+func (l *Limiter) Report() map[string]Usage {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	report := make(map[string]Usage, len(l.buckets))
+	for name, b := range l.buckets {
+		l.fill(b)
+		b.allowance = max(b.allowance, l.fullAllowance(b))
+		if b.taken > 0 || b.demand > 0.01 {
+			report[name] = Usage{Taken: b.taken, Demand: b.demand}
+		}
+	}
+	return report
+}
+
+// Hear takes the report of another VM. The first only sets the base; a count that
+// went down began anew at zero.
+func (l *Limiter) Hear(vm string, usage map[string]Usage) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for name, u := range usage {
+		b, ok := l.buckets[name]
+		if !ok {
+			continue
+		}
+		if last, known := b.peers[vm]; known {
+			l.fill(b)
+			if u.Taken < last.Taken {
+				last.Taken = 0
+			}
+			b.tokens -= u.Taken - last.Taken
+		}
+		b.peers[vm] = u
+	}
+}
+
+// Forget drops what is known of a VM that is no longer in touch.
+func (l *Limiter) Forget(vm string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, b := range l.buckets {
+		delete(b.peers, vm)
+	}
+}
--- /dev/null
+++ b/internal/session/session.go
@@ -0,0 +1,411 @@
+// Package session is the core towards callers: it keeps what a caller's session
+// holds (values, prepared statements, the open transaction, its own commits) and
+// answers each statement, by itself or through a database group.
+package session
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/connset"
+	"chicoryline/internal/dispatch"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+	"chicoryline/internal/statement"
+)
+
+const (
+	// maxNames bounds session values and prepared statements of one caller, each.
+	maxNames = 200
+	// defaultTimeout is the time limit of a statement whose route states none.
+	defaultTimeout = 5 * time.Second
+)
+
+// Limiter admits operations by the customer's rate and burst over all VMs.
+type Limiter interface {
+	// Admit takes one operation, or tells when there is room for one.
+	Admit(c access.Customer) (retryAfter time.Duration, ok bool)
+}
+
+// Observer learns how operations ended.
+type Observer interface {
+	// Statement reports one statement that a backend server had to answer.
+	Statement(e Event)
+}
+
+// Event is one decided statement.
+type Event struct {
+	ID, Customer, Database, Group string
+	Op                            statement.Op
+	Took                          time.Duration
+	// ConfigVersion and ConfigAge are what the caller's right rested on.
+	ConfigVersion int64
+	ConfigAge     time.Duration
+	Err           error
+}
+
+// Core opens sessions.
+type Core struct {
+	Access   *access.View
+	Limiter  Limiter
+	Router   *dispatch.Router
+	Observer Observer
+	Texts    connset.Texts
+	Log      *logrus.Entry
+}
+
+// Session is one caller's session. It has one user at a time.
+type Session struct {
+	core          *Core
+	database, key string
+	values        map[string]string
+	prepared      map[string]*connset.Prepared
+	own           map[string]position.Position // newest own commit by group
+	tx            *transaction
+}
+
+// transaction is an open transaction of the caller. The backend server's is
+// opened by the first statement that needs it.
+type transaction struct {
+	route    access.Route
+	customer access.Customer
+	group    *dispatch.Group
+	arrived  boottime.Time
+	readOnly bool
+	tx       *dispatch.Tx
+	// failed tells that only an end of the transaction is still taken; reported
+	// that the caller knows.
+	failed bool
+	// lost is the reason why the transaction has ended, until the caller knows.
+	lost error
+}
+
+// Open returns a session on the database for the holder of the key.
+func (c *Core) Open(_ context.Context, database, key string) (*Session, error) {
+	if _, _, err := c.Access.Authorize(database, key); err != nil {
+		c.Observer.Statement(Event{Database: database, Err: err, ConfigAge: c.Access.Age()})
+		return nil, err
+	}
+	return &Session{core: c, database: database, key: key}, nil
+}
+
+// InTransaction reports whether a transaction is open, and how long its next
+// statement may take to come.
+func (s *Session) InTransaction() (bool, time.Duration) {
+	if s.tx == nil {
+		return false, 0
+	}
+	if c := s.core.Access.Config(); c != nil {
+		return true, c.TxIdle
+	}
+	return true, 0
+}
+
+// Abandon ends the open transaction without effect.
+func (s *Session) Abandon(reason string) {
+	if s.tx == nil || s.tx.failed || s.tx.lost != nil {
+		return
+	}
+	if s.tx.tx != nil {
+		s.tx.tx.Rollback()
+		s.tx.tx = nil
+	}
+	s.tx.lost = errkind.New(errkind.TransactionLost, "%s", reason)
+}
+
+// Close ends the session.
+func (s *Session) Close() {
+	if s.tx != nil && s.tx.tx != nil {
+		s.tx.tx.Rollback()
+	}
+	s.tx = nil
+}
+
+// Handle answers one statement.
+func (s *Session) Handle(st statement.Statement) statement.Result {
+	arrived := boottime.Now()
+	switch st.Op {
+	case statement.Set, statement.Prepare, statement.Forget:
+		return s.keep(st)
+	case statement.Begin:
+		return s.begin(st, arrived)
+	case statement.Rollback:
+		return s.rollback()
+	}
+	if s.tx != nil {
+		return s.inTransaction(st, arrived)
+	}
+	if st.Op == statement.Commit {
+		return s.refuse(errkind.New(errkind.ProtocolViolation, "no transaction is open"))
+	}
+	return s.single(st, arrived)
+}
+
+// status returns the transaction state that the caller is told.
+func (s *Session) status() statement.Status {
+	switch {
+	case s.tx == nil:
+		return statement.Idle
+	case s.tx.failed:
+		return statement.Failed
+	}
+	return statement.InTx
+}
+
+func (s *Session) refuse(err error) statement.Result {
+	return statement.Result{Err: err, Status: s.status()}
+}
+
+func (s *Session) done() statement.Result { return statement.Result{Status: s.status()} }
+
+// keep answers statements that only change what the session holds.
+func (s *Session) keep(st statement.Statement) statement.Result {
+	if err := s.takeLost(); err != nil {
+		return s.refuse(err)
+	}
+	if s.tx != nil && s.tx.failed {
+		return s.refuse(errkind.New(errkind.ProtocolViolation, "transaction has failed"))
+	}
+	switch st.Op {
+	case statement.Set:
+		if len(s.values) >= maxNames && s.values[st.Name] == "" {
+			return s.refuse(errkind.New(errkind.MessageTooLarge, "more than %d session values", maxNames))
+		}
+		if s.values == nil {
+			s.values = map[string]string{}
+		}
+		s.values[st.Name] = st.Value
+	case statement.Prepare:
+		if len(s.prepared) >= maxNames && s.prepared[st.Name] == nil {
+			return s.refuse(errkind.New(errkind.MessageTooLarge, "more than %d prepared statements", maxNames))
+		}
+		if s.prepared == nil {
+			s.prepared = map[string]*connset.Prepared{}
+		}
+		s.prepared[st.Name] = connset.NewPrepared(st.Value, st.ReadOnly)
+	case statement.Forget:
+		delete(s.prepared, st.Name)
+	}
+	return s.done()
+}
+
+// takeLost returns the reason why the open transaction has ended, if the caller
+// does not know yet.
+func (s *Session) takeLost() error {
+	if s.tx == nil || s.tx.lost == nil {
+		return nil
+	}
+	err := s.tx.lost
+	s.tx.lost, s.tx.failed = nil, true
+	return err
+}
+
+// admit decides whether the caller may start an operation now.
+func (s *Session) admit(st statement.Statement) (access.Route, access.Customer, error) {
+	route, customer, err := s.core.Access.Authorize(s.database, s.key)
+	if err != nil {
+		return route, customer, err
+	}
+	if customer.Name == "" {
+		return route, customer, nil
+	}
+	if wait, ok := s.core.Limiter.Admit(customer); !ok {
+		return route, customer, errkind.New(errkind.OverRate, "retry after %d ms", wait.Milliseconds())
+	}
+	return route, customer, nil
+}
+
+func (s *Session) begin(st statement.Statement, arrived boottime.Time) statement.Result {
+	if err := s.takeLost(); err != nil {
+		return s.refuse(err)
+	}
+	if s.tx != nil {
+		return s.refuse(errkind.New(errkind.ProtocolViolation, "a transaction is open"))
+	}
+	route, customer, err := s.admit(st)
+	if err != nil {
+		s.report(st, route, customer, arrived, err)
+		return s.refuse(err)
+	}
+	s.tx = &transaction{
+		route: route, customer: customer, group: s.core.Router.Group(route.Group),
+		arrived: arrived, readOnly: st.ReadOnly,
+	}
+	return s.done()
+}
+
+func (s *Session) rollback() statement.Result {
+	if s.tx == nil {
+		return s.refuse(errkind.New(errkind.ProtocolViolation, "no transaction is open"))
+	}
+	if s.tx.tx != nil {
+		s.tx.tx.Rollback()
+	}
+	s.tx = nil
+	return s.done()
+}
+
+// call returns the statement in the form in which a group runs it, and whether it
+// writes.
+func (s *Session) call(st statement.Statement, route access.Route, customer access.Customer, arrived boottime.Time) (*dispatch.Call, bool, error) {
+	timeout := route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	call := &dispatch.Call{
+		Customer: customer.Name, Priority: route.Priority, Arrived: arrived, Deadline: arrived.Add(timeout),
+		Needs:   connset.Needs{Values: s.values},
+		Command: statement.Command{ID: st.ID, Text: st.Text},
+	}
+	write := st.Op == statement.Write
+	if st.Op == statement.Execute {
+		p := s.prepared[st.Name]
+		if p == nil {
+			return nil, false, errkind.New(errkind.NoStatement, "%.40q is not prepared", st.Name)
+		}
+		call.Needs.Prepared = p
+		call.Command.Text = s.core.Texts.Execute(p.Name, st.Args)
+		write = !p.ReadOnly
+	}
+	return call, write, nil
+}
+
+// single runs a statement outside a transaction.
+func (s *Session) single(st statement.Statement, arrived boottime.Time) statement.Result {
+	route, customer, err := s.admit(st)
+	if err != nil {
+		s.report(st, route, customer, arrived, err)
+		return s.refuse(err)
+	}
+	call, write, err := s.call(st, route, customer, arrived)
+	if err != nil {
+		return s.refuse(err)
+	}
+	group := s.core.Router.Group(route.Group)
+	var r statement.Result
+	switch {
+	case write:
+		r, err = group.Write(call)
+		if err == nil {
+			s.noteOwn(route.Group, r.Position)
+		}
+	case route.Consistency == access.Current:
+		r, err = group.ReadCurrent(call)
+	default:
+		r, err = group.Read(call, arrived.Add(-route.MaxStaleness), s.ownFor(route))
+	}
+	s.report(st, route, customer, arrived, err)
+	return s.result(r, err)
+}
+
+// result is what the caller gets; the server's position stays inside.
+func (s *Session) result(r statement.Result, err error) statement.Result {
+	r.Err, r.Status, r.Position = err, s.status(), position.Position{}
+	if err != nil {
+		r.Rows = nil
+	}
+	return r
+}
+
+func (s *Session) noteOwn(group string, p position.Position) {
+	if s.own == nil {
+		s.own = map[string]position.Position{}
+	}
+	if p.Compare(s.own[group]) > 0 {
+		s.own[group] = p
+	}
+}
+
+func (s *Session) ownFor(route access.Route) position.Position {
+	if route.Consistency != access.ReadYourWrites {
+		return position.Position{}
+	}
+	return s.own[route.Group]
+}
+
+// inTransaction runs a statement of the open transaction.
+func (s *Session) inTransaction(st statement.Statement, arrived boottime.Time) statement.Result {
+	if err := s.takeLost(); err != nil {
+		if st.Op == statement.Commit {
+			s.tx = nil
+		}
+		return s.refuse(err)
+	}
+	t := s.tx
+	if t.failed {
+		if st.Op != statement.Commit {
+			return s.refuse(errkind.New(errkind.ProtocolViolation, "transaction has failed"))
+		}
+		s.rollback()
+		return s.refuse(errkind.New(errkind.TransactionLost, "transaction had failed"))
+	}
+	call, write, err := s.call(st, t.route, t.customer, arrived)
+	if err == nil && write && t.readOnly {
+		err = errkind.New(errkind.ReadOnly, "transaction is read-only")
+	}
+	if err == nil && t.tx == nil {
+		err = s.openTransaction(call)
+	}
+	if err != nil {
+		return s.fail(st, arrived, statement.Result{}, err)
+	}
+	if st.Op == statement.Commit {
+		return s.commit(st, call, arrived)
+	}
+	r, err := t.tx.Run(call, write)
+	if err != nil {
+		return s.fail(st, arrived, r, err)
+	}
+	s.report(st, t.route, t.customer, arrived, nil)
+	return s.result(r, nil)
+}
+
+// openTransaction opens the transaction at a backend server.
+func (s *Session) openTransaction(call *dispatch.Call) error {
+	t := s.tx
+	if !s.core.Access.Fresh() {
+		return errkind.New(errkind.ConfigStale, "configuration last known to be the newest %d ms ago", s.core.Access.Age().Milliseconds())
+	}
+	var err error
+	if t.readOnly && t.route.Consistency != access.Current {
+		t.tx, err = t.group.BeginRead(call, call.Arrived.Add(-t.route.MaxStaleness), s.ownFor(t.route))
+	} else {
+		t.tx, err = t.group.Begin(call)
+	}
+	return err
+}
+
+func (s *Session) commit(st statement.Statement, call *dispatch.Call, arrived boottime.Time) statement.Result {
+	t := s.tx
+	r, err := t.tx.Commit(call)
+	if err == nil && !t.readOnly {
+		s.noteOwn(t.route.Group, r.Position)
+	}
+	s.report(st, t.route, t.customer, arrived, err)
+	s.tx = nil
+	return s.result(r, err)
+}
+
+// fail answers an error inside a transaction, which has failed by it.
+func (s *Session) fail(st statement.Statement, arrived boottime.Time, r statement.Result, err error) statement.Result {
+	t := s.tx
+	if t.tx != nil {
+		t.tx.Rollback()
+		t.tx = nil
+	}
+	t.failed = true
+	s.report(st, t.route, t.customer, arrived, err)
+	return s.result(r, err)
+}
+
+func (s *Session) report(st statement.Statement, route access.Route, customer access.Customer, arrived boottime.Time, err error) {
+	version, _ := s.core.Access.Proved()
+	s.core.Observer.Statement(Event{
+		ID: st.ID, Customer: customer.Name, Database: s.database, Group: route.Group, Op: st.Op,
+		Took: boottime.Since(arrived), ConfigVersion: version, ConfigAge: s.core.Access.Age(), Err: err,
+	})
+}
