--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -221,14 +221,14 @@
 			r, err = c.Receive(call.remaining())
 		}
 		if err != nil {
-			last = errkind.New(errkind.AnswerIncomplete, "%s: %v", s.Info().ID, err)
 			s.noteFailure()
 			if statement.IsTimeout(err) {
 				c.MarkDirty()
 				c.Linger(g.cfg.Texts)
-				return statement.Result{}, last
+				return statement.Result{}, errkind.New(errkind.AnswerIncomplete, "%s: %v", s.Info().ID, err)
 			}
 			c.Discard()
+			last = errkind.New(errkind.AnswerIncomplete, "%s: %v", s.Info().ID, err)
 			continue
 		}
 		c.Release()
@@ -236,7 +236,6 @@
 			s.noteSuccess(boottime.Since(sent), position.Position{})
 			return r, nil
 		}
-		last = r.Err
 		if errkind.Is(r.Err, errkind.ReadOnly) {
 			last = errkind.New(errkind.NoPrimary, "%s does not lead", s.Info().ID)
 			g.Deny(s)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -169,6 +169,7 @@
 	go e.followConfig(work)
 	go e.followServers(work)
 	go e.followMembers(work)
+	go e.followStewards(work)
 	go e.register(work)
 	go e.mesh.Run(work)
 	go e.upkeep(work)
@@ -270,6 +271,31 @@
 	f.Run(ctx)
 }
 
+// followStewards learns of changes of primary sooner than through the entries of
+// backend servers.
+func (e *Process) followStewards(ctx context.Context) {
+	observe := func(rows []coord.Row, act bool) {
+		for _, r := range rows {
+			change, err := e.steward.Observe(r)
+			switch {
+			case r.Deleted || !act:
+			case err != nil:
+				e.log.WithError(err).WithFields(logrus.Fields{"event": "failover", "group": r.Key}).Warn("row was not read")
+			case change.Active:
+				e.router.Group(change.Group).Expect(boottime.Now().Add(steward.ExpectedPromotion))
+			case change.Primary != "":
+				e.router.Group(change.Group).Lead(change.Primary)
+			}
+		}
+	}
+	f := &coord.Follower{
+		Store: e.platform.Store, Table: steward.Table, Wait: memberWait, Timeout: storeTimeout, Log: e.log,
+		Reset:  func(rows []coord.Row) { observe(rows, false) },
+		Update: func(rows []coord.Row) { observe(rows, true) },
+	}
+	f.Run(ctx)
+}
+
 func (e *Process) followMembers(ctx context.Context) {
 	f := &coord.Follower{
 		Store: e.platform.Store, Table: tableMembers, Wait: memberWait, Timeout: storeTimeout, Log: e.log,
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -15,11 +15,12 @@
 )
 
 const (
-	// table holds one row for each group that ever got a new primary.
-	table = "stewards"
+	// Table holds one row for each group that ever got a new primary.
+	Table = "stewards"
 	// leaseTime is how long a steward's row keeps others away after they first saw
-	// it; a change of primary takes about 1 s.
-	leaseTime = 3 * time.Second
+	// it. A change of primary takes about 1 s, and the platform wants 3 s between two
+	// holders.
+	leaseTime = 3500 * time.Millisecond
 	// attemptTime bounds one change of primary.
 	attemptTime = 6 * time.Second
 	// controlWait bounds one control statement, which waits for a slot.
@@ -155,7 +156,7 @@
 		return s.giveUp(ctx, lease, replicas, err)
 	}
 	if t.Progress != nil {
-		t.Progress(expectedPromotion)
+		t.Progress(ExpectedPromotion)
 	}
 	if err := s.promote(ctx, lease, t.Group, target); err != nil {
 		// The order may still be carried out. Only the target receives until a
@@ -164,12 +165,13 @@
 	}
 	log.WithField("backend_server", target).Info("promoted")
 	t.Done(target)
+	err = s.finish(ctx, lease)
 	s.resume(replicas, target)
-	return s.finish(ctx, lease)
+	return err
 }
 
-// expectedPromotion is how long a promotion takes; the platform states 300 to 600 ms.
-const expectedPromotion = 700 * time.Millisecond
+// ExpectedPromotion is how long a promotion takes; the platform states 300 to 600 ms.
+const ExpectedPromotion = 700 * time.Millisecond
 
 // lease is this VM's hold on a group's row.
 type lease struct {
@@ -185,25 +187,48 @@
 	if err != nil {
 		return nil, err
 	}
+	if age := s.sight(group, version); old.Holder != s.cfg.VM && old.Holder != "" && age < leaseTime {
+		return nil, errkind.New(errkind.Conflict, "%s held the lease %d ms ago", old.Holder, age.Milliseconds())
+	}
+	l := &lease{group: group, version: version, previous: old.Holder}
+	l.record = record{Holder: s.cfg.VM, Token: old.Token, Active: true}
+	return l, s.advance(ctx, l, "")
+}
+
+// sight returns how long ago the version of a group's row was first seen.
+func (s *Steward) sight(group string, version uint64) time.Duration {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.seen[group].version != version {
 		s.seen[group] = sighting{version, boottime.Now()}
 	}
-	age := boottime.Since(s.seen[group].at)
-	s.mu.Unlock()
-	if old.Active && old.Holder != s.cfg.VM && age < leaseTime {
-		return nil, errkind.New(errkind.Conflict, "%s holds the lease", old.Holder)
+	return boottime.Since(s.seen[group].at)
+}
+
+// Change is what a group's row says.
+type Change struct {
+	Group string
+	// Primary is the server that was promoted, or is being promoted.
+	Primary string
+	// Active tells that the change is under way.
+	Active bool
+}
+
+// Observe takes a row of Table from the store's feed.
+func (s *Steward) Observe(row coord.Row) (Change, error) {
+	s.sight(row.Key, row.Version)
+	var r record
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return Change{}, err
 	}
-	l := &lease{group: group, version: version, previous: old.Holder}
-	l.record = record{Holder: s.cfg.VM, Token: old.Token, Active: true}
-	return l, s.advance(ctx, l, "")
+	return Change{Group: row.Key, Primary: r.Target, Active: r.Active}, nil
 }
 
 func (s *Steward) read(ctx context.Context, group string) (record, uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
 	var r record
-	rows, _, err := s.cfg.Store.Rows(ctx, table)
+	rows, _, err := s.cfg.Store.Rows(ctx, Table)
 	if err != nil {
 		return r, 0, err
 	}
@@ -232,8 +257,8 @@
 	call, cancel := context.WithTimeout(ctx, storeWait)
 	defer cancel()
 	version, err := s.cfg.Store.Apply(call, coord.Change{
-		If:  []coord.Condition{{Table: table, Key: l.group, Version: l.version}},
-		Put: []coord.Row{{Table: table, Key: l.group, Value: value}},
+		If:  []coord.Condition{{Table: Table, Key: l.group, Version: l.version}},
+		Put: []coord.Row{{Table: Table, Key: l.group, Value: value}},
 	})
 	if errkind.Is(err, errkind.PlatformUnknown) {
 		// The write may have been done, or may be done later under its condition.
@@ -433,6 +458,7 @@
 // unless an earlier steward's order may still be carried out.
 func (s *Steward) giveUp(ctx context.Context, l *lease, replicas []*replica, cause error) error {
 	s.resume(replicas, "")
+	l.record.Target = ""
 	if err := s.finish(ctx, l); err != nil {
 		s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "failover", "group": l.group}).Warn("lease was not given back")
 	}
