--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -23,6 +23,8 @@
 	// limitPause is how long no connection beyond those open is tried after the
 	// server refused one for its limit.
 	limitPause = 300 * time.Millisecond
+	// firstOpenTime is taken before one was measured: handshakes take 12 to 27 ms.
+	firstOpenTime = 20 * time.Millisecond
 	// lingerTime is how long an answer that came too late for its caller is still
 	// awaited, so that the server's work is not broken off.
 	lingerTime = 3 * time.Second
@@ -88,7 +90,7 @@
 
 // New returns an empty set that opens at most limit connections.
 func New(d Dialer, address, group, server string, limit int) *Set {
-	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}}
+	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}, dialTime: firstOpenTime}
 }
 
 // SetLimit changes the number of connections that the VM may have open.
@@ -107,6 +109,8 @@
 	Idle bool
 	// InUse and Waiting count requests of this VM at the server.
 	InUse, Waiting int
+	// OpenTime is the smoothed time of opening a connection.
+	OpenTime time.Duration
 	// Full tells that a connection can be had only by waiting for one.
 	Full bool
 }
@@ -115,7 +119,7 @@
 func (s *Set) Load(customer string) Load {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := Load{InUse: s.open - len(s.idle), Waiting: len(s.waiters)}
+	l := Load{InUse: s.open - len(s.idle), Waiting: len(s.waiters), OpenTime: s.dialTime}
 	for _, c := range s.idle {
 		if c.Customer == customer {
 			l.Idle = true
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -19,12 +19,11 @@
 
 const (
 	// remoteCost is what a server in another failure domain costs more, as time: a
-	// round trip between domains and the bytes that cross.
-	remoteCost = 8 * time.Millisecond
+	// round trip between domains, and the bytes that cross, which are billed. It is
+	// a twentieth of the usual latency objective.
+	remoteCost = 20 * time.Millisecond
 	// primaryCost keeps reads that a replica can serve away from the primary.
 	primaryCost = 10 * time.Millisecond
-	// openCost is the opening of a connection: handshakes take 12 to 27 ms.
-	openCost = 25 * time.Millisecond
 	// waitCost is the wait for a connection in use, per waiter: one statement.
 	waitCost = 30 * time.Millisecond
 	// leaderWait bounds the wait for a primary while no change is under way: a
@@ -363,9 +362,9 @@
 	}
 	switch {
 	case load.Full:
-		cost += openCost + waitCost*time.Duration(1+load.Waiting)
+		cost += load.OpenTime + waitCost*time.Duration(1+load.Waiting)
 	case !load.Idle:
-		cost += openCost
+		cost += load.OpenTime
 	}
 	return cost
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -163,7 +163,7 @@
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Receive: e.hear, Lost: e.limiter.Forget, Log: e.log})
+	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, Lost: e.limiter.Forget, Log: e.log})
 	go e.serveReady(readyListener)
 	go e.serveMetrics(work)
 	go e.followConfig(work)
@@ -399,7 +399,7 @@
 func (e *Process) compose() mesh.News {
 	version, proved := e.view.Proved()
 	n := mesh.News{
-		VM: e.settings.VM, Leaving: e.leaving.Load(), ConfigVersion: version, ConfigAge: age(proved),
+		VM: e.settings.VM, Leaving: e.leaving.Load(), Urgent: e.urgent(), ConfigVersion: version, ConfigAge: age(proved),
 		Usage: e.limiter.Report(), Groups: map[string]mesh.GroupNews{},
 	}
 	for _, g := range e.router.Groups() {
@@ -408,6 +408,21 @@
 	return n
 }
 
+// urgentTime is how long after the first missing answer of a primary news are
+// urgent; by then it is replaced, or answers others.
+const urgentTime = 2 * time.Second
+
+// urgent reports whether a primary has begun to fail to answer this VM.
+func (e *Process) urgent() bool {
+	for _, g := range e.router.Groups() {
+		h := g.Health()
+		if first := max(h.Failing, h.Stuck); first != 0 && boottime.Since(first) < urgentTime {
+			return true
+		}
+	}
+	return false
+}
+
 func groupNews(g *dispatch.Group) mesh.GroupNews {
 	point, h := g.History.Newest(), g.Health()
 	news := mesh.GroupNews{
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -9,6 +9,7 @@
 package mesh
 
 import (
+	"bytes"
 	"context"
 	"math/rand/v2"
 	"net"
@@ -24,11 +25,15 @@
 )
 
 const (
-	// Interval is the time between two datagrams to the same VM.
-	Interval = 200 * time.Millisecond
-	// HeardTime is how long a VM counts as in touch after its last datagram: five
+	// Interval is the time between two datagrams to the same VM. Datagrams cross
+	// failure domains, which is billed; rates and positions bear this delay.
+	Interval = 500 * time.Millisecond
+	// urgentInterval is that of a VM that misses answers of a primary and has to
+	// know whether others get them.
+	urgentInterval = 100 * time.Millisecond
+	// HeardTime is how long a VM counts as in touch after its last datagram: three
 	// lost in a row.
-	HeardTime = 5 * Interval
+	HeardTime = 3*Interval + urgentInterval
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 60 << 10
 )
@@ -51,14 +56,14 @@
 
 // News is the body of a datagram.
 type News struct {
-	VM            string
-	Leaving       bool
+	VM      string
+	Leaving bool
+	// Urgent asks for an answer at once.
+	Urgent        bool
 	ConfigVersion int64
 	ConfigAge     int64 // milliseconds
-	// Load is the smoothed rate of operations, per second.
-	Load   float64
-	Usage  map[string]ratelimit.Usage
-	Groups map[string]GroupNews
+	Usage         map[string]ratelimit.Usage
+	Groups        map[string]GroupNews
 }
 
 // envelope is a datagram. Stamps are on the clock of the VM that made them.
@@ -90,6 +95,8 @@
 	Conn *net.UDPConn
 	// Compose returns the news of the moment.
 	Compose func() News
+	// Urgent reports whether news are to be sent and asked for at short intervals.
+	Urgent func() bool
 	// Receive takes news of another VM; they were true at the moment since, on
 	// this VM's clock, or later. since is 0 if the sender has not heard this VM.
 	Receive func(n News, since boottime.Time)
@@ -165,26 +172,32 @@
 // Run exchanges news until the context ends.
 func (m *Mesh) Run(ctx context.Context) {
 	go m.receiveLoop(ctx)
-	ticker := time.NewTicker(Interval)
+	ticker := time.NewTicker(urgentInterval)
 	defer ticker.Stop()
+	var last boottime.Time
 	for {
 		select {
 		case <-ctx.Done():
 			m.cfg.Conn.Close()
 			return
 		case <-ticker.C:
-			m.send()
+		}
+		if boottime.Since(last) >= Interval-urgentInterval/2 || m.cfg.Urgent() {
+			last = boottime.Now()
+			m.sendAll()
 		}
 	}
 }
 
-func (m *Mesh) send() {
+// target is where a datagram goes and what it returns.
+type target struct {
+	address *net.UDPAddr
+	echo    boottime.Time
+	of      uint64
+}
+
+func (m *Mesh) sendAll() {
 	now := boottime.Now()
-	type target struct {
-		address *net.UDPAddr
-		echo    boottime.Time
-		of      uint64
-	}
 	var targets []target
 	var lost []string
 	m.mu.Lock()
@@ -200,16 +213,19 @@
 		m.cfg.Log.WithFields(logrus.Fields{"event": "member", "vm": vm, "silent_ms": HeardTime.Milliseconds()}).Warn("lost")
 		m.cfg.Lost(vm)
 	}
-	if len(targets) == 0 {
-		return
+	if len(targets) > 0 {
+		m.send(targets)
 	}
-	body, err := msgpack.Marshal(m.cfg.Compose())
+}
+
+func (m *Mesh) send(targets []target) {
+	body, err := encode(m.cfg.Compose())
 	if err != nil {
 		m.cfg.Log.WithError(err).Error("news were not encoded")
 		return
 	}
 	for _, t := range targets {
-		data, err := msgpack.Marshal(envelope{Incarnation: m.incarnation, Sent: boottime.Now(), EchoIncarnation: t.of, Echo: t.echo, Body: body})
+		data, err := encode(envelope{Incarnation: m.incarnation, Sent: boottime.Now(), EchoIncarnation: t.of, Echo: t.echo, Body: body})
 		if err != nil {
 			m.cfg.Log.WithError(err).Error("news were not encoded")
 			return
@@ -254,10 +270,24 @@
 		return
 	}
 	p.incarnation, p.sent, p.heard = e.Incarnation, e.Sent, boottime.Now()
+	reply := target{p.address, p.sent, p.incarnation}
 	m.mu.Unlock()
 	since := boottime.Time(0)
 	if e.EchoIncarnation == m.incarnation {
 		since = e.Echo
 	}
 	m.cfg.Receive(n, since)
+	if n.Urgent {
+		m.send([]target{reply})
+	}
+}
+
+// encode writes structures as arrays: names of fields would be half of a datagram.
+func encode(v any) ([]byte, error) {
+	var b bytes.Buffer
+	e := msgpack.NewEncoder(&b)
+	e.UseArrayEncodedStructs(true)
+	e.UseCompactInts(true)
+	err := e.Encode(v)
+	return b.Bytes(), err
 }
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -16,7 +16,7 @@
 
 const (
 	// reportInterval is the time between two reports of a VM to the others.
-	reportInterval = 200 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
 	// demandDecay is the time over which demand is averaged.
 	demandDecay = time.Second
 	// demandFloor is the part of an even share that a VM without demand counts
@@ -34,8 +34,8 @@
 // Usage is what one VM has taken and wanted of one customer's tokens, since its
 // start.
 type Usage struct {
-	Taken  float64
-	Demand float64 // operations per second, smoothed
+	Taken  uint64
+	Demand float32 // operations per second, smoothed
 }
 
 // bucket is one customer's tokens. Own and peers' takings are subtracted.
@@ -46,7 +46,7 @@
 	lowerAt   boottime.Time
 	tokens    float64
 	filled    boottime.Time
-	taken     float64
+	taken     uint64
 	wanted    float64 // since demandAt
 	demand    float64
 	demandAt  boottime.Time
@@ -141,7 +141,7 @@
 func (l *Limiter) share(b *bucket) float64 {
 	total, floor := b.demand, demandFloor*b.customer.Rate/float64(l.members)
 	for _, p := range b.peers {
-		total += max(p.Demand, floor)
+		total += max(float64(p.Demand), floor)
 	}
 	total += max(0, floor-b.demand)
 	if total <= 0 {
@@ -184,7 +184,7 @@
 		l.fill(b)
 		b.allowance = max(b.allowance, l.fullAllowance(b))
 		if b.taken > 0 || b.demand > 0.01 {
-			report[name] = Usage{Taken: b.taken, Demand: b.demand}
+			report[name] = Usage{Taken: b.taken, Demand: float32(b.demand)}
 		}
 	}
 	return report
@@ -205,7 +205,7 @@
 			if u.Taken < last.Taken {
 				last.Taken = 0
 			}
-			b.tokens -= u.Taken - last.Taken
+			b.tokens -= float64(u.Taken - last.Taken)
 		}
 		b.peers[vm] = u
 	}
