Windows at backend servers; queues bounded by the latency objective; connections follow the load

Change: a window of statements at each server that shrinks on refusals and slow answers; what would wait beyond its objective is refused at once.

--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -14,9 +14,16 @@
 )
 
 const (
-	// maxWaiters bounds the queue: at 33 ms a statement and a few connections the
-	// last one would wait for half a second.
-	maxWaiters = 48
+	// maxWaiters bounds the queue's memory; patience ends it far sooner.
+	maxWaiters = 64
+	// reuseAdvance is how much later than another a request may have come that goes
+	// before it because its customer has an idle connection: the time of a
+	// handshake, twice.
+	reuseAdvance = 50 * time.Millisecond
+	// firstHold is the time of a statement before one was measured, and holdWeight
+	// the part of a new measurement in the smoothed one.
+	firstHold  = 30 * time.Millisecond
+	holdWeight = 16
 	// dialTimeout bounds the opening of one connection. A handshake takes up to
 	// 30 ms of a slot, and waits behind a full queue of the server for some 300 ms.
 	dialTimeout = 700 * time.Millisecond
@@ -60,12 +67,26 @@
 	// dirty tells that the values and prepared statements are not known.
 	dirty   bool
 	lastUse boottime.Time
+	since   boottime.Time // when it was taken
 }
 
-// waiter is a request for a connection.
+// Request asks for a connection.
+type Request struct {
+	Customer string
+	// Priority is lower for what is more important.
+	Priority int
+	// Patience is how long the wait for a connection may last if the statement is
+	// to meet its latency objective.
+	Patience time.Duration
+}
+
+// waiter is a request in the queue.
 type waiter struct {
 	customer string
 	priority int
+	since    boottime.Time
+	// useful is when its patience ends.
+	useful boottime.Time
 	// ready gets a connection, or nil for the right to open one.
 	ready chan *Conn
 }
@@ -83,6 +104,8 @@
 	inUse   map[string]int // by customer
 	paused  boottime.Time  // no growth until then
 	closed  bool
+	window  window
+	hold    time.Duration // smoothed time for which a connection is in use
 
 	dials, evictions int64
 	dialTime         time.Duration // smoothed
@@ -90,7 +113,7 @@
 
 // New returns an empty set that opens at most limit connections.
 func New(d Dialer, address, group, server string, limit int) *Set {
-	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}, dialTime: firstOpenTime}
+	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}, dialTime: firstOpenTime, window: newWindow(limit), hold: firstHold}
 }
 
 // SetLimit changes the number of connections that the VM may have open.
@@ -98,6 +121,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.limit = n
+	s.window.bound(n)
 	for s.open > s.limit && len(s.idle) > 0 {
 		s.dropOldest()
 	}
@@ -111,8 +135,10 @@
 	InUse, Waiting int
 	// OpenTime is the smoothed time of opening a connection.
 	OpenTime time.Duration
-	// Full tells that a connection can be had only by waiting for one.
+	// Full tells that a connection can be had only by waiting for one, and Wait how
+	// long that would last.
 	Full bool
+	Wait time.Duration
 }
 
 // Load returns the present load.
@@ -125,59 +151,77 @@
 			l.Idle = true
 		}
 	}
-	l.Full = !l.Idle && len(s.idle) == 0 && !s.mayGrow()
+	l.Full = !s.window.admits(l.InUse) || !l.Idle && len(s.idle) == 0 && !s.mayGrow()
+	l.Wait = s.expectedWait(len(s.waiters))
 	return l
 }
 
 // mayGrow reports whether one more connection may be opened.
 func (s *Set) mayGrow() bool { return s.open < s.limit && boottime.Now() >= s.paused }
 
-// Acquire returns a connection of the customer. It waits for one until the
-// context ends, which is errkind.QueueTimeout; a full queue is errkind.QueueFull.
-func (s *Set) Acquire(ctx context.Context, customer string, priority int) (*Conn, error) {
+// expectedWait estimates the wait behind so many others.
+func (s *Set) expectedWait(ahead int) time.Duration {
+	return s.hold * time.Duration(ahead+1) / time.Duration(max(1, min(s.window.size(), s.limit)))
+}
+
+// Acquire returns a connection of the customer. A request that would wait beyond
+// its patience is refused at once with errkind.QueueFull, which tells when to come
+// back; one whose context ends gets errkind.QueueTimeout.
+func (s *Set) Acquire(ctx context.Context, r Request) (*Conn, error) {
 	s.mu.Lock()
 	if s.closed {
 		s.mu.Unlock()
 		return nil, errkind.New(errkind.Unreachable, "%s is gone", s.server)
 	}
-	if c := s.takeIdle(customer); c != nil {
-		s.mu.Unlock()
-		return c, nil
-	}
-	if s.mayGrow() {
-		s.open++
-		s.inUse[customer]++
-		s.mu.Unlock()
-		return s.dial(ctx, customer)
-	}
-	if len(s.idle) > 0 {
-		s.dropOldest()
-		s.open++
-		s.inUse[customer]++
-		s.mu.Unlock()
-		return s.dial(ctx, customer)
-	}
-	if len(s.waiters) >= maxWaiters {
-		s.mu.Unlock()
-		return nil, errkind.New(errkind.QueueFull, "%d requests wait for %s", maxWaiters, s.server)
+	if s.window.admits(s.open - len(s.idle)) {
+		if c, ok := s.grant(r.Customer); ok {
+			s.mu.Unlock()
+			if c != nil {
+				return c, nil
+			}
+			return s.dial(ctx, r.Customer)
+		}
 	}
 	if s.open == 0 {
 		s.mu.Unlock()
 		return nil, errkind.New(errkind.ConnectionLimit, "%s", s.server)
 	}
-	w := &waiter{customer: customer, priority: priority, ready: make(chan *Conn, 1)}
+	if wait := s.expectedWait(len(s.waiters)); wait > r.Patience || len(s.waiters) >= maxWaiters {
+		waiting := len(s.waiters)
+		s.mu.Unlock()
+		return nil, errkind.New(errkind.QueueFull, "%d requests wait for %s; retry after %d ms", waiting, s.server, wait.Milliseconds())
+	}
+	now := boottime.Now()
+	w := &waiter{customer: r.Customer, priority: r.Priority, since: now, useful: now.Add(r.Patience), ready: make(chan *Conn, 1)}
 	s.waiters = append(s.waiters, w)
 	s.mu.Unlock()
 	return s.wait(ctx, w)
 }
 
+// grant takes an idle connection of the customer or, with nil, the right to open
+// one. The mutex is held.
+func (s *Set) grant(customer string) (*Conn, bool) {
+	if c := s.takeIdle(customer); c != nil {
+		return c, true
+	}
+	if !s.mayGrow() {
+		if len(s.idle) == 0 {
+			return nil, false
+		}
+		s.dropOldest()
+	}
+	s.open++
+	s.inUse[customer]++
+	return nil, true
+}
+
 func (s *Set) wait(ctx context.Context, w *waiter) (*Conn, error) {
 	select {
 	case c := <-w.ready:
-		if c != nil {
-			return c, nil
+		if c == nil {
+			return s.dial(ctx, w.customer)
 		}
-		return s.dial(ctx, w.customer)
+		return c, nil
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
@@ -206,6 +250,7 @@
 		if c := s.idle[i]; c.Customer == customer {
 			s.idle = append(s.idle[:i], s.idle[i+1:]...)
 			s.inUse[customer]++
+			c.since = boottime.Now()
 			return c
 		}
 	}
@@ -241,19 +286,26 @@
 		return nil, err
 	}
 	s.dialTime += (boottime.Since(start) - s.dialTime) / 8
-	return &Conn{Conn: c, Customer: customer, set: s, values: map[string]string{}, prepared: map[string]struct{}{}}, nil
+	return &Conn{Conn: c, Customer: customer, set: s, since: boottime.Now(), values: map[string]string{}, prepared: map[string]struct{}{}}, nil
 }
 
-// forget takes back a connection that ended, and lets a waiter open another. The
-// mutex is held.
+// forget takes back a connection that ended. The mutex is held.
 func (s *Set) forget(customer string) {
 	s.open--
 	s.leave(customer)
-	if w := s.nextWaiter(); w != nil && s.open < s.limit {
+	s.serve()
+}
+
+// serve grants connections to those who wait. The mutex is held.
+func (s *Set) serve() {
+	for len(s.waiters) > 0 && s.window.admits(s.open-len(s.idle)) {
+		w := s.nextWaiter()
+		c, ok := s.grant(w.customer)
+		if !ok {
+			return
+		}
 		s.removeWaiter(w)
-		s.open++
-		s.inUse[w.customer]++
-		w.ready <- nil
+		w.ready <- c
 	}
 }
 
@@ -264,18 +316,46 @@
 	}
 }
 
-// nextWaiter returns who is served next: the highest priority, among these the
-// customer with the fewest connections in use, then the longest wait.
+// nextWaiter returns who is served next: first those who can still meet their
+// objective, among these the highest priority, then the customer with the fewest
+// connections in use; among equals one who can use an idle connection, unless
+// another has waited much longer, then the longest wait.
 func (s *Set) nextWaiter() *waiter {
-	var best *waiter
-	for _, w := range s.waiters {
-		if best == nil || w.priority < best.priority || w.priority == best.priority && s.inUse[w.customer] < s.inUse[best.customer] {
+	now := boottime.Now()
+	best := s.waiters[0]
+	for _, w := range s.waiters[1:] {
+		if s.before(w, best, now) {
 			best = w
 		}
 	}
 	return best
 }
 
+func (s *Set) before(w, v *waiter, now boottime.Time) bool {
+	if a, b := now > w.useful, now > v.useful; a != b {
+		return b
+	}
+	if w.priority != v.priority {
+		return w.priority < v.priority
+	}
+	if a, b := s.hasIdle(w.customer), s.hasIdle(v.customer); a != b && w.since.Sub(v.since) < reuseAdvance && v.since.Sub(w.since) < reuseAdvance {
+		return a
+	}
+	if a, b := s.inUse[w.customer], s.inUse[v.customer]; a != b {
+		return a < b
+	}
+	return w.since < v.since
+}
+
+func (s *Set) hasIdle(customer string) bool {
+	for _, c := range s.idle {
+		if c.Customer == customer {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Set) removeWaiter(w *waiter) {
 	for i, x := range s.waiters {
 		if x == w {
@@ -297,19 +377,9 @@
 		c.Conn.Close()
 		return
 	}
-	w := s.nextWaiter()
-	if w == nil {
-		s.idle = append(s.idle, c)
-		return
-	}
-	s.removeWaiter(w)
-	s.inUse[w.customer]++
-	if w.customer == c.Customer {
-		w.ready <- c
-		return
-	}
-	c.Conn.Close()
-	w.ready <- nil
+	s.hold += (c.lastUse.Sub(c.since) - s.hold) / holdWeight
+	s.idle = append(s.idle, c)
+	s.serve()
 }
 
 // Discard closes a connection that is of no further use.
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -24,7 +24,7 @@
 	remoteCost = 20 * time.Millisecond
 	// primaryCost keeps reads that a replica can serve away from the primary.
 	primaryCost = 10 * time.Millisecond
-	// waitCost is the wait for a connection in use, per waiter: one statement.
+	// waitCost is what a statement under way adds to those behind it: its own time.
 	waitCost = 30 * time.Millisecond
 	// leaderWait bounds the wait for a primary while no change is under way: a
 	// quarter of the shortest latency objective.
@@ -62,6 +62,7 @@
 	limit         int
 	// health is what is known of the primary's answers.
 	health health
+	load   float64
 	// expected is when a new primary should lead.
 	expected boottime.Time
 	// leaderless is when the group lost its primary, leaving when the present one
@@ -362,7 +363,7 @@
 	}
 	switch {
 	case load.Full:
-		cost += load.OpenTime + waitCost*time.Duration(1+load.Waiting)
+		cost += load.Wait
 	case !load.Idle:
 		cost += load.OpenTime
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -104,3 +104,26 @@
 	defer g.mu.Unlock()
 	return g.expected
 }
+
+// loadWeight is the part of a new count in the smoothed one; counted every 200 ms
+// it follows a change of load within 2 s.
+const loadWeight = 0.1
+
+// MeasureLoad counts the statements under way and waiting, for the smoothed load.
+func (g *Group) MeasureLoad() {
+	busy := 0
+	for _, s := range g.Servers() {
+		l := s.Conns.Load("")
+		busy += l.InUse + l.Waiting
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.load += (float64(busy) - g.load) * loadWeight
+}
+
+// Load returns the smoothed number of statements under way.
+func (g *Group) Load() float64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.load
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -32,6 +32,8 @@
 	Command  statement.Command
 	// Deadline is when the caller's time limit of the statement passes.
 	Deadline boottime.Time
+	// Useful is when the latency objective of the operation passes.
+	Useful boottime.Time
 	// Arrived is when the statement was read from the caller.
 	Arrived boottime.Time
 }
@@ -42,6 +44,12 @@
 	return context.WithTimeout(context.Background(), c.remaining())
 }
 
+// request asks for a connection. Its patience leaves time for the statement.
+func (c *Call) request(s *Server) connset.Request {
+	now := boottime.Now()
+	return connset.Request{Customer: c.Customer, Priority: c.Priority, Patience: c.Useful.Sub(now) - s.expected(now)}
+}
+
 // timeUp is the refusal of a call that found no way in time.
 func (c *Call) timeUp(last error) error {
 	if last != nil {
@@ -60,7 +68,7 @@
 		s, c, err := g.primaryConn(ctx, call)
 		if err != nil {
 			last = err
-			if !g.retry(ctx, err) {
+			if !g.retry(ctx, call, err) {
 				return statement.Result{}, err
 			}
 			continue
@@ -106,6 +114,7 @@
 		c.Release()
 	}
 	if r.Err != nil {
+		s.noteRefusal(r.Err)
 		return r, r.Err
 	}
 	s.noteSuccess(boottime.Since(sent), r.Position)
@@ -129,7 +138,10 @@
 
 // retry reports whether a call that did not run may be tried again, after a
 // pause.
-func (g *Group) retry(ctx context.Context, err error) bool {
+func (g *Group) retry(ctx context.Context, call *Call, err error) bool {
+	if boottime.Now() > call.Useful {
+		return false
+	}
 	switch errkind.KindOf(err) {
 	case errkind.Unreachable, errkind.ConnectionLimit, errkind.WrongServer, errkind.ReadOnly:
 	default:
@@ -149,7 +161,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	c, err := s.Conns.Acquire(ctx, call.Customer, call.Priority)
+	c, err := s.Conns.Acquire(ctx, call.request(s))
 	if err != nil {
 		if errkind.Is(err, errkind.Unreachable) || errkind.Is(err, errkind.WrongServer) {
 			s.noteFailure()
@@ -168,7 +180,7 @@
 		s, c, err := g.primaryConn(ctx, call)
 		if err != nil {
 			last = err
-			if !g.retry(ctx, err) {
+			if !g.retry(ctx, call, err) {
 				return nil, nil, err
 			}
 			continue
@@ -196,7 +208,7 @@
 			g.Deny(s)
 			continue
 		}
-		if !g.retry(ctx, r.Err) {
+		if !g.retry(ctx, call, r.Err) {
 			return nil, nil, r.Err
 		}
 	}
@@ -241,6 +253,7 @@
 			g.Deny(s)
 			continue
 		}
+		s.noteRefusal(r.Err)
 		return r, r.Err
 	}
 	return statement.Result{}, call.timeUp(last)
@@ -324,6 +337,9 @@
 					return statement.Result{}, call.timeUp(last)
 				}
 			}
+			if last != nil && (isFull(last) || boottime.Now() > call.Useful) {
+				return statement.Result{}, last
+			}
 			if len(tried) == 0 && last == nil {
 				last = errkind.New(errkind.Unreachable, "no backend server of %s can be asked", g.Name)
 			}
@@ -372,10 +388,16 @@
 	return statement.Result{}, call.timeUp(last)
 }
 
+// isFull reports whether a refusal says that the servers that could run the
+// statement have too much to do; waiting longer would not help the caller.
+func isFull(err error) bool {
+	return errkind.Is(err, errkind.QueueFull) || errkind.Is(err, errkind.QueueTimeout)
+}
+
 // readAt asks one server. pending tells that the answer, if it comes, goes to
 // late.
 func (g *Group) readAt(ctx context.Context, s *Server, call *Call, need position.Position, late chan answer) (r statement.Result, err error, pending bool) {
-	c, err := s.Conns.Acquire(ctx, call.Customer, call.Priority)
+	c, err := s.Conns.Acquire(ctx, call.request(s))
 	if err != nil {
 		if !errkind.Is(err, errkind.QueueFull) && !errkind.Is(err, errkind.QueueTimeout) && !errkind.Is(err, errkind.ConnectionLimit) {
 			s.noteFailure()
@@ -432,5 +454,6 @@
 	if errkind.Is(r.Err, errkind.NotEligible) {
 		s.noteBehind(need)
 	}
+	s.noteRefusal(r.Err)
 	return r, r.Err
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -6,6 +6,7 @@
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/connset"
+	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
 )
 
@@ -70,6 +71,7 @@
 
 // noteSuccess records an answer of the server.
 func (s *Server) noteSuccess(took time.Duration, p position.Position) {
+	s.Conns.NoteResponse(took)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.failures, s.avoid = 0, 0
@@ -99,6 +101,13 @@
 	s.failures++
 }
 
+// noteRefusal records an error that the server answered with.
+func (s *Server) noteRefusal(err error) {
+	if errkind.Is(err, errkind.QueueFull) {
+		s.Conns.NoteOverload()
+	}
+}
+
 func (s *Server) noteBehind(p position.Position) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -53,6 +53,9 @@
 		}
 		s := g.pickReader(call.Customer, need, tried)
 		if s == nil {
+			if last != nil && (isFull(last) || boottime.Now() > call.Useful) {
+				return nil, last
+			}
 			tried = nil
 			select {
 			case <-ctx.Done():
@@ -61,7 +64,7 @@
 			continue
 		}
 		tried = append(tried, s)
-		c, err := s.Conns.Acquire(ctx, call.Customer, call.Priority)
+		c, err := s.Conns.Acquire(ctx, call.request(s))
 		if err != nil {
 			last = err
 			continue
@@ -141,7 +144,10 @@
 		if t.current {
 			t.group.History.Add(sent, r.Position)
 		}
-	} else if errkind.Is(r.Err, errkind.ReadOnly) && t.current {
+		return r, nil
+	}
+	t.server.noteRefusal(r.Err)
+	if errkind.Is(r.Err, errkind.ReadOnly) && t.current {
 		t.group.Deny(t.server)
 	}
 	return r, nil
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -115,9 +115,11 @@
 	ready    atomic.Bool
 	leaving  atomic.Bool
 
-	// mu guards members.
+	// mu guards the fields below it.
 	mu      sync.Mutex
 	members map[string]member
+	// loads is the load of other VMs in touch, by VM and group.
+	loads map[string]map[string]float64
 }
 
 // member is the row of a VM.
@@ -131,7 +133,7 @@
 func New(s Settings, p Platform, log *logrus.Entry) *Process {
 	log = log.WithField("vm", s.VM)
 	e := &Process{
-		settings: s, platform: p, log: log, members: map[string]member{},
+		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[string]float64{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
 		limiter:  ratelimit.New(boottime.Now),
 		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
@@ -163,7 +165,7 @@
 	}
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, Lost: e.limiter.Forget, Log: e.log})
+	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, Lost: e.forget, Log: e.log})
 	go e.serveReady(readyListener)
 	go e.serveMetrics(work)
 	go e.followConfig(work)
@@ -371,9 +373,35 @@
 	if c == nil {
 		return
 	}
-	for _, g := range c.Groups {
-		e.router.SetLimit(g.Name, max(1, (g.MaxConnections-controlConnections)/(all+1)))
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for name, g := range c.Groups {
+		var others []float64
+		for _, loads := range e.loads {
+			others = append(others, loads[name])
+		}
+		own := e.router.Group(name).Load()
+		e.router.SetLimit(name, dispatch.Budget(g.MaxConnections-controlConnections, all+1, own, others))
+	}
+}
+
+// noteLoad takes another VM's load.
+func (e *Process) noteLoad(vm string, groups map[string]mesh.GroupNews) {
+	loads := make(map[string]float64, len(groups))
+	for name, g := range groups {
+		loads[name] = float64(g.Load)
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.loads[vm] = loads
+}
+
+// forget drops what is known of a VM that is no longer in touch.
+func (e *Process) forget(vm string) {
+	e.limiter.Forget(vm)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.loads, vm)
 }
 
 // upkeep runs what has to be looked at again as time passes.
@@ -386,8 +414,10 @@
 			return
 		case <-ticker.C:
 		}
-		heard, all := e.mesh.Heard()
-		e.limiter.SetFleet(heard+1, all+1)
+		for _, g := range e.router.Groups() {
+			g.MeasureLoad()
+		}
+		e.share()
 		e.router.Expire()
 		if ready := e.isReady(); ready != e.ready.Swap(ready) {
 			e.log.WithFields(logrus.Fields{"event": "ready", "ready": ready, "config_age_ms": e.view.Age().Milliseconds()}).Info("changed")
@@ -427,7 +457,7 @@
 	point, h := g.History.Newest(), g.Health()
 	news := mesh.GroupNews{
 		Position: point.Position, PositionAge: age(point.At), Primary: h.Primary,
-		AnsweredAge: age(h.OwnAnswered), CommittedAge: age(h.OwnCommitted),
+		AnsweredAge: age(h.OwnAnswered), CommittedAge: age(h.OwnCommitted), Load: float32(g.Load()),
 	}
 	if expected := g.Expected(); expected > boottime.Now() {
 		news.ExpectedIn = expected.Sub(boottime.Now()).Milliseconds()
@@ -454,6 +484,7 @@
 // hear takes another VM's news.
 func (e *Process) hear(n mesh.News, since boottime.Time) {
 	e.limiter.Hear(n.VM, n.Usage)
+	e.noteLoad(n.VM, n.Groups)
 	if since == 0 {
 		return
 	}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -256,8 +256,13 @@
 	if timeout <= 0 {
 		timeout = defaultTimeout
 	}
+	target := route.Target
+	if target <= 0 {
+		target = timeout
+	}
 	call := &dispatch.Call{
-		Customer: customer.Name, Priority: route.Priority, Arrived: arrived, Deadline: arrived.Add(timeout),
+		Customer: customer.Name, Priority: route.Priority, Arrived: arrived,
+		Deadline: arrived.Add(timeout), Useful: arrived.Add(min(target, timeout)),
 		Needs:   connset.Needs{Values: s.values},
 		Command: statement.Command{ID: st.ID, Text: st.Text},
 	}
