Mesh: answers to urgent news ask for none

Cause: two VMs that both missed a primary's answers answered each other without end: 7 MB in a network partition of 5.8 s.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -429,7 +429,7 @@
 func (e *Process) compose() mesh.News {
 	version, proved := e.view.Proved()
 	n := mesh.News{
-		VM: e.settings.VM, Leaving: e.leaving.Load(), Urgent: e.urgent(), ConfigVersion: version, ConfigAge: age(proved),
+		VM: e.settings.VM, Leaving: e.leaving.Load(), ConfigVersion: version, ConfigAge: age(proved),
 		Usage: e.limiter.Report(), Groups: map[string]mesh.GroupNews{},
 	}
 	for _, g := range e.router.Groups() {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -185,9 +185,10 @@
 			return
 		case <-ticker.C:
 		}
-		if boottime.Since(last) >= Interval-urgentInterval/2 || m.cfg.Urgent() {
+		urgent := m.cfg.Urgent()
+		if urgent || boottime.Since(last) >= Interval-urgentInterval/2 {
 			last = boottime.Now()
-			m.sendAll()
+			m.sendAll(urgent)
 		}
 	}
 }
@@ -199,7 +200,7 @@
 	of      uint64
 }
 
-func (m *Mesh) sendAll() {
+func (m *Mesh) sendAll(urgent bool) {
 	now := boottime.Now()
 	var targets []target
 	var lost []string
@@ -217,12 +218,14 @@
 		m.cfg.Lost(vm)
 	}
 	if len(targets) > 0 {
-		m.send(targets)
+		m.send(targets, urgent)
 	}
 }
 
-func (m *Mesh) send(targets []target) {
-	body, err := encode(m.cfg.Compose())
+func (m *Mesh) send(targets []target, urgent bool) {
+	news := m.cfg.Compose()
+	news.Urgent = urgent
+	body, err := encode(news)
 	if err != nil {
 		m.cfg.Log.WithError(err).Error("news were not encoded")
 		return
@@ -281,7 +284,8 @@
 	}
 	m.cfg.Receive(n, since)
 	if n.Urgent {
-		m.send([]target{reply})
+		// The answer asks for none, or two urgent VMs would go on without end.
+		m.send([]target{reply}, false)
 	}
 }
 
