Rates count in the platform's window

Ruled out: the split over VMs (a trial with extra log lines shows 22/s admitted in nearly every second).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -38,6 +38,8 @@
 	MemoryBytes                    int64
 	// KeyLifetime is how long a withdrawn key may go on working.
 	KeyLifetime time.Duration
+	// RateWindow is the span over which a customer's rate and burst count.
+	RateWindow time.Duration
 	// StopTime is from the request to stop until the process is killed.
 	StopTime time.Duration
 	// LeaveTime is how long a leaving backend server may still get work.
@@ -135,7 +137,7 @@
 	e := &Process{
 		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[string]float64{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
-		limiter:  ratelimit.New(boottime.Now),
+		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
 		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
 		observer: newObserver(log),
 	}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -1,5 +1,9 @@
 // Package ratelimit keeps customers within their rate and burst over all VMs
-// without a coordinator. Every VM keeps a copy of each customer's token bucket and
+// without a coordinator. The limit is the platform's: in a window, a customer may
+// have rate x window + burst operations. A token bucket paces what the window
+// allows, so that a customer that asks for more than it may is served evenly.
+//
+// Every VM keeps a copy of each customer's token bucket and
 // tells the others what it has taken; between two reports it takes at most the
 // part of the tokens that its share of the demand gives it. A VM that hears only
 // some of the others counts on the same part of the rate as it hears VMs, so that
@@ -41,6 +45,8 @@
 // bucket is one customer's tokens. Own and peers' takings are subtracted.
 type bucket struct {
 	customer access.Customer
+	// recent counts what all VMs in touch have taken in the window.
+	recent recent
 	// lowered takes the place of customer at lowerAt, if that is not 0.
 	lowered   access.Customer
 	lowerAt   boottime.Time
@@ -56,7 +62,8 @@
 
 // Limiter admits operations. The mutex guards the fields below it.
 type Limiter struct {
-	now func() boottime.Time
+	now    func() boottime.Time
+	window time.Duration
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
@@ -64,10 +71,10 @@
 	members int // VMs that may serve
 }
 
-// New returns a limiter whose buckets start empty: what was taken before a
-// restart is not known.
-func New(now func() boottime.Time) *Limiter {
-	return &Limiter{now: now, buckets: map[string]*bucket{}, heard: 1, members: 1}
+// New returns a limiter over windows of the length. Buckets start empty: what was
+// taken before a restart is not known.
+func New(now func() boottime.Time, window time.Duration) *Limiter {
+	return &Limiter{now: now, window: window, buckets: map[string]*bucket{}, heard: 1, members: 1}
 }
 
 // SetFleet tells how many VMs may serve and how many of them are in touch, this
@@ -124,10 +131,12 @@
 	now := l.now()
 	if b.lowerAt != 0 && now >= b.lowerAt {
 		b.customer, b.lowerAt = b.lowered, 0
+		b.recent = recent{}
 	}
+	b.recent.move(now, l.window)
 	passed := now.Sub(b.filled).Seconds()
 	b.filled = now
-	gain := passed * b.customer.Rate * l.part()
+	gain := passed * l.pace(b)
 	b.tokens = min(b.tokens+gain, b.customer.Burst*l.part())
 	b.allowance = min(b.allowance+gain*l.share(b)*allowanceTime, l.fullAllowance(b))
 	if age := now.Sub(b.demandAt); age >= reportInterval {
@@ -137,6 +146,16 @@
 	}
 }
 
+// pace is the rate at which tokens come: what a window allows, spread evenly.
+func (l *Limiter) pace(b *bucket) float64 {
+	return (b.customer.Rate + b.customer.Burst/l.window.Seconds()) * l.part()
+}
+
+// room is what the window allows at this moment.
+func (l *Limiter) room(b *bucket) float64 {
+	return (b.customer.Rate*l.window.Seconds()+b.customer.Burst)*l.part() - b.recent.sum
+}
+
 // share is this VM's part of the demand of the VMs in touch.
 func (l *Limiter) share(b *bucket) float64 {
 	total, floor := b.demand, demandFloor*b.customer.Rate/float64(l.members)
@@ -153,7 +172,8 @@
 // fullAllowance is what this VM may take between two reports: its share of the
 // tokens that are there and of those that come meanwhile, one at least.
 func (l *Limiter) fullAllowance(b *bucket) float64 {
-	return max(1, l.share(b)*(max(b.tokens, 0)+b.customer.Rate*l.part()*reportInterval.Seconds()*allowanceTime))
+	free := min(max(b.tokens, 0), l.room(b))
+	return max(1, l.share(b)*(free+l.pace(b)*reportInterval.Seconds()*allowanceTime))
 }
 
 // Admit takes one operation, or tells when there is room for one.
@@ -163,14 +183,15 @@
 	b := l.bucket(c.Name)
 	l.fill(b)
 	b.wanted++
-	if b.tokens >= 1 && b.allowance >= 1 {
+	if b.tokens >= 1 && b.allowance >= 1 && l.room(b) >= 1 {
 		b.tokens--
 		b.allowance--
 		b.taken++
+		b.recent.add(1)
 		return 0, true
 	}
-	missing := max(1-b.tokens, 1-b.allowance)
-	perSecond := max(0.1, c.Rate*l.part()*l.share(b))
+	missing := max(1-b.tokens, 1-b.allowance, 1-l.room(b))
+	perSecond := max(0.1, l.pace(b)*l.share(b))
 	return time.Duration(missing / perSecond * float64(time.Second)), false
 }
 
@@ -206,6 +227,7 @@
 				last.Taken = 0
 			}
 			b.tokens -= float64(u.Taken - last.Taken)
+			b.recent.add(float64(u.Taken - last.Taken))
 		}
 		b.peers[vm] = u
 	}
