--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -53,13 +53,15 @@
 	mu      sync.Mutex
 	servers map[string]*Server
 	leader  *Server
-	// denied is the server that last said that it does not lead, at its entry's
-	// version.
-	denied        *Server
-	deniedVersion uint64
-	changed       chan struct{}
-	proving       *proof
-	limit         int
+	// denied holds servers that said that they do not lead, with the version of
+	// their entries then.
+	denied  map[*Server]uint64
+	changed chan struct{}
+	// successor was ordered to lead at succeeds.
+	successor *Server
+	succeeds  boottime.Time
+	proving   *proof
+	limit     int
 	// health is what is known of the primary's answers.
 	health health
 	load   float64
@@ -68,8 +70,6 @@
 	// leaderless is when the group lost its primary, leaving when the present one
 	// was first known to leave.
 	leaderless, leaving boottime.Time
-	// promoted is when the primary was taken before its own entry said so.
-	promoted boottime.Time
 }
 
 // Config is what all groups of a VM share.
@@ -100,7 +100,7 @@
 	defer r.mu.Unlock()
 	g := r.groups[name]
 	if g == nil {
-		g = &Group{Name: name, cfg: r.cfg, servers: map[string]*Server{}, changed: make(chan struct{}), limit: max(1, r.limits[name])}
+		g = &Group{Name: name, cfg: r.cfg, servers: map[string]*Server{}, denied: map[*Server]uint64{}, changed: make(chan struct{}), limit: max(1, r.limits[name])}
 		r.groups[name] = g
 	}
 	return g
@@ -171,6 +171,7 @@
 		if old.Address != info.Address || old.Started != info.Started {
 			// The server has started anew: its connections are gone.
 			s.Conns.Close()
+			delete(g.denied, s)
 			s = nil
 		}
 	}
@@ -206,30 +207,33 @@
 		if gone {
 			s.Conns.Close()
 			delete(g.servers, id)
+			delete(g.denied, s)
 			g.cfg.Log.WithFields(logrus.Fields{"event": "backend_server", "group": g.Name, "backend_server": id}).Warn("gone")
 			g.elect()
 		}
 	}
 }
 
-// elect takes the server whose claim to lead is the newest. The mutex is held.
+// elect takes the server whose claim to lead is the newest; without a claim, the
+// one whose promotion was ordered a moment ago. The mutex is held.
 func (g *Group) elect() {
 	var best *Server
 	var bestVersion uint64
 	for _, s := range g.servers {
 		info := s.Info()
-		if !info.Primary || s == g.denied && info.Version <= g.deniedVersion {
+		if version, denied := g.denied[s]; !info.Primary || denied && info.Version <= version {
 			continue
 		}
 		if best == nil || info.Version > bestVersion {
 			best, bestVersion = s, info.Version
 		}
 	}
-	if best == nil && g.isAwaited() {
-		best = g.leader
+	how := "claimed"
+	if best == nil && g.changing() && g.servers[g.successor.Info().ID] == g.successor {
+		best, how = g.successor, "promoted"
 	}
 	if best != g.leader {
-		g.follow(best, "claimed", bestVersion)
+		g.follow(best, how, bestVersion)
 	}
 	switch {
 	case best == nil || !best.Info().Leaving:
@@ -239,17 +243,15 @@
 	}
 }
 
-// isAwaited reports whether the primary was promoted a moment ago and its own
-// entry does not say so yet.
-func (g *Group) isAwaited() bool {
-	return g.leader != nil && g.leader != g.denied && g.servers[g.leader.Info().ID] == g.leader &&
-		g.promoted != 0 && boottime.Since(g.promoted) < claimTime
+// changing reports whether a promotion was ordered a moment ago. The mutex is held.
+func (g *Group) changing() bool {
+	return g.successor != nil && boottime.Since(g.succeeds) < claimTime
 }
 
 // follow takes the server as the primary. The mutex is held.
 func (g *Group) follow(s *Server, how string, version uint64) {
 	g.leader = s
-	g.health, g.expected, g.leaderless, g.promoted = health{}, 0, 0, 0
+	g.health, g.leaderless = health{}, 0
 	name := ""
 	if s != nil {
 		name = s.Info().ID
@@ -261,27 +263,38 @@
 	g.changed = make(chan struct{})
 }
 
-// Deny notes that the server does not lead.
+// Deny notes that the server does not lead. One that has just been promoted may
+// not lead yet; it is asked again a little later.
 func (g *Group) Deny(s *Server) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.denied, g.deniedVersion = s, s.Info().Version
+	if s == g.successor && g.changing() {
+		s.pause(leaderPoll)
+		return
+	}
+	g.denied[s] = s.Info().Version
 	g.elect()
 }
 
-// Lead takes the server as the primary, before discovery says so.
-func (g *Group) Lead(id string) {
+// Succeed notes that the server was ordered to lead. Until it does, the present
+// primary is used on if it still answers.
+func (g *Group) Succeed(id string, primaryAnswers bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	s := g.servers[id]
-	if s == nil || s == g.leader {
+	if s == nil {
+		return
+	}
+	if s != g.successor {
+		g.successor, g.succeeds = s, boottime.Now()
+	}
+	if s == g.leader {
 		return
 	}
-	if g.leader != nil {
-		g.denied, g.deniedVersion = g.leader, g.leader.Info().Version
+	if g.leader != nil && !primaryAnswers {
+		g.denied[g.leader] = g.leader.Info().Version
 	}
-	g.follow(s, "promoted", s.Info().Version)
-	g.promoted = boottime.Now()
+	g.elect()
 }
 
 // Leader returns the server that leads as far as is known, or nil.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -20,12 +20,12 @@
 	}
 }
 
-// noteFailed records that the primary could not be reached or did not answer.
-func (g *Group) noteFailed(s *Server) {
+// noteFailed records that the primary did not answer what was sent at the moment.
+func (g *Group) noteFailed(s *Server, sent boottime.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s == g.leader && g.health.failing == 0 {
-		g.health.failing = boottime.Now()
+		g.health.failing = sent
 	}
 }
 
@@ -40,12 +40,12 @@
 	}
 }
 
-// noteStuck records that a commit or write got no answer.
-func (g *Group) noteStuck(s *Server) {
+// noteStuck records that a commit or write sent at the moment got no answer.
+func (g *Group) noteStuck(s *Server, sent boottime.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s == g.leader && g.health.stuck == 0 {
-		g.health.stuck = boottime.Now()
+		g.health.stuck = sent
 	}
 }
 
@@ -54,6 +54,8 @@
 	// Primary is empty if none is known.
 	Primary string
 	Leaving bool
+	// Changing tells that a promotion was ordered a moment ago.
+	Changing bool
 	// Since is when the group lost its primary or the primary began to leave.
 	Since             boottime.Time
 	Answered, Failing boottime.Time
@@ -67,7 +69,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	h := Health{
-		Since:    g.leaderless,
+		Since: g.leaderless, Changing: g.changing(),
 		Answered: max(g.health.answered, g.health.peerAnswered), Failing: g.health.failing,
 		Committed: max(g.health.committed, g.health.peerCommitted), Stuck: g.health.stuck,
 		OwnAnswered: g.health.answered, OwnCommitted: g.health.committed,
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -105,7 +105,7 @@
 	}
 	r, err := c.Receive(call.remaining())
 	if err != nil {
-		g.noteLost(s, c, err)
+		g.noteLost(s, c, sent, err)
 		return statement.Result{}, errkind.New(errkind.OutcomeUnknown, "%s: %v", s.Info().ID, err)
 	}
 	if r.Status != statement.Idle {
@@ -125,9 +125,9 @@
 
 // noteLost settles a connection without an answer: if the server may still
 // answer, the answer is awaited so that its work is not broken off.
-func (g *Group) noteLost(s *Server, c *connset.Conn, err error) {
+func (g *Group) noteLost(s *Server, c *connset.Conn, sent boottime.Time, err error) {
 	s.noteFailure()
-	g.noteStuck(s)
+	g.noteStuck(s, sent)
 	if statement.IsTimeout(err) {
 		c.MarkDirty()
 		c.Linger(g.cfg.Texts)
@@ -161,11 +161,12 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	start := boottime.Now()
 	c, err := s.Conns.Acquire(ctx, call.request(s))
 	if err != nil {
 		if errkind.Is(err, errkind.Unreachable) || errkind.Is(err, errkind.WrongServer) {
 			s.noteFailure()
-			g.noteFailed(s)
+			g.noteFailed(s, start)
 		}
 		return s, nil, err
 	}
@@ -191,7 +192,7 @@
 			last = err
 			c.Discard()
 			s.noteFailure()
-			g.noteFailed(s)
+			g.noteFailed(s, sent)
 			continue
 		}
 		if r.Err == nil {
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -101,6 +101,13 @@
 	s.failures++
 }
 
+// pause keeps the server from being asked for a moment.
+func (s *Server) pause(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.avoid = boottime.Now().Add(d)
+}
+
 // noteRefusal records an error that the server answered with.
 func (s *Server) noteRefusal(err error) {
 	if errkind.Is(err, errkind.QueueFull) {
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -109,11 +109,12 @@
 // Commit ends the transaction. A missing answer leaves the outcome unknown if the
 // transaction wrote.
 func (t *Tx) Commit(call *Call) (statement.Result, error) {
+	sent := boottime.Now()
 	r, err := t.exchange(call)
 	if err != nil {
 		t.drop(err)
 		if t.wrote {
-			t.group.noteStuck(t.server)
+			t.group.noteStuck(t.server, sent)
 			return statement.Result{}, errkind.New(errkind.OutcomeUnknown, "%s: %v", t.server.Info().ID, err)
 		}
 		return statement.Result{}, errkind.New(errkind.TransactionLost, "%s: %v", t.server.Info().ID, err)
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -41,7 +41,7 @@
 		return
 	}
 	reason := steward.Decide(steward.Observation{
-		Now: boottime.Now(), Known: h.Primary != "", Leaving: h.Leaving, UnknownSince: h.Since,
+		Now: boottime.Now(), Changing: h.Changing, Known: h.Primary != "", Leaving: h.Leaving, UnknownSince: h.Since,
 		Answered: h.Answered, FailingSince: h.Failing, Committed: h.Committed, StuckSince: h.Stuck,
 		Rank: e.rank(g.Name),
 	})
@@ -51,7 +51,10 @@
 	task := steward.Task{
 		Group: g.Name, Primary: h.Primary, Reason: reason,
 		Progress: func(in time.Duration) { g.Expect(boottime.Now().Add(in)) },
-		Done:     g.Lead,
+		Done: func(server string) {
+			g.Expect(boottime.Now().Add(steward.ExpectedPromotion))
+			g.Succeed(server, reason == steward.Leaving)
+		},
 	}
 	for _, s := range servers {
 		info := s.Info()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -288,7 +288,7 @@
 			case change.Active:
 				e.router.Group(change.Group).Expect(boottime.Now().Add(steward.ExpectedPromotion))
 			case change.Primary != "":
-				e.router.Group(change.Group).Lead(change.Primary)
+				e.succeed(change.Group, change.Primary)
 			}
 		}
 	}
@@ -300,6 +300,14 @@
 	f.Run(ctx)
 }
 
+// succeed takes another VM's word that a server was ordered to lead.
+func (e *Process) succeed(group, server string) {
+	g := e.router.Group(group)
+	h := g.Health()
+	g.Expect(boottime.Now().Add(steward.ExpectedPromotion))
+	g.Succeed(server, h.Failing == 0 && h.Stuck == 0)
+}
+
 func (e *Process) followMembers(ctx context.Context) {
 	f := &coord.Follower{
 		Store: e.platform.Store, Table: tableMembers, Wait: memberWait, Timeout: storeTimeout, Log: e.log,
--- a/internal/steward/decide.go
+++ b/internal/steward/decide.go
@@ -26,6 +26,8 @@
 // Observation is what a VM knows of a group's primary. Moments are 0 for never.
 type Observation struct {
 	Now boottime.Time
+	// Changing tells that a promotion was ordered a moment ago.
+	Changing bool
 	// Known tells that a server is taken as the primary, Leaving that it will stop.
 	Known, Leaving bool
 	// UnknownSince is when the group lost its primary.
@@ -55,6 +57,8 @@
 func Decide(o Observation) Reason {
 	wait := time.Duration(o.Rank) * RankDelay
 	switch {
+	case o.Changing:
+		return None
 	case o.Known && o.Leaving && o.Now.Sub(o.UnknownSince) >= wait:
 		return Leaving
 	case !o.Known && o.UnknownSince != 0 && o.Now.Sub(o.UnknownSince) >= SuspectTime+wait:
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -33,6 +33,8 @@
 	// catchUpTime is how long the target may take to receive what another replica
 	// has, while the primary still sends.
 	catchUpTime = 300 * time.Millisecond
+	// tryPause is the least time between two attempts of this VM for a group.
+	tryPause = 300 * time.Millisecond
 	// pollPause is the pause between two looks at a server.
 	pollPause = 30 * time.Millisecond
 )
@@ -80,16 +82,19 @@
 	busy map[string]bool
 	// seen is when each version of a group's row was first seen.
 	seen map[string]sighting
+	// tried is when this VM last began a change of the group's primary.
+	tried map[string]boottime.Time
 }
 
 type sighting struct {
 	version uint64
+	holder  string
 	at      boottime.Time
 }
 
 // New returns a steward.
 func New(cfg Config) *Steward {
-	return &Steward{cfg: cfg, busy: map[string]bool{}, seen: map[string]sighting{}}
+	return &Steward{cfg: cfg, busy: map[string]bool{}, seen: map[string]sighting{}, tried: map[string]boottime.Time{}}
 }
 
 // record is the row of a group.
@@ -111,7 +116,7 @@
 	Reason  Reason
 	// Progress is told when the new primary is expected to lead.
 	Progress func(in time.Duration)
-	// Done is told the new primary.
+	// Done is told the server that was ordered to lead.
 	Done func(server string)
 }
 
@@ -119,9 +124,12 @@
 func (s *Steward) Start(ctx context.Context, t Task) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.busy[t.Group] {
+	last := s.seen[t.Group]
+	held := last.holder != "" && last.holder != s.cfg.VM && boottime.Since(last.at) < leaseTime
+	if s.busy[t.Group] || held || boottime.Since(s.tried[t.Group]) < tryPause {
 		return
 	}
+	s.tried[t.Group] = boottime.Now()
 	s.busy[t.Group] = true
 	go func() {
 		ctx, cancel := context.WithTimeout(ctx, attemptTime)
@@ -187,7 +195,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if age := s.sight(group, version); old.Holder != s.cfg.VM && old.Holder != "" && age < leaseTime {
+	if age := s.sight(group, old.Holder, version); old.Holder != s.cfg.VM && old.Holder != "" && age < leaseTime {
 		return nil, errkind.New(errkind.Conflict, "%s held the lease %d ms ago", old.Holder, age.Milliseconds())
 	}
 	l := &lease{group: group, version: version, previous: old.Holder}
@@ -196,11 +204,11 @@
 }
 
 // sight returns how long ago the version of a group's row was first seen.
-func (s *Steward) sight(group string, version uint64) time.Duration {
+func (s *Steward) sight(group, holder string, version uint64) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.seen[group].version != version {
-		s.seen[group] = sighting{version, boottime.Now()}
+		s.seen[group] = sighting{version, holder, boottime.Now()}
 	}
 	return boottime.Since(s.seen[group].at)
 }
@@ -216,11 +224,11 @@
 
 // Observe takes a row of Table from the store's feed.
 func (s *Steward) Observe(row coord.Row) (Change, error) {
-	s.sight(row.Key, row.Version)
 	var r record
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return Change{}, err
 	}
+	s.sight(row.Key, r.Holder, row.Version)
 	return Change{Group: row.Key, Primary: r.Target, Active: r.Active}, nil
 }
 
