--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -55,6 +56,8 @@
 	Wait time.Duration
 	// Timeout bounds a call beyond Wait.
 	Timeout time.Duration
+	// Pause is the least time from a change to the next call.
+	Pause time.Duration
 	// Reset takes the whole table after a gap, Update a change, both in order.
 	Reset  func([]Row)
 	Update func([]Row)
@@ -62,6 +65,8 @@
 	Proof func(boottime.Time)
 	Log   *logrus.Entry
 
+	// mu guards the fields below it and the order of Reset and Update.
+	mu      sync.Mutex
 	version uint64
 	loaded  bool
 	failing bool
@@ -93,8 +98,10 @@
 		}
 		f.noteHealth(err)
 		if errkind.Is(err, errkind.HistoryGone) {
+			f.mu.Lock()
 			f.loaded = false
-			continue
+			f.mu.Unlock()
+			pause = firstPause
 		}
 		select {
 		case <-ctx.Done():
@@ -119,26 +126,61 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if !f.loaded {
+	if !f.isLoaded() {
 		ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 		defer cancel()
 		rows, version, err := f.Store.Rows(ctx, f.Table)
 		if err != nil {
 			return err
 		}
+		f.mu.Lock()
+		defer f.mu.Unlock()
 		f.Reset(rows)
 		f.version, f.loaded = version, true
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, f.Wait+f.Timeout)
+	changed, err := f.watch(ctx, f.Wait)
+	if changed && f.Pause > 0 {
+		select {
+		case <-ctx.Done():
+		case <-time.After(f.Pause):
+		}
+	}
+	return err
+}
+
+func (f *Follower) isLoaded() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded
+}
+
+// watch delivers the changes since the version at hand.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
-	rows, version, err := f.Store.Watch(ctx, f.Table, f.version, f.Wait)
+	f.mu.Lock()
+	after := f.version
+	f.mu.Unlock()
+	rows, version, err := f.Store.Watch(ctx, f.Table, after, wait)
 	if err != nil {
-		return err
+		return false, err
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	if len(rows) > 0 {
 		f.Update(rows)
 	}
 	f.version = max(f.version, version)
-	return nil
+	return len(rows) > 0, nil
+}
+
+// Check delivers the changes up to now without waiting for more, beside the watch
+// that Run has under way.
+func (f *Follower) Check(ctx context.Context) error {
+	if !f.isLoaded() {
+		return errkind.New(errkind.PlatformUnavailable, "table %s is not loaded", f.Table)
+	}
+	_, err := f.watch(ctx, 0)
+	return err
 }
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -75,9 +75,11 @@
 // Config is what all groups of a VM share.
 type Config struct {
 	Domain string
-	Dialer connset.Dialer
-	Texts  connset.Texts
-	Log    *logrus.Entry
+	// LeaveTime is how long a server may get work after it has said that it leaves.
+	LeaveTime time.Duration
+	Dialer    connset.Dialer
+	Texts     connset.Texts
+	Log       *logrus.Entry
 }
 
 // Router holds the groups. The mutex guards groups and limits.
@@ -180,6 +182,13 @@
 		g.servers[info.ID] = s
 	}
 	s.mu.Lock()
+	if info.Leaving && !s.info.Leaving {
+		s.leftAt = boottime.Now()
+		if s.info.ID == "" {
+			// It is not known for how long the server has been leaving.
+			s.leftAt = s.leftAt.Add(-g.cfg.LeaveTime / 2)
+		}
+	}
 	s.info, s.missing = info, 0
 	s.mu.Unlock()
 	g.elect()
@@ -314,7 +323,7 @@
 		g.mu.Lock()
 		leader, changed, expected := g.leader, g.changed, g.expected
 		g.mu.Unlock()
-		if leader != nil && !leader.avoided(now) {
+		if leader != nil && !leader.avoided(now) && !leader.hasLeft(now, g.cfg.LeaveTime) {
 			return leader, nil
 		}
 		until := start.Add(leaderWait)
--- /dev/null
+++ b/internal/dispatch/group_test.go
@@ -0,0 +1,226 @@
+package dispatch
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+// newGroup returns a group of the servers; the first claims to lead.
+func newGroup(ids ...string) *Group {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := NewRouter(Config{Domain: "north", LeaveTime: 7 * time.Second, Log: logrus.NewEntry(log)})
+	r.SetLimit("g", 4)
+	for i, id := range ids {
+		r.Update(entryOf(id, i == 0, uint64(i+1)))
+	}
+	return r.Group("g")
+}
+
+func entryOf(id string, primary bool, version uint64) ServerInfo {
+	return ServerInfo{ID: id, Group: "g", Address: "127.0.0.1:1", Domain: "north", Slots: 5, Primary: primary, Version: version}
+}
+
+func leaderOf(g *Group) string {
+	if s := g.Leader(); s != nil {
+		return s.Info().ID
+	}
+	return ""
+}
+
+func TestNewestClaimLeads(t *testing.T) {
+	g := newGroup("a", "b", "c")
+	if got := leaderOf(g); got != "a" {
+		t.Fatalf("leader %q, want a", got)
+	}
+	g.update(entryOf("b", true, 10))
+	if got := leaderOf(g); got != "b" {
+		t.Errorf("leader %q, want the newest claim b", got)
+	}
+	g.update(entryOf("a", true, 1)) // an old entry once more
+	if got := leaderOf(g); got != "b" {
+		t.Errorf("leader %q after an old entry, want b", got)
+	}
+}
+
+func TestDeniedServerLeadsAgainOnlyWithANewEntry(t *testing.T) {
+	g := newGroup("a", "b")
+	g.Deny(g.Leader())
+	if got := leaderOf(g); got != "" {
+		t.Fatalf("leader %q after a denial", got)
+	}
+	if g.Health().Since == 0 {
+		t.Error("the loss of the primary has no time")
+	}
+	g.update(entryOf("a", true, 1))
+	if got := leaderOf(g); got != "" {
+		t.Errorf("leader %q by its old entry", got)
+	}
+	g.update(entryOf("a", true, 20))
+	if got := leaderOf(g); got != "a" {
+		t.Errorf("leader %q, want a by its new entry", got)
+	}
+}
+
+// A promoted server refuses writes until the platform has carried the order out;
+// VMs used to fall back to the dead primary then.
+func TestSuccessorIsAwaited(t *testing.T) {
+	g := newGroup("a", "b")
+	g.Succeed("b", false)
+	if got := leaderOf(g); got != "b" {
+		t.Fatalf("leader %q, want the successor of a dead primary", got)
+	}
+	g.Deny(g.Leader())
+	if got := leaderOf(g); got != "b" {
+		t.Errorf("leader %q after an early refusal, want b", got)
+	}
+	if !g.Health().Changing {
+		t.Error("the change is not known as under way")
+	}
+	g.update(entryOf("c", false, 30))
+	if got := leaderOf(g); got != "b" {
+		t.Errorf("leader %q after another entry, want b", got)
+	}
+}
+
+func TestLivingPrimaryIsUsedUntilTheSuccessorLeads(t *testing.T) {
+	g := newGroup("a", "b")
+	g.Succeed("b", true)
+	if got := leaderOf(g); got != "a" {
+		t.Fatalf("leader %q, want a while it answers", got)
+	}
+	g.Deny(g.Leader())
+	if got := leaderOf(g); got != "b" {
+		t.Errorf("leader %q after a's refusal, want b", got)
+	}
+}
+
+// A primary that announced its end and could not be replaced got work for longer
+// than it may (hunt fogas-pool, mix --seed 355159337549).
+func TestServerThatLeavesGetsNoWorkForLong(t *testing.T) {
+	g := newGroup("a", "b")
+	info := entryOf("a", true, 5)
+	info.Leaving = true
+	g.update(info)
+	now := boottime.Now()
+	if _, err := g.awaitLeader(context.Background(), now.Add(time.Second)); err != nil {
+		t.Fatalf("leaving primary is refused at once: %v", err)
+	}
+	s := g.Leader()
+	s.leftAt = now.Add(-(g.cfg.LeaveTime - leaveMargin))
+	if _, err := g.awaitLeader(context.Background(), now.Add(time.Second)); !errkind.Is(err, errkind.NoPrimary) {
+		t.Errorf("error %v, want no_primary", err)
+	}
+	if s.eligible(position.Position{}, now) {
+		t.Error("a leaving server gets reads")
+	}
+}
+
+func TestServerFirstSeenLeavingGetsHalfTheTime(t *testing.T) {
+	g := newGroup("a")
+	info := entryOf("b", true, 5)
+	info.Leaving = true
+	g.update(info)
+	s := g.servers["b"]
+	if now := boottime.Now(); !s.hasLeft(now.Add(g.cfg.LeaveTime/2), g.cfg.LeaveTime) || s.hasLeft(now, g.cfg.LeaveTime) {
+		t.Error("a server of unknown leaving time is not given half of it")
+	}
+}
+
+func TestEntryThatVanishesIsKeptForAWhile(t *testing.T) {
+	g := newGroup("a", "b")
+	g.missing("b")
+	g.expire()
+	if len(g.Servers()) != 2 {
+		t.Fatal("server is dropped at once")
+	}
+	g.update(entryOf("b", false, 9))
+	g.missing("b")
+	g.servers["b"].missing = boottime.Now().Add(-missingTime - time.Millisecond)
+	g.expire()
+	if len(g.Servers()) != 1 {
+		t.Error("server is kept though its entry is gone")
+	}
+}
+
+// Reads stay in the failure domain, away from the primary, off replicas that lag
+// and off servers that failed a moment ago.
+func TestReaderChoice(t *testing.T) {
+	need := position.Position{Term: 1, Offset: 10}
+	for _, c := range []struct {
+		name    string
+		prepare func(g *Group)
+		want    string
+	}{
+		{"replica before primary", func(*Group) {}, "near"},
+		{"lagging replica", func(g *Group) { g.servers["near"].noteBehind(need) }, "primary"},
+		{"failed replica", func(g *Group) { g.servers["near"].noteFailure() }, "primary"},
+		{"slow replica", func(g *Group) {
+			for range 50 {
+				g.servers["near"].noteSuccess(400*time.Millisecond, position.Position{})
+			}
+		}, "primary"},
+		{"leaving replica", func(g *Group) {
+			info := entryOf("near", false, 9)
+			info.Leaving = true
+			g.update(info)
+		}, "primary"},
+		{"only the remote replica is left", func(g *Group) {
+			g.servers["near"].noteFailure()
+			g.servers["primary"].noteFailure()
+		}, "far"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup("primary", "near")
+			far := entryOf("far", false, 3)
+			far.Domain = "south"
+			g.update(far)
+			c.prepare(g)
+			s := g.pickReader("customer", need, nil)
+			if s == nil || s.Info().ID != c.want {
+				t.Errorf("reader %v, want %s", s, c.want)
+			}
+		})
+	}
+}
+
+// The load of a failure domain with one VM beside domains with three: its VM gets
+// connections for its part of the load, the others keep enough to begin.
+func TestBudgetFollowsTheLoad(t *testing.T) {
+	const limit, members = 36, 8
+	loads := []float64{0.8, 0.8, 0.8, 0.9, 0.9, 0.9, 2, 2.9}
+	sum := 0
+	for i, own := range loads {
+		var others []float64
+		for j, o := range loads {
+			if j != i {
+				others = append(others, o)
+			}
+		}
+		n := Budget(limit, members, own, others)
+		sum += n
+		if n < 2 {
+			t.Errorf("VM %d gets %d connections", i, n)
+		}
+		if i == 7 && n < 7 {
+			t.Errorf("the VM with 29 %% of the load gets %d of %d connections", n, limit)
+		}
+	}
+	if sum > limit {
+		t.Errorf("%d connections are given out of %d", sum, limit)
+	}
+	if got := Budget(limit, members, 0, nil); got != limit/members {
+		t.Errorf("without load %d connections, want an even part", got)
+	}
+	if got := Budget(2, 78, 0, []float64{5}); got != 1 {
+		t.Errorf("%d connections, want one at least", got)
+	}
+}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -60,6 +60,8 @@
 	response   time.Duration
 	measuredAt boottime.Time
 	missing    boottime.Time
+	// leftAt is when the server was first known to leave.
+	leftAt boottime.Time
 }
 
 // Info returns what discovery says.
@@ -128,6 +130,17 @@
 	return now < s.avoid
 }
 
+// leaveMargin is taken off the time that a leaving server may get work: the delay
+// of its announcement and the way of a statement.
+const leaveMargin = 500 * time.Millisecond
+
+// hasLeft reports whether the server has been leaving for too long to get work.
+func (s *Server) hasLeft(now boottime.Time, leaveTime time.Duration) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.info.Leaving && now.Sub(s.leftAt) >= leaveTime-leaveMargin
+}
+
 // eligible reports whether the server may have the position and may be asked.
 func (s *Server) eligible(need position.Position, now boottime.Time) bool {
 	s.mu.Lock()
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -8,7 +8,6 @@
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
-	"chicoryline/internal/mesh"
 	"chicoryline/internal/steward"
 )
 
@@ -74,7 +73,7 @@
 		if vm == e.settings.VM || xxhash.Sum64String(group+"/"+vm) <= own {
 			continue
 		}
-		if silent, ever := e.mesh.HeardOf(vm); ever && silent < mesh.HeardTime {
+		if e.mesh.InTouch(vm) {
 			rank++
 		}
 	}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/access"
@@ -50,12 +51,17 @@
 	// leaseMargin is taken off a key's lifetime: the rates of two clocks and the
 	// way of a statement to the backend server.
 	leaseMargin = 400 * time.Millisecond
-	// configWait is how long one watch of the configuration waits. The lease counts
-	// from the sending of an answered watch, so that two of them fit into it.
-	configWait = 1500 * time.Millisecond
-	// serverWait and memberWait are for tables on which no lease rests.
-	serverWait = 20 * time.Second
-	memberWait = 25 * time.Second
+	// leaderProofAge is the age at which the first VM of a cell asks the store for a
+	// new proof of the configuration. With the way of news to others, and one that is
+	// lost, proofs stay within the lease of 4.6 s.
+	leaderProofAge = 1200 * time.Millisecond
+	// memberProofAge, and up to proofSpread more, is the age at which others ask.
+	memberProofAge = 2800 * time.Millisecond
+	proofSpread    = 600 * time.Millisecond
+	// tableWait is how long one watch of a table waits for a change.
+	tableWait = 25 * time.Second
+	// memberPause gathers the changes of many VMs that start together.
+	memberPause = 1500 * time.Millisecond
 	// storeTimeout bounds a call of the store beyond its wait: 4 ms an answer, 60
 	// times that when the store is slow.
 	storeTimeout = 800 * time.Millisecond
@@ -138,7 +144,7 @@
 		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[string]float64{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
 		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
-		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
+		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
 		observer: newObserver(log),
 	}
 	e.core = &session.Core{Access: e.view, Limiter: e.limiter, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
@@ -168,7 +174,9 @@
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, Lost: e.forget, Log: e.log})
-	go e.serveReady(readyListener)
+	readiness := &http.Server{ReadHeaderTimeout: storeTimeout, Handler: http.HandlerFunc(e.answerReady)}
+	go e.serveReady(readiness, readyListener)
+	defer readiness.Close()
 	go e.serveMetrics(work)
 	go e.followConfig(work)
 	go e.followServers(work)
@@ -200,13 +208,14 @@
 
 func (e *Process) isReady() bool { return !e.leaving.Load() && e.view.Fresh() }
 
-func (e *Process) serveReady(l net.Listener) {
-	server := &http.Server{ReadHeaderTimeout: storeTimeout, Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		if !e.isReady() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-		}
-	})}
-	if err := server.Serve(l); err != nil {
+func (e *Process) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if !e.isReady() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (e *Process) serveReady(server *http.Server, l net.Listener) {
+	if err := server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		e.log.WithError(err).Error("readiness check ended")
 	}
 }
@@ -228,17 +237,48 @@
 		}
 	}
 	f := &coord.Follower{
-		Store: e.platform.Store, Table: e.platform.ConfigTable, Wait: configWait, Timeout: storeTimeout,
-		Reset: apply, Update: apply, Log: e.log,
-		Proof: func(at boottime.Time) {
-			if c := e.view.Config(); c != nil {
-				e.view.Prove(c.Version, at)
-			}
-		},
+		Store: e.platform.Store, Table: e.platform.ConfigTable, Wait: tableWait, Timeout: storeTimeout,
+		Reset: apply, Update: apply, Log: e.log, Proof: e.prove,
 	}
+	go e.keepFresh(ctx, f)
 	f.Run(ctx)
 }
 
+func (e *Process) prove(at boottime.Time) {
+	if c := e.view.Config(); c != nil {
+		e.view.Prove(c.Version, at)
+	}
+}
+
+// keepFresh asks the store whether the configuration still is the newest before
+// the proof at hand gets too old. One VM of a cell asks more often than the others,
+// who hear of it and ask only when they do not.
+func (e *Process) keepFresh(ctx context.Context, f *coord.Follower) {
+	spread := rand.N(proofSpread)
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		limit := memberProofAge + spread
+		if e.mesh.Leads() {
+			limit = leaderProofAge
+		}
+		if e.view.Config() == nil || e.view.Age() < limit {
+			continue
+		}
+		start := boottime.Now()
+		if err := f.Check(ctx); err != nil {
+			e.log.WithError(err).WithField("event", "store_watch").Debug("configuration was not proved")
+			continue
+		}
+		e.prove(start)
+	}
+}
+
 func (e *Process) followServers(ctx context.Context) {
 	update := func(rows []coord.Row) {
 		for _, r := range rows {
@@ -257,7 +297,7 @@
 		}
 	}
 	f := &coord.Follower{
-		Store: e.platform.Store, Table: e.platform.ServerTable, Wait: serverWait, Timeout: storeTimeout, Log: e.log,
+		Store: e.platform.Store, Table: e.platform.ServerTable, Wait: tableWait, Timeout: storeTimeout, Log: e.log,
 		Update: update,
 		Reset: func(rows []coord.Row) {
 			present := map[string]bool{}
@@ -293,7 +333,7 @@
 		}
 	}
 	f := &coord.Follower{
-		Store: e.platform.Store, Table: steward.Table, Wait: memberWait, Timeout: storeTimeout, Log: e.log,
+		Store: e.platform.Store, Table: steward.Table, Wait: tableWait, Timeout: storeTimeout, Log: e.log,
 		Reset:  func(rows []coord.Row) { observe(rows, false) },
 		Update: func(rows []coord.Row) { observe(rows, true) },
 	}
@@ -310,7 +350,7 @@
 
 func (e *Process) followMembers(ctx context.Context) {
 	f := &coord.Follower{
-		Store: e.platform.Store, Table: tableMembers, Wait: memberWait, Timeout: storeTimeout, Log: e.log,
+		Store: e.platform.Store, Table: tableMembers, Wait: tableWait, Pause: memberPause, Timeout: storeTimeout, Log: e.log,
 		Update: func(rows []coord.Row) { e.updateMembers(rows, false) },
 		Reset:  func(rows []coord.Row) { e.updateMembers(rows, true) },
 	}
@@ -334,7 +374,7 @@
 	}
 	peers := make([]mesh.Peer, 0, len(e.members))
 	for vm, m := range e.members {
-		peers = append(peers, mesh.Peer{VM: vm, Address: m.Address})
+		peers = append(peers, mesh.Peer{VM: vm, Address: m.Address, Domain: m.Domain})
 	}
 	e.mu.Unlock()
 	e.mesh.SetPeers(peers)
@@ -439,7 +479,7 @@
 func (e *Process) compose() mesh.News {
 	version, proved := e.view.Proved()
 	n := mesh.News{
-		VM: e.settings.VM, Leaving: e.leaving.Load(), ConfigVersion: version, ConfigAge: age(proved),
+		Leaving: e.leaving.Load(), ConfigVersion: version, ConfigAge: age(proved),
 		Usage: e.limiter.Report(), Groups: map[string]mesh.GroupNews{},
 	}
 	for _, g := range e.router.Groups() {
@@ -491,10 +531,10 @@
 	return since.Add(-time.Duration(age) * time.Millisecond)
 }
 
-// hear takes another VM's news.
-func (e *Process) hear(n mesh.News, since boottime.Time) {
-	e.limiter.Hear(n.VM, n.Usage)
-	e.noteLoad(n.VM, n.Groups)
+// hear takes the news of another VM or cell.
+func (e *Process) hear(source string, n mesh.News, since boottime.Time) {
+	e.limiter.Hear(source, n.Usage)
+	e.noteLoad(source, n.Groups)
 	if since == 0 {
 		return
 	}
--- /dev/null
+++ b/internal/mesh/cells.go
@@ -0,0 +1,54 @@
+package mesh
+
+import (
+	"slices"
+	"sort"
+	"strconv"
+)
+
+const (
+	// singleCell is the number of VMs up to which all talk to each other: each then
+	// handles 30 datagrams a second.
+	singleCell = 16
+	// cellSize bounds a cell of a larger fleet.
+	cellSize = 12
+)
+
+// cell is a group of VMs that exchange news directly.
+type cell struct {
+	name string
+	vms  []string // sorted
+}
+
+func (c cell) has(vm string) bool {
+	_, found := slices.BinarySearch(c.vms, vm)
+	return found
+}
+
+// split puts VMs into cells that do not cross failure domains, unless they are
+// few. All VMs with the same list come to the same cells.
+func split(list []Peer) []cell {
+	if len(list) <= singleCell {
+		c := cell{name: "all"}
+		for _, p := range list {
+			c.vms = append(c.vms, p.VM)
+		}
+		sort.Strings(c.vms)
+		return []cell{c}
+	}
+	domains := map[string][]string{}
+	for _, p := range list {
+		domains[p.Domain] = append(domains[p.Domain], p.VM)
+	}
+	var cells []cell
+	for domain, vms := range domains {
+		sort.Strings(vms)
+		parts := (len(vms) + cellSize - 1) / cellSize
+		for i := range parts {
+			from, to := i*len(vms)/parts, (i+1)*len(vms)/parts
+			cells = append(cells, cell{name: domain + "/" + strconv.Itoa(i), vms: vms[from:to]})
+		}
+	}
+	sort.Slice(cells, func(i, j int) bool { return cells[i].name < cells[j].name })
+	return cells
+}
--- /dev/null
+++ b/internal/mesh/digest.go
@@ -0,0 +1,139 @@
+package mesh
+
+import (
+	"strconv"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/ratelimit"
+)
+
+// tally adds up what the VMs of a cell have taken of the customers' rates. Counts
+// of a VM that began anew are added from zero.
+type tally struct {
+	last  map[string]map[string]uint64 // by VM and customer
+	taken map[string]uint64            // by customer
+}
+
+func newTally() tally {
+	return tally{last: map[string]map[string]uint64{}, taken: map[string]uint64{}}
+}
+
+func (t *tally) take(vm string, usage map[string]ratelimit.Usage) {
+	last := t.last[vm]
+	if last == nil {
+		last = map[string]uint64{}
+		t.last[vm] = last
+	}
+	for customer, u := range usage {
+		if u.Taken < last[customer] {
+			last[customer] = 0
+		}
+		t.taken[customer] += u.Taken - last[customer]
+		last[customer] = u.Taken
+	}
+}
+
+// digest sums up the news of the own cell. The mutex is held.
+func (m *Mesh) digest(own News, now boottime.Time) Digest {
+	d := Digest{
+		Cell: m.cells[m.own].name, Source: m.cfg.VM + "/" + strconv.FormatUint(m.incarnation, 36), Members: 1,
+		News: News{
+			ConfigVersion: own.ConfigVersion, ConfigAge: own.ConfigAge,
+			Usage: map[string]ratelimit.Usage{}, Groups: map[string]GroupNews{},
+		},
+	}
+	d.News.add(own, 0)
+	for _, vm := range m.cells[m.own].vms {
+		if p := m.peers[vm]; p != nil && p.news != nil && m.inTouch(vm, now) {
+			d.Members++
+			if p.since != 0 {
+				d.News.add(*p.news, now.Sub(p.since).Milliseconds())
+			}
+		}
+	}
+	for customer, u := range d.News.Usage {
+		u.Taken = m.tally.taken[customer]
+		d.News.Usage[customer] = u
+	}
+	return d
+}
+
+// add takes news into a sum; they are held milliseconds old.
+func (n *News) add(o News, held int64) {
+	if o.ConfigVersion == n.ConfigVersion && o.ConfigAge >= 0 {
+		n.ConfigAge = younger(n.ConfigAge, o.ConfigAge+held)
+	}
+	for customer, u := range o.Usage {
+		sum := n.Usage[customer]
+		sum.Demand += u.Demand
+		n.Usage[customer] = sum
+	}
+	for name, g := range o.Groups {
+		sum, known := n.Groups[name]
+		if !known {
+			sum = GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, Primary: g.Primary}
+		}
+		sum.add(g, held)
+		n.Groups[name] = sum
+	}
+}
+
+func (g *GroupNews) add(o GroupNews, held int64) {
+	if o.PositionAge >= 0 && (g.PositionAge < 0 || o.PositionAge+held < g.PositionAge) {
+		g.Position, g.PositionAge = o.Position, o.PositionAge+held
+	}
+	if o.Primary == g.Primary {
+		if o.AnsweredAge >= 0 {
+			g.AnsweredAge = younger(g.AnsweredAge, o.AnsweredAge+held)
+		}
+		if o.CommittedAge >= 0 {
+			g.CommittedAge = younger(g.CommittedAge, o.CommittedAge+held)
+		}
+	}
+	g.Load += o.Load
+	g.ExpectedIn = max(g.ExpectedIn, o.ExpectedIn-held)
+}
+
+// younger returns the smaller of two ages; a negative one means never.
+func younger(a, b int64) int64 {
+	if a < 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// relayed returns the digests of other cells for the own one. The mutex is held.
+func (m *Mesh) relayed(now boottime.Time) []Digest {
+	var list []Digest
+	for _, h := range m.digests {
+		if h.since == 0 {
+			continue
+		}
+		d := h.Digest
+		d.Held = now.Sub(h.since).Milliseconds() + 1
+		list = append(list, d)
+	}
+	return list
+}
+
+// otherLeaders returns the VMs of other cells that take this cell's digest: the
+// one whose digest came last or, while none comes, two at a time in turn. The
+// mutex is held.
+func (m *Mesh) otherLeaders(now boottime.Time) []target {
+	var targets []target
+	for i, c := range m.cells {
+		if i == m.own || len(c.vms) == 0 {
+			continue
+		}
+		candidates := []string{c.vms[m.round%len(c.vms)], c.vms[0]}
+		if d, ok := m.digests[c.name]; ok && now.Sub(d.at) < HeardTime {
+			candidates = []string{d.from}
+		}
+		for j, vm := range candidates {
+			if p := m.peers[vm]; p != nil && (j == 0 || vm != candidates[0]) {
+				targets = append(targets, p.target())
+			}
+		}
+	}
+	return targets
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -3,6 +3,11 @@
 // what it knows of the database groups. News are soft state; a lost datagram is
 // made good by the next.
 //
+// Up to singleCell VMs all talk to each other. More are split into cells within
+// failure domains; the first VM in touch of a cell sums up the cell's news for the
+// first VMs of the others, so that a VM's part grows with the size of a cell and a
+// leader's with the number of cells.
+//
 // Clocks of VMs are not compared. A datagram returns the stamp of the newest one
 // that its sender had received, so an age in it counts from that stamp on the
 // receiver's own clock, or later; taking the stamp errs to the safe side.
@@ -34,6 +39,9 @@
 	// HeardTime is how long a VM counts as in touch after its last datagram: three
 	// lost in a row.
 	HeardTime = 3*Interval + urgentInterval
+	// digestTime is how long a cell counts as in touch after its last digest, which
+	// its leader relays with a delay of an interval.
+	digestTime = HeardTime + 2*Interval
 	// maxDatagram bounds a datagram, in bytes.
 	maxDatagram = 60 << 10
 )
@@ -59,7 +67,6 @@
 
 // News is the body of a datagram.
 type News struct {
-	VM      string
 	Leaving bool
 	// Urgent asks for an answer at once.
 	Urgent        bool
@@ -69,19 +76,36 @@
 	Groups        map[string]GroupNews
 }
 
+// Digest sums up the news of a cell.
+type Digest struct {
+	Cell string
+	// Source names the VM that made the digest, with its incarnation: counts of two
+	// sources are not comparable.
+	Source string
+	// Members is the number of VMs that the source counts as in touch.
+	Members int
+	// Held is how long ago the digest was made, in milliseconds.
+	Held int64
+	News News
+}
+
 // envelope is a datagram. Stamps are on the clock of the VM that made them.
 type envelope struct {
+	VM              string
 	Incarnation     uint64
 	Sent            boottime.Time
 	EchoIncarnation uint64
 	Echo            boottime.Time
-	Body            msgpack.RawMessage
+	// News is nil in datagrams to other cells.
+	News    *News
+	Digests []Digest
 }
 
 // Peer is a VM to exchange news with.
 type Peer struct {
 	VM      string
 	Address string // host:port, UDP
+	Domain  string // failure domain
 }
 
 type peerState struct {
@@ -90,6 +114,9 @@
 	incarnation uint64
 	sent        boottime.Time
 	heard       boottime.Time
+	// news were true at since or later; only kept of VMs of the own cell.
+	news  *News
+	since boottime.Time
 }
 
 // Config describes the mesh of one VM.
@@ -100,39 +127,57 @@
 	Compose func() News
 	// Urgent reports whether news are to be sent and asked for at short intervals.
 	Urgent func() bool
-	// Receive takes news of another VM; they were true at the moment since, on
-	// this VM's clock, or later. since is 0 if the sender has not heard this VM.
-	Receive func(n News, since boottime.Time)
-	// Lost is told of a VM that is no longer in touch.
-	Lost func(vm string)
+	// Receive takes news of a VM, or of a cell; they were true at the moment since,
+	// on this VM's clock, or later. since is 0 if the sender has not heard this VM.
+	Receive func(source string, n News, since boottime.Time)
+	// Lost is told of a source whose news are no longer valid.
+	Lost func(source string)
 	Log  *logrus.Entry
 }
 
-// Mesh exchanges news. The mutex guards peers.
+// Mesh exchanges news. The mutex guards the fields below it.
 type Mesh struct {
 	cfg         Config
 	incarnation uint64
 
 	mu    sync.Mutex
 	peers map[string]*peerState
+	cells []cell
+	own   int // index of the own cell
+	// digests holds the newest digest of each other cell.
+	digests map[string]heardDigest
+	tally   tally
+	round   int
+}
+
+// heardDigest is a digest that came from the VM, true at since or later.
+type heardDigest struct {
+	Digest
+	from  string
+	at    boottime.Time
+	since boottime.Time
 }
 
 // New returns a mesh without peers.
 func New(cfg Config) *Mesh {
-	return &Mesh{cfg: cfg, incarnation: rand.Uint64() | 1, peers: map[string]*peerState{}}
+	return &Mesh{
+		cfg: cfg, incarnation: rand.Uint64() | 1, peers: map[string]*peerState{},
+		cells: []cell{{}}, digests: map[string]heardDigest{}, tally: newTally(),
+	}
 }
 
-// SetPeers takes the list of other VMs.
+// SetPeers takes the list of all VMs.
 func (m *Mesh) SetPeers(list []Peer) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wanted := map[string]bool{}
 	for _, p := range list {
 		address, err := net.ResolveUDPAddr("udp4", p.Address)
-		if err != nil || p.VM == m.cfg.VM {
-			if err != nil {
-				m.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "member", "vm": p.VM}).Warn("address is not valid")
-			}
+		if err != nil {
+			m.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "member", "vm": p.VM}).Warn("address is not valid")
+			continue
+		}
+		if p.VM == m.cfg.VM {
 			continue
 		}
 		wanted[p.VM] = true
@@ -145,6 +190,13 @@
 			delete(m.peers, vm)
 		}
 	}
+	m.cells = split(list)
+	m.own = 0
+	for i, c := range m.cells {
+		if c.has(m.cfg.VM) {
+			m.own = i
+		}
+	}
 }
 
 // Heard returns the number of other VMs in touch and of all other VMs.
@@ -152,24 +204,53 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
-	for _, p := range m.peers {
-		if p.heard != 0 && now.Sub(p.heard) < HeardTime {
+	for _, vm := range m.cells[m.own].vms {
+		if m.inTouch(vm, now) {
 			heard++
 		}
 	}
-	return heard, len(m.peers)
+	for _, d := range m.digests {
+		if now.Sub(d.at) < digestTime {
+			heard += d.Members
+		}
+	}
+	return min(heard, len(m.peers)), len(m.peers)
+}
+
+func (m *Mesh) inTouch(vm string, now boottime.Time) bool {
+	p := m.peers[vm]
+	return p != nil && p.heard != 0 && now.Sub(p.heard) < HeardTime
 }
 
-// HeardOf reports whether the VM is in touch, and for how long it has been
-// silent; the second is false for one never heard.
-func (m *Mesh) HeardOf(vm string) (silent time.Duration, ever bool) {
+// InTouch reports whether datagrams of the VM come.
+func (m *Mesh) InTouch(vm string) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	p := m.peers[vm]
-	if p == nil || p.heard == 0 {
-		return 0, false
+	return m.inTouch(vm, boottime.Now())
+}
+
+// Leads reports whether this VM is the first of its cell.
+func (m *Mesh) Leads() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.leader(boottime.Now()) == m.cfg.VM
+}
+
+// Cells returns the number of cells.
+func (m *Mesh) Cells() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.cells)
+}
+
+// leader is the first VM in touch of the own cell. The mutex is held.
+func (m *Mesh) leader(now boottime.Time) string {
+	for _, vm := range m.cells[m.own].vms {
+		if vm == m.cfg.VM || m.inTouch(vm, now) {
+			return vm
+		}
 	}
-	return boottime.Since(p.heard), true
+	return m.cfg.VM
 }
 
 // Run exchanges news until the context ends.
@@ -200,38 +281,67 @@
 	of      uint64
 }
 
+func (p *peerState) target() target { return target{p.address, p.sent, p.incarnation} }
+
+// sendAll sends news to the own cell and, from its leader, a digest to the others.
 func (m *Mesh) sendAll(urgent bool) {
+	news := m.cfg.Compose()
+	news.Urgent = urgent
 	now := boottime.Now()
-	var targets []target
-	var lost []string
 	m.mu.Lock()
+	lost := m.dropSilent(now)
+	var inside, outside []target
+	for _, vm := range m.cells[m.own].vms {
+		if p := m.peers[vm]; p != nil {
+			inside = append(inside, p.target())
+		}
+	}
+	leads := m.leader(now) == m.cfg.VM
+	m.tally.take(m.cfg.VM, news.Usage)
+	var digest Digest
+	if leads && len(m.cells) > 1 {
+		digest = m.digest(news, now)
+		outside = m.otherLeaders(now)
+	}
+	var relayed []Digest
+	if leads {
+		relayed = m.relayed(now)
+	}
+	m.round++
+	m.mu.Unlock()
+	for _, source := range lost {
+		m.cfg.Log.WithFields(logrus.Fields{"event": "member", "vm": source, "silent_ms": HeardTime.Milliseconds()}).Warn("lost")
+		m.cfg.Lost(source)
+	}
+	m.send(inside, &news, relayed)
+	m.send(outside, nil, []Digest{digest})
+}
+
+// dropSilent forgets what silent VMs and cells said, and returns their names. The
+// mutex is held.
+func (m *Mesh) dropSilent(now boottime.Time) []string {
+	var lost []string
 	for vm, p := range m.peers {
 		if p.heard != 0 && now.Sub(p.heard) >= HeardTime {
-			p.heard = 0
+			p.heard, p.news = 0, nil
 			lost = append(lost, vm)
 		}
-		targets = append(targets, target{p.address, p.sent, p.incarnation})
 	}
-	m.mu.Unlock()
-	for _, vm := range lost {
-		m.cfg.Log.WithFields(logrus.Fields{"event": "member", "vm": vm, "silent_ms": HeardTime.Milliseconds()}).Warn("lost")
-		m.cfg.Lost(vm)
-	}
-	if len(targets) > 0 {
-		m.send(targets, urgent)
+	for name, d := range m.digests {
+		if now.Sub(d.at) >= digestTime {
+			delete(m.digests, name)
+			lost = append(lost, d.Source)
+		}
 	}
+	return lost
 }
 
-func (m *Mesh) send(targets []target, urgent bool) {
-	news := m.cfg.Compose()
-	news.Urgent = urgent
-	body, err := encode(news)
-	if err != nil {
-		m.cfg.Log.WithError(err).Error("news were not encoded")
-		return
-	}
+func (m *Mesh) send(targets []target, news *News, digests []Digest) {
 	for _, t := range targets {
-		data, err := encode(envelope{Incarnation: m.incarnation, Sent: boottime.Now(), EchoIncarnation: t.of, Echo: t.echo, Body: body})
+		data, err := encode(envelope{
+			VM: m.cfg.VM, Incarnation: m.incarnation, Sent: boottime.Now(),
+			EchoIncarnation: t.of, Echo: t.echo, News: news, Digests: digests,
+		})
 		if err != nil {
 			m.cfg.Log.WithError(err).Error("news were not encoded")
 			return
@@ -260,32 +370,59 @@
 
 func (m *Mesh) receive(data []byte) {
 	var e envelope
-	var n News
 	if err := msgpack.Unmarshal(data, &e); err != nil {
 		m.cfg.Log.WithError(err).Debug("news were not decoded")
 		return
 	}
-	if err := msgpack.Unmarshal(e.Body, &n); err != nil {
-		m.cfg.Log.WithError(err).Debug("news were not decoded")
-		return
+	now := boottime.Now()
+	since := boottime.Time(0)
+	if e.EchoIncarnation == m.incarnation {
+		since = e.Echo
 	}
 	m.mu.Lock()
-	p := m.peers[n.VM]
+	p := m.peers[e.VM]
 	if p == nil || p.incarnation == e.Incarnation && e.Sent <= p.sent {
 		m.mu.Unlock()
 		return
 	}
-	p.incarnation, p.sent, p.heard = e.Incarnation, e.Sent, boottime.Now()
-	reply := target{p.address, p.sent, p.incarnation}
+	p.incarnation, p.sent, p.heard = e.Incarnation, e.Sent, now
+	inside := m.cells[m.own].has(e.VM)
+	if inside && e.News != nil {
+		p.news, p.since = e.News, since
+		m.tally.take(e.VM, e.News.Usage)
+	}
+	trusted := !inside || e.VM == m.leader(now)
+	var taken []heardDigest
+	var replaced []string
+	for _, d := range e.Digests {
+		if !trusted || d.Cell == m.cells[m.own].name {
+			continue
+		}
+		h := heardDigest{Digest: d, from: e.VM, at: now}
+		if since != 0 {
+			h.since = since.Add(-time.Duration(d.Held) * time.Millisecond)
+		}
+		if old, ok := m.digests[d.Cell]; ok && old.Source != d.Source {
+			replaced = append(replaced, old.Source)
+		}
+		m.digests[d.Cell] = h
+		taken = append(taken, h)
+	}
+	reply := p.target()
 	m.mu.Unlock()
-	since := boottime.Time(0)
-	if e.EchoIncarnation == m.incarnation {
-		since = e.Echo
+	for _, source := range replaced {
+		m.cfg.Lost(source)
+	}
+	if e.News != nil {
+		m.cfg.Receive(e.VM, *e.News, since)
+	}
+	for _, d := range taken {
+		m.cfg.Receive(d.Source, d.News, d.since)
 	}
-	m.cfg.Receive(n, since)
-	if n.Urgent {
+	if inside && e.News != nil && e.News.Urgent {
 		// The answer asks for none, or two urgent VMs would go on without end.
-		m.send([]target{reply}, false)
+		news := m.cfg.Compose()
+		m.send([]target{reply}, &news, nil)
 	}
 }
 
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -29,6 +29,9 @@
 	// allowanceTime is how far ahead a VM may spend its own part of the rate
 	// between reports: a report and its way.
 	allowanceTime = 1.5
+	// reportedDemand is the demand, in operations per second, below which a customer
+	// is left out of reports; it is reached some seconds after the last operation.
+	reportedDemand = 0.02
 	// lowerDelay is the time after which a lowered limit takes effect: by then all
 	// VMs in touch have the configuration, so none refuses what another admits. It
 	// is within the 3 s in which a configuration has to be in force.
@@ -67,14 +70,15 @@
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	heard   int // VMs in touch, this one included
-	members int // VMs that may serve
+	known   map[string]bool // sources that have reported
+	heard   int             // VMs in touch, this one included
+	members int             // VMs that may serve
 }
 
 // New returns a limiter over windows of the length. Buckets start empty: what was
 // taken before a restart is not known.
 func New(now func() boottime.Time, window time.Duration) *Limiter {
-	return &Limiter{now: now, window: window, buckets: map[string]*bucket{}, heard: 1, members: 1}
+	return &Limiter{now: now, window: window, buckets: map[string]*bucket{}, known: map[string]bool{}, heard: 1, members: 1}
 }
 
 // SetFleet tells how many VMs may serve and how many of them are in touch, this
@@ -204,31 +208,39 @@
 	for name, b := range l.buckets {
 		l.fill(b)
 		b.allowance = max(b.allowance, l.fullAllowance(b))
-		if b.taken > 0 || b.demand > 0.01 {
+		if b.demand > reportedDemand {
 			report[name] = Usage{Taken: b.taken, Demand: float32(b.demand)}
 		}
 	}
 	return report
 }
 
-// Hear takes the report of another VM. The first only sets the base; a count that
-// went down began anew at zero.
+// Hear takes the report of another VM. Its first report only sets the base; a count
+// that went down began anew at zero. Of a customer that the VM did not report
+// before, what its present demand accounts for is counted.
 func (l *Limiter) Hear(vm string, usage map[string]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	known := l.known[vm]
+	l.known[vm] = true
 	for name, u := range usage {
 		b, ok := l.buckets[name]
 		if !ok {
 			continue
 		}
-		if last, known := b.peers[vm]; known {
-			l.fill(b)
-			if u.Taken < last.Taken {
-				last.Taken = 0
-			}
-			b.tokens -= float64(u.Taken - last.Taken)
-			b.recent.add(float64(u.Taken - last.Taken))
+		taken := 0.0
+		last, reported := b.peers[vm]
+		switch {
+		case reported && u.Taken >= last.Taken:
+			taken = float64(u.Taken - last.Taken)
+		case reported:
+			taken = float64(u.Taken)
+		case known:
+			taken = min(float64(u.Taken), float64(u.Demand)*(demandDecay+2*reportInterval).Seconds())
 		}
+		l.fill(b)
+		b.tokens -= taken
+		b.recent.add(taken)
 		b.peers[vm] = u
 	}
 }
@@ -237,6 +249,7 @@
 func (l *Limiter) Forget(vm string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	delete(l.known, vm)
 	for _, b := range l.buckets {
 		delete(b.peers, vm)
 	}
--- /dev/null
+++ b/internal/standin/lineclient/lineclient.go
@@ -0,0 +1,97 @@
+// Package lineclient is a caller that speaks the line protocol of the users'
+// platform, for tests, the demo and the soak.
+package lineclient
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+)
+
+// Client is one session.
+type Client struct {
+	conn net.Conn
+	r    *bufio.Reader
+	// Timeout bounds each exchange.
+	Timeout time.Duration
+}
+
+// Answer is what came for one request. Code is "" on success.
+type Answer struct {
+	Rows      []string
+	Signature string
+	Code      string
+	Text      string
+	State     string
+}
+
+// Refused is the refusal of a session.
+type Refused struct{ Code string }
+
+func (r *Refused) Error() string { return "refused: " + r.Code }
+
+// Dial opens a session.
+func Dial(address, database, key string, timeout time.Duration) (*Client, error) {
+	conn, err := net.DialTimeout("tcp4", address, timeout)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{conn: conn, r: bufio.NewReader(conn), Timeout: timeout}
+	a, err := c.exchange("STARTUP " + database + " " + key)
+	if err == nil && a.Code != "" {
+		err = &Refused{a.Code}
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Query sends one statement and reads its answer.
+func (c *Client) Query(id, text string) (Answer, error) {
+	return c.exchange("QUERY " + id + " " + text)
+}
+
+// Raw sends a line as it is and reads an answer.
+func (c *Client) Raw(line string) (Answer, error) { return c.exchange(line) }
+
+// Close ends the session.
+func (c *Client) Close() { c.conn.Close() }
+
+func (c *Client) exchange(line string) (Answer, error) {
+	var a Answer
+	if err := c.conn.SetDeadline(time.Now().Add(c.Timeout)); err != nil {
+		return a, err
+	}
+	if _, err := fmt.Fprintf(c.conn, "%s\r\n", line); err != nil {
+		return a, err
+	}
+	for {
+		line, err := c.r.ReadString('\n')
+		if err != nil {
+			// A refused startup is an error line and the end of the connection.
+			if a.Code != "" && a.State == "" {
+				return a, nil
+			}
+			return a, err
+		}
+		word, rest, _ := strings.Cut(strings.TrimRight(line, "\r\n"), " ")
+		switch word {
+		case "DATAROW":
+			a.Rows = append(a.Rows, rest)
+		case "COMPLETE":
+			a.Signature = rest
+		case "ERROR":
+			a.Code, a.Text, _ = strings.Cut(rest, " ")
+		case "READY":
+			a.State, _, _ = strings.Cut(rest, " ")
+			return a, nil
+		default:
+			return a, errors.New("unknown message " + word)
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/linegroup/server.go
@@ -0,0 +1,165 @@
+package linegroup
+
+import (
+	"net"
+	"strconv"
+	"time"
+)
+
+// Server is one server of a group; the group's mutex guards the fields below
+// slots.
+type Server struct {
+	group   *Group
+	ID      string
+	Domain  string
+	Address string
+	Started int64
+	slots   chan struct{}
+
+	listener net.Listener
+	conns    map[*conn]struct{}
+	log      []entry
+	down     bool
+	// silent takes connections and bytes and answers nothing.
+	silent bool
+	// paused and deaf receive nothing; cut sends nothing to replicas.
+	paused, deaf, cut bool
+	heldTerm          uint64
+	lag               time.Duration
+	// loseAnswers is how many statements run without an answer from now on.
+	loseAnswers int
+	leaving     bool
+}
+
+func (s *Server) accept(l net.Listener) {
+	for {
+		socket, err := l.Accept()
+		if err != nil {
+			return
+		}
+		c := &conn{server: s, net: socket, values: map[string]string{}, prepared: map[string]string{}}
+		s.group.mu.Lock()
+		full := len(s.conns) >= s.group.options.MaxConnections
+		if s.down {
+			s.group.mu.Unlock()
+			socket.Close()
+			continue
+		}
+		s.conns[c] = struct{}{}
+		s.group.mu.Unlock()
+		go c.run(full)
+	}
+}
+
+// Crash ends the server; its log stays.
+func (s *Server) Crash() {
+	s.group.mu.Lock()
+	s.down = true
+	s.listener.Close()
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	s.group.mu.Unlock()
+	for _, c := range conns {
+		c.net.Close()
+	}
+}
+
+// Restart brings a crashed server back at its address, as a replica if another
+// leads.
+func (s *Server) Restart() error {
+	l, err := net.Listen("tcp4", s.Address)
+	if err != nil {
+		return err
+	}
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	s.listener, s.down, s.silent, s.paused = l, false, false, false
+	s.Started++
+	if p := s.group.primary; p != s {
+		s.log = append([]entry(nil), p.log...)
+	}
+	go s.accept(l)
+	return nil
+}
+
+// set changes a fault under the group's mutex.
+func (s *Server) set(f func()) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	f()
+}
+
+// Silence makes the server take everything and answer nothing, or ends that.
+func (s *Server) Silence(on bool) { s.set(func() { s.silent = on }) }
+
+// Deafen makes a replica receive nothing, or ends that.
+func (s *Server) Deafen(on bool) { s.set(func() { s.deaf = on }) }
+
+// Cut keeps the server from sending its log to others, or ends that.
+func (s *Server) Cut(on bool) { s.set(func() { s.cut = on }) }
+
+// SetLag sets how much later the server applies what it has received.
+func (s *Server) SetLag(d time.Duration) { s.set(func() { s.lag = d }) }
+
+// LoseAnswers runs the next n statements without an answer.
+func (s *Server) LoseAnswers(n int) { s.set(func() { s.loseAnswers = n }) }
+
+// Leave announces that the server will stop.
+func (s *Server) Leave() { s.set(func() { s.leaving = true }) }
+
+// State returns whether the server runs, leads and leaves.
+func (s *Server) State() (up, leads, leaving bool) {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return !s.down, s.group.primary == s, s.leaving
+}
+
+// Connections returns the number of open connections.
+func (s *Server) Connections() int {
+	s.group.mu.Lock()
+	defer s.group.mu.Unlock()
+	return len(s.conns)
+}
+
+// catchUp takes what the primary has; the mutex is held.
+func (s *Server) catchUp(primary *Server) {
+	s.log = append(s.log[:0:0], primary.log...)
+}
+
+// visible returns the applied part of the log; the mutex is held.
+func (s *Server) visible() []entry {
+	if s.group.primary == s {
+		return s.log
+	}
+	lag := s.group.options.Lag + s.lag
+	n := len(s.log)
+	for n > 0 && time.Since(s.log[n-1].at) < lag {
+		n--
+	}
+	return s.log[:n]
+}
+
+// position is the end of the applied log; the mutex is held.
+func (s *Server) position() string { return place(s.visible()) }
+
+func place(log []entry) string {
+	if len(log) == 0 {
+		return "1.0"
+	}
+	e := log[len(log)-1]
+	return strconv.FormatUint(e.term, 10) + "." + strconv.FormatUint(e.number, 10)
+}
+
+// holds reports whether the log has the write; the mutex is held.
+func (s *Server) holds(w Write) bool {
+	for _, e := range s.log {
+		for _, x := range e.writes {
+			if x == w {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/standin/rowstore/rowstore.go
@@ -0,0 +1,337 @@
+// Package rowstore is the stand-in for the users' platform: its store of versioned
+// rows with a feed, and the order of promotions, over HTTP on loopback. It can be
+// made to fail in the ways the platform names.
+package rowstore
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sort"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// Fault says how calls fail.
+type Fault uint8
+
+// The faults.
+const (
+	None Fault = iota
+	// Busy refuses calls; nothing is done.
+	Busy
+	// Silent takes calls and answers nothing; nothing is done.
+	Silent
+	// LoseAnswers does what calls ask and answers nothing.
+	LoseAnswers
+)
+
+// silence is how long a call without an answer is held; clients give up sooner.
+const silence = 5 * time.Second
+
+type key struct{ table, key string }
+
+type row struct {
+	Table   string `json:"table"`
+	Part    string `json:"part"`
+	Key     string `json:"key"`
+	Value   []byte `json:"value,omitempty"`
+	Version uint64 `json:"ver"`
+	Deleted bool   `json:"tombstone,omitempty"`
+}
+
+// Promote carries out an order; it is false if the server does not run.
+type Promote func(group, server string) bool
+
+// Store is the stand-in. The mutex guards the fields below it.
+type Store struct {
+	server   *http.Server
+	listener net.Listener
+	promote  Promote
+
+	mu      sync.Mutex
+	rows    map[key]row
+	version uint64
+	oldest  uint64 // versions up to it are gone from the feed
+	changed chan struct{}
+	fault   Fault
+	// loseOrders is how many orders of promotions get no answer; lateOrders are
+	// carried out after the delay.
+	loseOrders int
+	lateOrder  time.Duration
+	tokens     map[string]uint64
+	holders    map[uint64]string
+	problems   []string
+	calls      int
+}
+
+// New starts a store.
+func New(promote Promote) (*Store, error) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	s := &Store{
+		listener: l, promote: promote, rows: map[key]row{}, changed: make(chan struct{}),
+		tokens: map[string]uint64{}, holders: map[uint64]string{},
+	}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/rows-tx", s.guard(s.tx))
+	mux.HandleFunc("GET /v1/rows-get", s.guard(s.get))
+	mux.HandleFunc("GET /v1/rows-feed", s.guard(s.feed))
+	mux.HandleFunc("POST /promote", s.order)
+	s.server = &http.Server{Handler: mux, ReadHeaderTimeout: silence}
+	go func() { _ = s.server.Serve(l) }()
+	return s, nil
+}
+
+// Address returns host:port.
+func (s *Store) Address() string { return s.listener.Addr().String() }
+
+// Close ends the store.
+func (s *Store) Close() { _ = s.server.Close() }
+
+// SetFault makes all calls of the store fail, or ends that.
+func (s *Store) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.fault = f
+}
+
+// LoseOrders leaves the next n orders unanswered; they are carried out after the
+// delay.
+func (s *Store) LoseOrders(n int, after time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loseOrders, s.lateOrder = n, after
+}
+
+// Compact drops the history of the feed.
+func (s *Store) Compact() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest = s.version
+}
+
+// Put writes a row as the platform does, and returns its version.
+func (s *Store) Put(table, k string, value []byte) uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(row{Table: table, Key: k, Value: value})
+	s.wake()
+	return s.version
+}
+
+// Drop removes a row as the platform does.
+func (s *Store) Drop(table, k string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version++
+	s.put(row{Table: table, Key: k, Deleted: true})
+	s.wake()
+}
+
+// Rows returns the values of a table by key.
+func (s *Store) Rows(table string) map[string][]byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := map[string][]byte{}
+	for k, r := range s.rows {
+		if k.table == table && !r.Deleted {
+			out[k.key] = r.Value
+		}
+	}
+	return out
+}
+
+// Problems returns the broken rules that the platform saw.
+func (s *Store) Problems() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]string(nil), s.problems...)
+}
+
+// Calls returns the number of calls of the store.
+func (s *Store) Calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Store) put(r row) {
+	r.Version = s.version
+	s.rows[key{r.Table, r.Key}] = r
+}
+
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// guard applies the faults around a call.
+func (s *Store) guard(call http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.mu.Lock()
+		fault := s.fault
+		s.calls++
+		s.mu.Unlock()
+		switch fault {
+		case Busy:
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case Silent:
+			hold(r)
+		case LoseAnswers:
+			call(discard{http.Header{}}, r)
+			hold(r)
+		default:
+			call(w, r)
+		}
+	}
+}
+
+func hold(r *http.Request) {
+	select {
+	case <-r.Context().Done():
+	case <-time.After(silence):
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// discard is a response that goes nowhere.
+type discard struct{ header http.Header }
+
+func (d discard) Header() http.Header         { return d.header }
+func (d discard) Write(b []byte) (int, error) { return len(b), nil }
+func (d discard) WriteHeader(int)             {}
+
+type txBody struct {
+	Precondition []row `json:"precondition"`
+	Puts         []row `json:"puts"`
+	Deletes      []row `json:"deletes"`
+}
+
+func (s *Store) tx(w http.ResponseWriter, r *http.Request) {
+	var body txBody
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range body.Precondition {
+		have := s.rows[key{p.Table, p.Key}]
+		if have.Deleted {
+			have.Version = 0
+		}
+		if have.Version != p.Version {
+			w.WriteHeader(http.StatusPreconditionFailed)
+			return
+		}
+	}
+	s.version++
+	for _, p := range body.Puts {
+		s.put(p)
+	}
+	for _, p := range body.Deletes {
+		p.Deleted = true
+		s.put(p)
+	}
+	s.wake()
+	s.answer(w, nil)
+}
+
+func (s *Store) answer(w http.ResponseWriter, rows []row) {
+	if rows == nil {
+		rows = []row{}
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "has_more": false, "ver": s.version, "now_ms": time.Now().UnixMilli()})
+}
+
+func (s *Store) get(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answer(w, s.since(r.FormValue("table"), 0, false))
+}
+
+// since returns the rows of a table that changed after the version, in order.
+func (s *Store) since(table string, after uint64, deleted bool) []row {
+	var rows []row
+	for k, r := range s.rows {
+		if k.table == table && r.Version > after && (deleted || !r.Deleted) {
+			rows = append(rows, r)
+		}
+	}
+	sort.Slice(rows, func(i, j int) bool { return rows[i].Version < rows[j].Version })
+	return rows
+}
+
+func (s *Store) feed(w http.ResponseWriter, r *http.Request) {
+	after, _ := strconv.ParseUint(r.FormValue("after"), 10, 64)
+	wait, _ := strconv.Atoi(r.FormValue("wait_ms"))
+	deadline := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		if after < s.oldest {
+			s.mu.Unlock()
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		rows, changed := s.since(r.FormValue("table"), after, true), s.changed
+		if len(rows) > 0 {
+			s.answer(w, rows)
+			s.mu.Unlock()
+			return
+		}
+		s.mu.Unlock()
+		select {
+		case <-r.Context().Done():
+			return
+		case <-deadline:
+			s.mu.Lock()
+			s.answer(w, nil)
+			s.mu.Unlock()
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (s *Store) order(w http.ResponseWriter, r *http.Request) {
+	var body struct{ Service, ID string }
+	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	if json.NewDecoder(r.Body).Decode(&body) != nil || err != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	holder := r.Header.Get("Lease-Holder")
+	s.mu.Lock()
+	lose, late := s.loseOrders > 0, s.lateOrder
+	if lose {
+		s.loseOrders--
+	}
+	s.mu.Unlock()
+	if lose {
+		time.AfterFunc(late, func() { s.carryOut(body.Service, body.ID, holder, token) })
+		hold(r)
+	}
+	if !s.carryOut(body.Service, body.ID, holder, token) {
+		w.WriteHeader(http.StatusConflict)
+	}
+}
+
+// carryOut checks the token and promotes.
+func (s *Store) carryOut(group, server, holder string, token uint64) bool {
+	s.mu.Lock()
+	if token < s.tokens[group] {
+		s.mu.Unlock()
+		return false
+	}
+	if other, used := s.holders[token]; used && token == s.tokens[group] && other != holder {
+		s.problems = append(s.problems, "two holders used token "+strconv.FormatUint(token, 10))
+	}
+	s.tokens[group], s.holders[token] = token, holder
+	s.mu.Unlock()
+	return s.promote(group, server)
+}
--- /dev/null
+++ b/test/platform/harness_test.go
@@ -0,0 +1,198 @@
+// Package platform_test runs processes of the product against stand-ins of the
+// users' platform and judges what callers, backend servers and the platform see.
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/entry"
+	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/linegroup"
+	"chicoryline/internal/standin/world"
+	"chicoryline/platform"
+)
+
+const (
+	// exchangeTime bounds one exchange of a caller; no assertion rests on it.
+	exchangeTime = 10 * time.Second
+	// patience bounds the wait for what has to come about; no assertion rests on how
+	// long it took.
+	patience = 30 * time.Second
+)
+
+var network atomic.Int32
+
+// fleet is an installation with running processes.
+type fleet struct {
+	*world.World
+	t    *testing.T
+	stop []context.CancelFunc
+	done []chan struct{}
+	next atomic.Int64
+}
+
+type option func(*world.Options)
+
+func start(t *testing.T, options ...option) *fleet {
+	t.Helper()
+	o := world.Options{
+		Groups: 1, Domains: []string{"north", "south", "east"}, VMs: 3,
+		Network: fmt.Sprintf("%d.%d", 1, network.Add(1)), MaxConnections: 34,
+		Lag: 20 * time.Millisecond, Work: 2 * time.Millisecond, PromoteTime: 100 * time.Millisecond,
+		KeyLifetime: 5 * time.Second,
+		Customers: []world.Customer{
+			{Name: "large", Keys: []string{"key-large"}, Rate: 500, Burst: 500},
+			{Name: "small", Keys: []string{"key-small"}, Rate: 500, Burst: 500},
+		},
+	}
+	for _, f := range options {
+		f(&o)
+	}
+	w, err := world.New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{World: w, t: t}
+	t.Cleanup(f.close)
+	for vm := range o.VMs {
+		f.startVM(vm)
+	}
+	for vm := range o.VMs {
+		f.eventually("ready", func() bool { return f.isReady(vm) })
+	}
+	// Buckets of customers start empty and fill at their rates.
+	time.Sleep(1500 * time.Millisecond)
+	return f
+}
+
+func (f *fleet) startVM(vm int) {
+	f.t.Helper()
+	path, err := f.WriteSettings(f.t.TempDir(), vm, f.Store.Address())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	settings, err := platform.LoadSettings(path)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	log := logrus.New()
+	if path := os.Getenv("CHICORYLINE_TEST_LOG"); path != "" {
+		out, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		log.SetOutput(out)
+	} else {
+		log.SetOutput(io.Discard)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	p := entry.New(settings, platform.New(settings), logrus.NewEntry(log))
+	go func() {
+		defer close(done)
+		if err := p.Run(ctx); err != nil {
+			f.t.Errorf("vm %d: %v", vm, err)
+		}
+	}()
+	for len(f.stop) <= vm {
+		f.stop, f.done = append(f.stop, nil), append(f.done, nil)
+	}
+	f.stop[vm], f.done[vm] = cancel, done
+}
+
+func (f *fleet) close() {
+	for _, stop := range f.stop {
+		stop()
+	}
+	for _, done := range f.done {
+		<-done
+	}
+	for _, g := range f.Groups {
+		for _, p := range g.Problems() {
+			f.t.Errorf("group %s: %s", g.Name(), p)
+		}
+	}
+	for _, p := range f.Store.Problems() {
+		f.t.Errorf("platform: %s", p)
+	}
+	f.World.Close()
+}
+
+func (f *fleet) isReady(vm int) bool {
+	r, err := http.Get("http://" + f.Ready(vm) + "/v1/ready")
+	if err != nil {
+		return false
+	}
+	defer r.Body.Close()
+	return r.StatusCode == http.StatusOK
+}
+
+func (f *fleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("%s did not come about", what)
+}
+
+func (f *fleet) id() string { return fmt.Sprintf("id%06d", f.next.Add(1)) }
+
+// caller is a session whose errors end the test.
+type caller struct {
+	*lineclient.Client
+	f *fleet
+}
+
+func (f *fleet) dial(vm int, database, key string) *caller {
+	f.t.Helper()
+	c, err := lineclient.Dial(f.Front(vm), database, key, exchangeTime)
+	if err != nil {
+		f.t.Fatalf("session on %s: %v", database, err)
+	}
+	f.t.Cleanup(c.Close)
+	return &caller{c, f}
+}
+
+// do sends a statement and returns its answer.
+func (c *caller) do(text string) lineclient.Answer {
+	c.f.t.Helper()
+	a, err := c.Query(c.f.id(), text)
+	if err != nil {
+		c.f.t.Fatalf("%s: %v", text, err)
+	}
+	return a
+}
+
+// must sends a statement that has to succeed.
+func (c *caller) must(text string) lineclient.Answer {
+	c.f.t.Helper()
+	a := c.do(text)
+	if a.Code != "" {
+		c.f.t.Fatalf("%s: %s %s", text, a.Code, a.Text)
+	}
+	return a
+}
+
+// want sends a statement and checks code and state.
+func (c *caller) want(text, code, state string) lineclient.Answer {
+	c.f.t.Helper()
+	a := c.do(text)
+	if a.Code != code || a.State != state {
+		c.f.t.Fatalf("%s: code %q state %q, want %q %q (%s)", text, a.Code, a.State, code, state, a.Text)
+	}
+	return a
+}
+
+// primary returns the leading server of the first group.
+func (f *fleet) primary() *linegroup.Server { return f.Groups[0].Primary() }
--- /dev/null
+++ b/test/platform/session_test.go
@@ -0,0 +1,156 @@
+package platform_test
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/world"
+)
+
+func TestSessionKeepsValuesAndPreparedStatements(t *testing.T) {
+	f := start(t)
+	a, b := f.dial(0, "own-0", "key-large"), f.dial(0, "own-0", "key-large")
+	a.must("SET color red")
+	b.must("SET color blue")
+	b.must("SET size xl")
+	a.must("PARSE s1 WRITE shape-a")
+	b.must("PARSE s1 READ shape-b") // the same name, another statement
+	for range 3 {
+		if sign := a.must("EXECUTE s1 item1 one").Signature; !strings.HasSuffix(sign, "/color=red") {
+			t.Fatalf("signature %q: session values of another caller", sign)
+		}
+		got := b.must("EXECUTE s1 item1")
+		if !strings.HasSuffix(got.Signature, "/color=blue,size=xl") {
+			t.Fatalf("signature %q: session values of another caller", got.Signature)
+		}
+	}
+	a.must("CLOSE s1")
+	a.want("EXECUTE s1 item1 two", "NOSTMT", "I")
+}
+
+func TestTransactions(t *testing.T) {
+	f := start(t)
+	c := f.dial(1, "current-0", "key-large")
+	c.want("BEGIN", "", "T")
+	c.want("WRITE a 1", "", "T")
+	if got := c.must("READ a").Rows[0]; got != "1" {
+		t.Errorf("own write reads %q", got)
+	}
+	c.want("COMMIT", "", "I")
+	c.want("BEGIN", "", "T")
+	c.want("WRITE a 2", "", "T")
+	c.want("ROLLBACK", "", "I")
+	if got := c.must("READ a").Rows[0]; got != "1" {
+		t.Errorf("after a rollback reads %q", got)
+	}
+	c.want("BEGIN READ", "", "T")
+	c.want("WRITE a 3", "READONLY", "E")
+	c.want("READ a", "MALFORMED", "E")
+	c.want("ROLLBACK", "", "I")
+	c.want("COMMIT", "MALFORMED", "I")
+}
+
+func TestCallerThatLeavesRollsBack(t *testing.T) {
+	f := start(t)
+	c := f.dial(0, "own-0", "key-small")
+	c.must("BEGIN")
+	c.must("WRITE gone 1")
+	c.Close()
+	d := f.dial(0, "current-0", "key-small")
+	for range 3 {
+		if got := d.must("READ gone").Rows[0]; got != "" {
+			t.Fatalf("write of an abandoned transaction is there: %q", got)
+		}
+	}
+}
+
+func TestIdleTransactionEndsAsAPromise(t *testing.T) {
+	f := start(t)
+	f.Change(func(*[]world.Route, *[]world.Customer) {})
+	c := f.dial(0, "current-0", "key-large")
+	c.must("BEGIN")
+	c.must("WRITE idle 1")
+	time.Sleep(3500 * time.Millisecond) // the limit of the configuration is 3 s
+	c.want("WRITE idle 2", "ABORTED", "E")
+	c.want("ROLLBACK", "", "I")
+	if got := c.must("READ idle").Rows[0]; got != "" {
+		t.Errorf("write of the ended transaction is there: %q", got)
+	}
+}
+
+func TestReadsSeeOwnWritesAndCurrentState(t *testing.T) {
+	f := start(t, func(o *world.Options) { o.Lag = 300 * time.Millisecond })
+	own, current := f.dial(0, "own-0", "key-large"), f.dial(1, "current-0", "key-small")
+	for _, data := range []string{"1", "2", "3", "4"} {
+		own.must("WRITE x " + data)
+		if got := own.must("READ x").Rows[0]; got != data {
+			t.Fatalf("own write %s reads %q", data, got)
+		}
+		if got := current.must("READ x").Rows[0]; got != data {
+			t.Fatalf("current read after %s gives %q", data, got)
+		}
+		own.must("BEGIN READ")
+		if got := own.must("READ x").Rows[0]; got != data {
+			t.Fatalf("own write %s reads %q in a transaction", data, got)
+		}
+		own.must("COMMIT")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := start(t)
+	for _, c := range []struct{ database, key, code string }{
+		{"nowhere", "key-large", "NODB"},
+		{"own-0", "no-key", "UNAUTH"},
+	} {
+		_, err := lineclient.Dial(f.Front(0), c.database, c.key, exchangeTime)
+		if refused, ok := err.(*lineclient.Refused); !ok || refused.Code != c.code {
+			t.Errorf("%s with %s: %v, want %s", c.database, c.key, err, c.code)
+		}
+	}
+	c := f.dial(0, "own-0", "key-large")
+	for _, text := range []string{"DROP x", "READ", "PARSE p OTHER s", "SET x", "BEGIN now", "COMMIT x", "STATUS", "AFTER 1.1 READ x", "PAUSE 9"} {
+		c.want(text, "MALFORMED", "I")
+	}
+	if a, err := c.Raw("QUERY - READ x"); err != nil || a.Code != "MALFORMED" {
+		t.Errorf("statement with the product's own id: %+v, %v", a, err)
+	}
+	c.must("READ x")
+}
+
+func TestOversizedMessageEndsOnlyItsConnection(t *testing.T) {
+	f := start(t)
+	c := f.dial(0, "own-0", "key-large")
+	conn, err := net.Dial("tcp4", f.Front(0))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := conn.Write([]byte("STARTUP own-0 " + strings.Repeat("k", 2<<20))); err != nil {
+		t.Logf("writer was cut off: %v", err)
+	}
+	answer := make([]byte, 64)
+	if err := conn.SetReadDeadline(time.Now().Add(exchangeTime)); err != nil {
+		t.Fatal(err)
+	}
+	n, err := conn.Read(answer)
+	if err == nil && !strings.HasPrefix(string(answer[:n]), "ERROR TOOBIG") {
+		t.Errorf("answer %q", answer[:n])
+	}
+	c.must("READ x")
+}
+
+func TestForeignEntriesChangeNothing(t *testing.T) {
+	f := start(t)
+	for i, value := range []string{"", "{", "[]", `{"service":"group0"}`, "\xff\x00", `{"service":"group0","address":"x","zone":"z","state":"ready","slots":1,"db_role":"primary"}`,
+		`{"service":"group0","address":"127.0.0.1:1","zone":"z","state":"odd","slots":1,"db_role":"primary"}`} {
+		f.Store.Put("servers", "foreign"+string(rune('a'+i)), []byte(value))
+	}
+	c := f.dial(0, "current-0", "key-large")
+	for range 5 {
+		c.must("READ x")
+	}
+}
