Health: a failure older than the last answer does not hide newer ones

Cause: a write sent before the last acknowledged commit and given up after it set the first failure to a moment before that commit; later ones were not noted, and a primary without replicas was not replaced (TestPrimaryLosesItsReplicas, 1 of 8 runs, log traced). Ruled out: the lease and the stand-in (no attempt was logged). Test: TestFailureOlderThanTheLastAnswerDoesNotHideNewerOnes fails before.

--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -24,7 +24,7 @@
 func (g *Group) noteFailed(s *Server, sent boottime.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s == g.leader && g.health.failing == 0 {
+	if s == g.leader && g.health.failing == 0 && sent > g.health.answered {
 		g.health.failing = sent
 	}
 }
@@ -44,7 +44,7 @@
 func (g *Group) noteStuck(s *Server, sent boottime.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s == g.leader && g.health.stuck == 0 {
+	if s == g.leader && g.health.stuck == 0 && sent > g.health.committed {
 		g.health.stuck = sent
 	}
 }
