--- /dev/null
+++ b/internal/access/access_test.go
@@ -0,0 +1,88 @@
+package access
+
+import (
+	"testing"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+)
+
+func config(version int64, keys map[string]string) *Config {
+	return &Config{
+		Version: version, Keys: keys, Customers: map[string]Customer{"a": {Name: "a"}},
+		Routes: map[string]Route{"db": {Database: "db", Group: "g"}, "open": {Database: "open", Group: "g", Public: true}},
+	}
+}
+
+func TestAuthorize(t *testing.T) {
+	v := NewView(time.Minute)
+	if _, _, err := v.Authorize("db", "k"); !errkind.Is(err, errkind.ConfigStale) {
+		t.Errorf("without a configuration: %v", err)
+	}
+	v.Apply(config(1, map[string]string{"k": "a"}))
+	if _, _, err := v.Authorize("db", "k"); !errkind.Is(err, errkind.ConfigStale) {
+		t.Errorf("without a proof: %v", err)
+	}
+	v.Prove(1, boottime.Now())
+	for _, c := range []struct {
+		database, key, customer string
+		kind                    errkind.Kind
+		ok                      bool
+	}{
+		{"db", "k", "a", 0, true},
+		{"db", "other", "", errkind.Unauthorized, false},
+		{"nowhere", "k", "", errkind.UnknownRoute, false},
+		{"open", "other", "", 0, true},
+		{"open", "k", "a", 0, true},
+	} {
+		_, customer, err := v.Authorize(c.database, c.key)
+		if c.ok != (err == nil) || !c.ok && !errkind.Is(err, c.kind) || customer.Name != c.customer {
+			t.Errorf("%s with %s: %q, %v", c.database, c.key, customer.Name, err)
+		}
+	}
+}
+
+func TestLeaseLapses(t *testing.T) {
+	v := NewView(time.Second)
+	v.Apply(config(1, map[string]string{"k": "a"}))
+	v.Prove(1, boottime.Now().Add(-time.Second))
+	if v.Fresh() {
+		t.Error("a proof of a second ago holds for a lease of a second")
+	}
+	v.Prove(1, boottime.Now())
+	if !v.Fresh() {
+		t.Error("a new proof does not renew the lease")
+	}
+	v.Prove(1, boottime.Now().Add(-time.Second))
+	if !v.Fresh() {
+		t.Error("an older proof takes the lease away")
+	}
+}
+
+func TestProofOfAnotherVersionProvesNothing(t *testing.T) {
+	v := NewView(time.Second)
+	v.Apply(config(2, nil))
+	v.Prove(1, boottime.Now())
+	v.Prove(3, boottime.Now())
+	if v.Fresh() {
+		t.Error("the proof of another version counts")
+	}
+}
+
+func TestVersionsNeverGoBack(t *testing.T) {
+	v := NewView(time.Second)
+	changes := 0
+	v.OnChange(func(*Config) { changes++ })
+	for _, c := range []struct {
+		version int64
+		taken   bool
+	}{{5, true}, {3, false}, {5, false}, {9, true}} {
+		if got := v.Apply(config(c.version, nil)); got != c.taken {
+			t.Errorf("version %d taken: %v", c.version, got)
+		}
+	}
+	if v.Config().Version != 9 || changes != 2 {
+		t.Errorf("version %d after %d changes", v.Config().Version, changes)
+	}
+}
--- /dev/null
+++ b/internal/connset/connset_test.go
@@ -0,0 +1,318 @@
+package connset
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+// fakeConn answers every command with success and keeps what it was sent.
+type fakeConn struct {
+	mu      sync.Mutex
+	sent    []string
+	fail    string // text whose answer is an error
+	pending []string
+	closed  bool
+}
+
+func (c *fakeConn) Send(commands ...statement.Command) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, m := range commands {
+		c.sent = append(c.sent, m.Text)
+		c.pending = append(c.pending, m.Text)
+	}
+	return nil
+}
+
+func (c *fakeConn) Receive(time.Duration) (statement.Result, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.pending) == 0 {
+		return statement.Result{}, errors.New("no answer is due")
+	}
+	text := c.pending[0]
+	c.pending = c.pending[1:]
+	r := statement.Result{Status: statement.Idle, Signature: text}
+	if text == c.fail {
+		r.Err = errkind.New(errkind.StatementFailed, "made to fail")
+	}
+	return r, nil
+}
+
+func (c *fakeConn) Alive() bool { return !c.closed }
+func (c *fakeConn) Close()      { c.closed = true }
+
+// fakeDialer opens fake connections up to a limit.
+type fakeDialer struct {
+	mu    sync.Mutex
+	conns []*fakeConn
+	limit int
+}
+
+func (d *fakeDialer) Dial(_ context.Context, _, _, _, _ string) (statement.Conn, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	open := 0
+	for _, c := range d.conns {
+		if !c.closed {
+			open++
+		}
+	}
+	if d.limit > 0 && open >= d.limit {
+		return nil, errkind.New(errkind.ConnectionLimit, "fake")
+	}
+	c := &fakeConn{}
+	d.conns = append(d.conns, c)
+	return c, nil
+}
+
+type fakeTexts struct{}
+
+func (fakeTexts) Begin(bool) string                  { return "begin" }
+func (fakeTexts) Rollback() string                   { return "rollback" }
+func (fakeTexts) Reset() string                      { return "reset" }
+func (fakeTexts) Set(n, v string) string             { return "set " + n + "=" + v }
+func (fakeTexts) Prepare(n, s string, _ bool) string { return "prepare " + s }
+func (fakeTexts) Execute(n, a string) string         { return "execute " + a }
+
+var patient = Request{Customer: "a", Patience: time.Hour}
+
+func acquire(t *testing.T, s *Set, r Request) *Conn {
+	t.Helper()
+	c, err := s.Acquire(context.Background(), r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestConnectionsBelongToCustomers(t *testing.T) {
+	d := &fakeDialer{}
+	s := New(d, "", "g", "s", 2)
+	a := acquire(t, s, Request{Customer: "a", Patience: time.Hour})
+	a.Release()
+	if again := acquire(t, s, Request{Customer: "a", Patience: time.Hour}); again != a {
+		t.Error("the customer's idle connection is not used again")
+	}
+	a.Release()
+	b := acquire(t, s, Request{Customer: "b", Patience: time.Hour})
+	if b.Customer != "b" || len(d.conns) != 2 {
+		t.Errorf("connection of %s, %d opened", b.Customer, len(d.conns))
+	}
+	c := acquire(t, s, Request{Customer: "c", Patience: time.Hour})
+	if c.Customer != "c" || !d.conns[0].closed || s.Stats().Evictions != 1 {
+		t.Error("the idle connection of another customer was not replaced at the limit")
+	}
+}
+
+func TestImpatientRequestIsRefusedAtOnce(t *testing.T) {
+	s := New(&fakeDialer{}, "", "g", "s", 1)
+	held := acquire(t, s, patient)
+	_, err := s.Acquire(context.Background(), Request{Customer: "a", Patience: time.Millisecond})
+	if !errkind.Is(err, errkind.QueueFull) {
+		t.Errorf("error %v, want queue_full", err)
+	}
+	held.Release()
+	acquire(t, s, Request{Customer: "a", Patience: time.Millisecond})
+}
+
+// queue puts requests into the queue of a set whose only connection is held, and
+// returns the order in which they are served.
+func queue(t *testing.T, customerOfHeld string, requests []Request) []string {
+	t.Helper()
+	s := New(&fakeDialer{}, "", "g", "s", 1)
+	held := acquire(t, s, Request{Customer: customerOfHeld, Patience: time.Hour})
+	order := make(chan string, len(requests))
+	var wg sync.WaitGroup
+	for i, r := range requests {
+		wg.Go(func() {
+			c, err := s.Acquire(context.Background(), r)
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			order <- fmt.Sprint(r.Customer, r.Priority)
+			c.Release()
+		})
+		for s.Stats().Waiting != i+1 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	held.Release()
+	wg.Wait()
+	close(order)
+	var list []string
+	for o := range order {
+		list = append(list, o)
+	}
+	return list
+}
+
+func TestQueueOrder(t *testing.T) {
+	for _, c := range []struct {
+		name     string
+		held     string
+		requests []Request
+		want     []string
+	}{
+		{"priority first", "x", []Request{{"a", 2, time.Hour}, {"b", 1, time.Hour}}, []string{"b1", "a2"}},
+		{"idle connection is used before another is opened", "b", []Request{{"a", 1, time.Hour}, {"b", 1, time.Hour}}, []string{"b1", "a1"}},
+		{"in the order of arrival", "x", []Request{{"a", 1, time.Hour}, {"b", 1, time.Hour}, {"c", 1, time.Hour}}, []string{"a1", "b1", "c1"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			if diff := cmp.Diff(c.want, queue(t, c.held, c.requests)); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestLateRequestsAreServedAfterThoseInTime(t *testing.T) {
+	s := New(&fakeDialer{}, "", "g", "s", 1)
+	now := boottime.Now()
+	late := &waiter{customer: "a", since: now - 100, useful: now - 1}
+	fresh := &waiter{customer: "b", since: now - 10, useful: now.Add(time.Hour)}
+	s.waiters = []*waiter{late, fresh}
+	if s.nextWaiter() != fresh {
+		t.Error("a request that has missed its objective goes before one that can meet it")
+	}
+}
+
+func TestConnectionLimitPausesGrowth(t *testing.T) {
+	d := &fakeDialer{limit: 1}
+	s := New(d, "", "g", "s", 4)
+	acquire(t, s, patient)
+	if _, err := s.Acquire(context.Background(), patient); !errkind.Is(err, errkind.ConnectionLimit) {
+		t.Fatalf("error %v, want connection_limit", err)
+	}
+	if _, err := s.Acquire(context.Background(), Request{Customer: "a"}); !errkind.Is(err, errkind.QueueFull) {
+		t.Errorf("error %v: the server is asked again at once", err)
+	}
+}
+
+// A server that refuses work or is slow gets less at once, so that its queue stays
+// short; after good answers the window grows back.
+func TestWindowFollowsTheServer(t *testing.T) {
+	w := newWindow(8)
+	w.overload()
+	if got := w.size(); got != 6 {
+		t.Errorf("window %d after a refusal, want 6", got)
+	}
+	w.overload() // the same sign within the pause
+	if got := w.size(); got != 6 {
+		t.Errorf("window %d, a burst of refusals counts once", got)
+	}
+	for range 100 {
+		w.shrunk = 0
+		w.note(slowResponse + 1)
+	}
+	if got := w.size(); got != 1 {
+		t.Errorf("window %d after slow answers, want 1", got)
+	}
+	for range 100 {
+		w.note(time.Millisecond)
+	}
+	if got := w.size(); got != 8 {
+		t.Errorf("window %d after good answers, want the limit 8", got)
+	}
+	w.bound(3)
+	if got := w.size(); got != 3 {
+		t.Errorf("window %d beyond the connections", got)
+	}
+}
+
+func TestAlignBringsExactlyWhatIsMissing(t *testing.T) {
+	p := NewPrepared("shape", true)
+	for _, c := range []struct {
+		name  string
+		have  []Needs
+		need  Needs
+		wants []string
+	}{
+		{"nothing", nil, Needs{}, nil},
+		{"a value", nil, Needs{Values: map[string]string{"a": "1"}}, []string{"set a=1"}},
+		{"the same value again", []Needs{{Values: map[string]string{"a": "1"}}}, Needs{Values: map[string]string{"a": "1"}}, nil},
+		{"another value", []Needs{{Values: map[string]string{"a": "1"}}}, Needs{Values: map[string]string{"a": "2"}}, []string{"set a=2"}},
+		{"a value too many", []Needs{{Values: map[string]string{"a": "1"}}}, Needs{}, []string{"reset"}},
+		{"prepared", nil, Needs{Prepared: p}, []string{"prepare shape"}},
+		{"prepared before", []Needs{{Prepared: p}}, Needs{Prepared: p}, nil},
+		{"prepared before a reset", []Needs{{Prepared: p}, {Values: map[string]string{"a": "1"}}}, Needs{Prepared: p}, []string{"reset", "prepare shape"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			d := &fakeDialer{}
+			conn := acquire(t, New(d, "", "g", "s", 1), patient)
+			for _, n := range c.have {
+				if _, err := conn.Align(n, fakeTexts{}, nil, time.Second); err != nil {
+					t.Fatal(err)
+				}
+			}
+			d.conns[0].sent = nil
+			if _, err := conn.Align(c.need, fakeTexts{}, nil, time.Second); err != nil {
+				t.Fatal(err)
+			}
+			if diff := cmp.Diff(c.wants, d.conns[0].sent); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestFailedSetUpStopsTheStatement(t *testing.T) {
+	d := &fakeDialer{}
+	conn := acquire(t, New(d, "", "g", "s", 1), patient)
+	d.conns[0].fail = "set a=1"
+	if _, err := conn.Align(Needs{Values: map[string]string{"a": "1"}}, fakeTexts{}, nil, time.Second); err == nil {
+		t.Fatal("a failed set-up is not told")
+	}
+}
+
+func TestAnswersLeftBehindAreReadByTheNextUser(t *testing.T) {
+	d := &fakeDialer{}
+	s := New(d, "", "g", "s", 1)
+	c := acquire(t, s, patient)
+	if err := c.Start(statement.Command{Text: "read"}, statement.Command{Text: "rollback"}); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := c.Receive(time.Second); err != nil || r.Signature != "read" {
+		t.Fatalf("answer %+v, %v", r, err)
+	}
+	c.Release()
+	c = acquire(t, s, patient)
+	if err := c.Start(statement.Command{Text: "second"}); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := c.Receive(time.Second); err != nil || r.Signature != "second" {
+		t.Errorf("answer %+v, %v: crossed with the one left behind", r, err)
+	}
+}
+
+func TestClosedSetRefuses(t *testing.T) {
+	s := New(&fakeDialer{}, "", "g", "s", 1)
+	held := acquire(t, s, patient)
+	failed := make(chan error)
+	go func() {
+		_, err := s.Acquire(context.Background(), patient)
+		failed <- err
+	}()
+	for s.Stats().Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Close()
+	if err := <-failed; err == nil {
+		t.Error("a waiter of a closed set gets a connection")
+	}
+	held.Release()
+	if n := s.Stats().Open; n != 0 {
+		t.Errorf("%d connections are open", n)
+	}
+}
--- /dev/null
+++ b/internal/eventlog/eventlog_test.go
@@ -0,0 +1,62 @@
+package eventlog
+
+import (
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/sirupsen/logrus"
+)
+
+// gate is an output that blocks until it is opened.
+type gate struct {
+	open chan struct{}
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (g *gate) Write(b []byte) (int, error) {
+	<-g.open
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.text.Write(b)
+}
+
+// A flood with a blocked output neither waits nor grows: the ring holds a bounded
+// number of lines, and the count of the rest is written.
+func TestFloodIsDroppedAndCounted(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	w := NewWriter(g)
+	log := New(w, logrus.InfoLevel)
+	const lines = 20 * ringLines
+	for range lines {
+		log.WithField("event", "flood").Info("line")
+	}
+	if n := w.Dropped(); n < lines-2*ringLines-bufferBytes/20 {
+		t.Errorf("%d of %d lines were dropped, more than the ring were kept", n, lines)
+	}
+	close(g.open)
+	w.Close()
+	text := g.text.String()
+	if !strings.Contains(text, "event=log_lines_dropped count=") {
+		t.Error("the count of dropped lines is not written")
+	}
+	if n := strings.Count(text, "event=flood"); int64(n)+w.Dropped() != lines {
+		t.Errorf("%d lines written and %d dropped of %d", n, w.Dropped(), lines)
+	}
+}
+
+func TestLinesAreWrittenInOrder(t *testing.T) {
+	g := &gate{open: make(chan struct{})}
+	close(g.open)
+	w := NewWriter(g)
+	log := New(w, logrus.InfoLevel)
+	for _, m := range []string{"one", "two", "three"} {
+		log.Info(m)
+	}
+	w.Close()
+	text := g.text.String()
+	if !(strings.Index(text, "one") < strings.Index(text, "two") && strings.Index(text, "two") < strings.Index(text, "three")) {
+		t.Errorf("lines %q", text)
+	}
+}
--- /dev/null
+++ b/internal/mesh/mesh_test.go
@@ -0,0 +1,229 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/position"
+	"chicoryline/internal/ratelimit"
+)
+
+func peers(n, domains int) []Peer {
+	var list []Peer
+	for i := range n {
+		list = append(list, Peer{VM: fmt.Sprintf("vm%04d", i), Domain: fmt.Sprint("d", i%domains), Address: "127.0.0.1:1"})
+	}
+	return list
+}
+
+func TestSplit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := peers(rapid.IntRange(1, 400).Draw(t, "vms"), rapid.IntRange(1, 8).Draw(t, "domains"))
+		domain := map[string]string{}
+		for _, p := range list {
+			domain[p.VM] = p.Domain
+		}
+		seen := map[string]bool{}
+		cells := split(list)
+		for _, c := range cells {
+			for _, vm := range c.vms {
+				if seen[vm] {
+					t.Errorf("%s is in two cells", vm)
+				}
+				seen[vm] = true
+				if len(cells) > 1 && domain[vm] != domain[c.vms[0]] {
+					t.Errorf("cell %s crosses failure domains", c.name)
+				}
+				if !c.has(vm) {
+					t.Errorf("cell %s does not find %s", c.name, vm)
+				}
+			}
+			if len(c.vms) > singleCell {
+				t.Errorf("cell %s has %d VMs", c.name, len(c.vms))
+			}
+		}
+		if len(seen) != len(list) {
+			t.Errorf("%d of %d VMs are in cells", len(seen), len(list))
+		}
+	})
+}
+
+func TestDigestSumsUp(t *testing.T) {
+	m := New(Config{VM: "vm0000"})
+	m.cells = []cell{{name: "d0/0", vms: []string{"vm0000", "vm0001", "vm0002"}}, {name: "d1/0"}}
+	now := boottime.Now()
+	news := func(taken uint64, offset uint64, age int64, load float32) News {
+		return News{
+			ConfigVersion: 4, ConfigAge: age, Usage: map[string]ratelimit.Usage{"c": {Taken: taken, Demand: 2}},
+			Groups: map[string]GroupNews{"g": {Position: position.Position{Term: 1, Offset: offset}, PositionAge: age, Primary: "s", AnsweredAge: age, CommittedAge: -1, Load: load}},
+		}
+	}
+	add := func(vm string, n News, held time.Duration) {
+		m.peers[vm] = &peerState{heard: now, since: now.Add(-held), news: &n}
+		m.tally.take(vm, n.Usage)
+	}
+	own := news(5, 10, 300, 1)
+	m.tally.take("vm0000", own.Usage)
+	add("vm0001", news(7, 20, 100, 2), 50*time.Millisecond)
+	add("vm0002", news(9, 30, 400, 3), 0)
+	d := m.digest(own, now)
+	g := d.News.Groups["g"]
+	if d.Members != 3 || d.News.ConfigAge != 150 || g.PositionAge != 150 || g.Position.Offset != 20 || g.AnsweredAge != 150 || g.CommittedAge != -1 || g.Load != 6 {
+		t.Errorf("digest %+v", d)
+	}
+	if u := d.News.Usage["c"]; u.Taken != 21 || u.Demand != 6 {
+		t.Errorf("usage %+v", u)
+	}
+	m.tally.take("vm0001", map[string]ratelimit.Usage{"c": {Taken: 2}}) // began anew
+	if got := m.tally.taken["c"]; got != 23 {
+		t.Errorf("%d taken after a restart of a VM, want 23", got)
+	}
+}
+
+// node is a running mesh that counts what it gets.
+type node struct {
+	*Mesh
+	mu       sync.Mutex
+	received map[string]int
+	oldest   time.Duration // greatest claim beyond the truth
+	urgent   bool
+}
+
+// startFleet runs meshes on loopback. Each VM's news say that its position of the
+// group was proved just when they were composed.
+func startFleet(t *testing.T, n, domains int) []*node {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	ctx, cancel := context.WithCancel(context.Background())
+	t.Cleanup(cancel)
+	list := peers(n, domains)
+	var nodes []*node
+	var composed sync.Map // position offset to the moment of its proof
+	var next sync.Mutex
+	offset := uint64(0)
+	for i := range list {
+		conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		list[i].Address = conn.LocalAddr().String()
+		nd := &node{received: map[string]int{}}
+		nd.Mesh = New(Config{
+			VM: list[i].VM, Conn: conn, Log: logrus.NewEntry(log), Lost: func(string) {},
+			Urgent: func() bool { nd.mu.Lock(); defer nd.mu.Unlock(); return nd.urgent },
+			Compose: func() News {
+				next.Lock()
+				offset++
+				p := position.Position{Term: 1, Offset: offset}
+				next.Unlock()
+				composed.Store(p.Offset, boottime.Now())
+				return News{Groups: map[string]GroupNews{"g": {Position: p, PositionAge: 0, AnsweredAge: -1, CommittedAge: -1}}}
+			},
+			Receive: func(source string, news News, since boottime.Time) {
+				nd.mu.Lock()
+				defer nd.mu.Unlock()
+				nd.received[source]++
+				g := news.Groups["g"]
+				if truth, ok := composed.Load(g.Position.Offset); ok && since != 0 {
+					claim := since.Add(-time.Duration(g.PositionAge) * time.Millisecond)
+					nd.oldest = max(nd.oldest, claim.Sub(truth.(boottime.Time)))
+				}
+			},
+		})
+		nodes = append(nodes, nd)
+	}
+	for _, nd := range nodes {
+		nd.SetPeers(list)
+		go nd.Run(ctx)
+	}
+	return nodes
+}
+
+func eventually(t *testing.T, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(20 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	t.Fatalf("%s did not come about", what)
+}
+
+// News never claim to be younger than they are, directly or through digests.
+func TestAgesErrToTheSafeSide(t *testing.T) {
+	for _, c := range []struct{ vms, domains int }{{4, 2}, {40, 3}} {
+		t.Run(fmt.Sprint(c.vms), func(t *testing.T) {
+			nodes := startFleet(t, c.vms, c.domains)
+			eventually(t, "touch of all", func() bool {
+				for _, nd := range nodes {
+					if heard, all := nd.Heard(); heard != c.vms-1 || all != c.vms-1 {
+						return false
+					}
+				}
+				return true
+			})
+			for _, nd := range nodes {
+				nd.mu.Lock()
+				if nd.oldest > 0 {
+					t.Errorf("news claim a proof %v after it was made", nd.oldest)
+				}
+				nd.mu.Unlock()
+			}
+		})
+	}
+}
+
+// Two VMs in urgent state answered each other's answers without end
+// (journal 910659c4: 7 MB in 5.8 s).
+func TestUrgentNewsAreAnsweredOnce(t *testing.T) {
+	nodes := startFleet(t, 2, 1)
+	eventually(t, "touch", func() bool { h, _ := nodes[0].Heard(); return h == 1 })
+	for _, nd := range nodes {
+		nd.mu.Lock()
+		nd.urgent, nd.received = true, map[string]int{}
+		nd.mu.Unlock()
+	}
+	time.Sleep(time.Second)
+	for _, nd := range nodes {
+		nd.mu.Lock()
+		for source, n := range nd.received {
+			// One datagram an interval, and one answer to each of our own.
+			if most := 2*int(time.Second/urgentInterval) + 10; n > most {
+				t.Errorf("%d datagrams from %s in a second, want at most %d", n, source, most)
+			}
+		}
+		nd.mu.Unlock()
+	}
+}
+
+func TestGarbageIsIgnored(t *testing.T) {
+	nodes := startFleet(t, 1, 1)
+	for _, data := range []string{"", "\x00", "garbage", "\xdf\xff\xff\xff\xff", "\x97\xa1a"} {
+		nodes[0].receive([]byte(data))
+	}
+}
+
+func FuzzReceive(f *testing.F) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	data, err := encode(envelope{VM: "vm0001", News: &News{Groups: map[string]GroupNews{"g": {}}}, Digests: []Digest{{Cell: "d1/0"}}})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		m := New(Config{VM: "vm0000", Log: logrus.NewEntry(log), Lost: func(string) {}, Receive: func(string, News, boottime.Time) {}, Compose: func() News { return News{} }})
+		m.SetPeers(peers(3, 1))
+		m.receive(data)
+	})
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -26,9 +26,6 @@
 	// demandFloor is the part of an even share that a VM without demand counts
 	// with, so that its first operations find tokens.
 	demandFloor = 0.3
-	// allowanceTime is how far ahead a VM may spend its own part of the rate
-	// between reports: a report and its way.
-	allowanceTime = 1.5
 	// reportedDemand is the demand, in operations per second, below which a customer
 	// is left out of reports; it is reached some seconds after the last operation.
 	reportedDemand = 0.02
@@ -142,7 +139,7 @@
 	b.filled = now
 	gain := passed * l.pace(b)
 	b.tokens = min(b.tokens+gain, b.customer.Burst*l.part())
-	b.allowance = min(b.allowance+gain*l.share(b)*allowanceTime, l.fullAllowance(b))
+	b.allowance += gain * l.share(b)
 	if age := now.Sub(b.demandAt); age >= reportInterval {
 		weight := min(1, age.Seconds()/demandDecay.Seconds())
 		b.demand += (b.wanted/age.Seconds() - b.demand) * weight
@@ -173,11 +170,11 @@
 	return max(b.demand, floor) / total
 }
 
-// fullAllowance is what this VM may take between two reports: its share of the
-// tokens that are there and of those that come meanwhile, one at least.
+// fullAllowance is what this VM may take of the tokens that are there until the
+// next report: its share, one at least. Tokens that come meanwhile are added as
+// they come.
 func (l *Limiter) fullAllowance(b *bucket) float64 {
-	free := min(max(b.tokens, 0), l.room(b))
-	return max(1, l.share(b)*(free+l.pace(b)*reportInterval.Seconds()*allowanceTime))
+	return max(1, l.share(b)*min(max(b.tokens, 0), l.room(b)))
 }
 
 // Admit takes one operation, or tells when there is room for one.
@@ -207,7 +204,7 @@
 	report := make(map[string]Usage, len(l.buckets))
 	for name, b := range l.buckets {
 		l.fill(b)
-		b.allowance = max(b.allowance, l.fullAllowance(b))
+		b.allowance = l.fullAllowance(b)
 		if b.demand > reportedDemand {
 			report[name] = Usage{Taken: b.taken, Demand: float32(b.demand)}
 		}
--- /dev/null
+++ b/internal/ratelimit/ratelimit_test.go
@@ -0,0 +1,241 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+)
+
+const window = 5 * time.Second
+
+// fleet is VMs with a common clock that exchange reports at the interval.
+type fleet struct {
+	now      boottime.Time
+	vms      []*Limiter
+	reported boottime.Time
+	// side is the side of a partition on which a VM is.
+	side []int
+	// admitted holds the moments of all admitted operations.
+	admitted []boottime.Time
+}
+
+func newFleet(n int, c access.Customer) *fleet {
+	f := &fleet{now: boottime.Time(time.Hour), side: make([]int, n)}
+	for range n {
+		l := New(func() boottime.Time { return f.now }, window)
+		l.Configure(map[string]access.Customer{c.Name: c})
+		l.SetFleet(1, n) // until the first reports come
+		f.vms = append(f.vms, l)
+	}
+	return f
+}
+
+// pass lets time pass and exchanges reports.
+func (f *fleet) pass(d time.Duration) {
+	f.now = f.now.Add(d)
+	if f.now.Sub(f.reported) < reportInterval {
+		return
+	}
+	f.reported = f.now
+	f.setHeard()
+	for i, l := range f.vms {
+		r := l.Report()
+		for j, m := range f.vms {
+			if i != j && f.side[i] == f.side[j] {
+				m.Hear(fmt.Sprint("vm", i), r)
+			}
+		}
+	}
+}
+
+// split cuts the fleet in two; each VM learns how many it still hears.
+func (f *fleet) split(first int) {
+	for i := range f.vms {
+		if i >= first {
+			f.side[i] = 1
+		}
+	}
+	for i, l := range f.vms {
+		for j := range f.vms {
+			if f.side[i] != f.side[j] {
+				l.Forget(fmt.Sprint("vm", j))
+			}
+		}
+	}
+	f.setHeard()
+}
+
+// setHeard tells each VM how many are on its side.
+func (f *fleet) setHeard() {
+	for i, l := range f.vms {
+		heard := 0
+		for j := range f.vms {
+			if f.side[i] == f.side[j] {
+				heard++
+			}
+		}
+		l.SetFleet(heard, len(f.vms))
+	}
+}
+
+func (f *fleet) ask(vm int, c access.Customer) bool {
+	_, ok := f.vms[vm].Admit(c)
+	if ok {
+		f.admitted = append(f.admitted, f.now)
+	}
+	return ok
+}
+
+// most returns the highest number of admitted operations in any window.
+func (f *fleet) most() int {
+	best, from := 0, 0
+	for to, at := range f.admitted {
+		for at.Sub(f.admitted[from]) >= window {
+			from++
+		}
+		best = max(best, to-from+1)
+	}
+	return best
+}
+
+// bound is what the platform's rules allow in a window.
+func bound(c access.Customer) float64 { return (c.Rate*window.Seconds()+c.Burst)*1.1 + 20 }
+
+// One customer asks for several times its rate, on all VMs and unevenly.
+func TestFloodStaysWithinTheWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := access.Customer{Name: "c", Rate: float64(rapid.IntRange(5, 200).Draw(t, "rate"))}
+		c.Burst = c.Rate
+		n := rapid.IntRange(1, 12).Draw(t, "vms")
+		f := newFleet(n, c)
+		cut := rapid.IntRange(0, n).Draw(t, "cut")
+		weights := rapid.SliceOfN(rapid.IntRange(1, 5), n, n).Draw(t, "weights")
+		for step := range 600 {
+			f.pass(20 * time.Millisecond)
+			if step == 300 && cut > 0 && cut < n {
+				f.split(cut)
+			}
+			for vm, w := range weights {
+				for range w {
+					f.ask(vm, c)
+				}
+			}
+		}
+		if got := f.most(); float64(got) > bound(c) {
+			t.Errorf("%d operations in a window, the rules allow %.0f", got, bound(c))
+		}
+	})
+}
+
+// A customer below its rate is not refused for long, whichever VM it uses.
+func TestCustomerWithinItsRateIsServed(t *testing.T) {
+	c := access.Customer{Name: "c", Rate: 20, Burst: 20}
+	f := newFleet(8, c)
+	for range 100 {
+		f.pass(20 * time.Millisecond)
+	}
+	refused, asked := 0, 0
+	for step := range 1500 {
+		f.pass(20 * time.Millisecond)
+		if step%4 == 0 { // 12.5 a second, hopping from VM to VM
+			asked++
+			vm := step / 4 % 8
+			for tries := 0; !f.ask(vm, c); tries++ {
+				if tries == 2 {
+					refused++
+					break
+				}
+				f.pass(20 * time.Millisecond)
+				vm = (vm + 3) % 8
+			}
+		}
+	}
+	if refused*100 > asked {
+		t.Errorf("%d of %d operations within the rate were refused three times", refused, asked)
+	}
+}
+
+func TestRestartedFleetDoesNotDoubleTheBurst(t *testing.T) {
+	c := access.Customer{Name: "c", Rate: 20, Burst: 20}
+	f := newFleet(4, c)
+	flood := func(steps int) {
+		for range steps {
+			f.pass(20 * time.Millisecond)
+			for vm := range f.vms {
+				f.ask(vm, c)
+			}
+		}
+	}
+	flood(400)
+	for i := range f.vms {
+		f.vms[i] = New(func() boottime.Time { return f.now }, window)
+		f.vms[i].Configure(map[string]access.Customer{c.Name: c})
+		f.vms[i].SetFleet(1, len(f.vms))
+	}
+	flood(400)
+	if got := f.most(); float64(got) > bound(c) {
+		t.Errorf("%d operations in a window, the rules allow %.0f", got, bound(c))
+	}
+}
+
+func TestLoweredLimitTakesEffectWhenAllHaveIt(t *testing.T) {
+	high, low := access.Customer{Name: "c", Rate: 100, Burst: 100}, access.Customer{Name: "c", Rate: 10, Burst: 10}
+	f := newFleet(1, high)
+	for range 100 {
+		f.pass(20 * time.Millisecond)
+		f.ask(0, high)
+	}
+	f.vms[0].Configure(map[string]access.Customer{"c": low})
+	f.pass(lowerDelay - 20*time.Millisecond)
+	if f.vms[0].buckets["c"].customer != high {
+		t.Error("a lowered limit takes effect before others can have it")
+	}
+	f.pass(40 * time.Millisecond)
+	f.ask(0, low)
+	if f.vms[0].buckets["c"].customer != low {
+		t.Error("a lowered limit does not take effect")
+	}
+	f.vms[0].Configure(map[string]access.Customer{"c": high})
+	if f.vms[0].buckets["c"].customer != high {
+		t.Error("a raised limit has to wait")
+	}
+}
+
+// The first operations of a customer were not counted by the other VMs: their first
+// report of the customer only set the base (TestRateCountsOverAllVMs, 198 of 152).
+func TestFirstReportOfACustomerCounts(t *testing.T) {
+	c := access.Customer{Name: "c", Rate: 20, Burst: 20}
+	f := newFleet(2, c)
+	for range 50 {
+		f.pass(100 * time.Millisecond)
+	}
+	for range 10 {
+		f.pass(50 * time.Millisecond)
+		f.ask(0, c)
+	}
+	f.pass(reportInterval)
+	if got := f.vms[1].buckets["c"].recent.sum; got < 8 {
+		t.Errorf("the other VM counts %.0f of 10 operations", got)
+	}
+}
+
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	c := access.Customer{Name: "c", Rate: 10, Burst: 1}
+	f := newFleet(1, c)
+	f.pass(time.Second)
+	for f.ask(0, c) {
+	}
+	wait, ok := f.vms[0].Admit(c)
+	if ok || wait <= 0 || wait > time.Second {
+		t.Fatalf("wait %v, admitted %v", wait, ok)
+	}
+	f.pass(wait + time.Millisecond)
+	if !f.ask(0, c) {
+		t.Errorf("refused again after the %v that were told", wait)
+	}
+}
--- /dev/null
+++ b/internal/steward/decide_test.go
@@ -0,0 +1,99 @@
+package steward
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/position"
+)
+
+func TestDecide(t *testing.T) {
+	now := boottime.Time(time.Hour)
+	ago := func(d time.Duration) boottime.Time { return now.Add(-d) }
+	for _, c := range []struct {
+		name string
+		o    Observation
+		want Reason
+	}{
+		{"all is well", Observation{Known: true, Answered: ago(10 * time.Millisecond)}, None},
+		{"leaving", Observation{Known: true, Leaving: true, UnknownSince: ago(time.Millisecond)}, Leaving},
+		{"leaving, another VM comes first", Observation{Known: true, Leaving: true, UnknownSince: ago(time.Millisecond), Rank: 1}, None},
+		{"no claim", Observation{UnknownSince: ago(SuspectTime)}, Missing},
+		{"no claim for a moment", Observation{UnknownSince: ago(SuspectTime / 2)}, None},
+		{"never any claim", Observation{}, None},
+		{"fails here, answers others", Observation{Known: true, FailingSince: ago(2 * time.Second), Answered: ago(100 * time.Millisecond)}, None},
+		{"fails for all", Observation{Known: true, FailingSince: ago(SuspectTime), Answered: ago(2 * time.Second)}, Silent},
+		{"answered after the failure", Observation{Known: true, FailingSince: ago(time.Minute), Answered: ago(30 * time.Second)}, None},
+		{"fails for all, another VM comes first", Observation{Known: true, FailingSince: ago(SuspectTime), Answered: ago(2 * time.Second), Rank: 2}, None},
+		{"commits stick", Observation{Known: true, Answered: now, StuckSince: ago(StuckTime), Committed: ago(time.Minute)}, CommitStuck},
+		{"commits stick here only", Observation{Known: true, Answered: now, StuckSince: ago(StuckTime), Committed: ago(time.Millisecond)}, None},
+		{"a change is under way", Observation{Changing: true, Known: true, FailingSince: ago(time.Minute)}, None},
+	} {
+		c.o.Now = now
+		if got := Decide(c.o); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// replicas draws what a steward may find: commits are acknowledged once one replica
+// has received them.
+func replicas(t *rapid.T) []Replica {
+	n := rapid.IntRange(1, 4).Draw(t, "replicas")
+	list := make([]Replica, n)
+	for i := range list {
+		list[i] = Replica{
+			ID: string(rune('a' + i)), Received: position.Position{Term: 1, Offset: uint64(rapid.IntRange(0, 5).Draw(t, "received"))},
+			Leaving: rapid.Bool().Draw(t, "leaving"), Paused: rapid.Bool().Draw(t, "paused"),
+		}
+	}
+	return list
+}
+
+// Whatever the replicas hold, a target that is safe has every commit that one of
+// them has received, and no other can receive one without it.
+func TestSafeTargetHoldsAllCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		list := replicas(t)
+		target := Choose(list)
+		if !Safe(list, target) {
+			return
+		}
+		var at position.Position
+		for _, r := range list {
+			if r.ID == target {
+				at = r.Received
+			}
+		}
+		for _, r := range list {
+			if r.Received.Compare(at) > 0 {
+				t.Errorf("%s has %s, the target %s only %s", r.ID, r.Received, target, at)
+			}
+			if r.ID != target && !r.Paused {
+				t.Errorf("%s goes on receiving beside the target", r.ID)
+			}
+		}
+	})
+}
+
+func TestChoosePrefersOneThatStays(t *testing.T) {
+	at := func(n uint64) position.Position { return position.Position{Term: 1, Offset: n} }
+	for _, c := range []struct {
+		name string
+		list []Replica
+		want string
+	}{
+		{"none", nil, ""},
+		{"the furthest", []Replica{{ID: "a", Received: at(1)}, {ID: "b", Received: at(2)}}, "b"},
+		{"the furthest though it leaves", []Replica{{ID: "a", Received: at(1)}, {ID: "b", Received: at(2), Leaving: true}}, "b"},
+		{"among equals one that stays", []Replica{{ID: "a", Received: at(2), Leaving: true}, {ID: "b", Received: at(2)}}, "b"},
+		{"a newer term before a higher number", []Replica{{ID: "a", Received: at(9)}, {ID: "b", Received: position.Position{Term: 2, Offset: 1}}}, "b"},
+	} {
+		if got := Choose(c.list); got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
