--- a/cmd/chicoryline/operator.go
+++ b/cmd/chicoryline/operator.go
@@ -15,9 +15,9 @@
 	"chicoryline/internal/configsync"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
 	"chicoryline/internal/proxy"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
@@ -31,7 +31,7 @@
 }
 
 // connect returns a client of the platform.
-func (f *platformFlags) connect() (*platform.Client, error) {
+func (f *platformFlags) connect() (*services.Client, error) {
 	urls := strings.Split(f.Platform, ",")
 	if f.Platform == "" {
 		if f.Settings == "" {
@@ -43,11 +43,11 @@
 		}
 		urls = s.PlatformURLs
 	}
-	return platform.NewClient(urls, platform.VM{ID: "operator"})
+	return services.NewClient(urls, services.VM{ID: "operator"})
 }
 
 // run connects to the platform and does the command's work there.
-func (f *platformFlags) run(do func(ctx context.Context, services *platform.Client) error) error {
+func (f *platformFlags) run(do func(ctx context.Context, services *services.Client) error) error {
 	services, err := f.connect()
 	if err != nil {
 		return err
@@ -71,7 +71,7 @@
 
 // Execute implements flags.Commander.
 func (c *patchCommand) Execute([]string) error {
-	return c.run(func(ctx context.Context, services *platform.Client) error {
+	return c.run(func(ctx context.Context, services *services.Client) error {
 		if c.Ask {
 			result, err := configsync.Ask(ctx, services, c.ID)
 			return printResult(result, err)
@@ -110,7 +110,7 @@
 
 // Execute implements flags.Commander.
 func (c *configShowCommand) Execute([]string) error {
-	return c.run(func(ctx context.Context, services *platform.Client) error {
+	return c.run(func(ctx context.Context, services *services.Client) error {
 		doc, err := configsync.Show(ctx, services)
 		if err != nil {
 			return err
@@ -124,7 +124,7 @@
 
 // Execute implements flags.Commander.
 func (c *configHistoryCommand) Execute([]string) error {
-	return c.run(func(ctx context.Context, services *platform.Client) error {
+	return c.run(func(ctx context.Context, services *services.Client) error {
 		entries, err := configsync.History(ctx, services)
 		if err != nil {
 			return err
@@ -145,7 +145,7 @@
 
 // Execute implements flags.Commander.
 func (c *configReleaseCommand) Execute([]string) error {
-	return c.run(func(ctx context.Context, services *platform.Client) error {
+	return c.run(func(ctx context.Context, services *services.Client) error {
 		released, err := configsync.Release(ctx, services, c.Args.Domain)
 		fmt.Printf("released=%s\n", strings.Join(released, ","))
 		return err
@@ -181,7 +181,7 @@
 
 // Execute implements flags.Commander.
 func (c *keyWithdrawCommand) Execute([]string) error {
-	return c.run(func(ctx context.Context, services *platform.Client) error {
+	return c.run(func(ctx context.Context, services *services.Client) error {
 		doc, err := configsync.Show(ctx, services)
 		if err != nil {
 			return err
--- a/cmd/chicoryline/standin.go
+++ b/cmd/chicoryline/standin.go
@@ -10,7 +10,7 @@
 	"github.com/juju/errors"
 	"github.com/sirupsen/logrus"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/standin/dbinstance"
 	"chicoryline/internal/standin/platformd"
 )
@@ -37,7 +37,7 @@
 		if err != nil {
 			return errors.Annotate(err, "groups")
 		}
-		var groups []platform.Group
+		var groups []services.Group
 		if err := json.Unmarshal(data, &groups); err != nil {
 			return errors.Annotate(err, "groups")
 		}
--- a/internal/backend/fake.go
+++ b/internal/backend/fake.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 // FakeEntry is one entry of a fake instance's log. Data names the write; the
@@ -43,7 +43,7 @@
 }
 
 // NewFakeGroup returns a group of empty replicas at fence 0.
-func NewFakeGroup(instances []platform.Instance) *FakeGroup {
+func NewFakeGroup(instances []services.Instance) *FakeGroup {
 	g := &FakeGroup{
 		instances: map[string]*fakeInstance{},
 		domains:   map[string]string{},
--- a/internal/bench/capacity.go
+++ b/internal/bench/capacity.go
@@ -18,7 +18,7 @@
 	"chicoryline/internal/frame"
 	"chicoryline/internal/groupview"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
@@ -94,13 +94,13 @@
 }
 
 func watchGroup(system *frame.System, log *logrus.Entry, name string) (func(), error) {
-	group := platform.Group{Name: name}
+	group := services.Group{Name: name}
 	for i := range groupInstances {
-		group.Instances = append(group.Instances, platform.Instance{ID: fmt.Sprintf("%s-db%d", name, i+1), Domain: fmt.Sprintf("domain%d", i+1)})
+		group.Instances = append(group.Instances, services.Instance{ID: fmt.Sprintf("%s-db%d", name, i+1), Domain: fmt.Sprintf("domain%d", i+1)})
 	}
 	fake := backend.NewFakeGroup(group.Instances)
 	fake.Bootstrap(group.Instances[0].ID)
-	vm := platform.VM{ID: "vm1", Domain: "domain1", Address: "127.0.0.1:1"}
+	vm := services.VM{ID: "vm1", Domain: "domain1", Address: "127.0.0.1:1"}
 	controls := map[string]backend.Control{}
 	for _, i := range group.Instances {
 		controls[i.ID] = fake.Control(vm.ID, i.ID)
@@ -110,8 +110,8 @@
 		return nil, errors.Trace(err)
 	}
 	runner, err := failover.NewRunner(failover.Config{
-		Group: group, Controls: controls, Watcher: watcher, Table: platform.NewMemory(time.Now), VM: vm,
-		Peers: failover.PeerViews{List: func(string) []platform.VM { return nil }}, Rank: func() int { return 0 },
+		Group: group, Controls: controls, Watcher: watcher, Table: services.NewMemory(time.Now), VM: vm,
+		Peers: failover.PeerViews{List: func(string) []services.VM { return nil }}, Rank: func() int { return 0 },
 		System: system, Rand: rand.New(rand.NewSource(1)), Log: log,
 	})
 	if err != nil {
--- a/internal/configsync/core.go
+++ b/internal/configsync/core.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/statechart"
 )
 
@@ -69,7 +69,7 @@
 
 	own         ownRow
 	holders     []Holder // of the last list
-	rows        []platform.Row
+	rows        []services.Row
 	pendingSeen time.Time
 
 	open map[string]bool      // actions under way
--- a/internal/configsync/decide.go
+++ b/internal/configsync/decide.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // verdict is what the holders' rows say about a pending patch.
@@ -90,8 +90,8 @@
 }
 
 // goneRows picks the rows of the holders from a list.
-func goneRows(ids []string, rows []platform.Row) []platform.Row {
-	var gone []platform.Row
+func goneRows(ids []string, rows []services.Row) []services.Row {
+	var gone []services.Row
 	for _, row := range rows {
 		if slices.Contains(ids, strings.TrimPrefix(row.Key, holderPrefix)) {
 			gone = append(gone, row)
@@ -142,7 +142,7 @@
 }
 
 // observe takes a list of the holders' rows whose read began and ended then.
-func (w *lapseWatch) observe(rows []platform.Row, began, ended time.Time) {
+func (w *lapseWatch) observe(rows []services.Row, began, ended time.Time) {
 	next := make(map[string]sighting, len(rows))
 	gap := began.Sub(w.last) > maxListGap
 	w.last = ended
--- a/internal/configsync/decide_test.go
+++ b/internal/configsync/decide_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 func TestDecide(t *testing.T) {
@@ -64,7 +64,7 @@
 	at := start
 	look := func(pause time.Duration, version uint64) bool {
 		at = at.Add(pause)
-		watch.observe([]platform.Row{{Key: holderKey("a"), Version: version}}, at, at)
+		watch.observe([]services.Row{{Key: holderKey("a"), Version: version}}, at, at)
 		return watch.lapsed(h)
 	}
 	steps := []struct {
--- a/internal/configsync/explore_test.go
+++ b/internal/configsync/explore_test.go
@@ -13,7 +13,7 @@
 	"pgregory.net/rapid"
 
 	"chicoryline/internal/catalog"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 func TestMain(m *testing.M) {
@@ -327,7 +327,7 @@
 
 // changed returns the rows as a naive variant reads them. acked are the holders
 // that have acknowledged anything.
-func changed(rows []platform.Row, change func(h *Holder, acked []string)) []platform.Row {
+func changed(rows []services.Row, change func(h *Holder, acked []string)) []services.Row {
 	holders, err := decodeHolders(rows)
 	if err != nil {
 		panic(err)
--- a/internal/configsync/fake_test.go
+++ b/internal/configsync/fake_test.go
@@ -7,15 +7,15 @@
 	"sync"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // fakePlatform is a table and object store in memory with fault switches.
 type fakePlatform struct {
 	mu      sync.Mutex
-	rows    map[string]platform.Row
+	rows    map[string]services.Row
 	objects map[string][]byte
-	vms     []platform.VM
+	vms     []services.VM
 	writes  int
 	reads   int
 
@@ -26,7 +26,7 @@
 }
 
 func newFakePlatform() *fakePlatform {
-	return &fakePlatform{rows: map[string]platform.Row{}, objects: map[string][]byte{}}
+	return &fakePlatform{rows: map[string]services.Row{}, objects: map[string][]byte{}}
 }
 
 func (f *fakePlatform) set(change func()) {
@@ -43,11 +43,11 @@
 	return nil
 }
 
-func (f *fakePlatform) Get(_ context.Context, key string) (platform.Row, error) {
+func (f *fakePlatform) Get(_ context.Context, key string) (services.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.read(); err != nil {
-		return platform.Row{}, err
+		return services.Row{}, err
 	}
 	row, ok := f.rows[key]
 	if !ok {
@@ -56,13 +56,13 @@
 	return row, nil
 }
 
-func (f *fakePlatform) List(_ context.Context, prefix string) ([]platform.Row, error) {
+func (f *fakePlatform) List(_ context.Context, prefix string) ([]services.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.read(); err != nil {
 		return nil, err
 	}
-	var rows []platform.Row
+	var rows []services.Row
 	for key, row := range f.rows {
 		if strings.HasPrefix(key, prefix) {
 			rows = append(rows, row)
@@ -81,21 +81,21 @@
 	return nil
 }
 
-func (f *fakePlatform) CompareAndSet(_ context.Context, key string, version uint64, value []byte, requestID string) (platform.Row, error) {
+func (f *fakePlatform) CompareAndSet(_ context.Context, key string, version uint64, value []byte, requestID string) (services.Row, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := f.read(); err != nil {
-		return platform.Row{}, err
+		return services.Row{}, err
 	}
 	row := f.rows[key]
 	if row.Version != 0 && row.RequestID == requestID {
 		return row, nil
 	}
 	if row.Version != version {
-		return platform.Row{}, errkind.New(errkind.Conflict, "%s at %d, not %d", key, row.Version, version)
+		return services.Row{}, errkind.New(errkind.Conflict, "%s at %d, not %d", key, row.Version, version)
 	}
 	f.writes++
-	row = platform.Row{Key: key, Version: version + 1, Value: value, RequestID: requestID}
+	row = services.Row{Key: key, Version: version + 1, Value: value, RequestID: requestID}
 	f.rows[key] = row
 	return row, f.lost()
 }
@@ -137,12 +137,12 @@
 	return data, nil
 }
 
-func (f *fakePlatform) VMs(context.Context) ([]platform.VM, error) {
+func (f *fakePlatform) VMs(context.Context) ([]services.VM, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.vms, f.read()
 }
 
-func (f *fakePlatform) Groups(context.Context) ([]platform.Group, error) { return nil, nil }
+func (f *fakePlatform) Groups(context.Context) ([]services.Group, error) { return nil, nil }
 
-func (f *fakePlatform) Register(context.Context, platform.VM) error { return nil }
+func (f *fakePlatform) Register(context.Context, services.VM) error { return nil }
--- a/internal/configsync/matrix_test.go
+++ b/internal/configsync/matrix_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"chicoryline/internal/catalog"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/statechart"
 )
 
@@ -293,4 +293,4 @@
 	}
 }
 
-var _ platform.Services = (*port)(nil)
+var _ services.Services = (*port)(nil)
--- a/internal/configsync/message.go
+++ b/internal/configsync/message.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // The actions are what the core wants done over the network. The driver
@@ -39,7 +39,7 @@
 		version uint64
 		value   []byte
 		request string
-		gone    []platform.Row
+		gone    []services.Row
 	}
 	// propose makes an attempt pending that changes no document.
 	propose struct {
@@ -50,7 +50,7 @@
 	// notify sends the configuration row to other processes.
 	notify struct {
 		addresses []string
-		row       platform.Row
+		row       services.Row
 	}
 	// giveBack deletes the holder's row.
 	giveBack struct {
@@ -88,7 +88,7 @@
 		record uint64
 		began  time.Time
 		ended  time.Time
-		rows   []platform.Row
+		rows   []services.Row
 	}
 	// promisesDone ends askPromises; granted lists the holders that promised.
 	promisesDone struct {
@@ -132,7 +132,7 @@
 	// Length is how long a lease holds from when it was asked for.
 	Length time.Duration
 	// Row is the newest configuration row of the process that was asked.
-	Row platform.Row
+	Row services.Row
 	// Holders names addresses of other holders to ask for the next lease.
 	Holders []string
 }
--- a/internal/configsync/node.go
+++ b/internal/configsync/node.go
@@ -16,7 +16,7 @@
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Defaults and sizes.
@@ -35,10 +35,10 @@
 // Config is what a Node is made of.
 type Config struct {
 	// VM names this process, its failure domain and where it is called.
-	VM platform.VM
+	VM services.VM
 	// Incarnation differs between two starts on one VM.
 	Incarnation uint64
-	Services    platform.Services
+	Services    services.Services
 	Caller      peer.Caller
 	System      *frame.System
 	// Now is time.Now when nil.
@@ -57,7 +57,7 @@
 	Observer bool
 	// Peers names processes to learn from while the platform is down; nil uses
 	// the platform's list only.
-	Peers func() []platform.VM
+	Peers func() []services.VM
 	// OnEvent is told of changes for the time line; nil tells nobody.
 	OnEvent func(kind string, fields map[string]string)
 }
@@ -99,7 +99,7 @@
 
 	mu        sync.Mutex
 	watchers  []func(catalog.View)
-	peers     []platform.VM // last list of the platform
+	peers     []services.VM // last list of the platform
 	peersNext time.Time     // when the list is read next at the earliest
 	closed    bool
 	lessor    string   // address that gave the last lease
@@ -110,7 +110,7 @@
 type shown struct {
 	view  catalog.View
 	until time.Time
-	row   platform.Row
+	row   services.Row
 	state string // of the grant
 	patch string // state of the patch's chart
 }
--- a/internal/configsync/operator.go
+++ b/internal/configsync/operator.go
@@ -7,13 +7,13 @@
 
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Ask returns the end of a patch. StateUnknown with no error means that the
 // patch is still pending; errkind.NotFound that the row knows nothing of it: it
 // was never made pending, or is older than the outcomes that are kept.
-func Ask(ctx context.Context, services platform.Services, patchID string) (Result, error) {
+func Ask(ctx context.Context, services services.Services, patchID string) (Result, error) {
 	_, record, err := readRecord(ctx, services)
 	if err != nil {
 		return Result{State: StateUnknown, PatchID: patchID}, err
@@ -28,7 +28,7 @@
 }
 
 // Show returns the document in force; the empty document at version 0.
-func Show(ctx context.Context, services platform.Services) (*catalog.Document, error) {
+func Show(ctx context.Context, services services.Services) (*catalog.Document, error) {
 	_, record, err := readRecord(ctx, services)
 	if err != nil {
 		return nil, err
@@ -41,13 +41,13 @@
 }
 
 // History returns the last outcomes, the oldest first.
-func History(ctx context.Context, services platform.Services) ([]Outcome, error) {
+func History(ctx context.Context, services services.Services) ([]Outcome, error) {
 	_, record, err := readRecord(ctx, services)
 	return record.History, err
 }
 
 // Holders returns the registered holders in the order of their ids.
-func Holders(ctx context.Context, services platform.Services) ([]Holder, error) {
+func Holders(ctx context.Context, services services.Services) ([]Holder, error) {
 	rows, err := services.List(ctx, holderPrefix)
 	if err != nil {
 		return nil, err
@@ -62,7 +62,7 @@
 // together with a majority of its voters, would go on serving the version that
 // it knows. Errors: errkind.NotFound without holders in the domain,
 // PatchRefused if all of them renew.
-func Release(ctx context.Context, services platform.Services, domain string) ([]string, error) {
+func Release(ctx context.Context, services services.Services, domain string) ([]string, error) {
 	watch := lapseWatch{}
 	start := time.Now()
 	for {
@@ -87,7 +87,7 @@
 
 // pickLapsed returns the rows of the domain that have lapsed, and the longest
 // grant of the domain.
-func pickLapsed(rows []platform.Row, domain string, watch *lapseWatch) (down []platform.Row, length time.Duration, err error) {
+func pickLapsed(rows []services.Row, domain string, watch *lapseWatch) (down []services.Row, length time.Duration, err error) {
 	holders, err := decodeHolders(rows)
 	if err != nil {
 		return nil, 0, err
@@ -107,7 +107,7 @@
 	return down, length, nil
 }
 
-func releaseRows(ctx context.Context, services platform.Services, domain string, rows []platform.Row) ([]string, error) {
+func releaseRows(ctx context.Context, services services.Services, domain string, rows []services.Row) ([]string, error) {
 	if len(rows) == 0 {
 		return nil, errkind.New(errkind.PatchRefused, "all holders of domain %s renew", domain)
 	}
--- a/internal/configsync/peers.go
+++ b/internal/configsync/peers.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // peersInterval is how often the platform's list of VMs is read at most: if
@@ -45,16 +45,16 @@
 
 // knownPeers returns a few of the other processes in random order, those of the
 // own domain first.
-func (n *Node) knownPeers() []platform.VM {
+func (n *Node) knownPeers() []services.VM {
 	n.mu.Lock()
 	list := slices.Clone(n.peers)
 	n.mu.Unlock()
 	if n.cfg.Peers != nil {
 		list = slices.Clone(n.cfg.Peers())
 	}
-	list = slices.DeleteFunc(list, func(vm platform.VM) bool { return vm.Address == n.cfg.VM.Address })
+	list = slices.DeleteFunc(list, func(vm services.VM) bool { return vm.Address == n.cfg.VM.Address })
 	n.shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
-	slices.SortStableFunc(list, func(a, b platform.VM) int { return n.distance(a) - n.distance(b) })
+	slices.SortStableFunc(list, func(a, b services.VM) int { return n.distance(a) - n.distance(b) })
 	return list[:min(len(list), peerTries)]
 }
 
@@ -116,7 +116,7 @@
 }
 
 // distance is 0 inside the domain and 1 outside of it.
-func (n *Node) distance(vm platform.VM) int {
+func (n *Node) distance(vm services.VM) int {
 	if vm.Domain == n.cfg.VM.Domain {
 		return 0
 	}
--- a/internal/configsync/record.go
+++ b/internal/configsync/record.go
@@ -9,7 +9,7 @@
 	"github.com/juju/errors"
 
 	"chicoryline/internal/catalog"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Keys of the platform's table.
@@ -106,7 +106,7 @@
 }
 
 // decodeRecord reads a configuration row; the row of version 0 is empty.
-func decodeRecord(row platform.Row) (Record, error) {
+func decodeRecord(row services.Row) (Record, error) {
 	var r Record
 	if row.Version == 0 {
 		return r, nil
@@ -141,7 +141,7 @@
 
 func holderKey(id string) string { return holderPrefix + id }
 
-func decodeHolders(rows []platform.Row) ([]Holder, error) {
+func decodeHolders(rows []services.Row) ([]Holder, error) {
 	holders := make([]Holder, len(rows))
 	for i, row := range rows {
 		if err := json.Unmarshal(row.Value, &holders[i]); err != nil {
@@ -162,7 +162,7 @@
 
 // snapshot is a configuration row with the documents that it names.
 type snapshot struct {
-	row     platform.Row
+	row     services.Row
 	record  Record
 	current *catalog.Document
 	pending *catalog.Document
--- a/internal/configsync/run.go
+++ b/internal/configsync/run.go
@@ -6,7 +6,7 @@
 
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // run carries one action out and returns its result, or nil if it has none.
@@ -38,7 +38,7 @@
 }
 
 func (n *Node) callPlatform() (context.Context, context.CancelFunc) {
-	return context.WithTimeout(n.ctx, platform.CallTimeout)
+	return context.WithTimeout(n.ctx, services.CallTimeout)
 }
 
 // renew writes the holder's row and then reads the configuration.
@@ -83,7 +83,7 @@
 }
 
 // load reads the documents that a configuration row names.
-func (n *Node) load(row platform.Row) (snapshot, error) {
+func (n *Node) load(row services.Row) (snapshot, error) {
 	s := snapshot{row: row}
 	var err error
 	if s.record, err = decodeRecord(row); err != nil {
@@ -151,7 +151,7 @@
 }
 
 // show hands a row that another process has shown to the core.
-func (n *Node) show(row platform.Row) bool {
+func (n *Node) show(row services.Row) bool {
 	if row.Version <= n.shown.Load().row.Version {
 		return true
 	}
--- a/internal/configsync/service.go
+++ b/internal/configsync/service.go
@@ -8,7 +8,7 @@
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Service answers other processes. It is registered with net/rpc as "Config".
@@ -23,13 +23,13 @@
 	// Row is the version that the asker knows.
 	VersionAsk struct{ Row uint64 }
 	// VersionReply answers VersionAsk.
-	VersionReply struct{ Row platform.Row }
+	VersionReply struct{ Row services.Row }
 	// DocumentAsk asks for an encoded document by its name in the object store.
 	DocumentAsk struct{ Object string }
 	// DocumentReply answers DocumentAsk.
 	DocumentReply struct{ Data []byte }
 	// NotifyAsk shows a configuration row.
-	NotifyAsk struct{ Row platform.Row }
+	NotifyAsk struct{ Row services.Row }
 	// NotifyReply answers NotifyAsk. Row is the version known before.
 	NotifyReply struct{ Row uint64 }
 )
--- a/internal/configsync/service_test.go
+++ b/internal/configsync/service_test.go
@@ -13,7 +13,7 @@
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
@@ -29,7 +29,7 @@
 	defer server.Close()
 	store := newFakePlatform()
 	n := New(Config{
-		VM: platform.VM{ID: "vm", Domain: "d", Address: address}, Incarnation: incarnation(),
+		VM: services.VM{ID: "vm", Domain: "d", Address: address}, Incarnation: incarnation(),
 		Services: store, Caller: client, System: frame.New(logrus.NewEntry(logrus.New())),
 	})
 	defer n.Close()
--- a/internal/configsync/submit.go
+++ b/internal/configsync/submit.go
@@ -7,7 +7,7 @@
 
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // operatorInterval is how often an operator's command looks again.
@@ -31,7 +31,7 @@
 // Errors: errkind.InvalidPatch, VersionConflict (with the version in force) and
 // PatchRefused with StateRefused; OutcomeUnknown with StateUnknown when the
 // context ends first, after which Ask tells the end.
-func Submit(ctx context.Context, services platform.Services, base uint64, patch []byte, patchID string) (Result, error) {
+func Submit(ctx context.Context, services services.Services, base uint64, patch []byte, patchID string) (Result, error) {
 	parsed, err := catalog.ParsePatch(patch)
 	if err != nil {
 		return refused(patchID, 0, err)
@@ -62,7 +62,7 @@
 
 // submission is one run of Submit.
 type submission struct {
-	services platform.Services
+	services services.Services
 	base     uint64
 	patch    *catalog.Patch
 	id       string
@@ -92,7 +92,7 @@
 }
 
 // propose makes the patch pending.
-func (s *submission) propose(ctx context.Context, row platform.Row, record Record) (Result, bool, error) {
+func (s *submission) propose(ctx context.Context, row services.Row, record Record) (Result, bool, error) {
 	doc, err := readDocument(ctx, s.services, record.Object)
 	if err != nil {
 		return Result{}, false, nil
@@ -148,7 +148,7 @@
 
 // drive ends the record's pending patch if the holders' rows allow it. The rows
 // are read after the record, and the record is moved only from that version.
-func (f *finisher) drive(ctx context.Context, services platform.Services, row platform.Row, record Record) {
+func (f *finisher) drive(ctx context.Context, services services.Services, row services.Row, record Record) {
 	began := time.Now()
 	if f.attempt != record.Attempt {
 		f.attempt, f.since = record.Attempt, began
@@ -187,7 +187,7 @@
 	return patience(length) + length
 }
 
-func readRecord(ctx context.Context, services platform.Services) (platform.Row, Record, error) {
+func readRecord(ctx context.Context, services services.Services) (services.Row, Record, error) {
 	row, err := services.Get(ctx, recordKey)
 	if err != nil && !errkind.Is(err, errkind.NotFound) {
 		return row, Record{}, err
@@ -196,7 +196,7 @@
 	return row, record, err
 }
 
-func readDocument(ctx context.Context, services platform.Services, object string) (*catalog.Document, error) {
+func readDocument(ctx context.Context, services services.Services, object string) (*catalog.Document, error) {
 	if object == "" {
 		return nil, nil
 	}
--- a/internal/configsync/world_test.go
+++ b/internal/configsync/world_test.go
@@ -14,7 +14,7 @@
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // world is a fleet on one fake platform in virtual time, with fault switches on
@@ -116,7 +116,7 @@
 	m := &member{w: w, id: id, domain: domain, address: id + ":1"}
 	m.rate = 1 + float64(int(w.draw("rate "+id)%101)-50)/1000 // within 5 percent
 	m.node = New(Config{
-		VM:          platform.VM{ID: id, Domain: domain, Address: m.address},
+		VM:          services.VM{ID: id, Domain: domain, Address: m.address},
 		Incarnation: incarnation(), Services: &port{w: w, name: id, domain: domain, owner: m},
 		Caller: &port{w: w, name: id, domain: domain, owner: m}, System: w.system, Now: m.now, Observer: observer,
 		OnEvent: func(_ string, f map[string]string) {
@@ -344,7 +344,7 @@
 }
 
 // decode reads a configuration row for the monitor, each version once.
-func (w *world) decode(row platform.Row) Record {
+func (w *world) decode(row services.Row) Record {
 	if r, ok := w.decoded[row.Version]; ok {
 		return r
 	}
@@ -488,16 +488,16 @@
 	})
 }
 
-func (p *port) Get(ctx context.Context, key string) (platform.Row, error) {
-	return onPlatform(ctx, p, func(f *fakePlatform) (platform.Row, error) { return f.Get(ctx, key) })
+func (p *port) Get(ctx context.Context, key string) (services.Row, error) {
+	return onPlatform(ctx, p, func(f *fakePlatform) (services.Row, error) { return f.Get(ctx, key) })
 }
 
-func (p *port) List(ctx context.Context, prefix string) ([]platform.Row, error) {
-	return onPlatform(ctx, p, func(f *fakePlatform) ([]platform.Row, error) { return f.List(ctx, prefix) })
+func (p *port) List(ctx context.Context, prefix string) ([]services.Row, error) {
+	return onPlatform(ctx, p, func(f *fakePlatform) ([]services.Row, error) { return f.List(ctx, prefix) })
 }
 
-func (p *port) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, id string) (platform.Row, error) {
-	return onPlatform(ctx, p, func(f *fakePlatform) (platform.Row, error) {
+func (p *port) CompareAndSet(ctx context.Context, key string, version uint64, value []byte, id string) (services.Row, error) {
+	return onPlatform(ctx, p, func(f *fakePlatform) (services.Row, error) {
 		return f.CompareAndSet(ctx, key, version, value, id)
 	})
 }
@@ -515,12 +515,12 @@
 	return onPlatform(ctx, p, func(f *fakePlatform) ([]byte, error) { return f.Object(ctx, name) })
 }
 
-func (p *port) VMs(ctx context.Context) ([]platform.VM, error) {
-	return onPlatform(ctx, p, func(f *fakePlatform) ([]platform.VM, error) { return f.VMs(ctx) })
+func (p *port) VMs(ctx context.Context) ([]services.VM, error) {
+	return onPlatform(ctx, p, func(f *fakePlatform) ([]services.VM, error) { return f.VMs(ctx) })
 }
 
-func (p *port) Groups(context.Context) ([]platform.Group, error) { return nil, nil }
-func (p *port) Register(context.Context, platform.VM) error      { return nil }
+func (p *port) Groups(context.Context) ([]services.Group, error) { return nil, nil }
+func (p *port) Register(context.Context, services.VM) error      { return nil }
 
 // Call carries one call to another process and its answer back.
 func (p *port) Call(ctx context.Context, address, method string, args, reply any) error {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -56,10 +56,12 @@
 	// lost, proofs stay within the lease of 4.6 s.
 	leaderProofAge = 1200 * time.Millisecond
 	// memberProofAge, and up to proofSpread more, is the age at which others ask.
-	memberProofAge = 2800 * time.Millisecond
+	memberProofAge = 3000 * time.Millisecond
 	proofSpread    = 600 * time.Millisecond
 	// tableWait is how long one watch of a table waits for a change.
 	tableWait = 25 * time.Second
+	// serverPause gathers the changes of backend servers that start or leave together.
+	serverPause = 250 * time.Millisecond
 	// memberPause gathers the changes of many VMs that start together.
 	memberPause = 1500 * time.Millisecond
 	// storeTimeout bounds a call of the store beyond its wait: 4 ms an answer, 60
@@ -297,7 +299,7 @@
 		}
 	}
 	f := &coord.Follower{
-		Store: e.platform.Store, Table: e.platform.ServerTable, Wait: tableWait, Timeout: storeTimeout, Log: e.log,
+		Store: e.platform.Store, Table: e.platform.ServerTable, Wait: tableWait, Pause: serverPause, Timeout: storeTimeout, Log: e.log,
 		Update: update,
 		Reset: func(rows []coord.Row) {
 			present := map[string]bool{}
--- a/internal/failover/choose.go
+++ b/internal/failover/choose.go
@@ -2,7 +2,7 @@
 
 import (
 	"chicoryline/internal/backend"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // eligible reports whether the instance may be promoted: its position is at or
@@ -26,7 +26,7 @@
 // choose returns the instance to promote among a fenced majority: the preferred
 // one if it is eligible, else the one with the highest position. Of equals, one
 // that is not leaving comes first, then the order of the group.
-func choose(instances []platform.Instance, leaving map[string]bool, fenced map[string]backend.Status, preferred string) string {
+func choose(instances []services.Instance, leaving map[string]bool, fenced map[string]backend.Status, preferred string) string {
 	if preferred != "" && eligible(preferred, fenced, len(instances)) {
 		return preferred
 	}
--- a/internal/failover/claim.go
+++ b/internal/failover/claim.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // claim is the attempt to get a term through the group's row.
@@ -143,7 +143,7 @@
 // resolveWrite judges a write whose answer was lost by the row that was read
 // after it. It returns false if another writer's row stands: whether the lost
 // write ever took effect then no longer matters, since its terms stay unused.
-func (s *Steward) resolveWrite(read platform.Row, row Row) bool {
+func (s *Steward) resolveWrite(read services.Row, row Row) bool {
 	switch {
 	case read.RequestID == s.claim.requestID:
 		s.adoptClaim(row)
--- a/internal/failover/common_test.go
+++ b/internal/failover/common_test.go
@@ -1,16 +1,16 @@
 package failover
 
-import "chicoryline/internal/platform"
+import "chicoryline/internal/services"
 
-func testGroup() platform.Group {
-	return platform.Group{Name: "g", Instances: []platform.Instance{
+func testGroup() services.Group {
+	return services.Group{Name: "g", Instances: []services.Instance{
 		{ID: "a", Domain: "d1"}, {ID: "b", Domain: "d2"}, {ID: "c", Domain: "d3"}}}
 }
 
 // largeGroup has five instances, two each in the first two domains.
-func largeGroup() platform.Group {
+func largeGroup() services.Group {
 	group := testGroup()
 	group.Instances = append(group.Instances,
-		platform.Instance{ID: "d", Domain: "d1"}, platform.Instance{ID: "e", Domain: "d2"})
+		services.Instance{ID: "d", Domain: "d1"}, services.Instance{ID: "e", Domain: "d2"})
 	return group
 }
--- a/internal/failover/events.go
+++ b/internal/failover/events.go
@@ -3,7 +3,7 @@
 import (
 	"chicoryline/internal/backend"
 	"chicoryline/internal/groupview"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Event is an input of Steward.Step.
@@ -28,14 +28,14 @@
 // RowRead is the answer to ReadRow.
 type RowRead struct {
 	Call uint64
-	Row  platform.Row
+	Row  services.Row
 	Err  error
 }
 
 // RowWritten is the answer to WriteRow.
 type RowWritten struct {
 	Call uint64
-	Row  platform.Row
+	Row  services.Row
 	Err  error
 }
 
--- a/internal/failover/runner.go
+++ b/internal/failover/runner.go
@@ -15,7 +15,7 @@
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
 	"chicoryline/internal/groupview"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -27,12 +27,12 @@
 
 // Config sets up a Runner.
 type Config struct {
-	Group platform.Group
+	Group services.Group
 	// Controls holds one connection to every instance, by id, that nothing else uses.
 	Controls map[string]backend.Control
 	Watcher  *groupview.Watcher
-	Table    platform.Table
-	VM       platform.VM
+	Table    services.Table
+	VM       services.VM
 	Peers    Views
 	// Rank returns the steward's present place among those of the group, from 0.
 	Rank func() int
--- a/internal/failover/runner_test.go
+++ b/internal/failover/runner_test.go
@@ -17,21 +17,21 @@
 	"chicoryline/internal/frame"
 	"chicoryline/internal/groupview"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
 // patience bounds every wait of these tests; it is no measure.
 const patience = 20 * time.Second
 
-// memoryTable is a platform.Table with the one call this package uses.
+// memoryTable is a services.Table with the one call this package uses.
 type memoryTable struct {
-	platform.Table
+	services.Table
 	mu   sync.Mutex
-	rows map[string]platform.Row
+	rows map[string]services.Row
 }
 
-func (m *memoryTable) Get(_ context.Context, key string) (platform.Row, error) {
+func (m *memoryTable) Get(_ context.Context, key string) (services.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	row, ok := m.rows[key]
@@ -41,22 +41,22 @@
 	return row, nil
 }
 
-func (m *memoryTable) CompareAndSet(_ context.Context, key string, version uint64, value []byte, requestID string) (platform.Row, error) {
+func (m *memoryTable) CompareAndSet(_ context.Context, key string, version uint64, value []byte, requestID string) (services.Row, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return setRow(m.rows, key, version, value, requestID)
 }
 
-// setRow is the rule of platform.Table.CompareAndSet.
-func setRow(rows map[string]platform.Row, key string, version uint64, value []byte, requestID string) (platform.Row, error) {
+// setRow is the rule of services.Table.CompareAndSet.
+func setRow(rows map[string]services.Row, key string, version uint64, value []byte, requestID string) (services.Row, error) {
 	row := rows[key]
 	if row.Version > 0 && row.RequestID == requestID {
 		return row, nil
 	}
 	if row.Version != version {
-		return platform.Row{}, errkind.New(errkind.Conflict, "%s", key)
+		return services.Row{}, errkind.New(errkind.Conflict, "%s", key)
 	}
-	rows[key] = platform.Row{Key: key, Version: version + 1, Value: value, RequestID: requestID}
+	rows[key] = services.Row{Key: key, Version: version + 1, Value: value, RequestID: requestID}
 	return rows[key], nil
 }
 
@@ -66,12 +66,12 @@
 	fake     *backend.FakeGroup
 	watchers []*groupview.Watcher
 	runners  map[string]*Runner
-	vms      []platform.VM
+	vms      []services.VM
 }
 
-func (c *cluster) Peers(string) []platform.VM { return c.vms }
+func (c *cluster) Peers(string) []services.VM { return c.vms }
 
-func (c *cluster) View(_ context.Context, vm platform.VM, group string) (DomainView, error) {
+func (c *cluster) View(_ context.Context, vm services.VM, group string) (DomainView, error) {
 	var view DomainView
 	err := c.runners[vm.ID].Service().View(ViewArgs{group}, &view)
 	return view, err
@@ -87,9 +87,9 @@
 	if bootstrap {
 		c.fake.Bootstrap("a")
 	}
-	table := &memoryTable{rows: map[string]platform.Row{}}
+	table := &memoryTable{rows: map[string]services.Row{}}
 	for i := range 3 {
-		c.vms = append(c.vms, platform.VM{ID: fmt.Sprintf("vm%d", i+1), Domain: fmt.Sprintf("d%d", i+1)})
+		c.vms = append(c.vms, services.VM{ID: fmt.Sprintf("vm%d", i+1), Domain: fmt.Sprintf("d%d", i+1)})
 	}
 	for i, vm := range c.vms {
 		c.fake.Place(vm.ID, vm.Domain)
@@ -233,8 +233,8 @@
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 
-	views := PeerViews{Caller: client, List: func(string) []platform.VM { return nil }}
-	vm := platform.VM{ID: "vm2", Address: listener.Addr().String()}
+	views := PeerViews{Caller: client, List: func(string) []services.VM { return nil }}
+	vm := services.VM{ID: "vm2", Address: listener.Addr().String()}
 	view, err := views.View(ctx, vm, "g")
 	if err != nil || view.Domain != "d2" || view.Primary != "a" || !view.Proved {
 		t.Fatalf("view %+v: %v", view, err)
--- a/internal/failover/sim_test.go
+++ b/internal/failover/sim_test.go
@@ -11,8 +11,8 @@
 
 	"chicoryline/internal/backend"
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 // The simulation runs three VMs, a database group and the platform table on one
@@ -74,11 +74,11 @@
 	order int
 	queue simQueue
 
-	config platform.Group
+	config services.Group
 	group  *backend.FakeGroup
 	ids    []string
 	vms    []*simVM
-	rows   map[string]platform.Row
+	rows   map[string]services.Row
 
 	platformDown bool
 	platformSlow time.Duration
@@ -123,14 +123,14 @@
 // newSim returns a run with an instance in each of three domains.
 func newSim(seed int64, n naive) *sim { return newSimOf(testGroup(), seed, n) }
 
-func newSimOf(group platform.Group, seed int64, n naive) *sim {
+func newSimOf(group services.Group, seed int64, n naive) *sim {
 	s := &sim{
 		naive:     n,
 		config:    group,
 		rand:      rand.New(rand.NewSource(seed)),
 		now:       simStart,
 		group:     backend.NewFakeGroup(group.Instances),
-		rows:      map[string]platform.Row{},
+		rows:      map[string]services.Row{},
 		record:    record{ackers: map[uint64]string{}},
 		handovers: map[uint64]error{},
 	}
@@ -325,9 +325,9 @@
 }
 
 // table carries out a call to the platform and answers with its row or error.
-func (s *sim) table(vm *simVM, write bool, call func() (platform.Row, error), answer func(platform.Row, error)) {
+func (s *sim) table(vm *simVM, write bool, call func() (services.Row, error), answer func(services.Row, error)) {
 	answered := false
-	reply := func(row platform.Row, err error) {
+	reply := func(row services.Row, err error) {
 		vm.deliver(func() {
 			if !answered {
 				answered = true
@@ -337,14 +337,14 @@
 	}
 	s.send(vm.id, simPlatform, func() {
 		if s.platformDown {
-			s.answer(simPlatform, vm.id, func() { reply(platform.Row{}, errkind.New(errkind.PlatformUnavailable, "down")) })
+			s.answer(simPlatform, vm.id, func() { reply(services.Row{}, errkind.New(errkind.PlatformUnavailable, "down")) })
 			return
 		}
 		s.after(s.platformSlow, func() {
 			row, err := call()
 			if write && s.loseAnswers > 0 {
 				s.loseAnswers--
-				s.send(simPlatform, vm.id, func() { reply(platform.Row{}, errkind.New(errkind.PlatformUnknown, "broken off")) })
+				s.send(simPlatform, vm.id, func() { reply(services.Row{}, errkind.New(errkind.PlatformUnknown, "broken off")) })
 				return
 			}
 			s.answer(simPlatform, vm.id, func() { reply(row, err) })
@@ -355,6 +355,6 @@
 		if write {
 			kind = errkind.PlatformUnknown
 		}
-		reply(platform.Row{}, errkind.New(kind, "no answer"))
+		reply(services.Row{}, errkind.New(kind, "no answer"))
 	})
 }
--- a/internal/failover/simvm_test.go
+++ b/internal/failover/simvm_test.go
@@ -8,7 +8,7 @@
 	"chicoryline/internal/backend"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/groupview"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // simVM is one VM: its probes, its steward and a caller that writes.
@@ -46,7 +46,7 @@
 	vm.tracker = groupview.NewTracker(s.config, simProofLifetime)
 	vm.steward = NewSteward(StewardConfig{
 		Group:       s.config,
-		VM:          platform.VM{ID: vm.id, Domain: vm.domain},
+		VM:          services.VM{ID: vm.id, Domain: vm.domain},
 		Incarnation: fmt.Sprintf("%s-%d", vm.id, vm.boot),
 		Settings:    DefaultSettings(),
 		Now:         func() time.Time { return s.now },
@@ -66,14 +66,14 @@
 	case leaseOnly:
 		p.fenceNeed = func(int) int { return 1 }
 	case forcedTarget:
-		p.choose = func(instances []platform.Instance, leaving map[string]bool, fenced map[string]backend.Status, preferred string) string {
+		p.choose = func(instances []services.Instance, leaving map[string]bool, fenced map[string]backend.Status, preferred string) string {
 			if preferred != "" {
 				return preferred
 			}
 			return choose(instances, leaving, fenced, "")
 		}
 	case firstReachable:
-		p.choose = func(instances []platform.Instance, _ map[string]bool, fenced map[string]backend.Status, _ string) string {
+		p.choose = func(instances []services.Instance, _ map[string]bool, fenced map[string]backend.Status, _ string) string {
 			for _, i := range instances {
 				if _, ok := fenced[i.ID]; ok {
 					return i.ID
@@ -219,16 +219,16 @@
 	case AskViews:
 		vm.askViews(e)
 	case ReadRow:
-		s.table(vm, false, func() (platform.Row, error) {
+		s.table(vm, false, func() (services.Row, error) {
 			if row, ok := s.rows["g"]; ok {
 				return row, nil
 			}
-			return platform.Row{}, errkind.New(errkind.NotFound, "g")
-		}, vm.rowAnswer(func(row platform.Row, err error) Event { return RowRead{e.Call, row, err} }))
+			return services.Row{}, errkind.New(errkind.NotFound, "g")
+		}, vm.rowAnswer(func(row services.Row, err error) Event { return RowRead{e.Call, row, err} }))
 	case WriteRow:
-		s.table(vm, true, func() (platform.Row, error) {
+		s.table(vm, true, func() (services.Row, error) {
 			return setRow(s.rows, "g", e.Version, e.Value, e.RequestID)
-		}, vm.rowAnswer(func(row platform.Row, err error) Event { return RowWritten{e.Call, row, err} }))
+		}, vm.rowAnswer(func(row services.Row, err error) Event { return RowWritten{e.Call, row, err} }))
 	case Command:
 		ops := map[Op]backend.FakeOp{OpFence: backend.OpFence, OpPromote: backend.OpPromote, OpFollow: backend.OpFollow}
 		command := backend.FakeCommand{Op: ops[e.Op], Term: e.Term, Primary: e.Primary}
@@ -246,9 +246,9 @@
 }
 
 // rowAnswer binds the answer of the table to the present start of the VM.
-func (vm *simVM) rowAnswer(event func(platform.Row, error) Event) func(platform.Row, error) {
+func (vm *simVM) rowAnswer(event func(services.Row, error) Event) func(services.Row, error) {
 	boot := vm.boot
-	return func(row platform.Row, err error) {
+	return func(row services.Row, err error) {
 		if vm.boot == boot {
 			vm.step(event(row, err))
 		}
--- a/internal/failover/steward.go
+++ b/internal/failover/steward.go
@@ -17,7 +17,7 @@
 
 	"chicoryline/internal/backend"
 	"chicoryline/internal/groupview"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/statechart"
 )
 
@@ -67,8 +67,8 @@
 
 // StewardConfig sets up a Steward.
 type StewardConfig struct {
-	Group platform.Group
-	VM    platform.VM
+	Group services.Group
+	VM    services.VM
 	// Incarnation is unique to this start of the process.
 	Incarnation string
 	Settings    Settings
@@ -100,7 +100,7 @@
 // to show that the checks notice.
 type policy struct {
 	fenceNeed func(size int) int
-	choose    func([]platform.Instance, map[string]bool, map[string]backend.Status, string) string
+	choose    func([]services.Instance, map[string]bool, map[string]backend.Status, string) string
 	decide    func(views []DomainView, domains int, suspectAfter time.Duration) verdict
 }
 
--- a/internal/failover/steward_test.go
+++ b/internal/failover/steward_test.go
@@ -10,8 +10,8 @@
 	"chicoryline/internal/backend"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/groupview"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 // bench drives one steward by hand.
@@ -26,7 +26,7 @@
 func claimingBench(t *testing.T) (*bench, ReadRow) {
 	b := &bench{t: t, now: simStart, tracker: groupview.NewTracker(testGroup(), simProofLifetime)}
 	b.steward = NewSteward(StewardConfig{
-		Group: testGroup(), VM: platform.VM{ID: "vm1", Domain: "d1"}, Incarnation: "i",
+		Group: testGroup(), VM: services.VM{ID: "vm1", Domain: "d1"}, Incarnation: "i",
 		Settings: DefaultSettings(), Now: func() time.Time { return b.now }, Rand: rand.New(rand.NewSource(1)),
 	})
 	for i, s := range []backend.Status{
@@ -145,19 +145,19 @@
 func TestLostClaimIsReadBack(t *testing.T) {
 	lost := errkind.New(errkind.PlatformUnknown, "lost")
 	b, read := claimingBench(t)
-	write := find[WriteRow](t, b.step(RowRead{Call: read.Call, Row: platform.Row{Version: 3, Value: []byte(`{}`), RequestID: "x"}}))
+	write := find[WriteRow](t, b.step(RowRead{Call: read.Call, Row: services.Row{Version: 3, Value: []byte(`{}`), RequestID: "x"}}))
 	back := find[ReadRow](t, b.step(RowWritten{Call: write.Call, Err: lost}))
 	if b.state() != stateReadingBack {
 		t.Fatalf("state %s", b.state())
 	}
 
-	again := find[WriteRow](t, b.step(RowRead{Call: back.Call, Row: platform.Row{Version: 3, Value: []byte(`{}`), RequestID: "x"}}))
+	again := find[WriteRow](t, b.step(RowRead{Call: back.Call, Row: services.Row{Version: 3, Value: []byte(`{}`), RequestID: "x"}}))
 	if again.RequestID != write.RequestID || string(again.Value) != string(write.Value) || again.Version != 3 {
 		t.Fatalf("repeated as another call: %+v, first %+v", again, write)
 	}
 
 	back = find[ReadRow](t, b.step(RowWritten{Call: again.Call, Err: lost}))
-	b.step(RowRead{Call: back.Call, Row: platform.Row{Version: 4, Value: write.Value, RequestID: write.RequestID}})
+	b.step(RowRead{Call: back.Call, Row: services.Row{Version: 4, Value: write.Value, RequestID: write.RequestID}})
 	if b.state() != stateFencing {
 		t.Fatalf("state %s after the row showed the own request", b.state())
 	}
@@ -171,7 +171,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	b.step(RowRead{Call: back.Call, Row: platform.Row{Version: 2, Value: rival, RequestID: "y"}})
+	b.step(RowRead{Call: back.Call, Row: services.Row{Version: 2, Value: rival, RequestID: "y"}})
 	if b.state() != stateWatching {
 		t.Fatalf("state %s, want watching while the rival acts", b.state())
 	}
--- a/internal/failover/views.go
+++ b/internal/failover/views.go
@@ -7,7 +7,7 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // ServiceName is the net/rpc name of Service.
@@ -20,9 +20,9 @@
 type Views interface {
 	// Peers returns the other VMs that have stewards of the group, as far as is
 	// known. They may be dead.
-	Peers(group string) []platform.VM
+	Peers(group string) []services.VM
 	// View returns the VM's view of the group. Errors as of peer.Caller.
-	View(ctx context.Context, vm platform.VM, group string) (DomainView, error)
+	View(ctx context.Context, vm services.VM, group string) (DomainView, error)
 }
 
 // ViewArgs are the arguments of Failover.View.
@@ -38,14 +38,14 @@
 type PeerViews struct {
 	Caller peer.Caller
 	// List returns the other VMs that have stewards of the group.
-	List func(group string) []platform.VM
+	List func(group string) []services.VM
 }
 
 // Peers implements Views.
-func (p PeerViews) Peers(group string) []platform.VM { return p.List(group) }
+func (p PeerViews) Peers(group string) []services.VM { return p.List(group) }
 
 // View implements Views.
-func (p PeerViews) View(ctx context.Context, vm platform.VM, group string) (DomainView, error) {
+func (p PeerViews) View(ctx context.Context, vm services.VM, group string) (DomainView, error) {
 	var view DomainView
 	err := p.Caller.Call(ctx, vm.Address, ServiceName+".View", ViewArgs{group}, &view)
 	return view, err
--- a/internal/fleet/actor.go
+++ b/internal/fleet/actor.go
@@ -3,7 +3,7 @@
 import (
 	"github.com/sirupsen/logrus"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // leaveCalls is the number of members that a leaving member of a large fleet
@@ -24,7 +24,7 @@
 	}
 	failed struct{ vm string }
 	pulled struct{ records []Record }
-	listed struct{ vms []platform.VM }
+	listed struct{ vms []services.VM }
 	leave  struct{ calls chan<- []Call }
 )
 
--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -8,7 +8,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Directory is the membership as the rest of the process reads it. It is safe
@@ -75,7 +75,7 @@
 // Owners returns the first k members of the instance's order by rendezvous
 // hashing: the alive, not leaving members of the instance's failure domain, or
 // of all domains if that one has none. The caller must not change the slice.
-func (d *Directory) Owners(instance platform.Instance, k int) []Member {
+func (d *Directory) Owners(instance services.Instance, k int) []Member {
 	s := d.current.Load()
 	key := ownerKey{instance.ID, instance.Domain, k}
 	if owners, ok := s.owners.Load(key); ok {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -12,7 +12,7 @@
 
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Defaults of Config.
@@ -33,8 +33,8 @@
 
 // Config is what a Fleet needs.
 type Config struct {
-	Self     platform.VM
-	Services platform.VMs
+	Self     services.VM
+	Services services.VMs
 	Caller   peer.Caller
 	System   *frame.System
 	Log      *logrus.Entry
--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -15,13 +15,13 @@
 
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
 // node is one process of the fleet on loopback.
 type node struct {
-	vm     platform.VM
+	vm     services.VM
 	fleet  *Fleet
 	server *peer.Server
 	client *peer.Client
@@ -30,7 +30,7 @@
 	once   sync.Once
 }
 
-func startNode(t *testing.T, services platform.VMs, id, listen string, seeds ...string) *node {
+func startNode(t *testing.T, vms services.VMs, id, listen string, seeds ...string) *node {
 	t.Helper()
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
@@ -39,7 +39,7 @@
 	log := logrus.New()
 	log.SetLevel(logrus.ErrorLevel)
 	entry := logrus.NewEntry(log)
-	n := &node{vm: platform.VM{ID: id, Domain: "a", Address: listener.Addr().String()}, system: frame.New(entry)}
+	n := &node{vm: services.VM{ID: id, Domain: "a", Address: listener.Addr().String()}, system: frame.New(entry)}
 	clock := timeline.NewClock(time.Now)
 	n.client = peer.NewClient(clock, func(ctx context.Context, network, address string) (net.Conn, error) {
 		if n.cut.Load() {
@@ -49,7 +49,7 @@
 	}, nil)
 	n.server = peer.NewServer(clock, listener, nil)
 	n.fleet, err = New(Config{
-		Self: n.vm, Services: services, Caller: n.client, System: n.system, Log: entry, Seeds: seeds,
+		Self: n.vm, Services: vms, Caller: n.client, System: n.system, Log: entry, Seeds: seeds,
 		HeartbeatInterval: 20 * time.Millisecond, SuspectAfter: 400 * time.Millisecond,
 		DeadAfter: 800 * time.Millisecond, ListInterval: 50 * time.Millisecond,
 	})
@@ -95,7 +95,7 @@
 }
 
 func TestFleetOverLoopback(t *testing.T) {
-	memory := platform.NewMemory(time.Now)
+	memory := services.NewMemory(time.Now)
 	var nodes []*node
 	for i := range 3 {
 		nodes = append(nodes, startNode(t, memory, fmt.Sprintf("vm-%d", i), "127.0.0.1:0"))
@@ -112,7 +112,7 @@
 	nodes[0].eventually(t, map[string]string{"vm-0": "alive", "vm-1": "alive", "vm-2": "leaving"})
 	<-changed
 	for i := range 50 {
-		for _, owner := range nodes[0].fleet.Directory().Owners(platform.Instance{ID: fmt.Sprint(i), Domain: "a"}, 2) {
+		for _, owner := range nodes[0].fleet.Directory().Owners(services.Instance{ID: fmt.Sprint(i), Domain: "a"}, 2) {
 			if owner.VM.ID == "vm-2" {
 				t.Fatal("a leaving member owns")
 			}
@@ -123,7 +123,7 @@
 }
 
 func TestAddressReuseOverLoopback(t *testing.T) {
-	memory := platform.NewMemory(time.Now)
+	memory := services.NewMemory(time.Now)
 	first := startNode(t, memory, "vm-0", "127.0.0.1:0")
 	old := startNode(t, memory, "vm-1", "127.0.0.1:0")
 	first.eventually(t, map[string]string{"vm-0": "alive", "vm-1": "alive"})
@@ -133,8 +133,8 @@
 }
 
 func TestJoinBySeedWithoutPlatform(t *testing.T) {
-	memory := platform.NewMemory(time.Now)
-	memory.ChangeFaults(func(f *platform.Faults) { f.Down = true })
+	memory := services.NewMemory(time.Now)
+	memory.ChangeFaults(func(f *services.Faults) { f.Down = true })
 	first := startNode(t, memory, "vm-0", "127.0.0.1:0")
 	second := startNode(t, memory, "vm-1", "127.0.0.1:0", first.vm.Address)
 	want := map[string]string{"vm-0": "alive", "vm-1": "alive"}
@@ -143,7 +143,7 @@
 }
 
 func TestOneWayCutOverLoopback(t *testing.T) {
-	memory := platform.NewMemory(time.Now)
+	memory := services.NewMemory(time.Now)
 	first := startNode(t, memory, "vm-0", "127.0.0.1:0")
 	first.cut.Store(true)
 	second := startNode(t, memory, "vm-1", "127.0.0.1:0")
@@ -154,7 +154,7 @@
 
 func TestOwnersPreferTheDomain(t *testing.T) {
 	member := func(id, domain string, state State) Member {
-		return Member{VM: platform.VM{ID: id, Domain: domain}, State: state}
+		return Member{VM: services.VM{ID: id, Domain: domain}, State: state}
 	}
 	d := NewDirectory(member("1", "a", Alive), member("2", "a", Leaving), member("3", "b", Alive), member("4", "c", Dead))
 	cases := []struct {
@@ -163,7 +163,7 @@
 	}{{"a", 1}, {"b", 1}, {"c", 2}}
 	for _, c := range cases {
 		for range 2 { // the second time from the cache
-			if got := d.Owners(platform.Instance{ID: "i", Domain: c.domain}, 2); len(got) != c.want {
+			if got := d.Owners(services.Instance{ID: "i", Domain: c.domain}, 2); len(got) != c.want {
 				t.Errorf("domain %s: %+v", c.domain, got)
 			}
 		}
--- a/internal/fleet/list.go
+++ b/internal/fleet/list.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // maxRegisterInterval bounds the time between two registrations at the
@@ -30,7 +30,7 @@
 func (f *Fleet) stretch() int { return PlatformStretch(len(f.directory.Alive())) }
 
 func (f *Fleet) readList() {
-	ctx, cancel := context.WithTimeout(f.ctx, platform.CallTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, services.CallTimeout)
 	defer cancel()
 	vms, err := f.config.Services.VMs(ctx)
 	if err != nil {
@@ -41,7 +41,7 @@
 }
 
 func (f *Fleet) register() bool {
-	ctx, cancel := context.WithTimeout(f.ctx, platform.CallTimeout)
+	ctx, cancel := context.WithTimeout(f.ctx, services.CallTimeout)
 	defer cancel()
 	vm := f.config.Self
 	vm.Leaving = f.leaving.Load()
--- a/internal/fleet/record.go
+++ b/internal/fleet/record.go
@@ -17,7 +17,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // State is what one member holds of another.
@@ -45,7 +45,7 @@
 // Record is what members tell each other of one member. VM.Leaving stays set
 // for the rest of an incarnation.
 type Record struct {
-	VM platform.VM
+	VM services.VM
 	// Incarnation is the start time of the member's process in nanoseconds
 	// since 1970; it is 0 for a VM known from the platform's list alone.
 	Incarnation int64
@@ -78,7 +78,7 @@
 
 // Member is one entry of a Directory.
 type Member struct {
-	VM          platform.VM
+	VM          services.VM
 	Incarnation int64
 	State       State
 	// LastHeard is the local time at which progress was last seen.
--- a/internal/fleet/table.go
+++ b/internal/fleet/table.go
@@ -4,7 +4,7 @@
 	"math/rand"
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Timing holds the intervals of a Table. Silence is counted only while the
@@ -19,7 +19,7 @@
 
 // Change is one change of a member's state or incarnation.
 type Change struct {
-	VM          platform.VM
+	VM          services.VM
 	Incarnation int64
 	State       State
 	Event       string
@@ -84,7 +84,7 @@
 
 // NewTable returns a table that knows only the VM itself. The incarnation is
 // the start time of the process.
-func NewTable(self platform.VM, incarnation int64, timing Timing, random *rand.Rand, now time.Time) *Table {
+func NewTable(self services.VM, incarnation int64, timing Timing, random *rand.Rand, now time.Time) *Table {
 	t := &Table{
 		timing:     timing,
 		random:     random,
@@ -155,7 +155,7 @@
 	t.updates.add(t.self.VM.ID)
 }
 
-func (t *Table) add(vm platform.VM) *member {
+func (t *Table) add(vm services.VM) *member {
 	m := &member{Record: Record{VM: vm, State: Joining}, since: t.attended, heard: t.attended, watched: unwatched, direct: longAgo}
 	t.members[vm.ID] = m
 	t.generation++
@@ -210,7 +210,7 @@
 }
 
 // List takes the platform's list of VMs.
-func (t *Table) List(vms []platform.VM) {
+func (t *Table) List(vms []services.VM) {
 	t.listed, t.listedAt = true, t.attended
 	for _, m := range t.members {
 		m.listed = false
@@ -235,7 +235,7 @@
 	}
 }
 
-func (t *Table) listVM(vm platform.VM) {
+func (t *Table) listVM(vm services.VM) {
 	leaving := vm.Leaving
 	vm.Leaving = false
 	m := t.members[vm.ID]
--- a/internal/fleet/table_test.go
+++ b/internal/fleet/table_test.go
@@ -9,7 +9,7 @@
 
 	"pgregory.net/rapid"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // TestMain fixes the seed of the property tests, unless the command line names one.
@@ -118,9 +118,9 @@
 func TestListLag(t *testing.T) {
 	w := newWorld(4, 1)
 	w.run(4 * time.Second)
-	newcomer := platform.VM{ID: "vm-x", Address: "x:1"}
+	newcomer := services.VM{ID: "vm-x", Address: "x:1"}
 	w.order = append(w.order, newcomer.ID)
-	w.list = append(w.list, platform.VM{ID: "vm-gone", Address: "gone:1"})
+	w.list = append(w.list, services.VM{ID: "vm-gone", Address: "gone:1"})
 	w.start(newcomer) // not listed, though it sees the list
 	w.run(4 * time.Second)
 	w.wantAgreement(t)
@@ -164,12 +164,12 @@
 
 // aloneTable returns a table of the VM "self" that knows no other.
 func aloneTable() *Table {
-	return NewTable(platform.VM{ID: "self", Address: "self:1"}, 1, testTiming, rand.New(rand.NewSource(1)), time.Unix(0, 0))
+	return NewTable(services.VM{ID: "self", Address: "self:1"}, 1, testTiming, rand.New(rand.NewSource(1)), time.Unix(0, 0))
 }
 
 func record(id, address string, incarnation int64, sequence uint64, state State) Record {
 	return Record{
-		VM:          platform.VM{ID: id, Address: address, Leaving: state == Leaving},
+		VM:          services.VM{ID: id, Address: address, Leaving: state == Leaving},
 		Incarnation: incarnation, Sequence: sequence, State: state,
 	}
 }
@@ -250,18 +250,18 @@
 }
 
 func TestSettled(t *testing.T) {
-	other := platform.VM{ID: "a", Address: "a:1"}
+	other := services.VM{ID: "a", Address: "a:1"}
 	cases := []struct {
 		name  string
-		list  func(*Table) []platform.VM
+		list  func(*Table) []services.VM
 		after time.Duration
 		want  bool
 	}{
-		{"nothing listed yet", func(*Table) []platform.VM { return nil }, time.Second, false},
-		{"no list for long", func(*Table) []platform.VM { return nil }, settleWithin, true},
-		{"alone", func(s *Table) []platform.VM { return []platform.VM{s.self.VM} }, 0, true},
-		{"another not heard", func(s *Table) []platform.VM { return []platform.VM{s.self.VM, other} }, time.Second, false},
-		{"another given up", func(s *Table) []platform.VM { return []platform.VM{s.self.VM, other} }, 4 * time.Second, true},
+		{"nothing listed yet", func(*Table) []services.VM { return nil }, time.Second, false},
+		{"no list for long", func(*Table) []services.VM { return nil }, settleWithin, true},
+		{"alone", func(s *Table) []services.VM { return []services.VM{s.self.VM} }, 0, true},
+		{"another not heard", func(s *Table) []services.VM { return []services.VM{s.self.VM, other} }, time.Second, false},
+		{"another given up", func(s *Table) []services.VM { return []services.VM{s.self.VM, other} }, 4 * time.Second, true},
 	}
 	for _, c := range cases {
 		table, now := aloneTable(), time.Unix(0, 0)
@@ -280,7 +280,7 @@
 func TestRecordsNeverFlapBack(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Unix(0, 0)
-		table := NewTable(platform.VM{ID: "self", Domain: "a"}, 1, testTiming, rand.New(rand.NewSource(1)), now)
+		table := NewTable(services.VM{ID: "self", Domain: "a"}, 1, testTiming, rand.New(rand.NewSource(1)), now)
 		newest, left := map[string]int64{}, map[string]int64{}
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			if rapid.Bool().Draw(t, "tick") {
@@ -306,7 +306,7 @@
 
 func drawRecord(t *rapid.T) Record {
 	r := Record{
-		VM:          platform.VM{ID: rapid.SampledFrom([]string{"a", "b", "self"}).Draw(t, "id"), Domain: "a"},
+		VM:          services.VM{ID: rapid.SampledFrom([]string{"a", "b", "self"}).Draw(t, "id"), Domain: "a"},
 		Incarnation: rapid.Int64Range(1, 3).Draw(t, "incarnation"),
 		Sequence:    rapid.Uint64Range(1, 5).Draw(t, "sequence"),
 		State:       rapid.SampledFrom([]State{Alive, Suspect, Leaving, Dead}).Draw(t, "state"),
@@ -319,7 +319,7 @@
 func checkOwners(t *rapid.T, table *Table, now time.Time, left map[string]int64) {
 	directory := &Directory{}
 	directory.publish(newSnapshot(table.SelfMember(now), table.Members(), true))
-	for _, owner := range directory.Owners(platform.Instance{ID: "i", Domain: "a"}, 3) {
+	for _, owner := range directory.Owners(services.Instance{ID: "i", Domain: "a"}, 3) {
 		if owner.State != Alive || owner.VM.ID != "self" && left[owner.VM.ID] == owner.Incarnation {
 			t.Fatalf("%+v owns though it left", owner)
 		}
@@ -331,7 +331,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.SampledFrom([]int{4, 4, 4, 17}).Draw(t, "n")
 		w := newWorld(n, 2)
-		stopped := map[string]platform.VM{}
+		stopped := map[string]services.VM{}
 		for range rapid.IntRange(1, 6).Draw(t, "faults") {
 			id := rapid.SampledFrom(w.order[1:]).Draw(t, "vm")
 			other := rapid.SampledFrom(w.order).Draw(t, "other")
--- a/internal/fleet/world_test.go
+++ b/internal/fleet/world_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/google/go-cmp/cmp"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 var testTiming = Timing{
@@ -22,13 +22,13 @@
 	tables map[string]*Table // running VMs by id
 	order  []string
 	lost   func(from, to string) bool // packets lost on the way
-	list   []platform.VM
+	list   []services.VM
 }
 
 func newWorld(n, domains int) *world {
 	w := &world{now: time.Unix(1000, 0), tables: map[string]*Table{}, lost: func(string, string) bool { return false }}
 	for i := range n {
-		vm := platform.VM{ID: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprintf("d%d", i%domains), Address: fmt.Sprintf("h%02d:1", i)}
+		vm := services.VM{ID: fmt.Sprintf("vm-%02d", i), Domain: fmt.Sprintf("d%d", i%domains), Address: fmt.Sprintf("h%02d:1", i)}
 		w.order = append(w.order, vm.ID)
 		w.list = append(w.list, vm)
 		w.start(vm)
@@ -36,7 +36,7 @@
 	return w
 }
 
-func (w *world) start(vm platform.VM) *Table {
+func (w *world) start(vm services.VM) *Table {
 	t := NewTable(vm, w.now.UnixNano(), testTiming, rand.New(rand.NewSource(int64(len(vm.ID)))), w.now)
 	w.tables[vm.ID] = t
 	return t
--- a/internal/groupview/tracker.go
+++ b/internal/groupview/tracker.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Tracker turns the outcomes of probes into snapshots. It is plain state with
@@ -21,7 +21,7 @@
 
 // NewTracker returns a Tracker for the group that knows nothing yet. Proofs
 // older than lifetime name no primary.
-func NewTracker(group platform.Group, lifetime time.Duration) *Tracker {
+func NewTracker(group services.Group, lifetime time.Duration) *Tracker {
 	t := &Tracker{group: group.Name, lifetime: lifetime, ages: newAgeTracker()}
 	for _, i := range group.Instances {
 		t.instances = append(t.instances, Instance{Instance: i})
--- a/internal/groupview/view.go
+++ b/internal/groupview/view.go
@@ -3,12 +3,12 @@
 import (
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Instance is what a Watcher knows of one instance.
 type Instance struct {
-	platform.Instance
+	services.Instance
 	// Report is the newest answered probe.
 	Report
 	// Reachable reports whether the newest finished probe was answered.
--- a/internal/groupview/watcher.go
+++ b/internal/groupview/watcher.go
@@ -21,8 +21,8 @@
 
 	"chicoryline/internal/backend"
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 // Defaults of Config.
@@ -41,7 +41,7 @@
 
 // Config sets up a Watcher.
 type Config struct {
-	Group platform.Group
+	Group services.Group
 	// Controls and WaitControls hold one connection each to every instance, by
 	// id: the first for probes, the second for the waits of commits.
 	Controls     map[string]backend.Control
--- a/internal/groupview/watcher_test.go
+++ b/internal/groupview/watcher_test.go
@@ -13,14 +13,14 @@
 
 	"chicoryline/internal/backend"
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 const caller = "vm1"
 
-func testGroup() platform.Group {
-	return platform.Group{Name: "g", Instances: []platform.Instance{
+func testGroup() services.Group {
+	return services.Group{Name: "g", Instances: []services.Instance{
 		{ID: "a", Domain: "d1"}, {ID: "b", Domain: "d2"}, {ID: "c", Domain: "d3"}}}
 }
 
--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -12,8 +12,8 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 	"chicoryline/internal/standin/dbinstance"
 )
 
@@ -107,7 +107,7 @@
 // transactions without requests, or 0 for the default.
 func (f *fixture) newOwner(slots int, idle time.Duration) *Owner {
 	return NewOwner(OwnerConfig{
-		Instance: platform.Instance{ID: "db1", Address: f.server.Addr()}, Group: platform.Group{Name: "g", Slots: slots},
+		Instance: services.Instance{ID: "db1", Address: f.server.Addr()}, Group: services.Group{Name: "g", Slots: slots},
 		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
 		Dial: (&net.Dialer{}).DialContext, Log: f.manager.log, IdleTransaction: idle,
 	}, slots)
--- a/internal/pool/owner.go
+++ b/internal/pool/owner.go
@@ -11,8 +11,8 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/fairqueue"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 // GroupWatcher is what an owner needs to know of the group of its instance.
@@ -53,8 +53,8 @@
 
 // OwnerConfig describes the pool of one instance.
 type OwnerConfig struct {
-	Instance    platform.Instance
-	Group       platform.Group
+	Instance    services.Instance
+	Group       services.Group
 	Watcher     GroupWatcher
 	Credentials Credentials
 	Dial        func(ctx context.Context, network, address string) (net.Conn, error)
--- a/internal/proxy/duty.go
+++ b/internal/proxy/duty.go
@@ -9,9 +9,9 @@
 	"chicoryline/internal/backend"
 	"chicoryline/internal/failover"
 	"chicoryline/internal/groupview"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
 	"chicoryline/internal/quota"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
@@ -36,14 +36,14 @@
 // groupDuty is what this VM does for one database group while it owns one of
 // its instances: it watches the group and stands by as steward.
 type groupDuty struct {
-	group   platform.Group
+	group   services.Group
 	watcher *groupview.Watcher
 	runner  *failover.Runner
 	clients []*backend.Client
 }
 
 // newGroupDuty connects to all instances of the group and starts to watch them.
-func (p *Proxy) newGroupDuty(group platform.Group) (*groupDuty, error) {
+func (p *Proxy) newGroupDuty(group services.Group) (*groupDuty, error) {
 	d := &groupDuty{group: group}
 	controls := d.connect(p)
 	watcher, err := groupview.New(groupview.Config{
@@ -125,7 +125,7 @@
 	}
 }
 
-func (p *Proxy) reconcileGroup(name string, group platform.Group) {
+func (p *Proxy) reconcileGroup(name string, group services.Group) {
 	owned, first := false, false
 	for _, instance := range group.Instances {
 		rank := p.topology.rank(instance, p.vm.ID)
@@ -158,7 +158,7 @@
 
 // sameInstances reports whether two descriptions name the same instances at
 // the same addresses.
-func sameInstances(a, b platform.Group) bool {
+func sameInstances(a, b services.Group) bool {
 	if len(a.Instances) != len(b.Instances) {
 		return false
 	}
@@ -170,7 +170,7 @@
 	return true
 }
 
-func (p *Proxy) startDuty(name string, group platform.Group) *groupDuty {
+func (p *Proxy) startDuty(name string, group services.Group) *groupDuty {
 	duty, err := p.newGroupDuty(group)
 	if err != nil {
 		p.log.WithError(err).WithField("group", name).WithField("event", "duty_failed").Error("group")
@@ -217,7 +217,7 @@
 
 // reconcileOwners gives this VM the pools of the instances that it owns now,
 // and each pool the connections that its share of the instance's limit allows.
-func (p *Proxy) reconcileOwners(duty *groupDuty, group platform.Group) {
+func (p *Proxy) reconcileOwners(duty *groupDuty, group services.Group) {
 	for _, instance := range group.Instances {
 		rank := p.topology.rank(instance, p.vm.ID)
 		owner, owned := p.pool.Owner(instance.ID)
@@ -244,7 +244,7 @@
 func instanceResource(instance string) string { return "instance/" + instance }
 
 // applyGroups passes the instances' limits on to the shares.
-func (p *Proxy) applyGroups(groups map[string]platform.Group) {
+func (p *Proxy) applyGroups(groups map[string]services.Group) {
 	for _, group := range groups {
 		for _, instance := range group.Instances {
 			p.quota.SetTotal(instanceResource(instance.ID), quota.Total{Count: dataConnections(group)})
@@ -252,7 +252,7 @@
 	}
 }
 
-func (p *Proxy) newOwner(duty *groupDuty, instance platform.Instance) *pool.Owner {
+func (p *Proxy) newOwner(duty *groupDuty, instance services.Instance) *pool.Owner {
 	return pool.NewOwner(pool.OwnerConfig{
 		Instance: instance, Group: duty.group, Watcher: groupWatcher{duty.watcher},
 		Credentials: pool.Credentials{
@@ -266,13 +266,13 @@
 // dataConnections is the number of an instance's connections that carry
 // statements: its limit less the control connections of all VMs that watch the
 // group.
-func dataConnections(group platform.Group) int {
+func dataConnections(group services.Group) int {
 	watchers := ownersPerInstance * len(group.Instances)
 	return max(group.Connections-watchers-confirmConnections, ownersPerInstance)
 }
 
 // wantedConnections is what the owner of the rank asks for.
-func wantedConnections(group platform.Group, rank int) int {
+func wantedConnections(group services.Group, rank int) int {
 	data := dataConnections(group)
 	first := max(1, int(float64(data)*firstOwnerPart))
 	if rank == 0 {
--- a/internal/proxy/handover.go
+++ b/internal/proxy/handover.go
@@ -7,8 +7,8 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/failover"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
+	"chicoryline/internal/services"
 )
 
 // deposeMargin is the time between the suspicion of a primary and the question
@@ -23,7 +23,7 @@
 
 // refreshWatchers makes the VMs that watch the group probe it at once, so that
 // a new primary serves without waiting for their next probes.
-func (p *Proxy) refreshWatchers(group platform.Group) {
+func (p *Proxy) refreshWatchers(group services.Group) {
 	ctx, cancel := context.WithTimeout(context.Background(), refreshTimeout)
 	defer cancel()
 	var wait sync.WaitGroup
@@ -47,7 +47,7 @@
 }
 
 // leavingInstances lists the instances of the group that the platform takes away.
-func leavingInstances(group platform.Group) []string {
+func leavingInstances(group services.Group) []string {
 	var ids []string
 	for _, i := range group.Instances {
 		if i.Leaving {
@@ -65,7 +65,7 @@
 		Release: release, Patience: settings.DrainTimeout,
 		Limit: settings.DrainTimeout + settings.CatchUpTimeout + settings.ClaimPatience,
 	}
-	var targets []platform.Instance
+	var targets []services.Instance
 	primary, _, _ := d.watcher.View().Primary()
 	for _, i := range d.group.Instances {
 		if release || i.ID == primary {
@@ -82,7 +82,7 @@
 
 // callOwners sends the hold to every owner of the instances at once and returns
 // the first error.
-func (p *Proxy) callOwners(ctx context.Context, targets []platform.Instance, args pool.HoldArgs) error {
+func (p *Proxy) callOwners(ctx context.Context, targets []services.Instance, args pool.HoldArgs) error {
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	var first error
--- a/internal/proxy/liveness_test.go
+++ b/internal/proxy/liveness_test.go
@@ -4,12 +4,12 @@
 	"testing"
 
 	"chicoryline/internal/fleet"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 func TestLivenessEndsWithTheProcess(t *testing.T) {
 	member := func(incarnation int64, state fleet.State) []fleet.Member {
-		return []fleet.Member{{VM: platform.VM{ID: "vm1"}, Incarnation: incarnation, State: state}}
+		return []fleet.Member{{VM: services.VM{ID: "vm1"}, Incarnation: incarnation, State: state}}
 	}
 	l := newLiveness()
 	l.update(member(1, fleet.Alive))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -24,10 +24,10 @@
 	"chicoryline/internal/frame"
 	"chicoryline/internal/metrics"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
 	"chicoryline/internal/quota"
 	"chicoryline/internal/router"
+	"chicoryline/internal/services"
 	"chicoryline/internal/settings"
 	"chicoryline/internal/timeline"
 	"chicoryline/internal/voters"
@@ -51,7 +51,7 @@
 // readyMu admitted.
 type Proxy struct {
 	settings settings.Settings
-	vm       platform.VM
+	vm       services.VM
 	started  time.Time
 	dial     DialFunc
 	log      *logrus.Entry
@@ -62,7 +62,7 @@
 	measures *metrics.Measures
 	system   *frame.System
 
-	services *platform.Client
+	services *services.Client
 	peers    *peer.Client
 	server   *peer.Server
 	fleet    *fleet.Fleet
@@ -105,7 +105,7 @@
 	if err != nil {
 		return nil, errors.Trace(err)
 	}
-	p.vm = platform.VM{ID: s.VM, Domain: s.Domain, Address: peerListener.Addr().String()}
+	p.vm = services.VM{ID: s.VM, Domain: s.Domain, Address: peerListener.Addr().String()}
 	p.clock = timeline.NewClock(time.Now)
 	p.ring = timeline.NewRing(p.clock, s.VM, s.Domain, timeline.DefaultRingSize)
 	p.measures = metrics.New(time.Now)
@@ -140,7 +140,7 @@
 	if err != nil {
 		return err
 	}
-	p.services, err = platform.NewClient(p.settings.PlatformURLs, p.vm, platform.WithDial(p.dial))
+	p.services, err = services.NewClient(p.settings.PlatformURLs, p.vm, services.WithDial(p.dial))
 	if err != nil {
 		return err
 	}
@@ -221,13 +221,13 @@
 
 // shareHolders lists the voters and marks those that are stopping, so that no
 // share home is sought among them.
-func (p *Proxy) shareHolders() []platform.VM {
+func (p *Proxy) shareHolders() []services.VM {
 	list := slices.Clone(p.voters.VMs())
 	for _, m := range p.fleet.Directory().Members() {
 		if m.State != fleet.Leaving {
 			continue
 		}
-		if i := slices.IndexFunc(list, func(vm platform.VM) bool { return vm.ID == m.VM.ID }); i >= 0 {
+		if i := slices.IndexFunc(list, func(vm services.VM) bool { return vm.ID == m.VM.ID }); i >= 0 {
 			list[i].Leaving = true
 		}
 	}
@@ -235,11 +235,11 @@
 }
 
 // registered lists the VMs that hold configuration grants.
-func (p *Proxy) registered(ctx context.Context) ([]platform.VM, error) {
+func (p *Proxy) registered(ctx context.Context) ([]services.VM, error) {
 	holders, err := configsync.Holders(ctx, p.services)
-	vms := make([]platform.VM, len(holders))
+	vms := make([]services.VM, len(holders))
 	for i, h := range holders {
-		vms[i] = platform.VM{ID: h.VM, Domain: h.Domain, Address: h.Address}
+		vms[i] = services.VM{ID: h.VM, Domain: h.Domain, Address: h.Address}
 	}
 	return vms, err
 }
--- a/internal/proxy/stopworld_test.go
+++ b/internal/proxy/stopworld_test.go
@@ -19,10 +19,10 @@
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
 	"chicoryline/internal/position"
 	"chicoryline/internal/router"
+	"chicoryline/internal/services"
 	"chicoryline/internal/standin/dbinstance"
 )
 
@@ -61,7 +61,7 @@
 	w.watcher.hold.Store(make(chan struct{}))
 	manager := pool.NewManager(log, noEvents{})
 	manager.SetOwner("db1", pool.NewOwner(pool.OwnerConfig{
-		Instance: platform.Instance{ID: "db1", Address: server.Addr()}, Group: platform.Group{Name: "g", Slots: 4},
+		Instance: services.Instance{ID: "db1", Address: server.Addr()}, Group: services.Group{Name: "g", Slots: 4},
 		Watcher: w.watcher, Credentials: pool.Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
 		Dial: (&net.Dialer{}).DialContext, Log: log,
 	}, 4))
@@ -195,17 +195,17 @@
 	return run()
 }
 
-func (p *stopPeers) Group(name string) (platform.Group, bool) {
-	return platform.Group{Name: name, Instances: []platform.Instance{{ID: "db1"}}}, true
+func (p *stopPeers) Group(name string) (services.Group, bool) {
+	return services.Group{Name: name, Instances: []services.Instance{{ID: "db1"}}}, true
 }
 
-func (p *stopPeers) Owners(platform.Instance) []platform.VM {
+func (p *stopPeers) Owners(services.Instance) []services.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.noOwners {
 		return nil
 	}
-	return []platform.VM{{ID: "owner", Address: "owner:1"}}
+	return []services.VM{{ID: "owner", Address: "owner:1"}}
 }
 
 func (p *stopPeers) Alive(string) context.Context { return context.Background() }
--- a/internal/proxy/topology.go
+++ b/internal/proxy/topology.go
@@ -8,7 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/fleet"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -23,17 +23,17 @@
 // asks the fleet for the owners of an instance. An outage of the platform
 // leaves the last list in place.
 type topology struct {
-	services  platform.Groups
+	services  services.Groups
 	directory *fleet.Directory
 	log       *logrus.Entry
 	// changed is told of every reading.
-	changed func(map[string]platform.Group)
-	groups  atomic.Pointer[map[string]platform.Group]
+	changed func(map[string]services.Group)
+	groups  atomic.Pointer[map[string]services.Group]
 }
 
-func newTopology(services platform.Groups, directory *fleet.Directory, changed func(map[string]platform.Group), log *logrus.Entry) *topology {
-	t := &topology{services: services, directory: directory, changed: changed, log: log}
-	t.groups.Store(&map[string]platform.Group{})
+func newTopology(groups services.Groups, directory *fleet.Directory, changed func(map[string]services.Group), log *logrus.Entry) *topology {
+	t := &topology{services: groups, directory: directory, changed: changed, log: log}
+	t.groups.Store(&map[string]services.Group{})
 	return t
 }
 
@@ -52,14 +52,14 @@
 }
 
 func (t *topology) read() {
-	ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), services.CallTimeout)
 	defer cancel()
 	list, err := t.services.Groups(ctx)
 	if err != nil {
 		t.log.WithError(err).WithField("event", "groups_unread").Debug("platform")
 		return
 	}
-	groups := make(map[string]platform.Group, len(list))
+	groups := make(map[string]services.Group, len(list))
 	for _, g := range list {
 		groups[g.Name] = g
 	}
@@ -68,18 +68,18 @@
 }
 
 // all returns the groups as last read. The map is not to be changed.
-func (t *topology) all() map[string]platform.Group { return *t.groups.Load() }
+func (t *topology) all() map[string]services.Group { return *t.groups.Load() }
 
 // Group implements router.Topology.
-func (t *topology) Group(name string) (platform.Group, bool) {
+func (t *topology) Group(name string) (services.Group, bool) {
 	g, ok := t.all()[name]
 	return g, ok
 }
 
 // Owners implements router.Topology.
-func (t *topology) Owners(instance platform.Instance) []platform.VM {
+func (t *topology) Owners(instance services.Instance) []services.VM {
 	members := t.directory.Owners(instance, ownersPerInstance)
-	vms := make([]platform.VM, len(members))
+	vms := make([]services.VM, len(members))
 	for i, m := range members {
 		vms[i] = m.VM
 	}
@@ -107,7 +107,7 @@
 }
 
 // rank returns this VM's place among the owners of the instance, or -1.
-func (t *topology) rank(instance platform.Instance, vm string) int {
+func (t *topology) rank(instance services.Instance, vm string) int {
 	for i, owner := range t.Owners(instance) {
 		if owner.ID == vm {
 			return i
@@ -128,15 +128,15 @@
 }
 
 // otherStewards lists the other VMs that watch the group closely.
-func (p *Proxy) otherStewards(group string) []platform.VM {
+func (p *Proxy) otherStewards(group string) []services.VM {
 	return p.others(p.topology.stewards(group))
 }
 
 // otherVMs lists the other VMs of the fleet.
-func (p *Proxy) otherVMs() []platform.VM { return p.others(p.fleet.Directory().Members()) }
+func (p *Proxy) otherVMs() []services.VM { return p.others(p.fleet.Directory().Members()) }
 
-func (p *Proxy) others(members []fleet.Member) []platform.VM {
-	var vms []platform.VM
+func (p *Proxy) others(members []fleet.Member) []services.VM {
+	var vms []services.VM
 	for _, m := range members {
 		if m.VM.ID != p.vm.ID {
 			vms = append(vms, m.VM)
--- a/internal/quota/config.go
+++ b/internal/quota/config.go
@@ -8,7 +8,7 @@
 
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Defaults of Config.
@@ -32,11 +32,11 @@
 
 // Config configures a Node. Zero durations take the defaults.
 type Config struct {
-	VM platform.VM
+	VM services.VM
 	// Holders returns the registered holders, this VM included if it is one.
 	// Two successive lists differ by one VM at most, and a change follows the
 	// one before it by no less than PromiseLifetime and ShareLease together.
-	Holders func() []platform.VM
+	Holders func() []services.VM
 	Caller  peer.Caller
 	System  *frame.System
 	Now     func() time.Time // with a monotonic reading
--- a/internal/quota/control.go
+++ b/internal/quota/control.go
@@ -4,7 +4,7 @@
 	"context"
 	"time"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Messages to the control actor.
@@ -57,7 +57,7 @@
 }
 
 // call sends the renewals in a goroutine, which returns the answer as a message.
-func (n *Node) call(holders []platform.VM, target string, renewals []Renewal) {
+func (n *Node) call(holders []services.VM, target string, renewals []Renewal) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.closed {
@@ -71,7 +71,7 @@
 	}()
 }
 
-func (n *Node) send(holders []platform.VM, target string, renewals []Renewal) (RenewReply, error) {
+func (n *Node) send(holders []services.VM, target string, renewals []Renewal) (RenewReply, error) {
 	var reply RenewReply
 	if target == n.config.VM.ID {
 		return reply, n.Service().Renew(&RenewArgs{renewals}, &reply)
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -11,7 +11,7 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Node drives the shares and the duties as home of one process. It is safe for
@@ -249,7 +249,7 @@
 }
 
 // setMembers passes the registered holders to the resource's decisions.
-func (n *Node) setMembers(r *resource, holders []platform.VM, now time.Time) {
+func (n *Node) setMembers(r *resource, holders []services.VM, now time.Time) {
 	ids := make([]string, 0, len(holders))
 	leaving := map[string]bool{}
 	for _, vm := range holders {
--- a/internal/quota/node_test.go
+++ b/internal/quota/node_test.go
@@ -13,7 +13,7 @@
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/frame"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 	"chicoryline/internal/timeline"
 )
 
@@ -21,7 +21,7 @@
 type cluster struct {
 	nodes   []*Node
 	servers []*peer.Server
-	vms     []platform.VM
+	vms     []services.VM
 }
 
 func newCluster(t *testing.T, size int) *cluster {
@@ -34,7 +34,7 @@
 			t.Fatal(err)
 		}
 		listeners = append(listeners, l)
-		c.vms = append(c.vms, platform.VM{ID: fmt.Sprintf("vm%d", i+1), Address: l.Addr().String()})
+		c.vms = append(c.vms, services.VM{ID: fmt.Sprintf("vm%d", i+1), Address: l.Addr().String()})
 	}
 	log := logrus.New()
 	log.SetLevel(logrus.WarnLevel)
@@ -42,7 +42,7 @@
 		client := peer.NewClient(timeline.NewClock(time.Now), nil, nil)
 		system := frame.New(logrus.NewEntry(log))
 		node := NewNode(Config{
-			VM: vm, Holders: func() []platform.VM { return c.vms }, Caller: client, System: system,
+			VM: vm, Holders: func() []services.VM { return c.vms }, Caller: client, System: system,
 			Now: time.Now, Rand: rand.New(rand.NewSource(int64(i))), Log: logrus.NewEntry(log),
 			ShareLease: 500 * time.Millisecond, RenewInterval: 25 * time.Millisecond, PromiseLifetime: 200 * time.Millisecond,
 		})
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -8,9 +8,9 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
 	"chicoryline/internal/position"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -63,7 +63,7 @@
 // attempt is the state of one request over its tries.
 type attempt struct {
 	request *Request
-	group   platform.Group
+	group   services.Group
 	view    *groupView
 	// excluded lists replicas that refused this request.
 	excluded []string
@@ -165,7 +165,7 @@
 }
 
 // target chooses the instance of the next try.
-func (r *Router) target(a *attempt) (platform.Instance, bool, error) {
+func (r *Router) target(a *attempt) (services.Instance, bool, error) {
 	if !a.toPrimary {
 		need := Need{Current: a.request.Current, Min: a.request.Min, MaxAge: a.request.MaxAge}
 		candidates := without(a.view.candidates(a.group, r.cfg.Domain, need.MaxAge), a.excluded)
@@ -179,16 +179,16 @@
 	if instance, found := findInstance(a.group, a.view.primary()); found {
 		return instance, true, nil
 	}
-	return platform.Instance{}, false, errkind.New(errkind.NoPrimary, "group %s", a.group.Name)
+	return services.Instance{}, false, errkind.New(errkind.NoPrimary, "group %s", a.group.Name)
 }
 
-func findInstance(group platform.Group, id string) (platform.Instance, bool) {
+func findInstance(group services.Group, id string) (services.Instance, bool) {
 	for _, i := range group.Instances {
 		if i.ID == id {
 			return i, true
 		}
 	}
-	return platform.Instance{}, false
+	return services.Instance{}, false
 }
 
 // again decides whether the request may be tried once more and where.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
+	"chicoryline/internal/services"
 )
 
 // fakePeers answers calls to one pool owner. Its mutex guards the fields.
@@ -63,11 +63,11 @@
 
 type oneOwner struct{}
 
-func (oneOwner) Group(name string) (platform.Group, bool) {
-	return platform.Group{Name: name, Instances: []platform.Instance{{ID: "db1"}}}, true
+func (oneOwner) Group(name string) (services.Group, bool) {
+	return services.Group{Name: name, Instances: []services.Instance{{ID: "db1"}}}, true
 }
-func (oneOwner) Owners(platform.Instance) []platform.VM {
-	return []platform.VM{{ID: "owner", Address: "owner:1"}}
+func (oneOwner) Owners(services.Instance) []services.VM {
+	return []services.VM{{ID: "owner", Address: "owner:1"}}
 }
 func (oneOwner) Alive(string) context.Context { return context.Background() }
 
--- a/internal/router/views.go
+++ b/internal/router/views.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/pool"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -28,9 +28,9 @@
 // Topology is what the router needs to know of the fleet and of the platform.
 type Topology interface {
 	// Group returns the group of the name.
-	Group(name string) (platform.Group, bool)
+	Group(name string) (services.Group, bool)
 	// Owners returns the VMs that own the instance's pool, best first.
-	Owners(instance platform.Instance) []platform.VM
+	Owners(instance services.Instance) []services.VM
 }
 
 // groupViews keeps a view of each group in use, read from its owners. The
@@ -151,8 +151,8 @@
 
 // viewers lists the first owners of the group's instances, those of this
 // failure domain first.
-func (g *groupViews) viewers(group platform.Group) []platform.VM {
-	var near, far []platform.VM
+func (g *groupViews) viewers(group services.Group) []services.VM {
+	var near, far []services.VM
 	seen := map[string]bool{}
 	for _, instance := range group.Instances {
 		for _, vm := range g.topology.Owners(instance) {
@@ -232,7 +232,7 @@
 
 // candidates lists the replicas as they stand now; ages have grown since the
 // reading.
-func (v *groupView) candidates(group platform.Group, domain string, maxAge time.Duration) []Candidate {
+func (v *groupView) candidates(group services.Group, domain string, maxAge time.Duration) []Candidate {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	since := time.Since(v.at)
--- a/internal/platform/platform.go
+++ b/internal/services/platform.go
@@ -1,4 +1,4 @@
-// Package platform describes the services that the platform gives: a versioned
+// Package services describes the services that the platform gives: a versioned
 // table with compare-and-set, an object store, the database groups, and the
 // lagging list of VMs. Client speaks to them over HTTP; Memory is the in-memory
 // fake that tests and the stand-in server use.
@@ -6,7 +6,7 @@
 // Every call can fail with errkind.PlatformUnavailable (surely no effect) or
 // errkind.PlatformUnknown (the effect may have happened). After the latter a
 // caller reads the row back by its request id and never repeats blindly.
-package platform
+package services
 
 import (
 	"context"
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -15,8 +15,8 @@
 
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/configsync"
-	"chicoryline/internal/platform"
 	"chicoryline/internal/proxy"
+	"chicoryline/internal/services"
 	"chicoryline/internal/settings"
 	"chicoryline/internal/standin/dbinstance"
 	"chicoryline/internal/standin/platformd"
@@ -107,7 +107,7 @@
 	// Keys maps customers to their keys.
 	Keys map[string]string
 
-	groups  []platform.Group
+	groups  []services.Group
 	log     *logrus.Entry
 	stopped map[int]bool
 }
@@ -159,7 +159,7 @@
 func (s *Site) startInstances() error {
 	addresses := newAddressBook()
 	for g := range s.Spec.Groups {
-		group := platform.Group{Name: GroupName(g), Connections: s.Spec.Connections, Slots: s.Spec.Slots}
+		group := services.Group{Name: GroupName(g), Connections: s.Spec.Connections, Slots: s.Spec.Slots}
 		first := fmt.Sprintf("%s-db%d", group.Name, 1)
 		for i := range s.Spec.Instances {
 			id := fmt.Sprintf("%s-db%d", group.Name, i+1)
@@ -182,7 +182,7 @@
 			addresses.set(id, server.Addr())
 			s.Instances[id] = server
 			s.Network.Locate(server.Addr(), Place{Name: id, Domain: domain})
-			group.Instances = append(group.Instances, platform.Instance{ID: id, Address: server.Addr(), Domain: domain})
+			group.Instances = append(group.Instances, services.Instance{ID: id, Address: server.Addr(), Domain: domain})
 		}
 		s.groups = append(s.groups, group)
 	}
@@ -223,8 +223,8 @@
 }
 
 // Operator returns a client of the platform as operators use it.
-func (s *Site) Operator() (*platform.Client, error) {
-	return platform.NewClient([]string{s.Platform.URL()}, platform.VM{ID: "operator"})
+func (s *Site) Operator() (*services.Client, error) {
+	return services.NewClient([]string{s.Platform.URL()}, services.VM{ID: "operator"})
 }
 
 // ProxyName returns the id of the i-th proxy's VM.
--- a/internal/spread/membership.go
+++ b/internal/spread/membership.go
@@ -13,7 +13,7 @@
 	"github.com/juju/errors"
 
 	"chicoryline/internal/fleet"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // MembershipRow is the cost of membership for one VM without changes. Messages
@@ -166,7 +166,7 @@
 }
 
 func listSize(members []fleet.Member) int {
-	var vms []platform.VM
+	var vms []services.VM
 	for _, m := range members {
 		vms = append(vms, m.VM)
 	}
--- a/internal/spread/sim.go
+++ b/internal/spread/sim.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"chicoryline/internal/fleet"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Times of one run, since its start.
@@ -120,7 +120,7 @@
 func makeMembers(n, domains int) []fleet.Member {
 	members := make([]fleet.Member, n)
 	for i := range members {
-		vm := platform.VM{ID: fmt.Sprintf("vm-%04d", i), Domain: fmt.Sprintf("domain-%d", i%domains), Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)}
+		vm := services.VM{ID: fmt.Sprintf("vm-%04d", i), Domain: fmt.Sprintf("domain-%d", i%domains), Address: fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)}
 		members[i] = fleet.Member{VM: vm, Incarnation: int64(i) + 1, State: fleet.Alive}
 	}
 	return members
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -169,10 +169,6 @@
 	return append([]string(nil), g.problems...)
 }
 
-func (g *Group) problem(format string, args ...any) {
-	g.problems = append(g.problems, fmt.Sprintf(format, args...))
-}
-
 // Close ends all servers.
 func (g *Group) Close() {
 	for _, s := range g.servers {
--- a/internal/standin/platformd/faults.go
+++ b/internal/standin/platformd/faults.go
@@ -9,7 +9,7 @@
 
 	"github.com/juju/errors"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // Paths of the switches, which no fault touches.
@@ -34,7 +34,7 @@
 
 // State is what GET /fault shows.
 type State struct {
-	Faults      platform.Faults
+	Faults      services.Faults
 	Mode        Mode
 	ListLag     time.Duration
 	ForgetAfter time.Duration
@@ -80,13 +80,13 @@
 	case "lose_answer":
 		return s.setLoseAnswer(form)
 	case "cut_domain":
-		return s.setCut(on, form, "domain", func(f *platform.Faults) *[]string { return &f.CutDomains })
+		return s.setCut(on, form, "domain", func(f *services.Faults) *[]string { return &f.CutDomains })
 	case "cut_vm":
-		return s.setCut(on, form, "vm", func(f *platform.Faults) *[]string { return &f.CutVMs })
+		return s.setCut(on, form, "vm", func(f *services.Faults) *[]string { return &f.CutVMs })
 	case "lag":
 		return s.setLag(form)
 	case "clear":
-		s.memory.ChangeFaults(func(f *platform.Faults) { *f = platform.Faults{} })
+		s.memory.ChangeFaults(func(f *services.Faults) { *f = services.Faults{} })
 		s.SetMode(ModeRefuse)
 		return nil
 	default:
@@ -98,7 +98,7 @@
 	if err := s.setMode(form); err != nil {
 		return err
 	}
-	s.memory.ChangeFaults(func(f *platform.Faults) { f.Down = on })
+	s.memory.ChangeFaults(func(f *services.Faults) { f.Down = on })
 	return nil
 }
 
@@ -120,7 +120,7 @@
 	if err != nil {
 		return err
 	}
-	s.memory.ChangeFaults(func(f *platform.Faults) { f.Delay = delay })
+	s.memory.ChangeFaults(func(f *services.Faults) { f.Delay = delay })
 	return nil
 }
 
@@ -129,11 +129,11 @@
 	if err != nil || n < 0 {
 		return errors.NotValidf("n %q", form.Get("n"))
 	}
-	s.memory.ChangeFaults(func(f *platform.Faults) { f.LoseAnswers, f.LosePrefix = n, form.Get("prefix") })
+	s.memory.ChangeFaults(func(f *services.Faults) { f.LoseAnswers, f.LosePrefix = n, form.Get("prefix") })
 	return nil
 }
 
-func (s *Server) setCut(on bool, form url.Values, key string, list func(*platform.Faults) *[]string) error {
+func (s *Server) setCut(on bool, form url.Values, key string, list func(*services.Faults) *[]string) error {
 	name := form.Get(key)
 	if name == "" {
 		return errors.NotValidf("cut without %s", key)
@@ -141,7 +141,7 @@
 	if err := s.setMode(form); err != nil {
 		return err
 	}
-	s.memory.ChangeFaults(func(f *platform.Faults) {
+	s.memory.ChangeFaults(func(f *services.Faults) {
 		names := list(f)
 		*names = slices.DeleteFunc(*names, func(n string) bool { return n == name })
 		if on {
@@ -195,7 +195,7 @@
 }
 
 func (s *Server) putGroups(w http.ResponseWriter, r *http.Request) {
-	groups, err := decode[[]platform.Group](r)
+	groups, err := decode[[]services.Group](r)
 	if err != nil {
 		writeError(w, err)
 		return
--- a/internal/standin/platformd/platformd.go
+++ b/internal/standin/platformd/platformd.go
@@ -1,5 +1,5 @@
 // Package platformd is the stand-in platform for tests and demonstrations: an
-// HTTP server over platform.Memory with fault switches. docs/PLATFORM.md
+// HTTP server over services.Memory with fault switches. docs/PLATFORM.md
 // describes its protocol.
 package platformd
 
@@ -14,7 +14,7 @@
 	"github.com/juju/errors"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -27,11 +27,11 @@
 // Options are the settings of a Server.
 type Options struct {
 	// Groups are the database groups at the start.
-	Groups []platform.Group
+	Groups []services.Group
 	// ListLag is the time after which a registration shows in the VM list.
 	ListLag time.Duration
 	// ForgetAfter is the time after its last registration at which a VM leaves
-	// the list; platform.DefaultForgetAfter when 0.
+	// the list; services.DefaultForgetAfter when 0.
 	ForgetAfter time.Duration
 	// Now is the clock of the VM list; time.Now when nil.
 	Now func() time.Time
@@ -39,7 +39,7 @@
 
 // Server is a running stand-in platform.
 type Server struct {
-	memory   *platform.Memory
+	memory   *services.Memory
 	listener net.Listener
 	http     *http.Server
 	done     chan struct{}
@@ -56,14 +56,14 @@
 		options.Now = time.Now
 	}
 	if options.ForgetAfter == 0 {
-		options.ForgetAfter = platform.DefaultForgetAfter
+		options.ForgetAfter = services.DefaultForgetAfter
 	}
 	listener, err := net.Listen("tcp", listen)
 	if err != nil {
 		return nil, errors.Annotate(err, "stand-in platform")
 	}
 	s := &Server{
-		memory:   platform.NewMemory(options.Now),
+		memory:   services.NewMemory(options.Now),
 		listener: listener,
 		done:     make(chan struct{}),
 		mode:     ModeRefuse,
@@ -78,11 +78,11 @@
 // Addr returns the address that the server listens on, as host:port.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
-// URL returns the base URL for platform.NewClient.
+// URL returns the base URL for services.NewClient.
 func (s *Server) URL() string { return "http://" + s.Addr() }
 
 // Memory returns the platform behind the server, for use in the same process.
-func (s *Server) Memory() *platform.Memory { return s.memory }
+func (s *Server) Memory() *services.Memory { return s.memory }
 
 // Close ends the server and its connections.
 func (s *Server) Close() {
@@ -96,16 +96,16 @@
 
 func (s *Server) handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET "+platform.PathRow, s.serve(getRow))
-	mux.HandleFunc("GET "+platform.PathRows, s.serve(listRows))
-	mux.HandleFunc("POST "+platform.PathSet, s.serve(compareAndSet))
-	mux.HandleFunc("POST "+platform.PathDelete, s.serve(deleteRow))
-	mux.HandleFunc("GET "+platform.PathObject, s.serve(getObject))
-	mux.HandleFunc("POST "+platform.PathObject, s.serve(putObject))
-	mux.HandleFunc("GET "+platform.PathGroups, s.serve(getGroups))
-	mux.HandleFunc("GET "+platform.PathVMs, s.serve(getVMs))
-	mux.HandleFunc("POST "+platform.PathVMs, s.serve(register))
-	mux.HandleFunc("PUT "+platform.PathGroups, s.putGroups)
+	mux.HandleFunc("GET "+services.PathRow, s.serve(getRow))
+	mux.HandleFunc("GET "+services.PathRows, s.serve(listRows))
+	mux.HandleFunc("POST "+services.PathSet, s.serve(compareAndSet))
+	mux.HandleFunc("POST "+services.PathDelete, s.serve(deleteRow))
+	mux.HandleFunc("GET "+services.PathObject, s.serve(getObject))
+	mux.HandleFunc("POST "+services.PathObject, s.serve(putObject))
+	mux.HandleFunc("GET "+services.PathGroups, s.serve(getGroups))
+	mux.HandleFunc("GET "+services.PathVMs, s.serve(getVMs))
+	mux.HandleFunc("POST "+services.PathVMs, s.serve(register))
+	mux.HandleFunc("PUT "+services.PathGroups, s.putGroups)
 	mux.HandleFunc("GET "+PathFault, s.getFaults)
 	mux.HandleFunc("POST "+PathFault, s.postFault)
 	mux.HandleFunc("GET "+PathCounts, s.getCounts)
@@ -113,13 +113,13 @@
 }
 
 // endpoint carries out one call of the protocol and returns the answer's body.
-type endpoint func(ctx context.Context, services platform.Services, r *http.Request) (any, error)
+type endpoint func(ctx context.Context, services services.Services, r *http.Request) (any, error)
 
 // serve answers with the endpoint under the fault switches. A call that has
 // been taken goes on when its caller gives up, as the real service's does.
 func (s *Server) serve(run endpoint) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
-		vm := platform.VM{ID: r.Header.Get(platform.HeaderVM), Domain: r.Header.Get(platform.HeaderDomain)}
+		vm := services.VM{ID: r.Header.Get(services.HeaderVM), Domain: r.Header.Get(services.HeaderDomain)}
 		s.obstruct(vm, r)
 		r.Body = http.MaxBytesReader(w, r.Body, maxBody)
 		answer, err := run(context.WithoutCancel(r.Context()), s.memory.For(vm), r)
@@ -135,7 +135,7 @@
 }
 
 // obstruct ends the connection without an answer when a fault asks for it.
-func (s *Server) obstruct(vm platform.VM, r *http.Request) {
+func (s *Server) obstruct(vm services.VM, r *http.Request) {
 	faults, mode := s.memory.Faults(), s.Mode()
 	if !faults.Cuts(vm) && (!faults.Down || mode == ModeRefuse) {
 		return
@@ -154,13 +154,13 @@
 	if err != nil {
 		status, data = http.StatusInternalServerError, nil
 	}
-	w.Header().Set("Content-Type", platform.ContentJSON)
+	w.Header().Set("Content-Type", services.ContentJSON)
 	w.WriteHeader(status)
 	_, _ = w.Write(data)
 }
 
 func writeError(w http.ResponseWriter, err error) {
-	body := platform.ErrorBody{Kind: errkind.KindOf(err).String(), Detail: err.Error()}
+	body := services.ErrorBody{Kind: errkind.KindOf(err).String(), Detail: err.Error()}
 	if e, ok := errkind.As(err); ok {
 		body.Detail = e.Detail
 	}
--- a/internal/standin/platformd/platformd_test.go
+++ b/internal/standin/platformd/platformd_test.go
@@ -9,18 +9,18 @@
 	"github.com/google/go-cmp/cmp"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
-var self = platform.VM{ID: "vm-1", Domain: "a", Address: "127.0.0.1:7000"}
+var self = services.VM{ID: "vm-1", Domain: "a", Address: "127.0.0.1:7000"}
 
-func start(t *testing.T) (*Server, *platform.Client) {
+func start(t *testing.T) (*Server, *services.Client) {
 	t.Helper()
-	s, err := Start("127.0.0.1:0", Options{Groups: []platform.Group{{Name: "g", Slots: 5}}})
+	s, err := Start("127.0.0.1:0", Options{Groups: []services.Group{{Name: "g", Slots: 5}}})
 	if err != nil {
 		t.Fatal(err)
 	}
-	c, err := platform.NewClient([]string{s.URL()}, self)
+	c, err := services.NewClient([]string{s.URL()}, self)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -38,7 +38,7 @@
 func TestServices(t *testing.T) {
 	_, c := start(t)
 	ctx := context.Background()
-	want := platform.Row{Key: "k&=/", Version: 1, Value: []byte{0, 255}, RequestID: "r1"}
+	want := services.Row{Key: "k&=/", Version: 1, Value: []byte{0, 255}, RequestID: "r1"}
 	for range 2 { // the second call is a repetition under the same id
 		row, err := c.CompareAndSet(ctx, want.Key, 0, want.Value, "r1")
 		if err != nil || !cmp.Equal(row, want) {
@@ -50,7 +50,7 @@
 	_, err = c.Get(ctx, "none")
 	wantKind(t, err, errkind.NotFound)
 	rows, err := c.List(ctx, "k")
-	if diff := cmp.Diff([]platform.Row{want}, rows); diff != "" || err != nil {
+	if diff := cmp.Diff([]services.Row{want}, rows); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
 	name, err := c.PutObject(ctx, []byte("data"))
@@ -69,7 +69,7 @@
 		t.Fatal(err)
 	}
 	vms, err := c.VMs(ctx)
-	if diff := cmp.Diff([]platform.VM{self}, vms); diff != "" || err != nil {
+	if diff := cmp.Diff([]services.VM{self}, vms); diff != "" || err != nil {
 		t.Error(diff, err)
 	}
 	if err := c.Delete(ctx, want.Key, 1, "r3"); err != nil {
@@ -99,7 +99,7 @@
 			wantKind(t, err, c.write)
 			_, err = client.Get(context.Background(), "k")
 			wantKind(t, err, c.read)
-			_, err = s.Memory().For(platform.VM{ID: "vm-2", Domain: "b"}).Get(context.Background(), "k")
+			_, err = s.Memory().For(services.VM{ID: "vm-2", Domain: "b"}).Get(context.Background(), "k")
 			if !errkind.Is(err, errkind.NotFound) && !s.State().Faults.Down {
 				t.Errorf("another VM: %v", err)
 			}
@@ -127,7 +127,7 @@
 	if err := s.SetFault(form); err != nil {
 		t.Fatal(err)
 	}
-	row, err := platform.CompareAndSetResolved(ctx, client, "k", 1, []byte("w"), "r2")
+	row, err := services.CompareAndSetResolved(ctx, client, "k", 1, []byte("w"), "r2")
 	if err != nil || row.Version != 2 || string(row.Value) != "w" {
 		t.Fatalf("%+v, %v", row, err)
 	}
--- a/internal/voters/keeper.go
+++ b/internal/voters/keeper.go
@@ -12,7 +12,7 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/peer"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -31,11 +31,11 @@
 
 // Config describes a keeper.
 type Config struct {
-	VM     platform.VM
-	Table  platform.Table
+	VM     services.VM
+	Table  services.Table
 	Caller peer.Caller
 	// Registered returns the registered holders of configuration grants.
-	Registered func(ctx context.Context) ([]platform.VM, error)
+	Registered func(ctx context.Context) ([]services.VM, error)
 	// Spacing is the least time between two changes: the lifetime of a promise
 	// and of a share together.
 	Spacing time.Duration
@@ -54,7 +54,7 @@
 	rowVersion uint64
 	since      time.Time
 	// first and firstSince watch the registered holders before the first list.
-	first      []platform.VM
+	first      []services.VM
 	firstSince time.Time
 
 	mu      sync.Mutex
@@ -69,7 +69,7 @@
 }
 
 // VMs returns the present list; empty before the first reading.
-func (k *Keeper) VMs() []platform.VM { return k.list.Load().VMs }
+func (k *Keeper) VMs() []services.VM { return k.list.Load().VMs }
 
 // Start begins to read the row.
 func (k *Keeper) Start() {
@@ -92,7 +92,7 @@
 	ticker := time.NewTicker(readInterval)
 	defer ticker.Stop()
 	for {
-		ctx, cancel := context.WithTimeout(context.Background(), platform.CallTimeout)
+		ctx, cancel := context.WithTimeout(context.Background(), services.CallTimeout)
 		k.Step(ctx)
 		cancel()
 		select {
@@ -119,7 +119,7 @@
 	k.change(ctx)
 }
 
-func (k *Keeper) take(row platform.Row) error {
+func (k *Keeper) take(row services.Row) error {
 	list, err := decode(row.Value)
 	if err != nil {
 		return err
@@ -163,7 +163,7 @@
 
 // quiet reports whether the registered holders have stayed the same for
 // settleTime.
-func (k *Keeper) quiet(registered []platform.VM) bool {
+func (k *Keeper) quiet(registered []services.VM) bool {
 	now, list := k.cfg.Now(), sorted(registered)
 	if !slices.Equal(list, k.first) {
 		k.first, k.firstSince = list, now
@@ -191,7 +191,7 @@
 	return serves
 }
 
-func (k *Keeper) askOne(ctx context.Context, vm platform.VM) (uint64, error) {
+func (k *Keeper) askOne(ctx context.Context, vm services.VM) (uint64, error) {
 	if vm.ID == k.cfg.VM.ID {
 		return k.list.Load().Version, nil
 	}
--- a/internal/voters/list.go
+++ b/internal/voters/list.go
@@ -16,7 +16,7 @@
 
 	"github.com/juju/errors"
 
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 // List is one version of the list.
@@ -24,11 +24,11 @@
 	// Version counts the changes from 1; 0 is no list yet.
 	Version uint64
 	// VMs are in the order of their ids.
-	VMs []platform.VM
+	VMs []services.VM
 }
 
 func (l List) holds(id string) bool {
-	return slices.ContainsFunc(l.VMs, func(vm platform.VM) bool { return vm.ID == id })
+	return slices.ContainsFunc(l.VMs, func(vm services.VM) bool { return vm.ID == id })
 }
 
 func (l List) encode() ([]byte, error) {
@@ -44,12 +44,12 @@
 // Next returns the list that follows, given the registered holders of grants,
 // or false if nothing has to change. It takes away at most one VM, or adds one;
 // a list of which nobody is registered any more is replaced as a whole.
-func Next(present List, registered []platform.VM) (List, bool) {
+func Next(present List, registered []services.VM) (List, bool) {
 	next := List{Version: present.Version + 1}
-	remaining := slices.DeleteFunc(slices.Clone(present.VMs), func(vm platform.VM) bool {
+	remaining := slices.DeleteFunc(slices.Clone(present.VMs), func(vm services.VM) bool {
 		return !contains(registered, vm)
 	})
-	added := slices.DeleteFunc(sorted(registered), func(vm platform.VM) bool { return contains(present.VMs, vm) })
+	added := slices.DeleteFunc(sorted(registered), func(vm services.VM) bool { return contains(present.VMs, vm) })
 	switch {
 	case len(registered) == 0:
 		return present, false
@@ -65,29 +65,29 @@
 	return next, true
 }
 
-func withoutFirstMissing(list, registered []platform.VM) []platform.VM {
-	i := slices.IndexFunc(list, func(vm platform.VM) bool { return !contains(registered, vm) })
+func withoutFirstMissing(list, registered []services.VM) []services.VM {
+	i := slices.IndexFunc(list, func(vm services.VM) bool { return !contains(registered, vm) })
 	return slices.Delete(slices.Clone(list), i, i+1)
 }
 
 // contains compares the address too: a VM that was replaced under its old id
 // has another one.
-func contains(list []platform.VM, vm platform.VM) bool {
-	return slices.ContainsFunc(list, func(other platform.VM) bool {
+func contains(list []services.VM, vm services.VM) bool {
+	return slices.ContainsFunc(list, func(other services.VM) bool {
 		return other.ID == vm.ID && other.Address == vm.Address
 	})
 }
 
-func sorted(list []platform.VM) []platform.VM {
+func sorted(list []services.VM) []services.VM {
 	out := slices.Clone(list)
-	slices.SortFunc(out, func(a, b platform.VM) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(out, func(a, b services.VM) int { return cmp.Compare(a.ID, b.ID) })
 	return out
 }
 
 // settled reports whether a majority of the list serves under its version:
 // serves tells of the VMs that answered, registered of those whose grant has
 // not lapsed.
-func settled(l List, serves map[string]uint64, registered []platform.VM) bool {
+func settled(l List, serves map[string]uint64, registered []services.VM) bool {
 	n := 0
 	for _, vm := range l.VMs {
 		if serves[vm.ID] >= l.Version || !contains(registered, vm) {
--- a/internal/voters/voters_test.go
+++ b/internal/voters/voters_test.go
@@ -12,13 +12,13 @@
 	"pgregory.net/rapid"
 
 	"chicoryline/internal/errkind"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
-func vms(ids ...string) []platform.VM {
-	var list []platform.VM
+func vms(ids ...string) []services.VM {
+	var list []services.VM
 	for _, id := range ids {
-		list = append(list, platform.VM{ID: id, Address: "addr-" + id})
+		list = append(list, services.VM{ID: id, Address: "addr-" + id})
 	}
 	return list
 }
@@ -27,8 +27,8 @@
 	cases := []struct {
 		name       string
 		present    List
-		registered []platform.VM
-		want       []platform.VM
+		registered []services.VM
+		want       []services.VM
 		due        bool
 	}{
 		{"first list", List{}, vms("b", "a"), vms("a", "b"), true},
@@ -37,7 +37,7 @@
 		{"one added", List{1, vms("a", "b")}, vms("a", "b", "d", "c"), vms("a", "b", "c"), true},
 		{"all replaced", List{1, vms("a", "b")}, vms("x", "y"), vms("x", "y"), true},
 		{"nobody registered", List{1, vms("a", "b")}, nil, nil, false},
-		{"address used again", List{1, vms("a", "b")}, []platform.VM{{ID: "a", Address: "addr-a"}, {ID: "b", Address: "other"}}, vms("a"), true},
+		{"address used again", List{1, vms("a", "b")}, []services.VM{{ID: "a", Address: "addr-a"}, {ID: "b", Address: "other"}}, vms("a"), true},
 	}
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
@@ -58,7 +58,7 @@
 // VM that has not lapsed, unless nobody of the former list is left.
 func TestNeighboursMeet(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		pick := func(label string) []platform.VM {
+		pick := func(label string) []services.VM {
 			var ids []string
 			for i := range 7 {
 				if rapid.Bool().Draw(t, fmt.Sprintf("%s-%d", label, i)) {
@@ -107,7 +107,7 @@
 func TestChangeWaitsForMajority(t *testing.T) {
 	now := time.Unix(1000, 0)
 	clock := func() time.Time { return now }
-	table := platform.NewMemory(clock)
+	table := services.NewMemory(clock)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	l := link{keepers: map[string]*Keeper{}, cut: map[string]bool{}}
@@ -115,7 +115,7 @@
 	for _, vm := range vms("a", "b", "c", "d") {
 		l.keepers[vm.Address] = New(Config{
 			VM: vm, Table: table, Caller: l, Spacing: 4 * time.Second, Now: clock, Log: logrus.NewEntry(log),
-			Registered: func(context.Context) ([]platform.VM, error) { return registered, nil },
+			Registered: func(context.Context) ([]services.VM, error) { return registered, nil },
 		})
 	}
 	a, d := l.keepers["addr-a"], l.keepers["addr-d"]
--- a/test/blackbox/harness_test.go
+++ b/test/blackbox/harness_test.go
@@ -27,7 +27,7 @@
 	"chicoryline/internal/backend"
 	"chicoryline/internal/catalog"
 	"chicoryline/internal/configsync"
-	"chicoryline/internal/platform"
+	"chicoryline/internal/services"
 )
 
 const (
@@ -52,8 +52,8 @@
 	binary   string
 	dir      string
 	platform string
-	services *platform.Client
-	groups   []platform.Group
+	services *services.Client
+	groups   []services.Group
 	keys     map[string]string
 
 	instances map[string]*process
@@ -201,10 +201,10 @@
 
 func (in *installation) startInstances(s spec) {
 	for g := range s.groups {
-		group := platform.Group{Name: fmt.Sprintf("group%d", g+1), Connections: 35, Slots: 5}
+		group := services.Group{Name: fmt.Sprintf("group%d", g+1), Connections: 35, Slots: 5}
 		for i := range s.instances {
 			id := fmt.Sprintf("%s-db%d", group.Name, i+1)
-			group.Instances = append(group.Instances, platform.Instance{ID: id, Address: freeAddress(in.t), Domain: domain(g+i, s.domains)})
+			group.Instances = append(group.Instances, services.Instance{ID: id, Address: freeAddress(in.t), Domain: domain(g+i, s.domains)})
 		}
 		for i := range group.Instances {
 			in.startInstance(group, i)
@@ -213,7 +213,7 @@
 	}
 }
 
-func (in *installation) startInstance(group platform.Group, i int) {
+func (in *installation) startInstance(group services.Group, i int) {
 	instance := group.Instances[i]
 	in.admins[instance.ID] = freeAddress(in.t)
 	args := []string{"standin", "instance", "--id", instance.ID, "--group", group.Name, "--failure-domain", instance.Domain,
@@ -242,7 +242,7 @@
 	}
 	_, said := in.start("platform", "standin", "platform", "--groups", path, "--list-lag", "200ms")
 	in.platform = said["platform"]
-	in.services, err = platform.NewClient([]string{in.platform}, platform.VM{ID: "operator"})
+	in.services, err = services.NewClient([]string{in.platform}, services.VM{ID: "operator"})
 	if err != nil {
 		in.t.Fatal(err)
 	}
@@ -349,7 +349,7 @@
 }
 
 // instance describes the backend server.
-func (in *installation) instance(id string) platform.Instance {
+func (in *installation) instance(id string) services.Instance {
 	in.t.Helper()
 	for _, g := range in.groups {
 		for _, i := range g.Instances {
@@ -359,7 +359,7 @@
 		}
 	}
 	in.t.Fatalf("no instance %s", id)
-	return platform.Instance{}
+	return services.Instance{}
 }
 
 // status asks an instance for its status past the proxies.
