Rates of large fleets: each round gives out a part of the window's room; explain

Cause of the refusals: a small customer uses 40 VMs at 0.2 operations a second each, a split cannot give each a whole token. Open: tokens asked for at a home VM.

--- a/cmd/chicoryline/commands.go
+++ b/cmd/chicoryline/commands.go
@@ -5,6 +5,7 @@
 	return []command{
 		{"serve", "run one proxy process", "Runs one proxy process until SIGINT or SIGTERM, which begin a planned stop.", &serveCommand{}},
 		{"entry", "run one process on the users' platform", "Serves callers on the users' platform. The settings file is the one that the environment names; SIGINT or SIGTERM begin a planned stop.", &entryCommand{}},
+		{"explain", "tell why a request was not served", "Merges logs, follows the request with the id and prints its way and the cause. Exit status 1: no log names it.", &explainCommand{}},
 		{"check", "check a settings file", "Checks a settings file whole and reports every fault with section, key and line.", &checkCommand{}},
 		{"patch", "submit a patch of the configuration", "Submits a patch that is based on a numbered version. It ends in force, refused or unknown.", &patchCommand{}},
 		{"config", "show or release the configuration", "Shows the configuration in force or its history, or releases a failure domain.", &configCommand{}},
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -420,7 +420,11 @@
 	if e.mesh != nil {
 		heard, all = e.mesh.Heard()
 	}
-	e.limiter.SetFleet(heard+1, all+1)
+	rounds := 2 // the others' last reports may not be in yet
+	if e.mesh != nil && e.mesh.Cells() > 1 {
+		rounds = 4 // to the leader of the cell, to the other leaders, to their cells
+	}
+	e.limiter.SetFleet(heard+1, all+1, rounds)
 	c := e.view.Config()
 	if c == nil {
 		return
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,144 @@
+// Package explain follows one request through the logs of all processes and tells
+// why it was not served.
+package explain
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/juju/errors"
+)
+
+// Line is one log line.
+type Line struct {
+	Source string // name of the log
+	Number int    // in its log, from 1
+	Text   string
+	Fields map[string]string
+}
+
+// maxLine bounds one log line, in bytes.
+const maxLine = 1 << 20
+
+// Read reads a log. What stands before the first field, and lines without fields,
+// are passed over.
+func Read(source string, r io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 64<<10), maxLine)
+	for n := 1; scanner.Scan(); n++ {
+		text := scanner.Text()
+		if i := strings.Index(text, "time="); i >= 0 {
+			text = text[i:]
+		}
+		if fields := parse(text); fields["event"] != "" {
+			lines = append(lines, Line{Source: source, Number: n, Text: text, Fields: fields})
+		}
+	}
+	return lines, errors.Annotate(scanner.Err(), source)
+}
+
+// parse reads key=value fields; values with blanks are quoted.
+func parse(text string) map[string]string {
+	fields := map[string]string{}
+	for text != "" {
+		text = strings.TrimLeft(text, " ")
+		key, rest, ok := strings.Cut(text, "=")
+		if !ok || strings.ContainsAny(key, " \"") {
+			_, text, _ = strings.Cut(text, " ")
+			continue
+		}
+		var value string
+		value, text = cutValue(rest)
+		fields[key] = value
+	}
+	return fields
+}
+
+func cutValue(text string) (value, rest string) {
+	if !strings.HasPrefix(text, `"`) {
+		value, rest, _ = strings.Cut(text, " ")
+		return value, rest
+	}
+	for i := 1; i < len(text); i++ {
+		switch text[i] {
+		case '\\':
+			i++
+		case '"':
+			return strings.NewReplacer(`\"`, `"`, `\\`, `\`).Replace(text[1:i]), text[i+1:]
+		}
+	}
+	return text[1:], ""
+}
+
+// Report is what the logs say of a request.
+type Report struct {
+	// Way is the lines of the request and those that changed what its process
+	// believed before, in the order of causes: a process's own lines in the order in
+	// which it wrote them, those of other processes before the line that rests on
+	// them. Times of day of different VMs are not compared.
+	Way []Line
+	// Cause is one sentence.
+	Cause string
+}
+
+// contextLines is how many lines of each kind are shown from before the request.
+const contextLines = 2
+
+// Find follows the request. It is an error if no log names it.
+func Find(id string, lines []Line) (Report, error) {
+	var r Report
+	for i, l := range lines {
+		if l.Fields["event"] != "statement" || l.Fields["id"] != id {
+			continue
+		}
+		r.Way = append(r.Way, context(lines, i)...)
+		r.Way = append(r.Way, l)
+		r.Cause = cause(l)
+	}
+	if len(r.Way) == 0 {
+		return r, errors.NotFoundf("request %q in the logs", id)
+	}
+	return r, nil
+}
+
+// context returns what the process of line i, and the stewards of its group, had
+// decided before.
+func context(lines []Line, i int) []Line {
+	l := lines[i]
+	var own, others []Line
+	seen := map[string]int{}
+	for j := i - 1; j >= 0; j-- {
+		o := lines[j]
+		event := o.Fields["event"]
+		if o.Source != l.Source || o.Fields["vm"] != l.Fields["vm"] || event == "statement" || seen[event] >= contextLines {
+			continue
+		}
+		if g := o.Fields["group"]; g != "" && g != l.Fields["group"] {
+			continue
+		}
+		seen[event]++
+		own = append([]Line{o}, own...)
+	}
+	for _, o := range lines {
+		if o.Fields["event"] == "failover" && o.Fields["group"] == l.Fields["group"] && o.Fields["vm"] != l.Fields["vm"] {
+			others = append(others, o)
+		}
+	}
+	if len(others) > 3*contextLines {
+		others = others[len(others)-3*contextLines:]
+	}
+	return append(others, own...)
+}
+
+// cause puts the decision of a line into a sentence.
+func cause(l Line) string {
+	f := l.Fields
+	if f["kind"] == "" {
+		return fmt.Sprintf("served by %s after %s ms", f["vm"], f["took_ms"])
+	}
+	return fmt.Sprintf("%s: %s (decided by %s after %s ms, configuration %s known to be the newest %s ms before)",
+		f["kind"], f["cause"], f["vm"], f["took_ms"], f["config_version"], f["config_age_ms"])
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,72 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const vm1 = `   1.2 vm1 time="2026-01-12T10:39:30.000Z" level=info msg=changed event=primary group=g backend_server=a vm=vm1
+time="2026-01-12T10:39:29.000Z" level=info msg=changed event=primary group=other backend_server=x vm=vm1
+noise without fields
+time="2026-01-12T10:39:01.000Z" level=warning msg="not served" event=statement id=r1 group=g vm=vm1 kind=no_primary cause="group \"g\"; retry after 1500 ms" took_ms=3 config_version=7 config_age_ms=120
+time="2026-01-12T10:39:02.000Z" level=info msg=served event=statement id=r2 group=g vm=vm1 took_ms=9
+`
+
+const vm2 = `time="2026-01-12T11:00:00.000Z" level=info msg="lease taken" event=failover group=g token=3 vm=vm2
+`
+
+func all(t *testing.T) []Line {
+	t.Helper()
+	var lines []Line
+	for name, text := range map[string]string{"1": vm1, "2": vm2} {
+		l, err := Read(name, strings.NewReader(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, l...)
+	}
+	return lines
+}
+
+// The steward's clock is ahead; its line still comes before the refusal that rests
+// on it, and lines of the process stay in their order though its clock stepped back.
+func TestWayIsInTheOrderOfCauses(t *testing.T) {
+	r, err := Find("r1", all(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var events []string
+	for _, l := range r.Way {
+		events = append(events, l.Fields["event"]+" "+l.Fields["vm"])
+	}
+	if diff := cmp.Diff([]string{"failover vm2", "primary vm1", "statement vm1"}, events); diff != "" {
+		t.Error(diff)
+	}
+	want := `no_primary: group "g"; retry after 1500 ms (decided by vm1 after 3 ms, configuration 7 known to be the newest 120 ms before)`
+	if r.Cause != want {
+		t.Errorf("cause %q", r.Cause)
+	}
+}
+
+func TestServedAndUnknownRequests(t *testing.T) {
+	r, err := Find("r2", all(t))
+	if err != nil || r.Cause != "served by vm1 after 9 ms" {
+		t.Errorf("%q, %v", r.Cause, err)
+	}
+	if _, err := Find("r3", all(t)); err == nil {
+		t.Error("an unknown request is explained")
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(vm1)
+	f.Fuzz(func(t *testing.T, text string) {
+		for key := range parse(text) {
+			if strings.Contains(key, " ") {
+				t.Errorf("key %q", key)
+			}
+		}
+	})
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -25,7 +25,11 @@
 	demandDecay = time.Second
 	// demandFloor is the part of an even share that a VM without demand counts
 	// with, so that its first operations find tokens.
-	demandFloor = 0.3
+	demandFloor = 0.2
+	// capacity of a bucket, in bursts. The window bounds what a customer may take; the
+	// bucket only spreads it, and unused tokens of a small customer have to be enough
+	// for whole ones on each of the VMs that it uses.
+	capacity = 2.5
 	// reportedDemand is the demand, in operations per second, below which a customer
 	// is left out of reports; it is reached some seconds after the last operation.
 	reportedDemand = 0.02
@@ -56,7 +60,8 @@
 	wanted    float64 // since demandAt
 	demand    float64
 	demandAt  boottime.Time
-	allowance float64 // own operations until the next report
+	allowance float64 // own operations until the next renewal
+	renewed   boottime.Time
 	peers     map[string]Usage
 }
 
@@ -67,23 +72,23 @@
 
 	mu      sync.Mutex
 	buckets map[string]*bucket
-	known   map[string]bool // sources that have reported
-	heard   int             // VMs in touch, this one included
-	members int             // VMs that may serve
+	heard   int // VMs in touch, this one included
+	members int // VMs that may serve
+	rounds  int // of reports until a count has reached all VMs
 }
 
 // New returns a limiter over windows of the length. Buckets start empty: what was
 // taken before a restart is not known.
 func New(now func() boottime.Time, window time.Duration) *Limiter {
-	return &Limiter{now: now, window: window, buckets: map[string]*bucket{}, known: map[string]bool{}, heard: 1, members: 1}
+	return &Limiter{now: now, window: window, buckets: map[string]*bucket{}, heard: 1, members: 1, rounds: 1}
 }
 
-// SetFleet tells how many VMs may serve and how many of them are in touch, this
-// one included.
-func (l *Limiter) SetFleet(heard, members int) {
+// SetFleet tells how many VMs may serve, how many of them are in touch, this one
+// included, and in how many rounds of reports a count reaches all of them.
+func (l *Limiter) SetFleet(heard, members, rounds int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.heard, l.members = max(heard, 1), max(members, heard, 1)
+	l.heard, l.members, l.rounds = max(heard, 1), max(members, heard, 1), max(rounds, 1)
 }
 
 // Configure takes the customers' limits.
@@ -138,7 +143,7 @@
 	passed := now.Sub(b.filled).Seconds()
 	b.filled = now
 	gain := passed * l.pace(b)
-	b.tokens = min(b.tokens+gain, b.customer.Burst*l.part())
+	b.tokens = min(b.tokens+gain, capacity*b.customer.Burst*l.part())
 	b.allowance += gain * l.share(b)
 	if age := now.Sub(b.demandAt); age >= reportInterval {
 		weight := min(1, age.Seconds()/demandDecay.Seconds())
@@ -157,24 +162,32 @@
 	return (b.customer.Rate*l.window.Seconds()+b.customer.Burst)*l.part() - b.recent.sum
 }
 
-// share is this VM's part of the demand of the VMs in touch.
+// share is this VM's part of the demand of the VMs in touch. Those that have not
+// reported the customer count with a small demand: a flood may begin at all at once.
 func (l *Limiter) share(b *bucket) float64 {
-	total, floor := b.demand, demandFloor*b.customer.Rate/float64(l.members)
+	floor := demandFloor * b.customer.Rate / float64(l.members)
+	own := max(b.demand, floor)
+	total := own + floor*float64(max(0, l.heard-1-len(b.peers)))
 	for _, p := range b.peers {
 		total += max(float64(p.Demand), floor)
 	}
-	total += max(0, floor-b.demand)
 	if total <= 0 {
 		return 1 / float64(l.heard)
 	}
-	return max(b.demand, floor) / total
+	return own / total
 }
 
-// fullAllowance is what this VM may take of the tokens that are there until the
-// next report: its share, one at least. Tokens that come meanwhile are added as
-// they come.
-func (l *Limiter) fullAllowance(b *bucket) float64 {
-	return max(1, l.share(b)*min(max(b.tokens, 0), l.room(b)))
+// renew gives this VM its share of the tokens that are there until its next report.
+// As long as a report takes to reach all VMs, each gives the same tokens out again,
+// so each time only a part of what the window still allows is given. A fraction of a
+// token is kept, so that a VM with a small share comes to a whole one.
+func (l *Limiter) renew(b *bucket, now boottime.Time) {
+	if now.Sub(b.renewed) < reportInterval/2 {
+		return
+	}
+	b.renewed = now
+	free := max(0, min(b.tokens, l.room(b)/float64(l.rounds)))
+	b.allowance = min(b.allowance, 1) + l.share(b)*free
 }
 
 // Admit takes one operation, or tells when there is room for one.
@@ -204,7 +217,7 @@
 	report := make(map[string]Usage, len(l.buckets))
 	for name, b := range l.buckets {
 		l.fill(b)
-		b.allowance = l.fullAllowance(b)
+		l.renew(b, l.now())
 		if b.demand > reportedDemand {
 			report[name] = Usage{Taken: b.taken, Demand: float32(b.demand)}
 		}
@@ -212,14 +225,12 @@
 	return report
 }
 
-// Hear takes the report of another VM. Its first report only sets the base; a count
-// that went down began anew at zero. Of a customer that the VM did not report
-// before, what its present demand accounts for is counted.
+// Hear takes the report of another VM. A count that went down began anew at zero.
+// Of a customer that the VM did not report before, what its present demand accounts
+// for is counted.
 func (l *Limiter) Hear(vm string, usage map[string]Usage) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	known := l.known[vm]
-	l.known[vm] = true
 	for name, u := range usage {
 		b, ok := l.buckets[name]
 		if !ok {
@@ -232,7 +243,7 @@
 			taken = float64(u.Taken - last.Taken)
 		case reported:
 			taken = float64(u.Taken)
-		case known:
+		default:
 			taken = min(float64(u.Taken), float64(u.Demand)*(demandDecay+2*reportInterval).Seconds())
 		}
 		l.fill(b)
@@ -246,7 +257,6 @@
 func (l *Limiter) Forget(vm string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.known, vm)
 	for _, b := range l.buckets {
 		delete(b.peers, vm)
 	}
--- a/internal/ratelimit/ratelimit_test.go
+++ b/internal/ratelimit/ratelimit_test.go
@@ -13,6 +13,9 @@
 
 const window = 5 * time.Second
 
+// overage and slack are what the platform's rules tolerate beyond a limit.
+const overage, slack = 0.1, 20
+
 // fleet is VMs with a common clock that exchange reports at the interval.
 type fleet struct {
 	now      boottime.Time
@@ -29,7 +32,7 @@
 	for range n {
 		l := New(func() boottime.Time { return f.now }, window)
 		l.Configure(map[string]access.Customer{c.Name: c})
-		l.SetFleet(1, n) // until the first reports come
+		l.SetFleet(1, n, 2) // until the first reports come
 		f.vms = append(f.vms, l)
 	}
 	return f
@@ -79,7 +82,7 @@
 				heard++
 			}
 		}
-		l.SetFleet(heard, len(f.vms))
+		l.SetFleet(heard, len(f.vms), 2)
 	}
 }
 
@@ -104,7 +107,9 @@
 }
 
 // bound is what the platform's rules allow in a window.
-func bound(c access.Customer) float64 { return (c.Rate*window.Seconds()+c.Burst)*1.1 + 20 }
+func bound(c access.Customer) float64 {
+	return (c.Rate*window.Seconds()+c.Burst)*(1+overage) + slack
+}
 
 // One customer asks for several times its rate, on all VMs and unevenly.
 func TestFloodStaysWithinTheWindow(t *testing.T) {
@@ -175,7 +180,7 @@
 	for i := range f.vms {
 		f.vms[i] = New(func() boottime.Time { return f.now }, window)
 		f.vms[i].Configure(map[string]access.Customer{c.Name: c})
-		f.vms[i].SetFleet(1, len(f.vms))
+		f.vms[i].SetFleet(1, len(f.vms), 2)
 	}
 	flood(400)
 	if got := f.most(); float64(got) > bound(c) {
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -209,6 +209,8 @@
 grace_s = 6
 drain_ms = 7000
 quota_window_s = 5
+quota_overage = 0.1
+quota_slack = 20
 [platform]
 address = %q
 [cloud]
