Rates of large fleets are admitted at a home VM

Change: the first VMs of cells are homes by rendezvous hashing and admit operations over net/rpc; a home that does not answer within 80 ms leaves the VM its own share. Fleets of one cell are as before.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -24,9 +24,11 @@
 	"chicoryline/internal/coord"
 	"chicoryline/internal/dispatch"
 	"chicoryline/internal/mesh"
+	"chicoryline/internal/peer"
 	"chicoryline/internal/ratelimit"
 	"chicoryline/internal/session"
 	"chicoryline/internal/steward"
+	"chicoryline/internal/timeline"
 )
 
 // Settings is what a process learns at its start.
@@ -122,6 +124,7 @@
 	core     *session.Core
 	observer *observer
 	steward  *steward.Steward
+	clock    *timeline.Clock
 	ready    atomic.Bool
 	leaving  atomic.Bool
 
@@ -148,8 +151,10 @@
 		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
 		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
 		observer: newObserver(log),
+		clock:    timeline.NewClock(time.Now),
 	}
-	e.core = &session.Core{Access: e.view, Limiter: e.limiter, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
+	homes := ratelimit.NewHomes(e.limiter, peer.NewClient(e.clock, nil, nil), e.rateHome, log)
+	e.core = &session.Core{Access: e.view, Limiter: homes, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
 	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, Log: log})
 	e.view.OnChange(e.configure)
 	return e
@@ -173,6 +178,15 @@
 	if err != nil {
 		return err
 	}
+	peerListener, err := net.Listen("tcp4", net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)))
+	if err != nil {
+		return err
+	}
+	peers, err := e.servePeers(peerListener)
+	if err != nil {
+		return err
+	}
+	defer peers.Close()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
 	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, Lost: e.forget, Log: e.log})
@@ -369,7 +383,7 @@
 		if r.Deleted {
 			delete(e.members, r.Key)
 		} else if err := json.Unmarshal(r.Value, &m); err != nil {
-			e.log.WithError(err).WithFields(logrus.Fields{"event": "member", "vm": r.Key}).Warn("row was not read")
+			e.log.WithError(err).WithFields(logrus.Fields{"event": "member", "member": r.Key}).Warn("row was not read")
 		} else {
 			e.members[r.Key] = m
 		}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -18,6 +18,7 @@
 	"context"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -82,6 +83,8 @@
 	// Source names the VM that made the digest, with its incarnation: counts of two
 	// sources are not comparable.
 	Source string
+	// Leader is the VM that made the digest.
+	Leader string
 	// Members is the number of VMs that the source counts as in touch.
 	Members int
 	// Held is how long ago the digest was made, in milliseconds.
@@ -174,7 +177,7 @@
 	for _, p := range list {
 		address, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
-			m.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "member", "vm": p.VM}).Warn("address is not valid")
+			m.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "member", "member": p.VM}).Warn("address is not valid")
 			continue
 		}
 		if p.VM == m.cfg.VM {
@@ -236,6 +239,21 @@
 	return m.leader(boottime.Now()) == m.cfg.VM
 }
 
+// Leaders returns the first VMs in touch of all cells in touch, sorted.
+func (m *Mesh) Leaders() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	list := []string{m.leader(now)}
+	for _, d := range m.digests {
+		if now.Sub(d.at) < digestTime {
+			list = append(list, d.Leader)
+		}
+	}
+	slices.Sort(list)
+	return list
+}
+
 // Cells returns the number of cells.
 func (m *Mesh) Cells() int {
 	m.mu.Lock()
@@ -310,7 +328,7 @@
 	m.round++
 	m.mu.Unlock()
 	for _, source := range lost {
-		m.cfg.Log.WithFields(logrus.Fields{"event": "member", "vm": source, "silent_ms": HeardTime.Milliseconds()}).Warn("lost")
+		m.cfg.Log.WithFields(logrus.Fields{"event": "member", "member": source, "silent_ms": HeardTime.Milliseconds()}).Warn("lost")
 		m.cfg.Lost(source)
 	}
 	m.send(inside, &news, relayed)
--- /dev/null
+++ b/internal/ratelimit/home.go
@@ -0,0 +1,114 @@
+package ratelimit
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/peer"
+)
+
+const (
+	// askTimeout bounds a call to a home: several round trips between failure
+	// domains.
+	askTimeout = 80 * time.Millisecond
+	// avoidTime is how long a home that did not answer is not asked.
+	avoidTime = time.Second
+)
+
+// AskArgs names the customer of one operation.
+type AskArgs struct{ Customer string }
+
+// AskReply tells whether it is admitted or when there is room. Known is false if
+// the home does not hold the customer.
+type AskReply struct {
+	Known, Admitted bool
+	RetryAfter      time.Duration
+}
+
+// Service is the net/rpc face of a limiter, registered as "Rate".
+type Service struct{ limiter *Limiter }
+
+// NewService returns the service.
+func NewService(l *Limiter) *Service { return &Service{l} }
+
+// Ask admits one operation of a customer whose home this VM is.
+func (s *Service) Ask(args *AskArgs, reply *AskReply) error {
+	c, known := s.limiter.customer(args.Customer)
+	if reply.Known = known; known {
+		reply.RetryAfter, reply.Admitted = s.limiter.Admit(c)
+	}
+	return nil
+}
+
+// customer returns the limits that are configured for the name.
+func (l *Limiter) customer(name string) (access.Customer, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[name]
+	if b == nil {
+		return access.Customer{}, false
+	}
+	return b.customer, true
+}
+
+// Homes admits operations at the customer's home VM.
+//
+// Load pattern: in a large fleet a small customer's operations come to dozens of VMs,
+// each too few for a whole token of its own. At one VM they are as even as the
+// customer's rate. Without an answer the VM's own share decides. The mutex guards
+// avoided.
+type Homes struct {
+	local *Limiter
+	calls peer.Caller
+	// find returns the home's address; it is false if this VM decides by itself.
+	find func(customer string) (address string, remote bool)
+	log  *logrus.Entry
+
+	mu      sync.Mutex
+	avoided map[string]boottime.Time
+}
+
+// NewHomes returns an admission that asks the homes that find names.
+func NewHomes(local *Limiter, calls peer.Caller, find func(string) (string, bool), log *logrus.Entry) *Homes {
+	return &Homes{local: local, calls: calls, find: find, log: log, avoided: map[string]boottime.Time{}}
+}
+
+// Admit takes one operation, or tells when there is room for one.
+func (h *Homes) Admit(c access.Customer) (time.Duration, bool) {
+	address, remote := h.find(c.Name)
+	if !remote || h.isAvoided(address) {
+		return h.local.Admit(c)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), askTimeout)
+	defer cancel()
+	var reply AskReply
+	err := h.calls.Call(ctx, address, "Rate.Ask", &AskArgs{c.Name}, &reply)
+	if err != nil {
+		h.avoid(address, err)
+	}
+	if err != nil || !reply.Known {
+		return h.local.Admit(c)
+	}
+	return reply.RetryAfter, reply.Admitted
+}
+
+func (h *Homes) isAvoided(address string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return boottime.Now() < h.avoided[address]
+}
+
+func (h *Homes) avoid(address string, err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	now := boottime.Now()
+	if now >= h.avoided[address] {
+		h.log.WithError(err).WithFields(logrus.Fields{"event": "rate_home", "address": address}).Warn("no answer")
+	}
+	h.avoided[address] = now.Add(avoidTime)
+}
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -156,7 +156,9 @@
 	if err != nil {
 		return false
 	}
-	if a.Code == "" {
+	if a.Code == "" && len(a.Rows) != 1 {
+		c.run.ledger.problem("read %s is answered with success and %d rows", id, len(a.Rows))
+	} else if a.Code == "" {
 		got, _ := strconv.Atoi(a.Rows[0]) // an empty row is 0
 		if got < least {
 			c.run.ledger.problem("read %s of %s on a %s route shows %d, %d was acknowledged before", id, item, route, got, least)
--- a/soak/run.go
+++ b/soak/run.go
@@ -84,6 +84,8 @@
 	cmd := exec.Command(p.run.options.Program, "entry")
 	cmd.Env = append(os.Environ(), "CHICORYLINE_CONFIG="+path)
 	cmd.Stdout, cmd.Stderr = out, out
+	// The process ends with the soak, also when that is ended by force.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
