Replicas stay paused until the promoted server leads

Ruled out: a replica that the steward did not know (four were paused or chosen). Test: TestReplicasStayPausedUntilTheTargetLeads fails before. An earlier order that may still be carried out keeps all but its target paused.

--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -174,7 +174,11 @@
 	log.WithField("backend_server", target).Info("promoted")
 	t.Done(target)
 	err = s.finish(ctx, lease)
-	s.resume(replicas, target)
+	if s.leads(ctx, replicas, target) {
+		s.resume(replicas, target)
+	} else {
+		log.WithField("backend_server", target).Warn("promoted server does not lead; the others stay paused")
+	}
 	return err
 }
 
@@ -187,6 +191,9 @@
 	record   record
 	version  uint64
 	previous string
+	// pending is the server that an unfinished change has ordered to lead; the order
+	// may still be carried out.
+	pending string
 }
 
 // claim takes the group's row with the next token.
@@ -200,7 +207,10 @@
 	}
 	l := &lease{group: group, version: version, previous: old.Holder}
 	l.record = record{Holder: s.cfg.VM, Token: old.Token, Active: true}
-	return l, s.advance(ctx, l, "")
+	if old.Active {
+		l.pending = old.Target
+	}
+	return l, s.advance(ctx, l, l.pending)
 }
 
 // sight returns how long ago the version of a group's row was first seen.
@@ -450,6 +460,24 @@
 	}
 }
 
+// leads waits until the target leads. Until then the old primary may go on, and a
+// replica that receives again could let it acknowledge what the target lacks.
+func (s *Steward) leads(ctx context.Context, replicas []*replica, target string) bool {
+	for _, r := range replicas {
+		if r.ID != target {
+			continue
+		}
+		for ctx.Err() == nil {
+			status, err := s.cfg.Control.Status(r.conn, controlWait)
+			if err == nil && status.Primary {
+				return true
+			}
+			time.Sleep(pollPause)
+		}
+	}
+	return false
+}
+
 // resume lets the other replicas receive again.
 func (s *Steward) resume(replicas []*replica, target string) {
 	for _, r := range replicas {
@@ -462,9 +490,18 @@
 	}
 }
 
-// giveUp ends an attempt that has ordered nothing: the replicas receive again,
-// unless an earlier steward's order may still be carried out.
+// giveUp ends an attempt that has ordered nothing: the replicas receive again. If an
+// earlier order may still be carried out, only the server that it names does, and
+// the change stays unfinished.
 func (s *Steward) giveUp(ctx context.Context, l *lease, replicas []*replica, cause error) error {
+	if l.pending != "" {
+		for _, r := range replicas {
+			if r.ID == l.pending && r.Paused {
+				s.resume([]*replica{r}, "")
+			}
+		}
+		return cause
+	}
 	s.resume(replicas, "")
 	l.record.Target = ""
 	if err := s.finish(ctx, l); err != nil {
