--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -61,11 +61,11 @@
 	memberProofAge = 3000 * time.Millisecond
 	proofSpread    = 600 * time.Millisecond
 	// tableWait is how long one watch of a table waits for a change.
-	tableWait = 25 * time.Second
+	tableWait = 29 * time.Second
 	// serverPause gathers the changes of backend servers that start or leave together.
 	serverPause = 250 * time.Millisecond
 	// memberPause gathers the changes of many VMs that start together.
-	memberPause = 1500 * time.Millisecond
+	memberPause = 3 * time.Second
 	// storeTimeout bounds a call of the store beyond its wait: 4 ms an answer, 60
 	// times that when the store is slow.
 	storeTimeout = 800 * time.Millisecond
