--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -47,7 +47,7 @@
 		if p := m.peers[vm]; p != nil && p.news != nil && m.inTouch(vm, now) {
 			d.Members++
 			if p.since != 0 {
-				d.News.add(*p.news, now.Sub(p.since).Milliseconds())
+				d.News.add(*p.news, now.Sub(p.since).Milliseconds()+1)
 			}
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -302,39 +302,47 @@
 func (p *peerState) target() target { return target{p.address, p.sent, p.incarnation} }
 
 // sendAll sends news to the own cell and, from its leader, a digest to the others.
+// The stamps to return are taken before the news are composed: ages count from them.
 func (m *Mesh) sendAll(urgent bool) {
-	news := m.cfg.Compose()
-	news.Urgent = urgent
-	now := boottime.Now()
 	m.mu.Lock()
+	now := boottime.Now()
 	lost := m.dropSilent(now)
+	leads := m.leader(now) == m.cfg.VM
 	var inside, outside []target
 	for _, vm := range m.cells[m.own].vms {
 		if p := m.peers[vm]; p != nil {
 			inside = append(inside, p.target())
 		}
 	}
-	leads := m.leader(now) == m.cfg.VM
-	m.tally.take(m.cfg.VM, news.Usage)
-	var digest Digest
 	if leads && len(m.cells) > 1 {
-		digest = m.digest(news, now)
 		outside = m.otherLeaders(now)
 	}
-	var relayed []Digest
-	if leads {
-		relayed = m.relayed(now)
-	}
 	m.round++
 	m.mu.Unlock()
 	for _, source := range lost {
 		m.cfg.Log.WithFields(logrus.Fields{"event": "member", "member": source, "silent_ms": HeardTime.Milliseconds()}).Warn("lost")
 		m.cfg.Lost(source)
 	}
+	news := m.cfg.Compose()
+	news.Urgent = urgent
+	digest, relayed := m.sumUp(news, leads)
 	m.send(inside, &news, relayed)
 	m.send(outside, nil, []Digest{digest})
 }
 
+// sumUp returns the digest of the own cell and, for a leader, those to pass on
+// into it.
+func (m *Mesh) sumUp(news News, leads bool) (Digest, []Digest) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.tally.take(m.cfg.VM, news.Usage)
+	if !leads {
+		return Digest{}, nil
+	}
+	now := boottime.Now()
+	return m.digest(news, now), m.relayed(now)
+}
+
 // dropSilent forgets what silent VMs and cells said, and returns their names. The
 // mutex is held.
 func (m *Mesh) dropSilent(now boottime.Time) []string {
--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -27,6 +27,9 @@
 	rows      []string
 	signature string
 	code      string
+	// position is that of a commit; it stays true if the server loses the lead before
+	// it has answered.
+	position string
 }
 
 func (c *conn) run(full bool) {
@@ -105,7 +108,11 @@
 		}
 		b.WriteString("COMPLETE " + a.signature + "\r\n")
 	}
-	b.WriteString("READY " + string(rune(c.state)) + " " + c.position() + "\r\n")
+	at := a.position
+	if at == "" {
+		at = c.position()
+	}
+	b.WriteString("READY " + string(rune(c.state)) + " " + at + "\r\n")
 	_, _ = c.net.Write([]byte(b.String()))
 }
 
@@ -231,14 +238,14 @@
 
 // finish commits the writes. A commit that no replica receives gets no answer.
 func (c *conn) finish(writes []Write, sign string) answer {
-	_, led, acked := c.server.group.commit(c.server, writes)
+	at, led, acked := c.server.group.commit(c.server, writes)
 	switch {
 	case !led:
 		return answer{code: "READONLY"}
 	case !acked:
 		return answer{code: "LOST"}
 	}
-	return c.lose(answer{signature: sign})
+	return c.lose(answer{signature: sign, position: at})
 }
 
 // lose drops the answer if the fault says so.
