--- a/internal/standin/lineclient/lineclient.go
+++ b/internal/standin/lineclient/lineclient.go
@@ -28,6 +28,15 @@
 	State     string
 }
 
+// IsPromise reports whether the code says that nothing of the request is kept.
+func (a Answer) IsPromise() bool {
+	switch a.Code {
+	case "BUSY", "ABORTED", "LAGGING", "READONLY", "MOVED", "CONNLIMIT":
+		return true
+	}
+	return false
+}
+
 // Refused is the refusal of a session.
 type Refused struct{ Code string }
 
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -11,9 +11,6 @@
 	"chicoryline/internal/standin/lineclient"
 )
 
-// promises are the codes that say that nothing of a request is kept.
-var promises = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MOVED": true, "CONNLIMIT": true}
-
 const (
 	exchangeTime = 4 * time.Second
 	callerPause  = 15 * time.Millisecond
@@ -123,7 +120,7 @@
 	if err != nil {
 		return false
 	}
-	if promises[a.Code] {
+	if a.IsPromise() {
 		c.deny(id)
 	}
 	if a.Code == "" {
--- a/soak/run.go
+++ b/soak/run.go
@@ -15,6 +15,7 @@
 	"chicoryline/internal/standin/lineclient"
 	"chicoryline/internal/standin/linegroup"
 	"chicoryline/internal/standin/world"
+	"chicoryline/platform"
 )
 
 const (
@@ -82,7 +83,7 @@
 	}
 	defer out.Close()
 	cmd := exec.Command(p.run.options.Program, "entry")
-	cmd.Env = append(os.Environ(), "CHICORYLINE_CONFIG="+path)
+	cmd.Env = append(os.Environ(), platform.SettingsVariable+"="+path)
 	cmd.Stdout, cmd.Stderr = out, out
 	// The process ends with the soak, also when that is ended by force.
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -20,9 +20,6 @@
 	denied []string
 }
 
-// promises are the codes that say that nothing is kept.
-var promises = map[string]bool{"BUSY": true, "ABORTED": true, "LAGGING": true, "READONLY": true, "MOVED": true, "CONNLIMIT": true}
-
 func (f *fleet) write(vm, n int, stop *atomic.Bool) *writer {
 	w := &writer{}
 	for i := 0; !stop.Load(); i++ {
@@ -39,7 +36,7 @@
 			}
 			if a.Code == "" {
 				w.acked = append(w.acked, id)
-			} else if promises[a.Code] {
+			} else if a.IsPromise() {
 				w.denied = append(w.denied, id)
 				time.Sleep(20 * time.Millisecond)
 			}
@@ -308,7 +305,7 @@
 			for !stop.Load() {
 				if a, err := c.Query(f.id(), "READ x"); err != nil {
 					return // closed between two requests
-				} else if a.Code != "" && !promises[a.Code] {
+				} else if a.Code != "" && !a.IsPromise() {
 					broken.Add(1)
 				}
 			}
