Tables of the store are read from the VM that acts for the cell

Ruled out: longer waits alone (changes return them anyway); the leaders' questions for proofs (0.8 a second each).

Change: a follower reads from the cell's leader (net/rpc, copies with versions) and from the store only if there is none, or if it has lost the store. What another VM says is no proof of freshness; those come by news as before. A VM reads the list of VMs first, writes its row only if it is new, and waits a moment for the leader. Pauses between questions grow while the store does not answer. Connections between VMs notice dark peers as the others do (internal/tcp).

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -63,6 +63,10 @@
 	Update func([]Row)
 	// Proof, if set, is told that all changes up to the moment have been delivered.
 	Proof func(boottime.Time)
+	// Copies, if set, takes what the store says, for other VMs.
+	Copies *Copies
+	// Relay, if set, is asked instead of the store while it names a VM that answers.
+	Relay *Relay
 	Log   *logrus.Entry
 
 	// mu guards the fields below it and the order of Reset and Update.
@@ -77,19 +81,20 @@
 	// quarter of the shortest lease that rests on a follower.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
+	// lastRelayPause is that of a VM that reads from another one.
+	lastRelayPause = 2 * time.Second
+	// relayWait is how long one call of another VM waits for a change. A VM that is
+	// lost meanwhile is noticed within this time at the latest.
+	relayWait = 2500 * time.Millisecond
 )
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	pause := firstPause
 	for ctx.Err() == nil {
-		start := boottime.Now()
 		err := f.step(ctx)
 		if err == nil {
 			f.noteHealth(nil)
-			if f.Proof != nil {
-				f.Proof(start)
-			}
 			pause = firstPause
 			continue
 		}
@@ -107,10 +112,19 @@
 		case <-ctx.Done():
 		case <-time.After(pause):
 		}
-		pause = min(2*pause, lastPause)
+		pause = min(2*pause, f.lastPause())
 	}
 }
 
+// lastPause is longer for a VM that can read from another, so that an outage of the
+// store does not bring calls of the whole fleet.
+func (f *Follower) lastPause() time.Duration {
+	if _, ok := f.source(); ok {
+		return lastRelayPause
+	}
+	return lastPause
+}
+
 func (f *Follower) noteHealth(err error) {
 	failing := err != nil
 	if failing == f.failing {
@@ -127,20 +141,10 @@
 
 func (f *Follower) step(ctx context.Context) error {
 	if !f.isLoaded() {
-		ctx, cancel := context.WithTimeout(ctx, f.Timeout)
-		defer cancel()
-		rows, version, err := f.Store.Rows(ctx, f.Table)
-		if err != nil {
-			return err
-		}
-		f.mu.Lock()
-		defer f.mu.Unlock()
-		f.Reset(rows)
-		f.version, f.loaded = version, true
-		return nil
-	}
-	changed, err := f.watch(ctx, f.Wait)
-	if changed && f.Pause > 0 {
+		return f.load(ctx)
+	}
+	changed, relayed, err := f.watch(ctx, f.Wait)
+	if changed && !relayed && f.Pause > 0 {
 		select {
 		case <-ctx.Done():
 		case <-time.After(f.Pause):
@@ -149,38 +153,129 @@
 	return err
 }
 
+// load reads the whole table.
+func (f *Follower) load(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
+	defer cancel()
+	if address, ok := f.source(); ok {
+		rows, version, err := f.Relay.Rows(ctx, address, f.Table)
+		if err == nil && f.reset(rows, version) {
+			return nil
+		}
+		f.noteRelay(address, err)
+	}
+	start := boottime.Now()
+	rows, version, err := f.Store.Rows(ctx, f.Table)
+	if err != nil {
+		return err
+	}
+	f.reset(rows, version)
+	f.noteAnswer(start)
+	return nil
+}
+
+// reset takes the whole table unless it is older than what is at hand.
+func (f *Follower) reset(rows []Row, version uint64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version < f.version {
+		return false
+	}
+	f.Reset(rows)
+	f.version, f.loaded = version, true
+	if f.Copies != nil {
+		f.Copies.reset(f.Table, rows, version)
+	}
+	return true
+}
+
+// source returns the VM to read from instead of the store.
+func (f *Follower) source() (address string, ok bool) {
+	if f.Relay == nil {
+		return "", false
+	}
+	return f.Relay.Source()
+}
+
+func (f *Follower) noteRelay(address string, err error) {
+	cause := "older than what is known"
+	if err != nil {
+		cause = err.Error()
+	}
+	f.Log.WithFields(logrus.Fields{"event": "store_watch", "table": f.Table, "store_version": f.version, "address": address, "cause": cause}).Info("read from the store")
+}
+
+// noteAnswer records that the store has answered a call that was sent at the moment.
+func (f *Follower) noteAnswer(start boottime.Time) {
+	if f.Copies != nil {
+		f.Copies.noteContact(start)
+	}
+	if f.Proof != nil {
+		f.Proof(start)
+	}
+}
+
 func (f *Follower) isLoaded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.loaded
 }
 
-// watch delivers the changes since the version at hand.
-func (f *Follower) watch(ctx context.Context, wait time.Duration) (changed bool, err error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
-	defer cancel()
+// watch delivers the changes since the version at hand; relayed tells that another VM
+// gave them.
+func (f *Follower) watch(ctx context.Context, wait time.Duration) (changed, relayed bool, err error) {
 	f.mu.Lock()
 	after := f.version
 	f.mu.Unlock()
+	if address, ok := f.source(); ok {
+		call, cancel := context.WithTimeout(ctx, relayWait+f.Timeout)
+		rows, version, err := f.Relay.Watch(call, address, f.Table, after, min(wait, relayWait))
+		cancel()
+		if err == nil || errkind.Is(err, errkind.HistoryGone) {
+			return f.update(rows, version), true, err
+		}
+		f.noteRelay(address, err)
+	}
+	changed, err = f.watchStore(ctx, after, wait)
+	return changed, false, err
+}
+
+func (f *Follower) watchStore(ctx context.Context, after uint64, wait time.Duration) (changed bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
+	defer cancel()
+	start := boottime.Now()
 	rows, version, err := f.Store.Watch(ctx, f.Table, after, wait)
 	if err != nil {
 		return false, err
 	}
+	changed = f.update(rows, version)
+	f.noteAnswer(start)
+	return changed, nil
+}
+
+// update delivers changes up to the version.
+func (f *Follower) update(rows []Row, version uint64) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if len(rows) > 0 {
 		f.Update(rows)
 	}
 	f.version = max(f.version, version)
-	return len(rows) > 0, nil
+	if f.Copies != nil {
+		f.Copies.update(f.Table, rows, version)
+	}
+	return len(rows) > 0
 }
 
-// Check delivers the changes up to now without waiting for more, beside the watch
-// that Run has under way.
+// Check delivers the changes that the store has now, without waiting for more, beside
+// the watch that Run has under way.
 func (f *Follower) Check(ctx context.Context) error {
 	if !f.isLoaded() {
 		return errkind.New(errkind.PlatformUnavailable, "table %s is not loaded", f.Table)
 	}
-	_, err := f.watch(ctx, 0)
+	f.mu.Lock()
+	after := f.version
+	f.mu.Unlock()
+	_, err := f.watchStore(ctx, after, 0)
 	return err
 }
--- /dev/null
+++ b/internal/coord/copy.go
@@ -0,0 +1,214 @@
+package coord
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/peer"
+)
+
+const (
+	// contactTime is how long after its last answer of the store a VM hands its copies
+	// on. The VM that others read from asks at least every 1.2 s.
+	contactTime = 3 * time.Second
+	// maxDeleted bounds the deleted rows that a copy remembers.
+	maxDeleted = 1024
+)
+
+// Copies holds the tables that this VM follows, for VMs that read them from it
+// instead of the store. The mutex guards the fields.
+type Copies struct {
+	mu      sync.Mutex
+	tables  map[string]*tableCopy
+	contact boottime.Time // when the last answered call of the store was sent
+}
+
+// tableCopy is the rows of one table as of the version. Deleted rows stay, so that
+// all changes after from are in it.
+type tableCopy struct {
+	rows          map[string]Row
+	deleted       int
+	from, version uint64
+	changed       chan struct{}
+}
+
+// NewCopies returns a holder without tables.
+func NewCopies() *Copies { return &Copies{tables: map[string]*tableCopy{}} }
+
+// noteContact records that the store has answered a call that was sent at the moment.
+func (c *Copies) noteContact(at boottime.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.contact = max(c.contact, at)
+}
+
+// reset takes the whole table as of the version.
+func (c *Copies) reset(table string, rows []Row, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	old := c.tables[table]
+	t := &tableCopy{rows: make(map[string]Row, len(rows)), from: version, version: version, changed: make(chan struct{})}
+	for _, r := range rows {
+		t.rows[r.Key] = r
+	}
+	c.tables[table] = t
+	if old != nil {
+		close(old.changed)
+	}
+}
+
+// update takes the changes up to the version.
+func (c *Copies) update(table string, rows []Row, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t := c.tables[table]
+	if t == nil {
+		return
+	}
+	for _, r := range rows {
+		if r.Version <= t.rows[r.Key].Version {
+			continue
+		}
+		t.rows[r.Key] = r
+		if r.Deleted {
+			t.deleted++
+		}
+	}
+	t.version = max(t.version, version)
+	if t.deleted > maxDeleted {
+		t.forgetDeleted()
+	}
+	if len(rows) > 0 {
+		close(t.changed)
+		t.changed = make(chan struct{})
+	}
+}
+
+// forgetDeleted drops deleted rows; who has an older version has to read all again.
+func (t *tableCopy) forgetDeleted() {
+	for key, r := range t.rows {
+		if r.Deleted {
+			delete(t.rows, key)
+		}
+	}
+	t.deleted, t.from = 0, t.version
+}
+
+// table returns the copy if it may be handed on. The mutex is held.
+func (c *Copies) table(name string) (*tableCopy, error) {
+	if age := boottime.Since(c.contact); age > contactTime {
+		return nil, errkind.New(errkind.PlatformUnavailable, "the store answered last %d ms ago", age.Milliseconds())
+	}
+	t := c.tables[name]
+	if t == nil {
+		return nil, errkind.New(errkind.PlatformUnavailable, "table %s is not followed", name)
+	}
+	return t, nil
+}
+
+// all returns the rows that exist.
+func (t *tableCopy) all() []Row { return t.since(0, false) }
+
+// since returns the rows that changed after the version, in the order of changes.
+func (t *tableCopy) since(version uint64, deleted bool) []Row {
+	var rows []Row
+	for _, r := range t.rows {
+		if r.Version > version && (deleted || !r.Deleted) {
+			rows = append(rows, r)
+		}
+	}
+	slices.SortFunc(rows, func(a, b Row) int {
+		if a.Version < b.Version {
+			return -1
+		}
+		return 1
+	})
+	return rows
+}
+
+// TableArgs names a table and, for Watch, the version that the caller has and how
+// long it waits for a change.
+type TableArgs struct {
+	Table string
+	After uint64
+	Wait  time.Duration
+}
+
+// TableReply carries rows as of the version.
+type TableReply struct {
+	Rows    []Row
+	Version uint64
+}
+
+// CopyService is the net/rpc face of Copies, registered as "Tables".
+type CopyService struct{ copies *Copies }
+
+// NewCopyService returns the service.
+func NewCopyService(c *Copies) *CopyService { return &CopyService{c} }
+
+// Rows returns all rows of a table.
+func (s *CopyService) Rows(args *TableArgs, reply *TableReply) error {
+	s.copies.mu.Lock()
+	defer s.copies.mu.Unlock()
+	t, err := s.copies.table(args.Table)
+	if err != nil {
+		return peer.Encode(err)
+	}
+	reply.Rows, reply.Version = t.all(), t.version
+	return nil
+}
+
+// Watch returns the changes after a version, waiting for one.
+func (s *CopyService) Watch(args *TableArgs, reply *TableReply) error {
+	timer := time.NewTimer(args.Wait)
+	defer timer.Stop()
+	for expired := false; ; {
+		s.copies.mu.Lock()
+		t, err := s.copies.table(args.Table)
+		if err == nil && args.After < t.from {
+			err = errkind.New(errkind.HistoryGone, "copy of %s begins at %d", args.Table, t.from)
+		}
+		if err != nil {
+			s.copies.mu.Unlock()
+			return peer.Encode(err)
+		}
+		reply.Rows, reply.Version = t.since(args.After, true), t.version
+		changed := t.changed
+		s.copies.mu.Unlock()
+		if len(reply.Rows) > 0 || expired {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			expired = true
+		}
+	}
+}
+
+// Relay reads tables from another VM's copies. It has no Apply.
+type Relay struct {
+	Calls peer.Caller
+	// Source returns the VM to read from; it is false if this VM reads from the store.
+	Source func() (address string, ok bool)
+}
+
+// Rows returns all rows of the table.
+func (r *Relay) Rows(ctx context.Context, address, table string) ([]Row, uint64, error) {
+	return r.call(ctx, address, "Tables.Rows", &TableArgs{Table: table})
+}
+
+// Watch returns the changes after the version.
+func (r *Relay) Watch(ctx context.Context, address, table string, after uint64, wait time.Duration) ([]Row, uint64, error) {
+	return r.call(ctx, address, "Tables.Watch", &TableArgs{Table: table, After: after, Wait: wait})
+}
+
+func (r *Relay) call(ctx context.Context, address, method string, args *TableArgs) ([]Row, uint64, error) {
+	var reply TableReply
+	err := r.Calls.Call(ctx, address, method, args, &reply)
+	return reply.Rows, reply.Version, err
+}
--- /dev/null
+++ b/internal/coord/copy_test.go
@@ -0,0 +1,228 @@
+package coord
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+)
+
+// vm is a VM that follows a table and hands its copy on.
+type vm struct {
+	mu     sync.Mutex
+	state  map[string]uint64 // version by key
+	copies *Copies
+	*Follower
+}
+
+// cell carries calls between VMs by name; lost ones do not answer.
+type cell struct {
+	mu     sync.Mutex
+	vms    map[string]*vm
+	lost   map[string]bool
+	leader string
+}
+
+func (c *cell) Call(_ context.Context, address, method string, args, reply any) error {
+	c.mu.Lock()
+	v, lost := c.vms[address], c.lost[address]
+	c.mu.Unlock()
+	if lost {
+		return errkind.New(errkind.Unreachable, "%s", address)
+	}
+	service := NewCopyService(v.copies)
+	if method == "Tables.Rows" {
+		return decode(service.Rows(args.(*TableArgs), reply.(*TableReply)))
+	}
+	return decode(service.Watch(args.(*TableArgs), reply.(*TableReply)))
+}
+
+// decode gives an error its kind, as the client between processes does.
+func decode(err error) error {
+	if err == nil {
+		return nil
+	}
+	var kind int
+	if _, scanErr := fmt.Sscanf(err.Error(), "%d", &kind); scanErr != nil {
+		return err
+	}
+	return errkind.New(errkind.Kind(kind), "%v", err)
+}
+
+func (c *cell) setLeader(name string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = name
+}
+
+func (c *cell) add(name string, store Store) *vm {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	v := &vm{state: map[string]uint64{}, copies: NewCopies()}
+	apply := func(rows []Row) {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		for _, r := range rows {
+			if r.Deleted {
+				delete(v.state, r.Key)
+			} else {
+				v.state[r.Key] = max(v.state[r.Key], r.Version)
+			}
+		}
+	}
+	v.Follower = &Follower{
+		Store: store, Table: "t", Wait: 20 * time.Millisecond, Timeout: time.Second, Update: apply,
+		Reset: func(rows []Row) {
+			v.mu.Lock()
+			clear(v.state)
+			v.mu.Unlock()
+			apply(rows)
+		},
+		Copies: v.copies, Log: logrus.NewEntry(log),
+		Relay: &Relay{Calls: c, Source: func() (string, bool) {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.leader, c.leader != name
+		}},
+	}
+	c.vms[name] = v
+	return v
+}
+
+func (v *vm) has(t *testing.T, want map[string]uint64) {
+	t.Helper()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if d := cmp.Diff(want, v.state); d != "" {
+		t.Errorf("rows (-want +got):\n%s", d)
+	}
+}
+
+func steps(t *testing.T, v *vm, n int) {
+	t.Helper()
+	for range n {
+		if err := v.step(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func newCell(names ...string) (*cell, *fakeStore, map[string]*vm) {
+	store := &fakeStore{}
+	c := &cell{vms: map[string]*vm{}, lost: map[string]bool{}, leader: names[0]}
+	for _, n := range names {
+		c.add(n, store)
+	}
+	return c, store, c.vms
+}
+
+// Only the VM that acts for the cell calls the store.
+func TestMembersReadFromTheLeader(t *testing.T) {
+	_, store, vms := newCell("a", "b", "c")
+	store.put("x")
+	steps(t, vms["a"], 1)
+	calls := store.calls
+	steps(t, vms["b"], 2)
+	steps(t, vms["c"], 2)
+	store.put("y")
+	steps(t, vms["a"], 1)
+	steps(t, vms["b"], 1)
+	vms["b"].has(t, map[string]uint64{"x": 1, "y": 2})
+	vms["c"].has(t, map[string]uint64{"x": 1})
+	if n := store.calls - calls; n != 1 {
+		t.Errorf("%d calls of the store where only the leader had to make one", n)
+	}
+}
+
+// A leader that is lost, or has lost the store itself, is passed over.
+func TestMembersPassOverALeaderWithoutTheStore(t *testing.T) {
+	c, store, vms := newCell("a", "b")
+	store.put("x")
+	steps(t, vms["a"], 1)
+	c.lost["a"] = true
+	steps(t, vms["b"], 1)
+	vms["b"].has(t, map[string]uint64{"x": 1})
+	c.lost["a"] = false
+	vms["a"].copies.contact = boottime.Now().Add(-contactTime - time.Second)
+	store.put("y")
+	steps(t, vms["b"], 1)
+	vms["b"].has(t, map[string]uint64{"x": 1, "y": 2})
+}
+
+// A VM that read from another takes over: its copy holds what it had from there.
+func TestNewLeaderHandsOnAllChanges(t *testing.T) {
+	c, store, vms := newCell("a", "b", "c")
+	store.put("x")
+	steps(t, vms["a"], 1)
+	steps(t, vms["b"], 1)
+	steps(t, vms["c"], 1)
+	store.put("y")
+	steps(t, vms["a"], 1)
+	steps(t, vms["b"], 1)
+	c.setLeader("b")
+	store.put("z")
+	steps(t, vms["b"], 1)
+	steps(t, vms["c"], 1)
+	vms["c"].has(t, map[string]uint64{"x": 1, "y": 2, "z": 3})
+}
+
+// A leader that had to read the table anew does not know what was deleted before; the
+// others read all of it as well.
+func TestMembersReadAgainAfterTheLeaderDid(t *testing.T) {
+	_, store, vms := newCell("a", "b")
+	store.put("x")
+	steps(t, vms["a"], 1)
+	steps(t, vms["b"], 1)
+	store.put("y")
+	vms["a"].loaded = false
+	steps(t, vms["a"], 1)
+	if err := vms["b"].step(context.Background()); !errkind.Is(err, errkind.HistoryGone) {
+		t.Fatalf("error %v", err)
+	}
+	vms["b"].loaded = false
+	steps(t, vms["b"], 1)
+	vms["b"].has(t, map[string]uint64{"x": 1, "y": 2})
+}
+
+// What another VM says is no proof that the store holds nothing newer.
+func TestRelayedAnswersProveNothing(t *testing.T) {
+	_, store, vms := newCell("a", "b")
+	store.put("x")
+	proofs := 0
+	vms["b"].Proof = func(boottime.Time) { proofs++ }
+	steps(t, vms["a"], 1)
+	steps(t, vms["b"], 1)
+	if proofs != 0 || vms["b"].copies.contact != 0 {
+		t.Errorf("%d proofs, contact %v", proofs, vms["b"].copies.contact)
+	}
+}
+
+func TestDeletedRowsAreHandedOn(t *testing.T) {
+	c := NewCopies()
+	c.noteContact(boottime.Now())
+	c.reset("t", []Row{{Key: "x", Version: 1}}, 1)
+	for i := range uint64(maxDeleted) {
+		c.update("t", []Row{{Key: fmt.Sprint(i), Version: 2 + i, Deleted: true}}, 2+i)
+	}
+	service := NewCopyService(c)
+	var reply TableReply
+	if err := service.Watch(&TableArgs{Table: "t", After: 1}, &reply); err != nil || len(reply.Rows) != maxDeleted || !reply.Rows[0].Deleted {
+		t.Fatalf("%d rows, %v", len(reply.Rows), err)
+	}
+	c.update("t", []Row{{Key: "x", Version: 9999, Deleted: true}}, 9999)
+	if err := decode(service.Watch(&TableArgs{Table: "t", After: 1}, &TableReply{})); !errkind.Is(err, errkind.HistoryGone) {
+		t.Errorf("error %v", err)
+	}
+	var all TableReply
+	if err := service.Rows(&TableArgs{Table: "t"}, &all); err != nil || len(all.Rows) != 0 || all.Version != 9999 {
+		t.Errorf("%+v, %v", all, err)
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,6 +26,7 @@
 	"chicoryline/internal/ratelimit"
 	"chicoryline/internal/session"
 	"chicoryline/internal/steward"
+	"chicoryline/internal/tcp"
 	"chicoryline/internal/timeline"
 )
 
@@ -58,6 +59,10 @@
 	// memberProofAge, and up to proofSpread more, is the age at which others ask.
 	memberProofAge = 3000 * time.Millisecond
 	proofSpread    = 600 * time.Millisecond
+	// lastLeaderCheck and lastMemberCheck are the longest pauses between two such
+	// questions while the store does not answer.
+	lastLeaderCheck = 800 * time.Millisecond
+	lastMemberCheck = 1600 * time.Millisecond
 	// tableWait is how long one watch of a table waits for a change.
 	tableWait = 29 * time.Second
 	// serverPause gathers the changes of backend servers that start or leave together.
@@ -123,10 +128,15 @@
 	observer *observer
 	steward  *steward.Steward
 	clock    *timeline.Clock
+	peers    *peer.Client
+	copies   *coord.Copies
 	homes    homes
 	started  boottime.Time
-	ready    atomic.Bool
-	leaving  atomic.Bool
+	// joined is closed when this VM knows the others, or has waited for that for long
+	// enough.
+	joined  chan struct{}
+	ready   atomic.Bool
+	leaving atomic.Bool
 
 	// mu guards the fields below it.
 	mu      sync.Mutex
@@ -139,7 +149,6 @@
 type member struct {
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
-	Started int64  `json:"started"`
 }
 
 // New assembles a process.
@@ -153,8 +162,11 @@
 		observer: newObserver(log),
 		clock:    timeline.NewClock(time.Now),
 		started:  boottime.Now(),
+		copies:   coord.NewCopies(),
+		joined:   make(chan struct{}),
 	}
-	homes := ratelimit.NewHomes(e.limiter, peer.NewClient(e.clock, nil, nil), e.rateHome, log)
+	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
+	homes := ratelimit.NewHomes(e.limiter, e.peers, e.rateHome, log)
 	e.core = &session.Core{Access: e.view, Limiter: homes, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
 	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, Log: log})
 	e.view.OnChange(e.configure)
@@ -195,12 +207,8 @@
 	go e.serveReady(readiness, readyListener)
 	defer readiness.Close()
 	go e.serveMetrics(work)
-	go e.followConfig(work)
-	go e.followServers(work)
-	go e.followMembers(work)
-	go e.followStewards(work)
-	go e.register(work)
 	go e.mesh.Run(work)
+	go e.follow(work)
 	go e.upkeep(work)
 	go e.supervise(work)
 	front := e.platform.NewFront(listener, e.core, e.log)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,9 +4,6 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
-	"net"
-	"strconv"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -32,14 +29,37 @@
 			}
 		}
 	}
-	f := &coord.Follower{
-		Store: e.platform.Store, Table: e.platform.ConfigTable, Wait: tableWait, Timeout: storeTimeout,
-		Reset: apply, Update: apply, Log: e.log, Proof: e.prove,
-	}
+	f := e.follower(e.platform.ConfigTable, apply, apply)
+	f.Proof = e.prove
 	go e.keepFresh(ctx, f)
 	f.Run(ctx)
 }
 
+// follower returns a follower of the table, which reads from the VM that acts for the
+// cell rather than from the store.
+func (e *Process) follower(table string, reset, update func([]coord.Row)) *coord.Follower {
+	return &coord.Follower{
+		Store: e.platform.Store, Table: table, Wait: tableWait, Timeout: storeTimeout, Reset: reset, Update: update,
+		Copies: e.copies, Relay: &coord.Relay{Calls: e.peers, Source: e.tableSource}, Log: e.log,
+	}
+}
+
+// tableSource returns the address of the VM that acts for the cell. It is false if
+// this VM does, or if there are so few that each reads from the store.
+func (e *Process) tableSource() (address string, ok bool) {
+	if !e.mesh.Large() {
+		return "", false
+	}
+	vm, self := e.mesh.Leader()
+	if self {
+		return "", false
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	m, ok := e.members[vm]
+	return m.Address, ok
+}
+
 func (e *Process) prove(at boottime.Time) {
 	if c := e.view.Config(); c != nil {
 		e.view.Prove(c.Version, at)
@@ -48,23 +68,28 @@
 
 // keepFresh asks the store whether the configuration still is the newest before
 // the proof at hand gets too old. One VM of a cell asks more often than the others,
-// who hear of it and ask only when they do not.
+// who hear of it and ask only when they do not. While the store does not answer, the
+// pauses grow: those who hear of an answer need none of their own.
 func (e *Process) keepFresh(ctx context.Context, f *coord.Follower) {
 	spread := rand.N(proofSpread)
+	var next boottime.Time
+	pause := upkeepInterval
 	every(ctx, upkeepInterval, func() {
-		limit := memberProofAge + spread
+		limit, longest := memberProofAge+spread, lastMemberCheck
 		if e.mesh.Leads() {
-			limit = leaderProofAge
+			limit, longest = leaderProofAge, lastLeaderCheck
 		}
 		if e.view.Config() == nil || e.view.Age() < limit {
+			next, pause = 0, upkeepInterval
+			return
+		}
+		if boottime.Now() < next {
 			return
 		}
-		start := boottime.Now()
 		if err := f.Check(ctx); err != nil {
 			e.log.WithError(err).WithField("event", "store_watch").Debug("configuration was not proved")
-			return
+			next, pause = boottime.Now().Add(pause), min(2*pause, longest)
 		}
-		e.prove(start)
 	})
 }
 
@@ -85,22 +110,20 @@
 			e.router.Update(info)
 		}
 	}
-	f := &coord.Follower{
-		Store: e.platform.Store, Table: e.platform.ServerTable, Wait: tableWait, Pause: serverPause, Timeout: storeTimeout, Log: e.log,
-		Update: update,
-		Reset: func(rows []coord.Row) {
-			present := map[string]bool{}
-			for _, r := range rows {
-				present[r.Key] = true
-			}
-			for _, id := range e.router.Known() {
-				if !present[id] {
-					e.router.Missing(id)
-				}
+	reset := func(rows []coord.Row) {
+		present := map[string]bool{}
+		for _, r := range rows {
+			present[r.Key] = true
+		}
+		for _, id := range e.router.Known() {
+			if !present[id] {
+				e.router.Missing(id)
 			}
-			update(rows)
-		},
+		}
+		update(rows)
 	}
+	f := e.follower(e.platform.ServerTable, reset, update)
+	f.Pause = serverPause
 	f.Run(ctx)
 }
 
@@ -121,11 +144,7 @@
 			}
 		}
 	}
-	f := &coord.Follower{
-		Store: e.platform.Store, Table: steward.Table, Wait: tableWait, Timeout: storeTimeout, Log: e.log,
-		Reset:  func(rows []coord.Row) { observe(rows, false) },
-		Update: func(rows []coord.Row) { observe(rows, true) },
-	}
+	f := e.follower(steward.Table, func(rows []coord.Row) { observe(rows, false) }, func(rows []coord.Row) { observe(rows, true) })
 	f.Run(ctx)
 }
 
@@ -138,11 +157,8 @@
 }
 
 func (e *Process) followMembers(ctx context.Context) {
-	f := &coord.Follower{
-		Store: e.platform.Store, Table: tableMembers, Wait: tableWait, Pause: memberPause, Timeout: storeTimeout, Log: e.log,
-		Update: func(rows []coord.Row) { e.updateMembers(rows, false) },
-		Reset:  func(rows []coord.Row) { e.updateMembers(rows, true) },
-	}
+	f := e.follower(tableMembers, func(rows []coord.Row) { e.updateMembers(rows, true) }, func(rows []coord.Row) { e.updateMembers(rows, false) })
+	f.Pause = memberPause
 	f.Run(ctx)
 }
 
@@ -170,27 +186,3 @@
 	e.share()
 	e.log.WithFields(logrus.Fields{"event": "members", "count": len(peers)}).Info("changed")
 }
-
-// register writes this VM's row. The same row twice does no harm, so an answer
-// that was lost needs no care.
-func (e *Process) register(ctx context.Context) {
-	value, err := json.Marshal(member{
-		Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)),
-		Domain:  e.settings.Domain, Started: time.Now().UnixMilli(),
-	})
-	if err != nil {
-		e.log.WithError(err).Error("member row was not encoded")
-		return
-	}
-	change := coord.Change{Put: []coord.Row{{Table: tableMembers, Key: e.settings.VM, Value: value}}}
-	for pause := 100 * time.Millisecond; ctx.Err() == nil; pause = min(2*pause, 2*time.Second) {
-		call, cancel := context.WithTimeout(ctx, storeTimeout)
-		_, err := e.platform.Store.Apply(call, change)
-		cancel()
-		if err == nil {
-			return
-		}
-		e.log.WithError(err).WithField("event", "member").Warn("row was not written")
-		time.Sleep(pause + rand.N(pause))
-	}
-}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -8,6 +8,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/sirupsen/logrus"
 
+	"chicoryline/internal/coord"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/ratelimit"
 )
@@ -18,6 +19,9 @@
 	if err := server.Register("Rate", ratelimit.NewService(e.limiter)); err != nil {
 		return nil, err
 	}
+	if err := server.Register("Tables", coord.NewCopyService(e.copies)); err != nil {
+		return nil, err
+	}
 	go server.Serve()
 	return server, nil
 }
--- /dev/null
+++ b/internal/entry/join.go
@@ -0,0 +1,112 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/coord"
+)
+
+const (
+	// joinPause is how long a VM that is new waits before it reads the list of VMs
+	// again: all of a new fleet start within 0.3 s.
+	joinPause = 500 * time.Millisecond
+	// hearWait is how long a VM waits for the one that acts for its cell before it
+	// reads tables from the store: two rounds of urgent news.
+	hearWait = 250 * time.Millisecond
+	// firstRegisterPause and lastRegisterPause bound the pause after a failed call.
+	firstRegisterPause = 100 * time.Millisecond
+	lastRegisterPause  = 2 * time.Second
+)
+
+// follow joins the other VMs, then follows the tables.
+//
+// Load pattern: all VMs of a large fleet start at once, and each would read every table
+// from the store. The list of VMs comes first: it tells who acts for the cell, and
+// the others read from that one.
+func (e *Process) follow(ctx context.Context) {
+	e.register(ctx)
+	e.awaitLeader(ctx)
+	close(e.joined)
+	go e.followConfig(ctx)
+	go e.followServers(ctx)
+	go e.followMembers(ctx)
+	go e.followStewards(ctx)
+}
+
+// register reads the list of VMs and writes this VM's row unless it is there. The same
+// row twice does no harm, so an answer that was lost needs no care.
+func (e *Process) register(ctx context.Context) {
+	own := member{Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)), Domain: e.settings.Domain}
+	e.untilDone(ctx, e.readMembers)
+	e.mu.Lock()
+	known := e.members[e.settings.VM] == own
+	e.mu.Unlock()
+	if known {
+		return
+	}
+	value, err := json.Marshal(own)
+	if err != nil {
+		e.log.WithError(err).Error("member row was not encoded")
+		return
+	}
+	change := coord.Change{Put: []coord.Row{{Table: tableMembers, Key: e.settings.VM, Value: value}}}
+	go e.untilDone(ctx, func(call context.Context) error {
+		_, err := e.platform.Store.Apply(call, change)
+		return err
+	})
+	select {
+	case <-ctx.Done():
+	case <-time.After(joinPause):
+	}
+	e.untilDone(ctx, e.readMembers)
+}
+
+func (e *Process) readMembers(ctx context.Context) error {
+	rows, _, err := e.platform.Store.Rows(ctx, tableMembers)
+	if err == nil {
+		e.updateMembers(rows, true)
+	}
+	return err
+}
+
+// untilDone repeats a call of the store until it succeeds.
+func (e *Process) untilDone(ctx context.Context, do func(context.Context) error) {
+	for pause := firstRegisterPause; ctx.Err() == nil; pause = min(2*pause, lastRegisterPause) {
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		err := do(call)
+		cancel()
+		if err == nil {
+			return
+		}
+		e.log.WithError(err).WithField("event", "member").Warn("list of VMs was not read or written")
+		select {
+		case <-ctx.Done():
+		case <-time.After(pause + rand.N(pause)):
+		}
+	}
+}
+
+// awaitLeader waits a moment until another VM of the cell is heard.
+func (e *Process) awaitLeader(ctx context.Context) {
+	for start := boottime.Now(); ctx.Err() == nil && boottime.Since(start) < hearWait; time.Sleep(hearWait / 10) {
+		if _, ok := e.tableSource(); ok || !e.mesh.Large() {
+			return
+		}
+	}
+}
+
+// hasJoined reports whether the tables are followed.
+func (e *Process) hasJoined() bool {
+	select {
+	case <-e.joined:
+		return true
+	default:
+		return false
+	}
+}
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -84,8 +84,12 @@
 // urgent; by then it is replaced, or answers others.
 const urgentTime = 2 * time.Second
 
-// urgent reports whether a primary has begun to fail to answer this VM.
+// urgent reports whether this VM has just started, or a primary has begun to fail to
+// answer it.
 func (e *Process) urgent() bool {
+	if !e.hasJoined() {
+		return true
+	}
 	for _, g := range e.router.Groups() {
 		h := g.Health()
 		if first := max(h.Failing, h.Stuck); first != 0 && boottime.Since(first) < urgentTime {
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -238,6 +238,14 @@
 	return m.inTouch(vm, boottime.Now())
 }
 
+// Leader returns the VM that acts for the cell; self tells that it is this one.
+func (m *Mesh) Leader() (vm string, self bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	vm = m.leader(boottime.Now())
+	return vm, vm == m.cfg.VM
+}
+
 // Leads reports whether this VM acts for its cell.
 func (m *Mesh) Leads() bool {
 	m.mu.Lock()
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -119,6 +119,16 @@
 		}
 		list[i].Address = conn.LocalAddr().String()
 		nd := &node{received: map[string]int{}}
+		receive := func(source string, news News, since boottime.Time) {
+			nd.mu.Lock()
+			defer nd.mu.Unlock()
+			nd.received[source]++
+			g := news.Groups["g"]
+			if truth, ok := composed.Load(g.Position.Offset); ok && since != 0 {
+				claim := since.Add(-time.Duration(g.PositionAge) * time.Millisecond)
+				nd.oldest = max(nd.oldest, claim.Sub(truth.(boottime.Time)))
+			}
+		}
 		nd.Mesh = New(Config{
 			VM: list[i].VM, Conn: conn, Log: logrus.NewEntry(log), Lost: func(string) {},
 			Urgent: func() bool { nd.mu.Lock(); defer nd.mu.Unlock(); return nd.urgent },
@@ -134,16 +144,7 @@
 				time.Sleep(pause)
 				return News{Groups: map[string]GroupNews{"g": {Position: p, PositionAge: 0, AnsweredAge: -1, CommittedAge: -1}}}
 			},
-			Receive: func(source string, news News, since boottime.Time) {
-				nd.mu.Lock()
-				defer nd.mu.Unlock()
-				nd.received[source]++
-				g := news.Groups["g"]
-				if truth, ok := composed.Load(g.Position.Offset); ok && since != 0 {
-					claim := since.Add(-time.Duration(g.PositionAge) * time.Millisecond)
-					nd.oldest = max(nd.oldest, claim.Sub(truth.(boottime.Time)))
-				}
-			},
+			Receive: receive, ReceiveDigest: receive,
 		})
 		nodes = append(nodes, nd)
 	}
@@ -227,7 +228,7 @@
 	}
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
-		m := New(Config{VM: "vm0000", Log: logrus.NewEntry(log), Lost: func(string) {}, Receive: func(string, News, boottime.Time) {}, Compose: func() News { return News{} }})
+		m := New(Config{VM: "vm0000", Log: logrus.NewEntry(log), Lost: func(string) {}, Receive: func(string, News, boottime.Time) {}, ReceiveDigest: func(string, News, boottime.Time) {}, Compose: func() News { return News{} }})
 		m.SetPeers(peers(3, 1))
 		m.receive(data)
 	})
