Stewards leave a failing store alone and a primary that answers in place; reads stay in the domain

Change: after the store failed a steward, it attempts nothing for 0.3 to 2.4 s, for any group. Beside the claim it opens a connection to a primary that was taken for silent; if that is taken, nothing is ordered. remoteCost is 60 ms.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -20,8 +20,9 @@
 const (
 	// remoteCost is what a server in another failure domain costs more, as time: a
 	// round trip between domains, and the bytes that cross, which are billed. It is
-	// a twentieth of the usual latency objective.
-	remoteCost = 20 * time.Millisecond
+	// two statements under way at the server of the own domain, and a seventh of the
+	// usual latency objective.
+	remoteCost = 60 * time.Millisecond
 	// primaryCost keeps reads that a replica can serve away from the primary.
 	primaryCost = 10 * time.Millisecond
 	// waitCost is what a statement under way adds to those behind it: its own time.
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -20,6 +20,14 @@
 	}
 }
 
+// NoteReachable records that the primary has taken a connection just now.
+func (g *Group) NoteReachable() {
+	if s := g.Leader(); s != nil {
+		s.noteReached()
+		g.noteAnswered(s)
+	}
+}
+
 // noteFailed records that the primary did not answer what was sent at the moment.
 func (g *Group) noteFailed(s *Server, sent boottime.Time) {
 	g.mu.Lock()
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -43,6 +43,7 @@
 	task := steward.Task{
 		Group: g.Name, Primary: h.Primary, Reason: reason,
 		Progress: func(in time.Duration) { g.Expect(boottime.Now().Add(in)) },
+		Answered: g.NoteReachable,
 		Done: func(server string) {
 			g.Expect(boottime.Now().Add(steward.ExpectedPromotion))
 			g.Succeed(server, reason == steward.Leaving)
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -17,8 +17,10 @@
 	// again: all of a new fleet start within 0.3 s.
 	joinPause = 500 * time.Millisecond
 	// hearWait is how long a VM waits for the one that acts for its cell before it
-	// reads tables from the store: two rounds of urgent news.
-	hearWait = 250 * time.Millisecond
+	// reads tables from the store: two rounds of urgent news. newHearWait is that of a
+	// new VM, which the others may not know yet.
+	hearWait    = 250 * time.Millisecond
+	newHearWait = 700 * time.Millisecond
 	// firstRegisterPause and lastRegisterPause bound the pause after a failed call.
 	firstRegisterPause = 100 * time.Millisecond
 	lastRegisterPause  = 2 * time.Second
@@ -30,8 +32,11 @@
 // from the store. The list of VMs comes first: it tells who acts for the cell, and
 // the others read from that one.
 func (e *Process) follow(ctx context.Context) {
-	e.register(ctx)
-	e.awaitLeader(ctx)
+	if isNew := e.register(ctx); isNew {
+		e.awaitLeader(ctx, newHearWait)
+	} else {
+		e.awaitLeader(ctx, hearWait)
+	}
 	close(e.joined)
 	go e.followConfig(ctx)
 	go e.followServers(ctx)
@@ -41,19 +46,19 @@
 
 // register reads the list of VMs and writes this VM's row unless it is there. The same
 // row twice does no harm, so an answer that was lost needs no care.
-func (e *Process) register(ctx context.Context) {
+func (e *Process) register(ctx context.Context) (isNew bool) {
 	own := member{Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)), Domain: e.settings.Domain}
 	e.untilDone(ctx, e.readMembers)
 	e.mu.Lock()
 	known := e.members[e.settings.VM] == own
 	e.mu.Unlock()
 	if known {
-		return
+		return false
 	}
 	value, err := json.Marshal(own)
 	if err != nil {
 		e.log.WithError(err).Error("member row was not encoded")
-		return
+		return false
 	}
 	change := coord.Change{Put: []coord.Row{{Table: tableMembers, Key: e.settings.VM, Value: value}}}
 	go e.untilDone(ctx, func(call context.Context) error {
@@ -65,6 +70,7 @@
 	case <-time.After(joinPause):
 	}
 	e.untilDone(ctx, e.readMembers)
+	return true
 }
 
 func (e *Process) readMembers(ctx context.Context) error {
@@ -93,8 +99,8 @@
 }
 
 // awaitLeader waits a moment until another VM of the cell is heard.
-func (e *Process) awaitLeader(ctx context.Context) {
-	for start := boottime.Now(); ctx.Err() == nil && boottime.Since(start) < hearWait; time.Sleep(hearWait / 10) {
+func (e *Process) awaitLeader(ctx context.Context, wait time.Duration) {
+	for start := boottime.Now(); ctx.Err() == nil && boottime.Since(start) < wait; time.Sleep(hearWait / 10) {
 		if _, ok := e.tableSource(); ok || !e.mesh.Large() {
 			return
 		}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -35,6 +35,13 @@
 	catchUpTime = 300 * time.Millisecond
 	// tryPause is the least time between two attempts of this VM for a group.
 	tryPause = 300 * time.Millisecond
+	// firstStorePause and lastStorePause bound the time in which this VM attempts
+	// nothing, for any group, after the store failed it.
+	firstStorePause = 300 * time.Millisecond
+	lastStorePause  = 2400 * time.Millisecond
+	// probeTime is how long a silent primary is given to take a connection before it is
+	// replaced: several handshakes.
+	probeTime = 150 * time.Millisecond
 	// pollPause is the pause between two looks at a server.
 	pollPause = 30 * time.Millisecond
 )
@@ -84,6 +91,32 @@
 	seen map[string]sighting
 	// tried is when this VM last began a change of the group's primary.
 	tried map[string]boottime.Time
+	// outage keeps this VM from attempts while the store does not answer it.
+	outage outage
+}
+
+// outage is how long the store is left alone after it failed.
+//
+// Load pattern: a failure domain is cut off. Each of its VMs misses the primaries of
+// most groups and would ask the store, which it cannot reach, for each of them again
+// and again.
+type outage struct {
+	until boottime.Time
+	pause time.Duration
+}
+
+// note takes the outcome of a claim.
+func (o *outage) note(now boottime.Time, err error) {
+	switch {
+	case errkind.Is(err, errkind.PlatformUnavailable), errkind.Is(err, errkind.PlatformUnknown):
+		if now < o.until {
+			return
+		}
+		o.pause = min(max(2*o.pause, firstStorePause), lastStorePause)
+		o.until = now.Add(o.pause)
+	default:
+		*o = outage{}
+	}
 }
 
 type sighting struct {
@@ -116,6 +149,8 @@
 	Reason  Reason
 	// Progress is told when the new primary is expected to lead.
 	Progress func(in time.Duration)
+	// Answered is told that the primary answers after all.
+	Answered func()
 	// Done is told the server that was ordered to lead.
 	Done func(server string)
 }
@@ -126,7 +161,7 @@
 	defer s.mu.Unlock()
 	last := s.seen[t.Group]
 	held := last.holder != "" && last.holder != s.cfg.VM && boottime.Since(last.at) < leaseTime
-	if s.busy[t.Group] || held || boottime.Since(s.tried[t.Group]) < tryPause {
+	if s.busy[t.Group] || held || boottime.Since(s.tried[t.Group]) < tryPause || boottime.Now() < s.outage.until {
 		return
 	}
 	s.tried[t.Group] = boottime.Now()
@@ -145,7 +180,11 @@
 }
 
 func (s *Steward) run(ctx context.Context, t Task, log *logrus.Entry) error {
+	alive := s.probe(ctx, t)
 	lease, err := s.claim(ctx, t.Group)
+	s.mu.Lock()
+	s.outage.note(boottime.Now(), err)
+	s.mu.Unlock()
 	if err != nil {
 		return err
 	}
@@ -159,6 +198,10 @@
 	if err != nil {
 		return s.giveUp(ctx, lease, replicas, err)
 	}
+	if <-alive {
+		t.Answered()
+		return s.giveUp(ctx, lease, replicas, errkind.New(errkind.Conflict, "primary %s answers", t.Primary))
+	}
 	target, err := s.secure(ctx, replicas, log)
 	if err != nil {
 		return s.giveUp(ctx, lease, replicas, err)
@@ -182,6 +225,34 @@
 	return err
 }
 
+// probe tells whether a primary that was taken for silent takes a connection.
+//
+// Load pattern: a network partition ends. VMs that were cut off have missed answers of
+// a healthy primary and no others' news of it yet; they would replace it.
+func (s *Steward) probe(ctx context.Context, t Task) <-chan bool {
+	alive := make(chan bool, 1)
+	if t.Reason != Silent {
+		alive <- false
+		return alive
+	}
+	address := ""
+	for _, server := range t.Servers {
+		if server.ID == t.Primary {
+			address = server.Address
+		}
+	}
+	go func() {
+		call, cancel := context.WithTimeout(ctx, probeTime)
+		defer cancel()
+		c, err := s.cfg.Dialer.Dial(call, address, t.Group, t.Primary, "")
+		if err == nil {
+			c.Close()
+		}
+		alive <- err == nil
+	}()
+	return alive
+}
+
 // ExpectedPromotion is how long a promotion takes; the platform states 300 to 600 ms.
 const ExpectedPromotion = 700 * time.Millisecond
 
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/sirupsen/logrus"
 
+	"chicoryline/internal/boottime"
 	"chicoryline/internal/coord"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
@@ -143,13 +144,17 @@
 }
 
 // change runs one change of primary of a group a, b, c led by a.
-func change(s *Steward) (string, error) {
+func change(s *Steward) (string, error) { return changeFor(s, Missing) }
+
+// changeFor does so for the reason.
+func changeFor(s *Steward, reason Reason) (string, error) {
 	done := ""
 	ctx, cancel := context.WithTimeout(context.Background(), attemptTime)
 	defer cancel()
 	err := s.run(ctx, Task{
-		Group: "g", Primary: "a", Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}},
-		Done: func(server string) { done = server },
+		Group: "g", Primary: "a", Servers: []Server{{ID: "a"}, {ID: "b"}, {ID: "c"}}, Reason: reason,
+		Answered: func() {},
+		Done:     func(server string) { done = server },
 	}, s.cfg.Log)
 	return done, err
 }
@@ -197,6 +202,42 @@
 	}
 }
 
+// VMs that come back from a partition have missed the answers of a primary that serves
+// the others (incident inc-b86f: healthy primaries were replaced).
+func TestPrimaryThatAnswersIsNotReplaced(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 7}, primary: "a"}
+	s := newSteward("vm1", newFakeStore(), g)
+	if done, err := changeFor(s, Silent); !errkind.Is(err, errkind.Conflict) || done != "" || len(g.tokens) != 0 {
+		t.Errorf("%q, %v, tokens %v", done, err, g.tokens)
+	}
+	g.down = map[string]bool{"a": true}
+	if done, err := changeFor(s, Silent); err != nil || done != "b" && done != "c" {
+		t.Errorf("a silent primary was not replaced: %q, %v", done, err)
+	}
+}
+
+// While the store does not answer, the pauses between attempts grow, for all groups
+// together; an answer ends them.
+func TestOutageOfTheStoreEndsAttemptsForAWhile(t *testing.T) {
+	var o outage
+	now, attempts := boottime.Time(time.Hour), 0
+	failed := errkind.New(errkind.PlatformUnavailable, "fake")
+	for end := now.Add(6 * time.Second); now < end; now = now.Add(100 * time.Millisecond) {
+		for range 8 { // groups
+			if now >= o.until {
+				attempts++
+				o.note(now, failed)
+			}
+		}
+	}
+	if attempts > 5 {
+		t.Errorf("%d calls in an outage of 6 s", attempts)
+	}
+	if o.note(now.Add(time.Minute), errkind.New(errkind.Conflict, "fake")); o.until != 0 {
+		t.Error("an answer does not end the pause")
+	}
+}
+
 func TestStewardsTakeTurnsOnlyAfterTheLease(t *testing.T) {
 	store := newFakeStore()
 	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 7}}
