A start waits until the cell's leader hands tables on; longer pauses while it cannot

In an outage each VM's four followers failed five times in the first second and a half.

Change: the leader goes on once it has heard most of its cell, the others once it hands tables on. The pause after a failed call begins at 0.4 s for a VM with a leader.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -81,8 +81,10 @@
 	// quarter of the shortest lease that rests on a follower.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 800 * time.Millisecond
-	// lastRelayPause is that of a VM that reads from another one.
-	lastRelayPause = 2 * time.Second
+	// firstRelayPause and lastRelayPause are those of a VM that reads from another one:
+	// what it needs first, the proof of the configuration, comes by news.
+	firstRelayPause = 400 * time.Millisecond
+	lastRelayPause  = 2 * time.Second
 	// relayWait is how long one call of another VM waits for a change. A VM that is
 	// lost meanwhile is noticed within this time at the latest.
 	relayWait = 2500 * time.Millisecond
@@ -110,19 +112,22 @@
 		}
 		select {
 		case <-ctx.Done():
-		case <-time.After(pause):
+		case <-time.After(f.longer(pause)):
 		}
-		pause = min(2*pause, f.lastPause())
+		pause = min(2*pause, lastRelayPause)
 	}
 }
 
-// lastPause is longer for a VM that can read from another, so that an outage of the
-// store does not bring calls of the whole fleet.
-func (f *Follower) lastPause() time.Duration {
-	if _, ok := f.source(); ok {
-		return lastRelayPause
+// longer returns the pause after a failed call: a longer one for a VM that can read
+// from another, so that an outage of the store does not bring calls of the whole fleet.
+func (f *Follower) longer(pause time.Duration) time.Duration {
+	f.mu.Lock()
+	loaded := f.loaded
+	f.mu.Unlock()
+	if _, ok := f.source(); ok && loaded {
+		return max(pause, firstRelayPause)
 	}
-	return lastPause
+	return min(pause, lastPause)
 }
 
 func (f *Follower) noteHealth(err error) {
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -20,7 +20,9 @@
 	// reads tables from the store: two rounds of urgent news. newHearWait is that of a
 	// new VM, which the others may not know yet.
 	hearWait    = 250 * time.Millisecond
-	newHearWait = 700 * time.Millisecond
+	newHearWait = 1200 * time.Millisecond
+	// hearPoll is the pause between two looks.
+	hearPoll = 25 * time.Millisecond
 	// firstRegisterPause and lastRegisterPause bound the pause after a failed call.
 	firstRegisterPause = 100 * time.Millisecond
 	lastRegisterPause  = 2 * time.Second
@@ -98,10 +100,22 @@
 	}
 }
 
-// awaitLeader waits a moment until another VM of the cell is heard.
+// awaitLeader waits until the VM that acts for the cell hands tables on. That VM itself
+// waits until it has heard most of the cell: it may find that another one acts.
 func (e *Process) awaitLeader(ctx context.Context, wait time.Duration) {
-	for start := boottime.Now(); ctx.Err() == nil && boottime.Since(start) < wait; time.Sleep(hearWait / 10) {
-		if _, ok := e.tableSource(); ok || !e.mesh.Large() {
+	relay := coord.Relay{Calls: e.peers}
+	for start := boottime.Now(); ctx.Err() == nil && boottime.Since(start) < wait; time.Sleep(hearPoll) {
+		if !e.mesh.Large() || e.mesh.HeardMost() && e.mesh.Leads() {
+			return
+		}
+		address, ok := e.tableSource()
+		if !ok {
+			continue
+		}
+		call, cancel := context.WithTimeout(ctx, hearWait)
+		_, _, err := relay.Rows(call, address, tableMembers)
+		cancel()
+		if err == nil {
 			return
 		}
 	}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -261,6 +261,19 @@
 	return m.candidates(boottime.Now())
 }
 
+// HeardMost reports whether more than half of the own cell is in touch.
+func (m *Mesh) HeardMost() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now, heard := boottime.Now(), 1
+	for _, vm := range m.cells[m.own].vms {
+		if m.inTouch(vm, now) {
+			heard++
+		}
+	}
+	return 2*heard > len(m.cells[m.own].vms)
+}
+
 // Large reports whether there are too many VMs for each to count on all others.
 func (m *Mesh) Large() bool {
 	m.mu.Lock()
