Single statements run at the customer's owner in the cell

Ruled out: idle transactions (they were elsewhere); a primary that is slow by itself.

Change: the VM of the cell that admits a customer's operations also runs its single statements, over the one call that asked for admission before. A write whose answer is lost there has an unknown outcome; reads run here then. Where there are hardly more connections than VMs, the budget follows the load, and idle connections are closed after 6 s.

--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -67,6 +67,7 @@
 	// dirty tells that the values and prepared statements are not known.
 	dirty bool
 	since boottime.Time // when it was taken
+	freed boottime.Time // when it was given back
 }
 
 // Request asks for a connection.
@@ -376,10 +377,21 @@
 		return
 	}
 	s.hold += (boottime.Since(c.since) - s.hold) / holdWeight
+	c.freed = boottime.Now()
 	s.idle = append(s.idle, c)
 	s.serve()
 }
 
+// CloseIdle closes connections that have been idle for longer than the time, so that
+// other VMs can have them.
+func (s *Set) CloseIdle(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.idle) > 0 && boottime.Since(s.idle[0].freed) > d {
+		s.dropOldest()
+	}
+}
+
 // Discard closes a connection that is of no further use.
 func (c *Conn) Discard() {
 	c.Conn.Close()
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -2,25 +2,31 @@
 
 // Budget returns how many connections this VM may have to each server of a group.
 //
-// Load pattern: VMs of a failure domain with few VMs carry several times the
-// statements of others, and a connection serves one customer only, so that a VM
-// short of them opens one for nearly every statement. A part of the limit is split
-// evenly, so that each VM can begin; the rest follows the load.
+// Load pattern: VMs of a failure domain with few VMs, and the owners of customers,
+// carry several times the statements of others, and a connection serves one customer
+// only, so that a VM short of them opens one for nearly every statement. A part of the
+// limit is split evenly, so that each VM can begin; the rest follows the load. If there
+// are hardly more connections than VMs, an even split would leave none to follow it:
+// VMs without load use their one for moments only.
 func Budget(limit, members int, own float64, others []float64) int {
 	total := own
 	for _, o := range others {
 		total += o
 	}
-	even := float64(limit) / float64(max(members, 1))
+	each := float64(limit) / float64(max(members, 1))
 	if total < minLoad {
-		return max(1, int(even))
+		return max(1, int(each))
 	}
-	return max(1, int(evenPart*even+(1-evenPart)*float64(limit)*own/total))
+	even := evenPart * min(1, each/ampleConnections)
+	return max(1, int(even*each+(1-even)*float64(limit)*own/total))
 }
 
 const (
 	// evenPart is the part of a limit that is split evenly over the VMs.
 	evenPart = 0.4
+	// ampleConnections is the number of connections for each VM from which on that
+	// part is split in full: as many as there are on small deployments.
+	ampleConnections = 4
 	// minLoad is the fleet's load, in statements under way, below which the split is
 	// even.
 	minLoad = 0.5
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -158,6 +158,15 @@
 	return ids
 }
 
+// CloseIdle closes connections that have been idle for longer than the time.
+func (r *Router) CloseIdle(d time.Duration) {
+	for _, g := range r.Groups() {
+		for _, s := range g.Servers() {
+			s.Conns.CloseIdle(d)
+		}
+	}
+}
+
 // Expire drops servers whose entries have been missing for too long.
 func (r *Router) Expire() {
 	for _, g := range r.Groups() {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -53,6 +53,31 @@
 	return errkind.New(errkind.QueueTimeout, "time limit passed before the statement was sent")
 }
 
+// Mode is how a single statement runs.
+type Mode uint8
+
+// The modes.
+const (
+	// ModeWrite runs at the primary.
+	ModeWrite Mode = iota
+	// ModeCurrent reads what is acknowledged by now.
+	ModeCurrent
+	// ModeStale reads what was acknowledged at a moment, and an own position.
+	ModeStale
+)
+
+// Single runs a statement outside a transaction. The moment and own count for
+// ModeStale.
+func (g *Group) Single(mode Mode, call *Call, before boottime.Time, own position.Position) (statement.Result, error) {
+	switch mode {
+	case ModeWrite:
+		return g.Write(call)
+	case ModeCurrent:
+		return g.ReadCurrent(call)
+	}
+	return g.Read(call, before, own)
+}
+
 // Write runs a single write at the primary. An error of class not run proves that
 // nothing was sent or the server refused it.
 func (g *Group) Write(call *Call) (statement.Result, error) {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,6 +22,7 @@
 	"chicoryline/internal/coord"
 	"chicoryline/internal/dispatch"
 	"chicoryline/internal/mesh"
+	"chicoryline/internal/owner"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/ratelimit"
 	"chicoryline/internal/session"
@@ -74,6 +75,9 @@
 	storeTimeout = 800 * time.Millisecond
 	// upkeepInterval is the pause between two rounds of upkeep.
 	upkeepInterval = 200 * time.Millisecond
+	// idleTime is how long a VM of a large fleet keeps a connection that it does not
+	// use: several times the pause between two statements of a customer at its owner.
+	idleTime = 6 * time.Second
 	// unreadyTime is from the first refusal of the readiness check until the
 	// balancer, which asks every second and forgives one miss, sends no more.
 	unreadyTime = 2200 * time.Millisecond
@@ -166,8 +170,8 @@
 		joined:   make(chan struct{}),
 	}
 	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
-	homes := ratelimit.NewHomes(e.limiter, e.peers, e.rateHome, log)
-	e.core = &session.Core{Access: e.view, Limiter: homes, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
+	homes := ratelimit.NewHomes(e.limiter, e.peers, e.ownerOf, log)
+	e.core = &session.Core{Access: e.view, Limiter: homes, Owners: owner.New(e.peers, e.ownerOf, log), Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
 	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, Log: log})
 	e.view.OnChange(e.configure)
 	return e
@@ -267,6 +271,9 @@
 		}
 		e.share()
 		e.router.Expire()
+		if e.mesh.Large() {
+			e.router.CloseIdle(idleTime)
+		}
 		if ready := e.isReady(); ready != e.ready.Swap(ready) {
 			e.log.WithFields(logrus.Fields{"event": "ready", "ready": ready, "config_age_ms": e.view.Age().Milliseconds()}).Info("changed")
 		}
--- a/internal/entry/home.go
+++ b/internal/entry/home.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/coord"
+	"chicoryline/internal/owner"
 	"chicoryline/internal/peer"
 	"chicoryline/internal/ratelimit"
 )
@@ -19,6 +20,9 @@
 	if err := server.Register("Rate", ratelimit.NewService(e.limiter)); err != nil {
 		return nil, err
 	}
+	if err := server.Register("Owner", owner.NewService(e.limiter, e.router)); err != nil {
+		return nil, err
+	}
 	if err := server.Register("Tables", coord.NewCopyService(e.copies)); err != nil {
 		return nil, err
 	}
@@ -62,9 +66,9 @@
 	return best
 }
 
-// rateHome returns the address of the VM that admits the customer's operations. In
-// a small fleet every VM decides by itself.
-func (e *Process) rateHome(customer string) (address string, remote bool) {
+// ownerOf returns the address of the VM that admits the customer's operations and runs
+// its single statements. In a small fleet every VM does so by itself.
+func (e *Process) ownerOf(customer string) (address string, remote bool) {
 	if !e.mesh.Large() {
 		return "", false
 	}
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -38,13 +38,21 @@
 
 // Ask admits one operation of a customer whose home this VM is.
 func (s *Service) Ask(args *AskArgs, reply *AskReply) error {
-	c, known := s.limiter.customer(args.Customer)
-	if reply.Known = known; known {
-		reply.RetryAfter, reply.Admitted = s.limiter.Admit(c)
-	}
+	reply.RetryAfter, reply.Admitted, reply.Known = s.limiter.AdmitName(args.Customer)
 	return nil
 }
 
+// AdmitName takes one operation of the customer of the name, or tells when there is room
+// for one. known is false for a customer that is not configured.
+func (l *Limiter) AdmitName(name string) (retryAfter time.Duration, admitted, known bool) {
+	c, known := l.customer(name)
+	if !known {
+		return 0, false, false
+	}
+	retryAfter, admitted = l.Admit(c)
+	return retryAfter, admitted, true
+}
+
 // customer returns the limits that are configured for the name.
 func (l *Limiter) customer(name string) (access.Customer, bool) {
 	l.mu.Lock()
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -31,6 +31,12 @@
 	Admit(c access.Customer) (retryAfter time.Duration, ok bool)
 }
 
+// Owners runs single statements at the VM that owns the customer's connections.
+type Owners interface {
+	// Run is not taken if no other VM ran the statement, which is this VM's then.
+	Run(c access.Customer, group string, mode dispatch.Mode, call *dispatch.Call, maxAge time.Duration, own position.Position) (r statement.Result, err error, taken bool)
+}
+
 // Observer learns how operations ended.
 type Observer interface {
 	// Statement reports one statement that a backend server had to answer.
@@ -52,6 +58,7 @@
 type Core struct {
 	Access   *access.View
 	Limiter  Limiter
+	Owners   Owners
 	Router   *dispatch.Router
 	Observer Observer
 	Texts    connset.Texts
@@ -204,19 +211,15 @@
 	return err
 }
 
-// admit decides whether the caller may start an operation now.
-func (s *Session) admit(st statement.Statement) (access.Route, access.Customer, error) {
-	route, customer, err := s.core.Access.Authorize(s.database, s.key)
-	if err != nil {
-		return route, customer, err
-	}
+// admit takes one operation of the customer's rate.
+func (s *Session) admit(customer access.Customer) error {
 	if customer.Name == "" {
-		return route, customer, nil
+		return nil
 	}
 	if wait, ok := s.core.Limiter.Admit(customer); !ok {
-		return route, customer, errkind.New(errkind.OverRate, "retry after %d ms", wait.Milliseconds())
+		return errkind.New(errkind.OverRate, "retry after %d ms", wait.Milliseconds())
 	}
-	return route, customer, nil
+	return nil
 }
 
 func (s *Session) begin(st statement.Statement, arrived boottime.Time) statement.Result {
@@ -226,7 +229,10 @@
 	if s.tx != nil {
 		return s.refuse(errkind.New(errkind.ProtocolViolation, "a transaction is open"))
 	}
-	route, customer, err := s.admit(st)
+	route, customer, err := s.core.Access.Authorize(s.database, s.key)
+	if err == nil {
+		err = s.admit(customer)
+	}
 	if err != nil {
 		s.report(st, route, customer, arrived, err)
 		return s.refuse(err)
@@ -281,7 +287,7 @@
 
 // single runs a statement outside a transaction.
 func (s *Session) single(st statement.Statement, arrived boottime.Time) statement.Result {
-	route, customer, err := s.admit(st)
+	route, customer, err := s.core.Access.Authorize(s.database, s.key)
 	if err != nil {
 		s.report(st, route, customer, arrived, err)
 		return s.refuse(err)
@@ -290,23 +296,35 @@
 	if err != nil {
 		return s.refuse(err)
 	}
-	group := s.core.Router.Group(route.Group)
-	var r statement.Result
+	mode := dispatch.ModeStale
 	switch {
 	case write:
-		r, err = group.Write(call)
-		if err == nil {
-			s.noteOwn(route.Group, r.Position)
-		}
+		mode = dispatch.ModeWrite
 	case route.Consistency == access.Current:
-		r, err = group.ReadCurrent(call)
-	default:
-		r, err = group.Read(call, arrived.Add(-route.MaxStaleness), s.ownFor(route))
+		mode = dispatch.ModeCurrent
+	}
+	r, err := s.run(route, customer, mode, call)
+	if write && err == nil {
+		s.noteOwn(route.Group, r.Position)
 	}
 	s.report(st, route, customer, arrived, err)
 	return s.result(r, err)
 }
 
+// run runs a single statement at the customer's owner or, if there is none, here.
+func (s *Session) run(route access.Route, customer access.Customer, mode dispatch.Mode, call *dispatch.Call) (statement.Result, error) {
+	own := s.ownFor(route)
+	if s.core.Owners != nil && customer.Name != "" {
+		if r, err, taken := s.core.Owners.Run(customer, route.Group, mode, call, route.MaxStaleness, own); taken {
+			return r, err
+		}
+	}
+	if err := s.admit(customer); err != nil {
+		return statement.Result{}, err
+	}
+	return s.core.Router.Group(route.Group).Single(mode, call, call.Arrived.Add(-route.MaxStaleness), own)
+}
+
 // result is what the caller gets; the server's position stays inside.
 func (s *Session) result(r statement.Result, err error) statement.Result {
 	r.Err, r.Status, r.Position = err, s.status(), position.Position{}
