Parts of connection limits follow the load at each server; a raise waits

A VM that is given more opened them at once, while another, whose part was lowered, still used its own; and each VM split the limit by its own load of the moment, which the others did not know yet. On grown deployments the load of a group was split evenly over its servers, though reads go to the one of the domain.

Change: a VM counts with the load that it has reported, measured as time in use and not by samples, for each server; a higher limit takes effect after 0.7 s, a lower one at once.

--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -35,6 +35,9 @@
 	// lingerTime is how long an answer that came too late for its caller is still
 	// awaited, so that the server's work is not broken off.
 	lingerTime = 3 * time.Second
+	// growDelay is how long a higher limit waits: until then another VM, whose limit
+	// was lowered, may still use its connections for statements under way.
+	growDelay = 700 * time.Millisecond
 )
 
 // Dialer opens connections.
@@ -106,6 +109,10 @@
 	closed  bool
 	window  window
 	hold    time.Duration // smoothed time for which a connection is in use
+	raise   raise
+	// busy is the time in use and waiting, of all together, up to counted.
+	busy    time.Duration
+	counted boottime.Time
 
 	dials, evictions int64
 	dialTime         time.Duration // smoothed
@@ -113,20 +120,65 @@
 
 // New returns an empty set that opens at most limit connections.
 func New(d Dialer, address, group, server string, limit int) *Set {
-	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}, dialTime: firstOpenTime, window: newWindow(limit), hold: firstHold}
+	return &Set{dialer: d, address: address, group: group, server: server, limit: limit, inUse: map[string]int{}, dialTime: firstOpenTime, window: newWindow(limit), hold: firstHold, counted: boottime.Now()}
 }
 
-// SetLimit changes the number of connections that the VM may have open.
+// SetLimit changes the number of connections that the VM may have open: a lower one
+// at once, a higher one if it stands for growDelay.
 func (s *Set) SetLimit(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.limit = n
-	s.window.bound(n)
+	now := boottime.Now()
+	s.count(now)
+	s.limit = s.raise.next(now, s.limit, n)
+	s.window.bound(s.limit)
 	for s.open > s.limit && len(s.idle) > 0 {
 		s.dropOldest()
 	}
 }
 
+// raise is a limit that takes effect if it stands for growDelay.
+type raise struct {
+	to int
+	at boottime.Time // 0 without one
+}
+
+// next returns the limit in force if n is asked for: the lowest of what was asked for
+// during the delay.
+func (r *raise) next(now boottime.Time, limit, n int) int {
+	switch {
+	case n <= limit:
+		r.at = 0
+		return n
+	case r.at == 0:
+		r.to, r.at = n, now.Add(growDelay)
+		return limit
+	}
+	if r.to = min(r.to, n); now < r.at {
+		return limit
+	}
+	r.at = 0
+	return r.to
+}
+
+// count adds the time since the last call for each request in use or waiting. It is
+// called before their numbers change. The mutex is held.
+func (s *Set) count(now boottime.Time) {
+	s.busy += now.Sub(s.counted) * time.Duration(s.open-len(s.idle)+len(s.waiters))
+	s.counted = now
+}
+
+// TakeBusy returns the mean number of requests in use and waiting over the time since
+// the last call.
+func (s *Set) TakeBusy(d time.Duration) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.count(boottime.Now())
+	busy := s.busy
+	s.busy = 0
+	return busy.Seconds() / d.Seconds()
+}
+
 // Load tells how the next request of the customer would fare.
 type Load struct {
 	// Idle tells that the customer has an idle connection.
@@ -169,6 +221,7 @@
 // back; one whose context ends gets errkind.QueueTimeout.
 func (s *Set) Acquire(ctx context.Context, r Request) (*Conn, error) {
 	s.mu.Lock()
+	s.count(boottime.Now())
 	if s.closed {
 		s.mu.Unlock()
 		return nil, errkind.New(errkind.Unreachable, "%s is gone", s.server)
@@ -291,6 +344,7 @@
 
 // forget takes back a connection that ended. The mutex is held.
 func (s *Set) forget(customer string) {
+	s.count(boottime.Now())
 	s.open--
 	s.leave(customer)
 	s.serve()
@@ -370,6 +424,7 @@
 	s := c.set
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.count(boottime.Now())
 	s.leave(c.Customer)
 	if s.closed || s.open > s.limit {
 		s.open--
--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -316,3 +316,32 @@
 		t.Errorf("%d connections are open", n)
 	}
 }
+
+// VMs move parts of a server's limit between them. One that was given more waited for
+// nothing, while another still used what it had lost: 11 connections where 9 are
+// allowed (TestConnectionsStayWithinTheLimit, once of 4 runs).
+func TestHigherLimitWaits(t *testing.T) {
+	var r raise
+	limit, now := 1, boottime.Time(time.Hour)
+	for _, step := range []struct {
+		after   time.Duration
+		ask     int
+		want    int
+		because string
+	}{
+		{0, 5, 1, "it has just been asked for"},
+		{growDelay / 2, 4, 1, "the delay is not over"},
+		{growDelay, 6, 4, "4 was the lowest during the delay"},
+		{growDelay, 6, 4, "a new delay begins"},
+		{0, 2, 2, "a lower limit counts at once"},
+		{0, 9, 2, "it has just been asked for"},
+		{0, 1, 1, "a lower limit counts at once"},
+		{2 * growDelay, 9, 1, "the raise before was taken back"},
+		{growDelay, 9, 9, "it has stood for the delay"},
+	} {
+		now = now.Add(step.after)
+		if limit = r.next(now, limit, step.ask); limit != step.want {
+			t.Fatalf("asked for %d: limit %d, want %d: %s", step.ask, limit, step.want, step.because)
+		}
+	}
+}
--- a/internal/dispatch/budget.go
+++ b/internal/dispatch/budget.go
@@ -1,6 +1,7 @@
 package dispatch
 
-// Budget returns how many connections this VM may have to each server of a group.
+// Budget returns how many connections this VM may have to a server, by the loads of all
+// VMs there.
 //
 // Load pattern: VMs of a failure domain with few VMs, and the owners of customers,
 // carry several times the statements of others, and a connection serves one customer
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -65,7 +65,6 @@
 	limit     int
 	// health is what is known of the primary's answers.
 	health health
-	load   float64
 	// expected is when a new primary should lead.
 	expected boottime.Time
 	// leaderless is when the group lost its primary, leaving when the present one
@@ -120,10 +119,11 @@
 	return list
 }
 
-// SetLimit sets how many connections this VM may have to each server of the group.
-func (r *Router) SetLimit(group string, n int) {
+// SetLimits sets how many connections this VM may have to each server of the group;
+// fresh is for servers that are not known yet.
+func (r *Router) SetLimits(group string, fresh int, limit func(*Server) int) {
 	r.mu.Lock()
-	r.limits[group] = n
+	r.limits[group] = fresh
 	g := r.groups[group]
 	r.mu.Unlock()
 	if g == nil {
@@ -131,9 +131,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.limit = n
+	g.limit = fresh
 	for _, s := range g.servers {
-		s.Conns.SetLimit(n)
+		s.Conns.SetLimit(limit(s))
 	}
 }
 
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -18,7 +18,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	r := NewRouter(Config{Domain: "north", LeaveTime: 7 * time.Second, Log: logrus.NewEntry(log)})
-	r.SetLimit("g", 4)
+	r.SetLimits("g", 4, func(*Server) int { return 4 })
 	for i, id := range ids {
 		r.Update(entryOf(id, i == 0, uint64(i+1)))
 	}
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "chicoryline/internal/boottime"
+import (
+	"time"
+
+	"chicoryline/internal/boottime"
+)
 
 // health is what this VM and those in touch know of the primary's answers.
 // Moments are 0 for never; those of failures are the first since the last answer.
@@ -115,25 +119,25 @@
 	return g.expected
 }
 
-// loadWeight is the part of a new count in the smoothed one; counted every 200 ms
-// it follows a change of load within 2 s.
+// loadWeight is the part of a new measurement in the smoothed one; measured every
+// 200 ms it follows a change of load within 2 s.
 const loadWeight = 0.1
 
-// MeasureLoad counts the statements under way and waiting, for the smoothed load.
-func (g *Group) MeasureLoad() {
-	busy := 0
+// MeasureLoad takes the statements under way and waiting in the time since the last
+// call into the smoothed loads of the servers.
+func (g *Group) MeasureLoad(since time.Duration) {
 	for _, s := range g.Servers() {
-		l := s.Conns.Load("")
-		busy += l.InUse + l.Waiting
+		busy := s.Conns.TakeBusy(since)
+		s.mu.Lock()
+		s.load += (busy - s.load) * loadWeight
+		s.mu.Unlock()
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.load += (float64(busy) - g.load) * loadWeight
 }
 
-// Load returns the smoothed number of statements under way.
-func (g *Group) Load() float64 {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.load
+// Load returns the smoothed number of statements that this VM has under way at the
+// server.
+func (s *Server) Load() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.load
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -60,6 +60,8 @@
 	response   time.Duration
 	measuredAt boottime.Time
 	missing    boottime.Time
+	// load is the smoothed number of statements under way.
+	load float64
 	// leftAt is when the server was first known to leave.
 	leftAt boottime.Time
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -145,8 +145,10 @@
 	// mu guards the fields below it.
 	mu      sync.Mutex
 	members map[string]member
-	// loads is the load of other VMs in touch, by VM and group.
-	loads map[string]map[string]float64
+	// loads is the load of other VMs and cells in touch at each backend server, by VM
+	// and a hash of the server's id; reported is this VM's own as the others know it.
+	loads    map[string]map[uint32]float32
+	reported map[uint32]float32
 }
 
 // member is the row of a VM.
@@ -159,7 +161,7 @@
 func New(s Settings, p Platform, log *logrus.Entry) *Process {
 	log = log.WithField("vm", s.VM)
 	e := &Process{
-		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[string]float64{},
+		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[uint32]float32{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
 		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
 		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
@@ -267,7 +269,7 @@
 func (e *Process) upkeep(ctx context.Context) {
 	every(ctx, upkeepInterval, func() {
 		for _, g := range e.router.Groups() {
-			g.MeasureLoad()
+			g.MeasureLoad(upkeepInterval)
 		}
 		e.share()
 		e.router.Expire()
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -1,8 +1,11 @@
 package entry
 
 import (
+	"maps"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"chicoryline/internal/access"
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
@@ -36,23 +39,39 @@
 	if c == nil {
 		return
 	}
+	for name, g := range c.Groups {
+		limit := g.MaxConnections - controlConnections
+		e.router.SetLimits(name, dispatch.Budget(limit, all+1, 0, nil), func(s *dispatch.Server) int {
+			own, others := e.loadsAt(hashServer(s.Info().ID))
+			return dispatch.Budget(limit, all+1, own, others)
+		})
+	}
+}
+
+// loadsAt returns the loads of this VM and of the others at a backend server. The own
+// one is that which the others know: with the same loads all VMs come to parts that add
+// up to the limit.
+func (e *Process) loadsAt(server uint32) (own float64, others []float64) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	for name, g := range c.Groups {
-		var others []float64
-		for _, loads := range e.loads {
-			others = append(others, loads[name])
+	for _, loads := range e.loads {
+		if load := loads[server]; load > 0 {
+			others = append(others, float64(load))
 		}
-		own := e.router.Group(name).Load()
-		e.router.SetLimit(name, dispatch.Budget(g.MaxConnections-controlConnections, all+1, own, others))
 	}
+	return float64(e.reported[server]), others
 }
 
+func hashServer(id string) uint32 { return uint32(xxhash.Sum64String(id)) }
+
+// leastLoad is the load below which a server is left out of the news.
+const leastLoad = 0.005
+
 // noteLoad takes another VM's load.
 func (e *Process) noteLoad(vm string, groups map[string]mesh.GroupNews) {
-	loads := make(map[string]float64, len(groups))
-	for name, g := range groups {
-		loads[name] = float64(g.Load)
+	loads := map[uint32]float32{}
+	for _, g := range groups {
+		maps.Copy(loads, g.Loads)
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -74,9 +93,15 @@
 		Leaving: e.leaving.Load(), Settled: boottime.Since(e.started) > e.settings.RateWindow, ConfigVersion: version, ConfigAge: age(proved),
 		Usage: e.limiter.Report(), Groups: map[string]mesh.GroupNews{},
 	}
+	reported := map[uint32]float32{}
 	for _, g := range e.router.Groups() {
-		n.Groups[g.Name] = groupNews(g)
+		news := groupNews(g)
+		n.Groups[g.Name] = news
+		maps.Copy(reported, news.Loads)
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reported = reported
 	return n
 }
 
@@ -103,7 +128,12 @@
 	point, h := g.History.Newest(), g.Health()
 	news := mesh.GroupNews{
 		Position: point.Position, PositionAge: age(point.At), Primary: h.Primary,
-		AnsweredAge: age(h.OwnAnswered), CommittedAge: age(h.OwnCommitted), Load: float32(g.Load()),
+		AnsweredAge: age(h.OwnAnswered), CommittedAge: age(h.OwnCommitted), Loads: map[uint32]float32{},
+	}
+	for _, s := range g.Servers() {
+		if load := s.Load(); load >= leastLoad {
+			news.Loads[hashServer(s.Info().ID)] = float32(load)
+		}
 	}
 	if expected := g.Expected(); expected > boottime.Now() {
 		news.ExpectedIn = expected.Sub(boottime.Now()).Milliseconds()
--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -71,7 +71,7 @@
 	for name, g := range o.Groups {
 		sum, known := n.Groups[name]
 		if !known {
-			sum = GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, Primary: g.Primary}
+			sum = GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, Primary: g.Primary, Loads: map[uint32]float32{}}
 		}
 		sum.add(g, held)
 		n.Groups[name] = sum
@@ -90,7 +90,9 @@
 			g.CommittedAge = younger(g.CommittedAge, o.CommittedAge+held)
 		}
 	}
-	g.Load += o.Load
+	for server, load := range o.Loads {
+		g.Loads[server] += load
+	}
 	g.ExpectedIn = max(g.ExpectedIn, o.ExpectedIn-held)
 }
 
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -57,9 +57,9 @@
 	// AnsweredAge and CommittedAge are when the primary last answered the VM and
 	// when it last acknowledged a commit to it.
 	AnsweredAge, CommittedAge int64
-	// Load is the smoothed number of statements that the VM has under way at the
-	// group's servers.
-	Load float32
+	// Loads is the smoothed number of statements that the VM has under way at each of
+	// the group's servers, by a hash of the server's id; none for servers without load.
+	Loads map[uint32]float32
 	// ExpectedIn is when a new primary should lead, in milliseconds; 0 if no change
 	// is under way.
 	ExpectedIn int64
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -64,7 +64,7 @@
 	news := func(taken uint64, offset uint64, age int64, load float32) News {
 		return News{
 			ConfigVersion: 4, ConfigAge: age, Usage: map[string]ratelimit.Usage{"c": {Taken: taken, Demand: 2}},
-			Groups: map[string]GroupNews{"g": {Position: position.Position{Term: 1, Offset: offset}, PositionAge: age, Primary: "s", AnsweredAge: age, CommittedAge: -1, Load: load}},
+			Groups: map[string]GroupNews{"g": {Position: position.Position{Term: 1, Offset: offset}, PositionAge: age, Primary: "s", AnsweredAge: age, CommittedAge: -1, Loads: map[uint32]float32{1: load}}},
 		}
 	}
 	add := func(vm string, n News, held time.Duration) {
@@ -77,7 +77,7 @@
 	add("vm0002", news(9, 30, 400, 3), 0)
 	d := m.digest(own, now)
 	g := d.News.Groups["g"]
-	if d.Members != 3 || d.News.ConfigAge != 151 || g.PositionAge != 151 || g.Position.Offset != 20 || g.AnsweredAge != 151 || g.CommittedAge != -1 || g.Load != 6 {
+	if d.Members != 3 || d.News.ConfigAge != 151 || g.PositionAge != 151 || g.Position.Offset != 20 || g.AnsweredAge != 151 || g.CommittedAge != -1 || g.Loads[1] != 6 {
 		t.Errorf("digest %+v", d)
 	}
 	if u := d.News.Usage["c"]; u.Taken != 21 || u.Demand != 6 {
