--- a/internal/ratelimit/recent.go
+++ b/internal/ratelimit/recent.go
@@ -8,7 +8,7 @@
 
 const (
 	// parts is the number of parts of a window; a part is forgotten at once.
-	parts = 25
+	parts = 100
 	// slots holds one part more: operations of the oldest part are older than the
 	// window only when the part after it begins.
 	slots = parts + 1
--- a/internal/steward/decide.go
+++ b/internal/steward/decide.go
@@ -12,9 +12,11 @@
 
 const (
 	// SuspectTime is how long a primary has to leave every VM in touch without an
-	// answer before it is replaced. A restart of its process takes longer; a lost
-	// packet is sent again within 200 ms.
-	SuspectTime = 700 * time.Millisecond
+	// answer before a steward acts. A restart of its process takes longer; a lost
+	// packet is sent again within 200 ms. The steward's own probe adds up to 150 ms.
+	SuspectTime = 550 * time.Millisecond
+	// MissingTime is how long no server may claim to lead before one is promoted.
+	MissingTime = 700 * time.Millisecond
 	// StuckTime is how long commits have to stay unanswered while the primary
 	// answers otherwise: it may have lost its replicas. Statements run up to 400 ms.
 	StuckTime = 1200 * time.Millisecond
@@ -61,7 +63,7 @@
 		return None
 	case o.Known && o.Leaving && o.Now.Sub(o.UnknownSince) >= wait:
 		return Leaving
-	case !o.Known && o.UnknownSince != 0 && o.Now.Sub(o.UnknownSince) >= SuspectTime+wait:
+	case !o.Known && o.UnknownSince != 0 && o.Now.Sub(o.UnknownSince) >= MissingTime+wait:
 		return Missing
 	case o.Known && o.FailingSince > o.Answered && o.Now.Sub(max(o.Answered, o.FailingSince)) >= SuspectTime+wait:
 		return Silent
