--- /dev/null
+++ b/internal/entry/join_test.go
@@ -0,0 +1,93 @@
+package entry
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/coord"
+	"chicoryline/internal/mesh"
+)
+
+// growingStore is a list of VMs to which another one comes when this one is written.
+type growingStore struct {
+	coord.Store
+	mu    sync.Mutex
+	rows  []coord.Row
+	reads int
+}
+
+func (s *growingStore) Rows(context.Context, string) ([]coord.Row, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reads++
+	return append([]coord.Row(nil), s.rows...), uint64(len(s.rows)), nil
+}
+
+func (s *growingStore) Apply(_ context.Context, c coord.Change) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows = append(s.rows, c.Put...)
+	s.rows = append(s.rows, coord.Row{Table: tableMembers, Key: "vm2", Value: []byte(`{"address":"127.0.0.2:1","domain":"south"}`)})
+	return uint64(len(s.rows)), nil
+}
+
+func newProcess(store coord.Store) *Process {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	e := New(Settings{VM: "vm1", Domain: "north", IP: "127.0.0.1", PeerPort: 1, RateWindow: time.Second}, Platform{Store: store}, logrus.NewEntry(log))
+	e.mesh = mesh.New(mesh.Config{VM: "vm1", Log: e.log})
+	return e
+}
+
+// VMs that start together have to know each other before they split limits: one that
+// read the list too early counted itself alone for 3 s and took all connections
+// (TestConnectionsStayWithinTheLimit: 11 where 9 are allowed).
+func TestNewVMReadsTheListAgain(t *testing.T) {
+	e := newProcess(&growingStore{})
+	if isNew := e.register(context.Background()); !isNew {
+		t.Error("a VM that was not listed is not new")
+	}
+	if len(e.members) != 2 {
+		t.Errorf("%d VMs are known, want 2", len(e.members))
+	}
+}
+
+// A VM that starts again finds its row and writes nothing.
+func TestListedVMRegistersWithOneCall(t *testing.T) {
+	store := &growingStore{rows: []coord.Row{{Table: tableMembers, Key: "vm1", Value: []byte(`{"address":"127.0.0.1:1","domain":"north"}`)}}}
+	e := newProcess(store)
+	if isNew := e.register(context.Background()); isNew || store.reads != 1 || len(store.rows) != 1 {
+		t.Errorf("new %v, %d reads, %d rows", isNew, store.reads, len(store.rows))
+	}
+}
+
+func TestHomesFollowTheCandidates(t *testing.T) {
+	var h homes
+	if h.find("c") != "" {
+		t.Error("a home without candidates")
+	}
+	h.update([]string{"vm1", "vm2", "vm3"})
+	count := map[string]int{}
+	before := map[string]string{}
+	for i := range 300 {
+		c := string(rune('a'+i%26)) + time.Duration(i).String()
+		before[c] = h.find(c)
+		count[before[c]]++
+	}
+	for vm, n := range count {
+		if n < 50 {
+			t.Errorf("%s is the home of %d of 300 customers", vm, n)
+		}
+	}
+	h.update([]string{"vm1", "vm3"})
+	for c, vm := range before {
+		if now := h.find(c); now == "vm2" || vm != "vm2" && now != vm {
+			t.Fatalf("%s moved from %s to %s", c, vm, now)
+		}
+	}
+}
