--- a/cmd/chicoryline/demo.go
+++ b/cmd/chicoryline/demo.go
@@ -20,6 +20,7 @@
 	Duration time.Duration `long:"duration" default:"10s" description:"length of the load"`
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the load"`
 	Site     string        `long:"site" default:"demo" choice:"demo" choice:"kremstal" choice:"fogas" description:"size of the site"`
+	Platform bool          `long:"platform" description:"run on stand-ins of the users' platform"`
 	Serve    bool          `long:"serve" description:"run without load until SIGINT or SIGTERM and print every address"`
 	Verbose  bool          `long:"verbose" short:"v" description:"log the events of all proxies"`
 }
@@ -28,6 +29,9 @@
 func (c *demoCommand) Execute([]string) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if c.Platform {
+		return c.onPlatform(ctx)
+	}
 	o := demo.DefaultOptions()
 	o.Spec, o.Duration, o.Seed, o.Out, o.Log = siteSpec(c.Site), c.Duration, c.Seed, os.Stdout, demoLogger(c.Verbose)
 	if c.Serve {
@@ -45,6 +49,19 @@
 	return nil
 }
 
+// onPlatform shows the processes of the users' platform.
+func (c *demoCommand) onPlatform(ctx context.Context) error {
+	f, err := demo.RunOnPlatform(ctx, c.Duration, os.Stdout, demoLogger(c.Verbose))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("requests=%d served=%d refused=%v stale=%d lost=%d doubled=%d\n", f.Requests, f.Served, f.Refused, f.Stale, f.Lost, f.Doubled)
+	if f.Broken() > 0 {
+		return errors.Errorf("%d promises broke", f.Broken())
+	}
+	return nil
+}
+
 func siteSpec(name string) site.Spec {
 	switch name {
 	case "kremstal":
--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -25,6 +25,19 @@
 	ReadYourWrites
 )
 
+// String returns the name that metrics use.
+func (c Consistency) String() string {
+	switch c {
+	case Current:
+		return "current"
+	case BoundedStaleness:
+		return "bounded_staleness"
+	case ReadYourWrites:
+		return "read_your_writes"
+	}
+	return "unknown"
+}
+
 // Route is a name that callers connect to.
 type Route struct {
 	Name         string
--- /dev/null
+++ b/internal/demo/onplatform.go
@@ -0,0 +1,230 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"time"
+
+	"github.com/juju/errors"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/entry"
+	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/world"
+	"chicoryline/platform"
+)
+
+const (
+	// platformVMs and platformCallers are the size of the demo: two VMs in each of
+	// three failure domains, and sessions on all of them.
+	platformVMs, platformCallers = 6, 24
+	// platformNetwork is the second and third number of the VMs' loopback addresses.
+	platformNetwork = "77.1"
+	// platformExchange bounds one exchange of a caller.
+	platformExchange = 5 * time.Second
+	// settlePlatform is from the start of the processes to the load: by then they know
+	// each other and the customers' rates have filled.
+	settlePlatform = 3 * time.Second
+)
+
+// PlatformFigures counts what callers of the demo on the platform's protocols saw.
+type PlatformFigures struct {
+	Requests, Served int
+	Refused          map[string]int // by the code that the caller got
+	// Stale counts own writes that were not read, Lost acknowledged writes that no
+	// server holds, Doubled writes that took effect twice.
+	Stale, Lost, Doubled int
+}
+
+// Broken is the number of broken promises.
+func (f *PlatformFigures) Broken() int { return f.Stale + f.Lost + f.Doubled }
+
+// platformRun is a running demo. The mutex guards figures and acknowledged.
+type platformRun struct {
+	world *world.World
+
+	mu           sync.Mutex
+	figures      PlatformFigures
+	acknowledged map[string]bool // ids of writes
+}
+
+// RunOnPlatform runs processes on stand-ins of the users' platform in this process,
+// with a load, a crash of a primary and the withdrawal of a key.
+func RunOnPlatform(ctx context.Context, duration time.Duration, out io.Writer, log *logrus.Entry) (*PlatformFigures, error) {
+	w, err := world.New(world.Options{
+		Groups: 2, Domains: []string{"north", "south", "east"}, VMs: platformVMs, Network: platformNetwork,
+		MaxConnections: 34, Lag: 20 * time.Millisecond, Work: 3 * time.Millisecond, PromoteTime: 300 * time.Millisecond,
+		KeyLifetime: 5 * time.Second,
+		Customers: []world.Customer{
+			{Name: "large", Keys: []string{"key-large"}, Rate: 2000, Burst: 2000},
+			{Name: "small", Keys: []string{"key-small"}, Rate: 1000, Burst: 1000},
+		},
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer w.Close()
+	stop, err := startOnPlatform(w, log)
+	if err != nil {
+		return nil, err
+	}
+	defer stop()
+	fmt.Fprintf(out, "platform=true failure_domains=3 vms=%d groups=2 backend_servers=6 customers=2\n", platformVMs)
+	time.Sleep(settlePlatform)
+	r := &platformRun{world: w, acknowledged: map[string]bool{}, figures: PlatformFigures{Refused: map[string]int{}}}
+	load, cancel := context.WithTimeout(ctx, duration)
+	defer cancel()
+	var callers sync.WaitGroup
+	for i := range platformCallers {
+		callers.Go(func() { r.call(load, i) })
+	}
+	r.harm(load, duration, out)
+	callers.Wait()
+	r.judge()
+	return &r.figures, nil
+}
+
+// startOnPlatform starts the processes and returns what ends them.
+func startOnPlatform(w *world.World, log *logrus.Entry) (func(), error) {
+	folder, err := os.MkdirTemp("", "chicoryline-demo")
+	if err != nil {
+		return nil, errors.Trace(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	var processes sync.WaitGroup
+	stop := func() {
+		cancel()
+		processes.Wait()
+		if err := os.RemoveAll(folder); err != nil {
+			log.WithError(err).Warn("settings files were not removed")
+		}
+	}
+	for vm := range platformVMs {
+		path, err := w.WriteSettings(folder, vm, w.Store.Address())
+		if err != nil {
+			stop()
+			return nil, errors.Trace(err)
+		}
+		settings, err := platform.LoadSettings(path)
+		if err != nil {
+			stop()
+			return nil, errors.Trace(err)
+		}
+		processes.Go(func() {
+			if err := entry.New(settings, platform.New(settings), log).Run(ctx); err != nil {
+				log.WithError(err).Error("process ended")
+			}
+		})
+	}
+	return stop, nil
+}
+
+// harm crashes a primary and withdraws a key while the load runs.
+func (r *platformRun) harm(ctx context.Context, duration time.Duration, out io.Writer) {
+	pause := func() bool {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-time.After(duration / 3):
+			return true
+		}
+	}
+	if pause() {
+		primary := r.world.Groups[0].Primary()
+		primary.Crash()
+		r.world.Announce(primary)
+		fmt.Fprintf(out, "fault=primary_crashed group=%s backend_server=%s\n", r.world.Groups[0].Name(), primary.ID)
+	}
+	if pause() {
+		r.world.Change(func(_ *[]world.Route, customers *[]world.Customer) { (*customers)[1].Keys = nil })
+		fmt.Fprintln(out, "fault=key_withdrawn customer=small")
+	}
+}
+
+// call writes and reads in sessions of one caller until the load ends.
+func (r *platformRun) call(ctx context.Context, i int) {
+	database, key := fmt.Sprintf("own-%d", i%2), "key-large"
+	if i%4 == 0 {
+		key = "key-small"
+	}
+	for n := 0; ctx.Err() == nil; {
+		c, err := lineclient.Dial(r.world.Front(i%platformVMs), database, key, platformExchange)
+		if err != nil {
+			r.note("", "connection")
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		for ; ctx.Err() == nil; n++ {
+			if !r.writeAndRead(c, i, n) {
+				break
+			}
+		}
+		c.Close()
+	}
+}
+
+// writeAndRead is false if the session has ended.
+func (r *platformRun) writeAndRead(c *lineclient.Client, caller, n int) bool {
+	id := fmt.Sprintf("w%d-%d", caller, n)
+	item, data := fmt.Sprintf("item%d", caller), fmt.Sprint(n)
+	a, err := c.Query(id, "WRITE "+item+" "+data)
+	if err != nil {
+		r.note("", "connection")
+		return false
+	}
+	r.note(id, a.Code)
+	if a.Code != "" {
+		time.Sleep(50 * time.Millisecond)
+		return true
+	}
+	a, err = c.Query("r"+id, "READ "+item)
+	if err != nil {
+		r.note("", "connection")
+		return false
+	}
+	r.note("", a.Code)
+	if a.Code == "" && a.Rows[0] != data {
+		r.mu.Lock()
+		r.figures.Stale++
+		r.mu.Unlock()
+	}
+	return true
+}
+
+// note counts a request; id is that of a write.
+func (r *platformRun) note(id, code string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.figures.Requests++
+	if code != "" {
+		r.figures.Refused[code]++
+		return
+	}
+	r.figures.Served++
+	if id != "" {
+		r.acknowledged[id] = true
+	}
+}
+
+// judge compares what was acknowledged with what the servers hold.
+func (r *platformRun) judge() {
+	held := map[string]int{}
+	for _, g := range r.world.Groups {
+		for _, w := range g.Committed() {
+			held[w.ID]++
+		}
+	}
+	for _, n := range held {
+		if n > 1 {
+			r.figures.Doubled++
+		}
+	}
+	for id := range r.acknowledged {
+		if held[id] == 0 {
+			r.figures.Lost++
+		}
+	}
+}
--- /dev/null
+++ b/internal/demo/onplatform_test.go
@@ -0,0 +1,22 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+func TestPlatformDemoKeepsItsPromises(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f, err := RunOnPlatform(context.Background(), 3*time.Second, io.Discard, logrus.NewEntry(log))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if f.Served == 0 || f.Broken() > 0 {
+		t.Errorf("%+v", f)
+	}
+}
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"sort"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -26,6 +27,9 @@
 	sampleSize, sampleAlpha = 256, 0.015
 	// quantile bounds of the metrics page.
 	median, tail = 0.5, 0.99
+	// maxCounted bounds the customers that have counters of their own; those beyond
+	// are counted together.
+	maxCounted = 128
 )
 
 // observer logs and counts how statements ended.
@@ -39,12 +43,16 @@
 	second   atomic.Int64
 	lines    atomic.Int64
 	withheld gometrics.Counter
+
+	// mu guards customers.
+	mu        sync.Mutex
+	customers map[string]bool
 }
 
 func newObserver(log *logrus.Entry) *observer {
 	o := &observer{
 		log: log, registry: gometrics.NewRegistry(), outcomes: map[errkind.Kind]gometrics.Counter{},
-		served: gometrics.NewCounter(), withheld: gometrics.NewCounter(),
+		served: gometrics.NewCounter(), withheld: gometrics.NewCounter(), customers: map[string]bool{},
 		latency: gometrics.NewHistogram(gometrics.NewExpDecaySample(sampleSize, sampleAlpha)),
 	}
 	for _, k := range errkind.All() {
@@ -60,6 +68,7 @@
 
 // Statement takes one decided statement.
 func (o *observer) Statement(e session.Event) {
+	o.count(e)
 	if e.Err == nil {
 		o.served.Inc(1)
 		o.latency.Update(e.Took.Microseconds())
@@ -76,6 +85,33 @@
 	o.entry(e).WithFields(logrus.Fields{"kind": errkind.KindOf(e.Err).String(), "cause": e.Err.Error()}).Warn("not served")
 }
 
+// count counts the outcome for the customer and, if the route is known, its kind.
+func (o *observer) count(e session.Event) {
+	outcome := "served"
+	if e.Err != nil {
+		outcome = "refused." + errkind.KindOf(e.Err).String()
+	}
+	if e.Group != "" {
+		gometrics.GetOrRegisterCounter("routes."+e.Consistency.String()+"."+outcome, o.registry).Inc(1)
+	}
+	if e.Customer != "" {
+		gometrics.GetOrRegisterCounter("customers."+o.counted(e.Customer)+"."+outcome, o.registry).Inc(1)
+	}
+}
+
+// counted returns the name under which the customer is counted.
+func (o *observer) counted(customer string) string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if !o.customers[customer] {
+		if len(o.customers) >= maxCounted {
+			return "others"
+		}
+		o.customers[customer] = true
+	}
+	return customer
+}
+
 // mayLog bounds the lines of failures to a number a second.
 func (o *observer) mayLog() bool {
 	now := time.Now().Unix()
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -103,8 +103,10 @@
 // An owner that has gone dark leaves its calls open. Others are not sent after them.
 func TestSilentOwnerIsPassedOver(t *testing.T) {
 	o := owners(&fakeOwner{}, true)
-	if !o.begin("owner") || !o.begin("owner") {
-		t.Fatal("a new owner is passed over")
+	for range 2 {
+		if !o.begin("owner") {
+			t.Fatal("a new owner is passed over")
+		}
 	}
 	o.links["owner"].waiting = boottime.Now().Add(-silentTime - time.Millisecond)
 	if o.begin("owner") {
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -46,8 +46,10 @@
 // Event is one decided statement.
 type Event struct {
 	ID, Customer, Database, Group string
-	Op                            statement.Op
-	Took                          time.Duration
+	// Consistency is that of the route.
+	Consistency access.Consistency
+	Op          statement.Op
+	Took        time.Duration
 	// ConfigVersion and ConfigAge are what the caller's right rested on.
 	ConfigVersion int64
 	ConfigAge     time.Duration
@@ -428,7 +430,7 @@
 func (s *Session) report(st statement.Statement, route access.Route, customer access.Customer, arrived boottime.Time, err error) {
 	version, _ := s.core.Access.Proved()
 	s.core.Observer.Statement(Event{
-		ID: st.ID, Customer: customer.Name, Database: s.database, Group: route.Group, Op: st.Op,
+		ID: st.ID, Customer: customer.Name, Database: s.database, Group: route.Group, Consistency: route.Consistency, Op: st.Op,
 		Took: boottime.Since(arrived), ConfigVersion: version, ConfigAge: s.core.Access.Age(), Err: err,
 	})
 }
