--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -18,15 +18,22 @@
 	e.share()
 }
 
+const (
+	// cellRounds is the number of rounds of news until a count has reached a cell: the
+	// others' last reports may not be in yet. fleetRounds is that for all cells: to the
+	// leader of the cell, to the other leaders, to their cells.
+	cellRounds, fleetRounds = 2, 4
+)
+
 // share splits what counts over all VMs.
 func (e *Process) share() {
 	heard, all := 0, 0
-	rounds := 2 // the others' last reports may not be in yet
+	rounds := cellRounds
 	if e.mesh != nil {
 		heard, all = e.mesh.Heard()
 		cells, inTouch := e.mesh.Cells()
 		if cells > 1 {
-			rounds = 4 // to the leader of the cell, to the other leaders, to their cells
+			rounds = fleetRounds
 		}
 		if e.mesh.Large() {
 			candidates := e.mesh.Candidates()
--- a/internal/entry/home.go
+++ b/internal/entry/owners.go
@@ -30,9 +30,9 @@
 	return server, nil
 }
 
-// homes knows the VM of the own cell that admits each customer's operations, by
-// rendezvous hashing over the VMs that may act for the cell. The mutex guards the
-// fields.
+// homes knows the VM of the own cell that admits each customer's operations, its home,
+// and owns its connections, by rendezvous hashing over the VMs that may act for the
+// cell. The mutex guards the fields.
 type homes struct {
 	mu         sync.Mutex
 	candidates []string
