--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -11,6 +11,7 @@
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/coord"
 	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
 	"chicoryline/internal/statement"
 )
 
@@ -50,6 +51,11 @@
 type Server struct {
 	ID, Address string
 	Leaving     bool
+	// Missing is how long the server's discovery entry has been missing, 0 if it is
+	// there. A server may run, and receive commits, without an entry.
+	Missing time.Duration
+	// DomainInTouch tells that a VM of the server's failure domain is in touch.
+	DomainInTouch bool
 }
 
 // Control runs control statements at backend servers.
@@ -147,6 +153,9 @@
 	Primary string
 	Servers []Server
 	Reason  Reason
+	// Acknowledged returns the highest position that a VM in touch knows to be
+	// acknowledged.
+	Acknowledged func() position.Position
 	// Progress is told when the new primary is expected to lead.
 	Progress func(in time.Duration)
 	// Answered is told that the primary answers after all.
