Logs: what becomes of backend servers and of a primary's answers

The three hypotheses (a vanished entry taken for a vanished server, a target behind what was acknowledged, replicas left paused) look alike in the old lines.

Change: one line for each change of a server's entry (known, vanished, returned, leaving, started anew, gone); the line of a changed primary names the previous one and the highest position that this VM's own commits were answered with; a line when the primary begins or ceases to leave statements or commits unanswered, with what peers know, at most 10 a second for a group. Metrics for each group of the configuration: servers, missing, has_primary, acknowledged; for each server: primary. No decision changes.

--- a/internal/boottime/boottime.go
+++ b/internal/boottime/boottime.go
@@ -30,3 +30,12 @@
 
 // Since returns the time that has passed since t.
 func Since(t Time) time.Duration { return Now().Sub(t) }
+
+// Age returns the time since the moment in milliseconds, rounded up; -1 for 0, which
+// stands for never.
+func Age(t Time) int64 {
+	if t == 0 {
+		return -1
+	}
+	return Since(t).Milliseconds() + 1
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -70,6 +70,8 @@
 	// leaderless is when the group lost its primary, leaving when the present one
 	// was first known to leave.
 	leaderless, leaving boottime.Time
+	acknowledged        acknowledged
+	healthLines         lineBudget
 }
 
 // Config is what all groups of a VM share.
@@ -182,17 +184,22 @@
 		old := s.Info()
 		if old.Address != info.Address || old.Started != info.Started {
 			// The server has started anew: its connections are gone.
+			g.serverLine(s).WithFields(logrus.Fields{"new_started": info.Started, "address": info.Address}).Warn("started anew")
 			s.Conns.Close()
 			delete(g.denied, s)
 			s = nil
 		}
 	}
-	if s == nil {
-		s = &Server{Conns: connset.New(g.cfg.Dialer, info.Address, g.Name, info.ID, g.limit)}
+	isNew := s == nil
+	if isNew {
+		s = &Server{Conns: connset.New(g.cfg.Dialer, info.Address, g.Name, info.ID, g.limit), known: boottime.Now()}
 		g.servers[info.ID] = s
+	} else if s.isMissing() {
+		g.serverLine(s).Warn("entry returned")
 	}
 	s.mu.Lock()
-	if info.Leaving && !s.info.Leaving {
+	leaves := info.Leaving && !s.info.Leaving
+	if leaves {
 		s.leftAt = boottime.Now()
 		if s.info.ID == "" {
 			// It is not known for how long the server has been leaving.
@@ -201,17 +208,22 @@
 	}
 	s.info, s.missing = info, 0
 	s.mu.Unlock()
+	switch {
+	case isNew:
+		g.serverLine(s).WithField("address", info.Address).Info("known")
+	case leaves:
+		g.serverLine(s).Info("leaving")
+	}
 	g.elect()
 }
 
 func (g *Group) missing(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if s := g.servers[id]; s != nil {
+	if s := g.servers[id]; s != nil && !s.isMissing() {
+		g.serverLine(s).Warn("entry vanished")
 		s.mu.Lock()
-		if s.missing == 0 {
-			s.missing = boottime.Now()
-		}
+		s.missing = boottime.Now()
 		s.mu.Unlock()
 	}
 }
@@ -227,7 +239,7 @@
 			s.Conns.Close()
 			delete(g.servers, id)
 			delete(g.denied, s)
-			g.cfg.Log.WithFields(logrus.Fields{"event": "backend_server", "group": g.Name, "backend_server": id}).Warn("gone")
+			g.serverLine(s).Warn("gone")
 			g.elect()
 		}
 	}
@@ -269,15 +281,15 @@
 
 // follow takes the server as the primary. The mutex is held.
 func (g *Group) follow(s *Server, how string, version uint64) {
+	previous := g.leader.name()
 	g.leader = s
 	g.health, g.leaderless = health{}, 0
-	name := ""
-	if s != nil {
-		name = s.Info().ID
-	} else {
+	if s == nil {
 		g.leaderless = boottime.Now()
 	}
-	g.cfg.Log.WithFields(logrus.Fields{"event": "primary", "group": g.Name, "backend_server": name, "entry_version": version, "how": how}).Info("changed")
+	g.cfg.Log.WithFields(logrus.Fields{
+		"event": "primary", "group": g.Name, "backend_server": s.name(), "previous": previous, "entry_version": version, "how": how,
+	}).WithFields(g.acknowledged.fields()).Info("changed")
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -13,6 +13,8 @@
 	committed, stuck  boottime.Time
 	peerAnswered      boottime.Time
 	peerCommitted     boottime.Time
+	// failingLogged and stuckLogged tell that the failure has a line.
+	failingLogged, stuckLogged bool
 }
 
 // noteAnswered records that the primary answered this VM.
@@ -20,10 +22,18 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s == g.leader {
-		g.health.answered, g.health.failing = boottime.Now(), 0
+		g.answered(boottime.Now())
 	}
 }
 
+// answered ends the failure of the primary to answer. The mutex is held.
+func (g *Group) answered(now boottime.Time) {
+	if g.health.failingLogged {
+		g.healthLine("primary answers again", g.health.failing)
+	}
+	g.health.answered, g.health.failing, g.health.failingLogged = now, 0, false
+}
+
 // NoteReachable records that the primary has taken a connection just now.
 func (g *Group) NoteReachable() {
 	if s := g.Leader(); s != nil {
@@ -38,6 +48,7 @@
 	defer g.mu.Unlock()
 	if s == g.leader && g.health.failing == 0 && sent > g.health.answered {
 		g.health.failing = sent
+		g.health.failingLogged = g.healthLine("primary does not answer", sent)
 	}
 }
 
@@ -47,8 +58,11 @@
 	defer g.mu.Unlock()
 	if s == g.leader {
 		now := boottime.Now()
-		g.health.answered, g.health.failing = now, 0
-		g.health.committed, g.health.stuck = now, 0
+		g.answered(now)
+		if g.health.stuckLogged {
+			g.healthLine("commits are answered again", g.health.stuck)
+		}
+		g.health.committed, g.health.stuck, g.health.stuckLogged = now, 0, false
 	}
 }
 
@@ -58,6 +72,7 @@
 	defer g.mu.Unlock()
 	if s == g.leader && g.health.stuck == 0 && sent > g.health.committed {
 		g.health.stuck = sent
+		g.health.stuckLogged = g.healthLine("commit got no answer", sent)
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/lines.go
@@ -0,0 +1,116 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/position"
+)
+
+// maxHealthLines bounds the lines about missing answers, for a group and second: over a
+// link that loses packets a primary begins and ceases to fail with every statement.
+const maxHealthLines = 10
+
+// acknowledged is the highest position that an acknowledged commit or write was
+// answered with. Positions of other answers do not count: they may name commits that
+// no replica has yet.
+type acknowledged struct {
+	position position.Position
+	// at is when the position was learned.
+	at boottime.Time
+}
+
+// raise takes a position that was learned at the moment.
+func (a *acknowledged) raise(p position.Position, at boottime.Time) {
+	if p.Compare(a.position) > 0 {
+		a.position, a.at = p, at
+	}
+}
+
+// fields returns the position and its age for a line.
+func (a acknowledged) fields() logrus.Fields {
+	return logrus.Fields{"acknowledged": a.position.String(), "acknowledged_age_ms": boottime.Age(a.at)}
+}
+
+// noteAcknowledged takes the position that an acknowledged commit was answered with.
+func (g *Group) noteAcknowledged(p position.Position) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.acknowledged.raise(p, boottime.Now())
+}
+
+// serverLine is a line about a change of the server's entry. The mutex is held.
+func (g *Group) serverLine(s *Server) *logrus.Entry {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fields := logrus.Fields{
+		"event": "backend_server", "group": g.Name, "backend_server": s.info.ID, "failure_domain": s.info.Domain, "primary": s.info.Primary,
+		"leaving": s.info.Leaving, "started": s.info.Started, "entry_version": s.info.Version, "known_ms": boottime.Age(s.known),
+	}
+	if s.missing != 0 {
+		fields["missing_ms"] = boottime.Age(s.missing)
+	}
+	return g.cfg.Log.WithFields(fields)
+}
+
+// lineBudget bounds the lines of each second.
+type lineBudget struct {
+	second boottime.Time
+	lines  int
+}
+
+// take reports whether there may be another line now.
+func (b *lineBudget) take(now boottime.Time) bool {
+	if now.Sub(b.second) >= time.Second {
+		b.second, b.lines = now, 0
+	}
+	b.lines++
+	return b.lines <= maxHealthLines
+}
+
+// healthLine logs that the primary began or ceased to leave what was sent at since
+// without an answer. The mutex is held.
+func (g *Group) healthLine(message string, since boottime.Time) bool {
+	if !g.healthLines.take(boottime.Now()) {
+		return false
+	}
+	h := &g.health
+	g.cfg.Log.WithFields(logrus.Fields{
+		"event": "primary_health", "group": g.Name, "backend_server": g.leader.Info().ID, "since_ms": boottime.Age(since),
+		"answered_age_ms": boottime.Age(h.answered), "committed_age_ms": boottime.Age(h.committed),
+		"peer_answered_age_ms": boottime.Age(h.peerAnswered), "peer_committed_age_ms": boottime.Age(h.peerCommitted),
+	}).WithFields(g.acknowledged.fields()).Warn(message)
+	return true
+}
+
+// Census counts what the group consists of.
+type Census struct {
+	// Primary is empty if none is known.
+	Primary string
+	// Servers is the number of servers, Missing of those whose entries have vanished.
+	Servers, Missing int
+	// Acknowledged is the highest position known to be acknowledged, learned at
+	// AcknowledgedAt.
+	Acknowledged   position.Position
+	AcknowledgedAt boottime.Time
+}
+
+// Census returns the counts of the moment.
+func (g *Group) Census() Census {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	c := Census{Servers: len(g.servers), Acknowledged: g.acknowledged.position, AcknowledgedAt: g.acknowledged.at}
+	if g.leader != nil {
+		c.Primary = g.leader.Info().ID
+	}
+	for _, s := range g.servers {
+		s.mu.Lock()
+		if s.missing != 0 {
+			c.Missing++
+		}
+		s.mu.Unlock()
+	}
+	return c
+}
--- /dev/null
+++ b/internal/dispatch/lines_test.go
@@ -0,0 +1,117 @@
+package dispatch
+
+import (
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/eventlog"
+	"chicoryline/internal/position"
+)
+
+// logged returns a group like newGroup and the lines that it logs from then on.
+func logged(ids ...string) (*Group, *logtest.Hook) {
+	g := newGroup(ids...)
+	log, hook := logtest.NewNullLogger()
+	log.SetLevel(logrus.DebugLevel)
+	g.cfg.Log = logrus.NewEntry(log)
+	return g, hook
+}
+
+// messages returns what the event's lines say, and checks that the closed list of
+// events holds their keys.
+func messages(t *testing.T, hook *logtest.Hook, event string) []string {
+	t.Helper()
+	var keys []string
+	for _, e := range eventlog.Events {
+		if e.Name == event {
+			keys = strings.Split(e.Keys, ", ")
+		}
+	}
+	var list []string
+	for _, e := range hook.AllEntries() {
+		if e.Data["event"] != event {
+			continue
+		}
+		for key := range e.Data {
+			if key != "event" && !slices.Contains(keys, key) {
+				t.Errorf("key %q of a line of %s is not listed", key, event)
+			}
+		}
+		list = append(list, e.Message)
+	}
+	return list
+}
+
+// After LOST nothing told whether a server was gone, or only its entry was.
+func TestEachChangeOfAnEntryHasOneLine(t *testing.T) {
+	g, hook := logged("a")
+	g.update(entryOf("b", false, 2))
+	g.update(entryOf("b", false, 3)) // no change
+	g.missing("b")
+	g.missing("b")
+	g.update(entryOf("b", false, 4))
+	info := entryOf("b", false, 5)
+	info.Leaving = true
+	g.update(info)
+	g.update(info)
+	info = entryOf("b", false, 6)
+	info.Started = 7
+	g.update(info)
+	g.missing("b")
+	g.servers["b"].missing = boottime.Now().Add(-missingTime - time.Millisecond)
+	g.expire()
+	want := []string{"known", "entry vanished", "entry returned", "leaving", "started anew", "known", "entry vanished", "gone"}
+	if diff := cmp.Diff(want, messages(t, hook, "backend_server")); diff != "" {
+		t.Error(diff)
+	}
+	if age, ok := hook.LastEntry().Data["missing_ms"].(int64); !ok || age <= missingTime.Milliseconds() {
+		t.Errorf("the last line says that the entry was missing for %v ms", age)
+	}
+}
+
+func TestChangeOfPrimaryTellsWhatWasAcknowledged(t *testing.T) {
+	g, hook := logged("a", "b")
+	g.noteAcknowledged(position.Position{Term: 1, Offset: 8})
+	g.noteAcknowledged(position.Position{Term: 1, Offset: 7}) // answers overtake each other
+	g.update(entryOf("b", true, 10))
+	messages(t, hook, "primary")
+	line := hook.LastEntry()
+	if line.Data["previous"] != "a" || line.Data["backend_server"] != "b" || line.Data["acknowledged"] != "1/8" {
+		t.Errorf("line %v", line.Data)
+	}
+}
+
+func TestFailuresOfThePrimaryHaveLines(t *testing.T) {
+	g, hook := logged("a", "b")
+	s := g.Leader()
+	now := boottime.Now()
+	g.noteFailed(s, now)
+	g.noteFailed(s, now+1)
+	g.noteStuck(s, now+2)
+	g.noteCommitted(s)
+	g.noteAnswered(s)
+	want := []string{"primary does not answer", "commit got no answer", "primary answers again", "commits are answered again"}
+	if diff := cmp.Diff(want, messages(t, hook, "primary_health")); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestLinesOfFailuresAreBounded(t *testing.T) {
+	g, hook := logged("a", "b")
+	s := g.Leader()
+	for range 20 * maxHealthLines {
+		g.noteStuck(s, boottime.Now())
+		g.noteCommitted(s)
+	}
+	// The loop may cross the end of a second, with a full number of lines before.
+	if n := len(messages(t, hook, "primary_health")); n > 2*maxHealthLines {
+		t.Errorf("%d lines", n)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -134,6 +134,7 @@
 	}
 	s.noteSuccess(boottime.Since(sent), r.Position)
 	g.History.Add(sent, r.Position)
+	g.noteAcknowledged(r.Position)
 	g.noteCommitted(s)
 	return r, nil
 }
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -59,7 +59,8 @@
 	// response is the smoothed time of statements, measured at measuredAt.
 	response   time.Duration
 	measuredAt boottime.Time
-	missing    boottime.Time
+	// known is when the server became known, missing when its entry vanished.
+	known, missing boottime.Time
 	// load is the smoothed number of statements under way.
 	load float64
 	// leftAt is when the server was first known to leave.
@@ -73,6 +74,21 @@
 	return s.info
 }
 
+// name returns the server's id, or "" for no server.
+func (s *Server) name() string {
+	if s == nil {
+		return ""
+	}
+	return s.Info().ID
+}
+
+// isMissing reports whether the server's entry has vanished.
+func (s *Server) isMissing() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.missing != 0
+}
+
 // noteSuccess records an answer of the server.
 func (s *Server) noteSuccess(took time.Duration, p position.Position) {
 	s.Conns.NoteResponse(took)
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -112,6 +112,7 @@
 		return r, r.Err
 	}
 	if t.current && t.wrote {
+		t.group.noteAcknowledged(r.Position)
 		t.group.noteCommitted(t.server)
 	}
 	t.release(r.Status)
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -97,7 +97,7 @@
 func (e *Process) compose() mesh.News {
 	version, proved := e.view.Proved()
 	n := mesh.News{
-		Leaving: e.leaving.Load(), Settled: boottime.Since(e.started) > e.settings.RateWindow, ConfigVersion: version, ConfigAge: age(proved),
+		Leaving: e.leaving.Load(), Settled: boottime.Since(e.started) > e.settings.RateWindow, ConfigVersion: version, ConfigAge: boottime.Age(proved),
 		Usage: e.limiter.Report(), Groups: map[string]mesh.GroupNews{},
 	}
 	reported := map[uint32]float32{}
@@ -134,8 +134,8 @@
 func groupNews(g *dispatch.Group) mesh.GroupNews {
 	point, h := g.History.Newest(), g.Health()
 	news := mesh.GroupNews{
-		Position: point.Position, PositionAge: age(point.At), Primary: h.Primary,
-		AnsweredAge: age(h.OwnAnswered), CommittedAge: age(h.OwnCommitted), Loads: map[uint32]float32{},
+		Position: point.Position, PositionAge: boottime.Age(point.At), Primary: h.Primary,
+		AnsweredAge: boottime.Age(h.OwnAnswered), CommittedAge: boottime.Age(h.OwnCommitted), Loads: map[uint32]float32{},
 	}
 	for _, s := range g.Servers() {
 		if load := s.Load(); load >= leastLoad {
@@ -148,15 +148,7 @@
 	return news
 }
 
-// age returns the time since the moment in milliseconds, rounded up; -1 for never.
-func age(at boottime.Time) int64 {
-	if at == 0 {
-		return -1
-	}
-	return boottime.Since(at).Milliseconds() + 1
-}
-
-// moment is the inverse of age, counted back from since; 0 for never.
+// moment is the inverse of boottime.Age, counted back from since; 0 for never.
 func moment(since boottime.Time, age int64) boottime.Time {
 	if age < 0 {
 		return 0
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -14,6 +14,9 @@
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/dispatch"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/session"
 )
@@ -151,12 +154,18 @@
 			lines = append(lines, fmt.Sprintf("%s.p50 %.0f", name, s.Percentile(median)), fmt.Sprintf("%s.p99 %.0f", name, s.Percentile(tail)))
 		}
 	})
+	c := e.view.Config()
 	for _, g := range e.router.Groups() {
+		census := g.Census()
+		if c != nil && hasGroup(c, g.Name) {
+			lines = append(lines, groupLines("groups."+g.Name, census)...)
+		}
 		for _, s := range g.Servers() {
 			stats := s.Conns.Stats()
 			prefix := "backend_servers." + s.Info().ID
 			lines = append(lines, fmt.Sprintf("%s.connections %d", prefix, stats.Open), fmt.Sprintf("%s.opened %d", prefix, stats.Dials),
-				fmt.Sprintf("%s.evicted %d", prefix, stats.Evictions), fmt.Sprintf("%s.waiting %d", prefix, stats.Waiting))
+				fmt.Sprintf("%s.evicted %d", prefix, stats.Evictions), fmt.Sprintf("%s.waiting %d", prefix, stats.Waiting),
+				fmt.Sprintf("%s.primary %d", prefix, number(census.Primary == s.Info().ID)))
 		}
 	}
 	sort.Strings(lines)
@@ -164,3 +173,29 @@
 		fmt.Fprintln(w, l)
 	}
 }
+
+// hasGroup reports whether the configuration names the group. Others come from foreign
+// entries and are not counted, which bounds the metrics.
+func hasGroup(c *access.Config, name string) bool {
+	_, ok := c.Groups[name]
+	return ok
+}
+
+// groupLines returns the metrics of a group. The age of the acknowledged position is
+// -1 if none is known.
+func groupLines(prefix string, c dispatch.Census) []string {
+	return []string{
+		fmt.Sprintf("%s.servers %d", prefix, c.Servers), fmt.Sprintf("%s.missing %d", prefix, c.Missing),
+		fmt.Sprintf("%s.has_primary %d", prefix, number(c.Primary != "")),
+		fmt.Sprintf("%s.acknowledged_term %d", prefix, c.Acknowledged.Term), fmt.Sprintf("%s.acknowledged_offset %d", prefix, c.Acknowledged.Offset),
+		fmt.Sprintf("%s.acknowledged_age_ms %d", prefix, boottime.Age(c.AcknowledgedAt)),
+	}
+}
+
+// number returns a metric's value for a condition.
+func number(holds bool) int {
+	if holds {
+		return 1
+	}
+	return 0
+}
--- a/internal/entry/observer_test.go
+++ b/internal/entry/observer_test.go
@@ -3,12 +3,15 @@
 import (
 	"fmt"
 	"io"
+	"net/http/httptest"
+	"strings"
 	"testing"
 
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/access"
+	"chicoryline/internal/dispatch"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/session"
 )
@@ -47,3 +50,28 @@
 		t.Errorf("%d counters, %d statements of others", n, others)
 	}
 }
+
+// Entries of groups that no configuration names come from other writers.
+func TestMetricsOfGroupsAreThoseOfTheConfiguration(t *testing.T) {
+	e := newProcess(&growingStore{})
+	e.view.Apply(&access.Config{Version: 1, Groups: map[string]access.Group{"g": {}}})
+	for _, group := range []string{"g", "foreign"} {
+		e.router.Update(dispatch.ServerInfo{ID: group + "1", Group: group, Address: "127.0.0.1:1", Slots: 1, Primary: true})
+		e.router.Update(dispatch.ServerInfo{ID: group + "2", Group: group, Address: "127.0.0.1:2", Slots: 1})
+		e.router.Missing(group + "2")
+	}
+	w := httptest.NewRecorder()
+	e.writeMetrics(w, nil)
+	page := w.Body.String()
+	for _, line := range []string{
+		"groups.g.servers 2", "groups.g.missing 1", "groups.g.has_primary 1", "groups.g.acknowledged_age_ms -1",
+		"backend_servers.g1.primary 1", "backend_servers.g2.primary 0",
+	} {
+		if !strings.Contains(page, line+"\n") {
+			t.Errorf("the page lacks %q:\n%s", line, page)
+		}
+	}
+	if strings.Contains(page, "groups.foreign") {
+		t.Errorf("a foreign group has metrics:\n%s", page)
+	}
+}
