Stand-ins: STEPDOWN, hidden and added servers, pauses as the platform has them

Callers see nothing of this.

- A PAUSE or STEPDOWN that changes nothing is answered with the row as it is, not with an error.
PAUSE has to be above the server's term, not above the term held: PAUSE 19 after PAUSE 20 holds 19; PAUSE 2 at term 2 answers "replica 2 2.193 0".
- A promotion into a term at or above the term held ends the pause.
- STEPDOWN with a term above the primary's leaves "replica", the same term, 0 held.

Now: the group may be without a primary; a server has a term of its own; a replica receives at once when what kept it away ends; Group.Add, World.AddServer, Hide and Show; an order for a server that crashed before the change, or that leads already, changes nothing; a lost acknowledgement is reported with the replicas that had received it.

--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -154,7 +154,7 @@
 		return c.run1(id, strings.HasPrefix(shape, "WRITE"), args, shape)
 	case "READ", "WRITE":
 		return c.run1(id, word == "WRITE", rest, word)
-	case "STATUS", "PAUSE", "RESUME":
+	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return c.control(word, rest)
 	default:
 		return answer{code: "MALFORMED"}
@@ -265,31 +265,35 @@
 	<-c.server.slots
 }
 
+// control runs a control statement. Like the platform, it answers one that changes
+// nothing, for its term or the server's role, with the row as it is.
 func (c *conn) control(word, rest string) answer {
+	s := c.server
+	term := uint64(0)
+	if word == "PAUSE" || word == "STEPDOWN" {
+		var err error
+		if term, err = strconv.ParseUint(rest, 10, 64); err != nil {
+			return answer{code: "MALFORMED"}
+		}
+	}
+	if word == "STEPDOWN" {
+		s.group.stepDown(s, term)
+	}
 	var row string
-	code := ""
-	c.server.set(func() {
-		s := c.server
-		switch word {
-		case "PAUSE":
-			term, err := strconv.ParseUint(rest, 10, 64)
-			if err != nil || term <= s.group.term || s.group.primary == s {
-				code = "FAILED"
-				return
-			}
+	s.set(func() {
+		switch {
+		case word == "PAUSE" && term > s.term && s.group.primary != s:
 			s.paused, s.heldTerm = true, term
-		case "RESUME":
-			s.paused = false
+		case word == "RESUME":
+			s.paused, s.heldTerm = false, 0
+			s.group.receive(s)
 		}
 		role := "replica"
 		if s.group.primary == s {
 			role = "primary"
 		}
-		row = fmt.Sprintf("%s %d %s %d 0 0 %d", role, s.group.term, place(s.log), s.heldTerm, len(s.conns))
+		row = fmt.Sprintf("%s %d %s %d 0 0 %d", role, s.term, place(s.log), s.heldTerm, len(s.conns))
 	})
-	if code != "" {
-		return answer{code: code}
-	}
 	return answer{rows: []string{row}}
 }
 
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -38,6 +38,13 @@
 // Write is one write that a server committed.
 type Write struct{ ID, Customer, Item, Data string }
 
+// ackedWrite is a write whose commit was acknowledged, with the replicas that had
+// received it by then.
+type ackedWrite struct {
+	Write
+	receivers []string
+}
+
 // Group is a database group. The mutex guards it with all its servers.
 type Group struct {
 	options Options
@@ -45,8 +52,8 @@
 	mu      sync.Mutex
 	servers []*Server
 	term    uint64
-	primary *Server
-	acked   []Write
+	primary *Server // nil after STEPDOWN
+	acked   []ackedWrite
 	// problems are broken rules that a server saw by itself.
 	problems []string
 	changed  func(*Server)
@@ -56,35 +63,53 @@
 func New(o Options) (*Group, error) {
 	g := &Group{options: o, term: 1}
 	for i := range o.Servers {
-		s, err := g.add(fmt.Sprintf("%s-s%d", o.Name, i), o.Domains[i%len(o.Domains)])
+		s, err := g.Add(o.Domains[i%len(o.Domains)])
 		if err != nil {
 			g.Close()
 			return nil, err
 		}
-		g.servers = append(g.servers, s)
+		if i == 0 {
+			g.set(func() { g.primary = s })
+		}
 	}
-	g.primary = g.servers[0]
 	return g, nil
 }
 
-func (g *Group) add(id, domain string) (*Server, error) {
+// Add starts another replica, with the primary's log.
+func (g *Group) Add(domain string) (*Server, error) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	s := &Server{
-		group: g, ID: id, Domain: domain, Address: l.Addr().String(), Started: time.Now().UnixMilli(),
+		group: g, ID: fmt.Sprintf("%s-s%d", g.options.Name, len(g.servers)), Domain: domain,
+		Address: l.Addr().String(), Started: time.Now().UnixMilli(), term: g.term,
 		listener: l, slots: make(chan struct{}, g.options.Slots), conns: map[*conn]struct{}{},
 	}
+	g.servers = append(g.servers, s)
+	g.receive(s)
 	go s.accept(l)
 	return s, nil
 }
 
+// set runs the function under the mutex.
+func (g *Group) set(f func()) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f()
+}
+
 // Name returns the group's name.
 func (g *Group) Name() string { return g.options.Name }
 
 // Servers returns all servers.
-func (g *Group) Servers() []*Server { return g.servers }
+func (g *Group) Servers() []*Server {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]*Server(nil), g.servers...)
+}
 
 // OnChange sets a function that is told of each server whose role changed.
 func (g *Group) OnChange(f func(*Server)) {
@@ -93,7 +118,7 @@
 	g.changed = f
 }
 
-// Primary returns the server that leads.
+// Primary returns the server that leads, nil if none does.
 func (g *Group) Primary() *Server {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -122,41 +147,95 @@
 func (g *Group) lead(target *Server) {
 	g.mu.Lock()
 	old := g.primary
+	if target.down || target == old {
+		g.mu.Unlock()
+		return
+	}
+	if old != nil {
+		old.applied = len(old.log)
+	}
 	g.term++
 	g.primary = target
+	target.paused, target.heldTerm, target.term = false, 0, g.term
 	for _, w := range g.acked {
-		if !target.holds(w) {
-			g.problems = append(g.problems, fmt.Sprintf("acknowledged write %s is not in the log of %s", w.ID, target.ID))
+		if !target.holds(w.Write) {
+			g.problems = append(g.problems, fmt.Sprintf("acknowledged write %s, received by %s, is not in the log of %s, promoted in term %d",
+				w.ID, strings.Join(w.receivers, " and "), target.ID, g.term))
 		}
 	}
 	for _, s := range g.servers {
-		s.paused = false
-		if s != target && !s.down {
-			s.replace(target.log)
+		if s.heldTerm <= g.term {
+			s.paused, s.heldTerm = false, 0
 		}
+		g.receive(s)
 	}
 	changed := g.changed
 	g.mu.Unlock()
 	if changed != nil {
-		changed(old)
+		if old != nil {
+			changed(old)
+		}
 		changed(target)
 	}
 }
 
+// stepDown makes a primary of a lower term a replica; the group has no primary then.
+func (g *Group) stepDown(s *Server, term uint64) {
+	g.mu.Lock()
+	if g.primary != s || term <= s.term {
+		g.mu.Unlock()
+		return
+	}
+	s.applied = len(s.log)
+	g.primary = nil
+	changed := g.changed
+	g.mu.Unlock()
+	if changed != nil {
+		changed(s)
+	}
+}
+
+// receive gives the server what the primary has, unless something keeps one from the
+// other; the mutex is held. What the server had beyond that is rolled back.
+func (g *Group) receive(s *Server) bool {
+	p := g.primary
+	if p == nil || p == s || p.down || p.cut || s.down || s.paused || s.deaf {
+		return false
+	}
+	s.log = append([]entry(nil), p.log...)
+	s.applied = min(s.applied, len(s.log))
+	s.term = g.term
+	return true
+}
+
 // Acknowledged returns the writes whose commits were acknowledged, in the order of
 // the log.
 func (g *Group) Acknowledged() []Write {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return append([]Write(nil), g.acked...)
+	var list []Write
+	for _, w := range g.acked {
+		list = append(list, w.Write)
+	}
+	return list
 }
 
-// Committed returns the writes in the primary's log.
+// Committed returns the writes in the primary's log, without a primary those in the
+// furthest log.
 func (g *Group) Committed() []Write {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	from := g.primary
+	if from == nil {
+		from = g.servers[0]
+		for _, s := range g.servers {
+			if s.end().after(from.end()) {
+				from = s
+			}
+		}
+	}
 	var list []Write
-	for _, e := range g.primary.log {
+	for _, e := range from.log {
 		list = append(list, e.writes...)
 	}
 	return list
@@ -171,7 +250,7 @@
 
 // Close ends all servers.
 func (g *Group) Close() {
-	for _, s := range g.servers {
+	for _, s := range g.Servers() {
 		s.Crash()
 	}
 }
@@ -190,18 +269,18 @@
 	}
 	e := entry{term: g.term, number: number, writes: writes, at: time.Now()}
 	s.log = append(s.log, e)
-	received := 0
+	var receivers []string
 	for _, r := range g.servers {
-		if r == s || r.down || r.paused || r.deaf || s.cut {
-			continue
+		if g.receive(r) {
+			receivers = append(receivers, r.ID)
 		}
-		r.catchUp(s)
-		received++
 	}
-	if received == 0 {
+	if len(receivers) == 0 {
 		return "", true, false
 	}
-	g.acked = append(g.acked, writes...)
+	for _, w := range writes {
+		g.acked = append(g.acked, ackedWrite{w, receivers})
+	}
 	return s.position(), true, true
 }
 
--- a/internal/standin/linegroup/server.go
+++ b/internal/standin/linegroup/server.go
@@ -25,8 +25,9 @@
 	silent bool
 	// paused and deaf receive nothing; cut sends nothing to replicas.
 	paused, deaf, cut bool
-	heldTerm          uint64
-	lag               time.Duration
+	// term is the newest that the server knows of, heldTerm that of its pause.
+	term, heldTerm uint64
+	lag            time.Duration
 	// loseAnswers is how many statements run without an answer from now on.
 	loseAnswers int
 	leaving     bool
@@ -67,8 +68,8 @@
 	}
 }
 
-// Restart brings a crashed server back at its address, as a replica if another
-// leads.
+// Restart brings a crashed server back at its address with its log, as a replica
+// unless it still leads.
 func (s *Server) Restart() error {
 	l, err := net.Listen("tcp4", s.Address)
 	if err != nil {
@@ -76,30 +77,37 @@
 	}
 	s.group.mu.Lock()
 	defer s.group.mu.Unlock()
-	s.listener, s.down, s.silent, s.paused = l, false, false, false
+	s.listener, s.down, s.silent, s.paused, s.heldTerm, s.leaving = l, false, false, false, 0, false
 	s.Started++
-	if p := s.group.primary; p != s {
-		s.replace(p.log)
-	}
+	s.group.receive(s)
 	go s.accept(l)
 	return nil
 }
 
 // set changes a fault under the group's mutex.
-func (s *Server) set(f func()) {
-	s.group.mu.Lock()
-	defer s.group.mu.Unlock()
-	f()
-}
+func (s *Server) set(f func()) { s.group.set(f) }
 
-// Silence makes the server take everything and answer nothing, or ends that.
+// Silence makes the server take everything and answer nothing, or ends that. It goes
+// on sending to its group and receiving from it.
 func (s *Server) Silence(on bool) { s.set(func() { s.silent = on }) }
 
 // Deafen makes a replica receive nothing, or ends that.
-func (s *Server) Deafen(on bool) { s.set(func() { s.deaf = on }) }
+func (s *Server) Deafen(on bool) {
+	s.set(func() {
+		s.deaf = on
+		s.group.receive(s)
+	})
+}
 
 // Cut keeps the server from sending its log to others, or ends that.
-func (s *Server) Cut(on bool) { s.set(func() { s.cut = on }) }
+func (s *Server) Cut(on bool) {
+	s.set(func() {
+		s.cut = on
+		for _, r := range s.group.servers {
+			s.group.receive(r)
+		}
+	})
+}
 
 // SetLag sets how much later the server applies what it has received.
 func (s *Server) SetLag(d time.Duration) { s.set(func() { s.lag = d }) }
@@ -124,17 +132,6 @@
 	return len(s.conns)
 }
 
-// replace takes another server's log in place of the own one; the mutex is held.
-func (s *Server) replace(log []entry) {
-	s.log = append([]entry(nil), log...)
-	s.applied = min(s.applied, len(s.log))
-}
-
-// catchUp takes what the primary has; the mutex is held.
-func (s *Server) catchUp(primary *Server) {
-	s.log = append(s.log[:0:0], primary.log...)
-}
-
 // visible returns the applied part of the log; the mutex is held. What a server has
 // applied stays applied when its lag grows.
 func (s *Server) visible() []entry {
@@ -160,6 +157,18 @@
 	return strconv.FormatUint(e.term, 10) + "." + strconv.FormatUint(e.number, 10)
 }
 
+// end is the last entry of the log; the mutex is held.
+func (s *Server) end() entry {
+	if len(s.log) == 0 {
+		return entry{}
+	}
+	return s.log[len(s.log)-1]
+}
+
+func (e entry) after(o entry) bool {
+	return e.term > o.term || e.term == o.term && e.number > o.number
+}
+
 // holds reports whether the log has the write; the mutex is held.
 func (s *Server) holds(w Write) bool {
 	for _, e := range s.log {
--- /dev/null
+++ b/internal/standin/rowstore/order_test.go
@@ -0,0 +1,72 @@
+package rowstore
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+const callTime = 10 * time.Second
+
+func open(t *testing.T, promote Promote) *Store {
+	t.Helper()
+	s, err := New(promote)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(s.Close)
+	return s
+}
+
+// order sends an order and returns its status, 0 for no answer in time.
+func order(t *testing.T, s *Store, server string, token uint64, wait time.Duration) int {
+	t.Helper()
+	body := fmt.Sprintf(`{"service":"g","id":%q}`, server)
+	r, err := http.NewRequest(http.MethodPost, "http://"+s.Address()+"/promote", bytes.NewBufferString(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r.Header.Set("Lease-Holder", "vm1")
+	r.Header.Set("Fencing-Token", fmt.Sprint(token))
+	client := http.Client{Timeout: wait}
+	answer, err := client.Do(r)
+	if err != nil {
+		return 0
+	}
+	answer.Body.Close()
+	return answer.StatusCode
+}
+
+// Also an order that changes nothing, as its server leads, raises the token.
+func TestTokenOfALateOrderIsJudgedWhenItIsCarriedOut(t *testing.T) {
+	carried := make(chan string, 10)
+	s := open(t, func(_, server string) bool { carried <- server; return true })
+	const late = 300 * time.Millisecond
+	s.LoseOrders(1, late)
+	if code := order(t, s, "late and fenced", 5, late/6); code != 0 {
+		t.Fatalf("answer %d", code)
+	}
+	if code := order(t, s, "primary", 7, callTime); code != http.StatusOK {
+		t.Fatalf("answer %d", code)
+	}
+	if code := order(t, s, "old", 6, callTime); code != http.StatusConflict {
+		t.Errorf("lower token: answer %d", code)
+	}
+	s.LoseOrders(1, late)
+	order(t, s, "late", 8, late/6)
+	got := []string{<-carried, <-carried}
+	if diff := cmp.Diff([]string{"primary", "late"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+func TestOrderForAServerThatDoesNotRunIsRefused(t *testing.T) {
+	s := open(t, func(string, string) bool { return false })
+	if code := order(t, s, "gone", 1, callTime); code != http.StatusConflict {
+		t.Errorf("answer %d", code)
+	}
+}
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -57,7 +57,8 @@
 	Priority     int    `json:"priority"`
 }
 
-// World is an installation. The mutex guards the configuration.
+// World is an installation. The mutex guards the configuration and the writing of
+// servers' entries.
 type World struct {
 	Options Options
 	Store   *rowstore.Store
@@ -68,12 +69,13 @@
 	routes    []Route
 	customers []Customer
 	txIdle    time.Duration
+	hidden    map[*linegroup.Server]bool
 }
 
 // New starts an installation with three routes for each group: current-N,
 // bounded-N and own-N.
 func New(o Options) (*World, error) {
-	w := &World{Options: o, customers: o.Customers, txIdle: 3 * time.Second}
+	w := &World{Options: o, customers: o.Customers, txIdle: 3 * time.Second, hidden: map[*linegroup.Server]bool{}}
 	store, err := rowstore.New(w.promote)
 	if err != nil {
 		return nil, err
@@ -125,10 +127,35 @@
 	return false
 }
 
-// Announce writes a server's entry, or removes that of one that is down.
+// Hide removes a server's entry while the server runs on; it stays away, through
+// restarts and changes of the role, until Show.
+func (w *World) Hide(s *linegroup.Server) { w.setHidden(s, true) }
+
+// Show writes the entry of a hidden server again.
+func (w *World) Show(s *linegroup.Server) { w.setHidden(s, false) }
+
+func (w *World) setHidden(s *linegroup.Server, hidden bool) {
+	w.mu.Lock()
+	w.hidden[s] = hidden
+	w.mu.Unlock()
+	w.Announce(s)
+}
+
+// AddServer adds a server to a running group, with or without an entry.
+func (w *World) AddServer(g *linegroup.Group, domain string, entry bool) (*linegroup.Server, error) {
+	s, err := g.Add(domain)
+	if err == nil {
+		w.setHidden(s, !entry)
+	}
+	return s, err
+}
+
+// Announce writes a server's entry, or removes that of one that is down or hidden.
 func (w *World) Announce(s *linegroup.Server) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	up, leads, leaving := s.State()
-	if !up {
+	if !up || w.hidden[s] {
 		w.Store.Drop("servers", s.ID)
 		return
 	}
--- /dev/null
+++ b/internal/standin/world/world_test.go
@@ -0,0 +1,38 @@
+package world
+
+import "testing"
+
+func TestEntriesOfHiddenAndAddedServers(t *testing.T) {
+	w, err := New(Options{Groups: 1, Domains: []string{"north"}, VMs: 1, Network: "1.250", MaxConnections: 10})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(w.Close)
+	g := w.Groups[0]
+	check := func(when, server string, want bool) {
+		t.Helper()
+		if _, there := w.Store.Rows("servers")[server]; there != want {
+			t.Errorf("%s: entry of %s is there: %v", when, server, there)
+		}
+	}
+	s := g.Servers()[1]
+	w.Hide(s)
+	w.Announce(s)
+	check("hidden", s.ID, false)
+	s.Crash()
+	if err := s.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	w.Announce(s)
+	check("restarted", s.ID, false)
+	w.Show(s)
+	check("shown", s.ID, true)
+	for _, entry := range []bool{false, true} {
+		added, err := w.AddServer(g, "north", entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Announce(added)
+		check("added", added.ID, entry)
+	}
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -82,8 +82,11 @@
 	r.later(length, func() { r.world.Store.SetFault(rowstore.None) })
 }
 
-// crash ends a server for a while, if the rest of its group runs.
+// crash ends a server for a while, if there is one and the rest of its group runs.
 func (r *run) crash(s *linegroup.Server, length time.Duration) {
+	if s == nil {
+		return
+	}
 	for _, g := range r.world.Groups {
 		for _, o := range g.Servers() {
 			if up, _, _ := o.State(); !up && g.Name() == s.ID[:len(g.Name())] {
--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -87,10 +87,16 @@
 	}
 }
 
+// awaitAnother waits until another server than old leads.
+func (f *fleet) awaitAnother(old *linegroup.Server) {
+	f.t.Helper()
+	f.eventually("new primary", func() bool { p := f.primary(); return p != nil && p != old })
+}
+
 // awaitPrimary waits until another server than old leads and takes writes.
 func (f *fleet) awaitPrimary(old *linegroup.Server) {
 	f.t.Helper()
-	f.eventually("new primary", func() bool { return f.primary() != old })
+	f.awaitAnother(old)
 	f.eventually("write at the new primary", func() bool {
 		c, err := lineclient.Dial(f.Front(0), "own-0", "key-small", exchangeTime)
 		if err != nil {
@@ -161,7 +167,7 @@
 		time.Sleep(300 * time.Millisecond)
 		old.Crash()
 		f.Announce(old)
-		f.eventually("new primary", func() bool { return f.primary() != old })
+		f.awaitAnother(old)
 		if f.primary() == behind {
 			t.Error("a replica that lacks acknowledged commits was promoted")
 		}
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -194,5 +194,5 @@
 	return a
 }
 
-// primary returns the leading server of the first group.
+// primary returns the leading server of the first group, nil if none leads.
 func (f *fleet) primary() *linegroup.Server { return f.Groups[0].Primary() }
