Each VM knows the highest position acknowledged at any VM in touch

Change: dispatch keeps for each group the highest position that an acknowledged commit or write was answered with, late answers of commits and writes included (connset.Linger hands them on). It never falls. GroupNews and digests carry it; the highest counts. No decision uses it yet.

What it is: a server answers with the end of its log, so the position covers the commit and may name later ones under way.

--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -455,14 +455,18 @@
 	c.set.forget(c.Customer)
 }
 
-// Linger waits for an answer that nobody needs any more and then gives the
-// connection back.
-func (c *Conn) Linger(texts Texts) {
+// Linger waits for an answer that its caller no longer waits for and then gives the
+// connection back. late, if not nil, takes the answer.
+func (c *Conn) Linger(texts Texts, late func(statement.Result)) {
 	go func() {
-		if _, err := c.Conn.Receive(lingerTime); err != nil {
+		r, err := c.Conn.Receive(lingerTime)
+		if err != nil {
 			c.Discard()
 			return
 		}
+		if late != nil {
+			late(r)
+		}
 		c.Finish(texts)
 	}()
 }
--- a/internal/dispatch/lines.go
+++ b/internal/dispatch/lines.go
@@ -13,34 +13,6 @@
 // link that loses packets a primary begins and ceases to fail with every statement.
 const maxHealthLines = 10
 
-// acknowledged is the highest position that an acknowledged commit or write was
-// answered with. Positions of other answers do not count: they may name commits that
-// no replica has yet.
-type acknowledged struct {
-	position position.Position
-	// at is when the position was learned.
-	at boottime.Time
-}
-
-// raise takes a position that was learned at the moment.
-func (a *acknowledged) raise(p position.Position, at boottime.Time) {
-	if p.Compare(a.position) > 0 {
-		a.position, a.at = p, at
-	}
-}
-
-// fields returns the position and its age for a line.
-func (a acknowledged) fields() logrus.Fields {
-	return logrus.Fields{"acknowledged": a.position.String(), "acknowledged_age_ms": boottime.Age(a.at)}
-}
-
-// noteAcknowledged takes the position that an acknowledged commit was answered with.
-func (g *Group) noteAcknowledged(p position.Position) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.acknowledged.raise(p, boottime.Now())
-}
-
 // serverLine is a line about a change of the server's entry. The mutex is held.
 func (g *Group) serverLine(s *Server) *logrus.Entry {
 	s.mu.Lock()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -134,21 +134,24 @@
 	}
 	s.noteSuccess(boottime.Since(sent), r.Position)
 	g.History.Add(sent, r.Position)
-	g.noteAcknowledged(r.Position)
+	g.HearAcknowledged(r.Position)
 	g.noteCommitted(s)
 	return r, nil
 }
 
-// receive awaits the answer to a caller's statement. An answer without a signature
-// belongs to another statement: one before it got lost.
+// receive awaits the answer to a caller's statement.
 func receive(c *connset.Conn, wait time.Duration) (statement.Result, error) {
 	r, err := c.Receive(wait)
-	if err == nil && r.Err == nil && r.Signature == "" {
+	if err == nil && !isAnswer(r) {
 		return r, errkind.New(errkind.AnswerIncomplete, "answer of another statement")
 	}
 	return r, err
 }
 
+// isAnswer reports whether the result answers a caller's statement. One without a
+// signature belongs to another statement: one before it got lost.
+func isAnswer(r statement.Result) bool { return r.Err != nil || r.Signature != "" }
+
 // noteLost settles a connection without an answer: if the server may still
 // answer, the answer is awaited so that its work is not broken off.
 func (g *Group) noteLost(s *Server, c *connset.Conn, sent boottime.Time, err error) {
@@ -156,7 +159,7 @@
 	g.noteStuck(s, sent)
 	if statement.IsTimeout(err) {
 		c.MarkDirty()
-		c.Linger(g.cfg.Texts)
+		c.Linger(g.cfg.Texts, g.takeLate)
 		return
 	}
 	c.Discard()
@@ -271,7 +274,7 @@
 			s.noteFailure()
 			if statement.IsTimeout(err) {
 				c.MarkDirty()
-				c.Linger(g.cfg.Texts)
+				c.Linger(g.cfg.Texts, nil)
 				return statement.Result{}, errkind.New(errkind.AnswerIncomplete, "%s: %v", s.Info().ID, err)
 			}
 			c.Discard()
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -81,13 +81,13 @@
 // of the server the transaction is over.
 func (t *Tx) Run(call *Call, write bool) (statement.Result, error) {
 	if _, err := t.conn.Align(call.Needs, t.group.cfg.Texts, nil, beginWait); err != nil {
-		t.drop(err)
+		t.drop(err, nil)
 		return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
 	}
 	t.changed = t.conn.TakeChanged() || t.changed
 	r, err := t.exchange(call)
 	if err != nil {
-		t.drop(err)
+		t.drop(err, nil)
 		return statement.Result{}, errkind.New(errkind.TransactionLost, "%s: %v", t.server.Info().ID, err)
 	}
 	t.wrote = t.wrote || write && r.Err == nil
@@ -100,11 +100,12 @@
 	sent := boottime.Now()
 	r, err := t.exchange(call)
 	if err != nil {
-		t.drop(err)
 		if t.wrote {
+			t.drop(err, t.group.takeLate)
 			t.group.noteStuck(t.server, sent)
 			return statement.Result{}, errkind.New(errkind.OutcomeUnknown, "%s: %v", t.server.Info().ID, err)
 		}
+		t.drop(err, nil)
 		return statement.Result{}, errkind.New(errkind.TransactionLost, "%s: %v", t.server.Info().ID, err)
 	}
 	if r.Err != nil {
@@ -112,7 +113,7 @@
 		return r, r.Err
 	}
 	if t.current && t.wrote {
-		t.group.noteAcknowledged(r.Position)
+		t.group.HearAcknowledged(r.Position)
 		t.group.noteCommitted(t.server)
 	}
 	t.release(r.Status)
@@ -166,14 +167,14 @@
 
 // drop ends the transaction after an answer did not come. Without a commit it is
 // rolled back, by the end of the connection or, where the server is still at work,
-// once it has answered.
-func (t *Tx) drop(err error) {
+// once it has answered; late, if not nil, takes that answer.
+func (t *Tx) drop(err error, late func(statement.Result)) {
 	if t.conn == nil {
 		return
 	}
 	if statement.IsTimeout(err) {
 		t.conn.MarkDirty()
-		t.conn.Linger(t.group.cfg.Texts)
+		t.conn.Linger(t.group.cfg.Texts, late)
 	} else {
 		t.conn.Discard()
 	}
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -136,6 +136,7 @@
 	news := mesh.GroupNews{
 		Position: point.Position, PositionAge: boottime.Age(point.At), Primary: h.Primary,
 		AnsweredAge: boottime.Age(h.OwnAnswered), CommittedAge: boottime.Age(h.OwnCommitted), Loads: map[uint32]float32{},
+		Acknowledged: g.Acknowledged(),
 	}
 	for _, s := range g.Servers() {
 		if load := s.Load(); load >= leastLoad {
@@ -171,6 +172,9 @@
 // learn takes what news of a VM or a cell have in common.
 func (e *Process) learn(source string, n mesh.News, since boottime.Time) {
 	e.noteLoad(source, n.Groups)
+	for name, news := range n.Groups {
+		e.router.Group(name).HearAcknowledged(news.Acknowledged)
+	}
 	if since == 0 {
 		return
 	}
--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -94,6 +94,9 @@
 		g.Loads[server] += load
 	}
 	g.ExpectedIn = max(g.ExpectedIn, o.ExpectedIn-held)
+	if o.Acknowledged.Compare(g.Acknowledged) > 0 {
+		g.Acknowledged = o.Acknowledged
+	}
 }
 
 // younger returns the smaller of two ages; a negative one means never.
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -63,6 +63,9 @@
 	// ExpectedIn is when a new primary should lead, in milliseconds; 0 if no change
 	// is under way.
 	ExpectedIn int64
+	// Acknowledged is the highest position that an acknowledged commit was answered
+	// with, as far as the VM knows.
+	Acknowledged position.Position
 }
 
 // News is the body of a datagram.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -75,8 +75,17 @@
 	m.tally.take("vm0000", own.Usage)
 	add("vm0001", news(7, 20, 100, 2), 50*time.Millisecond)
 	add("vm0002", news(9, 30, 400, 3), 0)
+	ahead := m.peers["vm0001"].news.Groups["g"]
+	ahead.Acknowledged = position.Position{Term: 2, Offset: 1}
+	m.peers["vm0001"].news.Groups["g"] = ahead
+	behind := m.peers["vm0002"].news.Groups["g"]
+	behind.Acknowledged = position.Position{Term: 1, Offset: 30}
+	m.peers["vm0002"].news.Groups["g"] = behind
 	d := m.digest(own, now)
 	g := d.News.Groups["g"]
+	if want := (position.Position{Term: 2, Offset: 1}); g.Acknowledged != want {
+		t.Errorf("acknowledged %v, want the highest %v", g.Acknowledged, want)
+	}
 	if d.Members != 3 || d.News.ConfigAge != 151 || g.PositionAge != 151 || g.Position.Offset != 20 || g.AnsweredAge != 151 || g.CommittedAge != -1 || g.Loads[1] != 6 {
 		t.Errorf("digest %+v", d)
 	}
