--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -97,15 +97,7 @@
 func (f *fleet) awaitPrimary(old *linegroup.Server) {
 	f.t.Helper()
 	f.awaitAnother(old)
-	f.eventually("write at the new primary", func() bool {
-		c, err := lineclient.Dial(f.Front(0), "own-0", "key-small", exchangeTime)
-		if err != nil {
-			return false
-		}
-		defer c.Close()
-		a, err := c.Query(f.id(), "WRITE probe 1")
-		return err == nil && a.Code == ""
-	})
+	f.awaitWrite(0)
 }
 
 func TestPrimaryCrashes(t *testing.T) {
--- /dev/null
+++ b/test/platform/lost_test.go
@@ -0,0 +1,161 @@
+package platform_test
+
+import (
+	"testing"
+	"time"
+
+	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/linegroup"
+)
+
+const (
+	// lapseTime is how long an entry stays away to count as gone: one that lapsed
+	// while the store was away is back within 2 s.
+	lapseTime = 4 * time.Second
+	// faultTime is how long a fault lasts if nothing comes of it.
+	faultTime = 8 * time.Second
+)
+
+// holdUntilPromoted keeps a fault up until one of the servers leads, at most for
+// faultTime.
+func (f *fleet) holdUntilPromoted(servers ...*linegroup.Server) {
+	for end := time.Now().Add(faultTime); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
+		for _, s := range servers {
+			if f.primary() == s {
+				return
+			}
+		}
+	}
+}
+
+// awaitWrite waits until a write is acknowledged through a VM.
+func (f *fleet) awaitWrite(vm int) {
+	f.t.Helper()
+	f.eventually("acknowledged write", func() bool {
+		c, err := lineclient.Dial(f.Front(vm), "own-0", "key-small", exchangeTime)
+		if err != nil {
+			return false
+		}
+		defer c.Close()
+		a, err := c.Query(f.id(), "WRITE probe 1")
+		return err == nil && a.Code == ""
+	})
+}
+
+// restart brings a crashed server back.
+func (f *fleet) restart(s *linegroup.Server) {
+	f.t.Helper()
+	if err := s.Restart(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.Announce(s)
+}
+
+// control sends a control statement on a connection of its own.
+func (f *fleet) control(s *linegroup.Server, text string) {
+	f.t.Helper()
+	c, err := lineclient.Dial(s.Address, f.Groups[0].Name(), "-", exchangeTime)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer c.Close()
+	if a, err := c.Query("-", text); err != nil || a.Code != "" {
+		f.t.Fatalf("%s at %s: %+v, %v", text, s.ID, a, err)
+	}
+}
+
+// addServer adds a server to the group.
+func (f *fleet) addServer(entry bool) *linegroup.Server {
+	f.t.Helper()
+	s, err := f.AddServer(f.Groups[0], f.Options.Domains[0], entry)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	return s
+}
+
+// A replica returned without its entry and let the primary acknowledge what the only
+// replica with an entry lacked (deaf-and-lag 14).
+func TestDeafReplicaIsPromotedAsTheOtherHasNoEntry(t *testing.T) {
+	f := start(t)
+	primary := f.primary()
+	returned, deaf := f.Groups[0].Servers()[1], f.Groups[0].Servers()[2]
+	f.during(func() {
+		f.Hide(returned)
+		returned.Crash()
+		time.Sleep(lapseTime)
+		f.restart(returned)
+		deaf.Deafen(true)
+		f.awaitWrite(0)
+		primary.Cut(true)
+		f.holdUntilPromoted(deaf)
+		primary.Cut(false)
+		deaf.Deafen(false)
+		f.Show(returned)
+		f.awaitWrite(0)
+	})
+}
+
+// A steward ended without resuming the replicas. When the last server that received
+// left, one of them replaced a primary that was alive (handover-into-freeze 36).
+func TestReplicaThatWasLeftPausedIsPromoted(t *testing.T) {
+	f := start(t)
+	paused := f.Groups[0].Servers()[1:]
+	last := f.addServer(true)
+	f.during(func() {
+		for _, s := range paused {
+			f.control(s, "PAUSE 3")
+		}
+		f.awaitWrite(0)
+		last.Leave()
+		f.Announce(last)
+		f.awaitWrite(0)
+		last.Crash()
+		f.Announce(last)
+		f.awaitWrite(0)
+	})
+}
+
+// A new server counted before its entry was there; the planned change of a leaving
+// primary did not ask it.
+func TestDeafReplicaTakesOverFromALeavingPrimary(t *testing.T) {
+	f := start(t)
+	old := f.primary()
+	replicas := f.Groups[0].Servers()[1:]
+	added := f.addServer(false)
+	f.during(func() {
+		for _, s := range replicas {
+			s.Deafen(true)
+		}
+		f.awaitWrite(0)
+		old.Leave()
+		f.Announce(old)
+		f.holdUntilPromoted(replicas...)
+		for _, s := range replicas {
+			s.Deafen(false)
+		}
+		f.Show(added)
+		f.awaitPrimary(old)
+	})
+}
+
+// Behind a cut the primary and a replica whose entry has lapsed go on; the third
+// server lacks what they acknowledged.
+func TestDeafReplicaIsPromotedAsTheOthersAreCutOff(t *testing.T) {
+	f := start(t)
+	primary := f.primary()
+	other, deaf := f.Groups[0].Servers()[1], f.Groups[0].Servers()[2]
+	f.during(func() {
+		deaf.Deafen(true)
+		f.awaitWrite(0)
+		primary.Silence(true)
+		other.Silence(true)
+		f.Hide(other)
+		f.holdUntilPromoted(deaf)
+		primary.Silence(false)
+		other.Silence(false)
+		deaf.Deafen(false)
+		f.Show(other)
+		f.awaitWrite(0)
+	})
+}
