Stewards promote behind a primary's log only with witnesses

All VMs lost power at 41 s, behind a cut of the primary's failure domain; the server that had let it acknowledge 2/337 to 2/354 had left and ended. The VMs that came back knew neither that server nor any acknowledged position, and took "nothing is known" for "nothing was acknowledged": the primary, in reach and with all commits, was replaced by a replica at 2/336.

Change: a replica that lacks part of the log of a primary in reach is promoted only if a position of this term is known to be acknowledged and each VM is in touch, or fell silent before that position was learned; else the primary keeps the lead. If a server is gone, the target has to have the log as it was when that server was dropped, or the same witnesses have to stand for it.

--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"chicoryline/internal/boottime"
+	"chicoryline/internal/position"
 )
 
 // maxFormer bounds the former servers that a group remembers: more than twice the
@@ -18,6 +19,9 @@
 	ServerInfo
 	// Since is when the entry vanished.
 	Since boottime.Time
+	// Position is the end of the group's log when the server was dropped: if it was gone
+	// by then, it has let nothing beyond be acknowledged.
+	Position position.Position
 }
 
 // replacedBy reports whether the entry shows that the former server no longer runs as
@@ -63,6 +67,10 @@
 // remember keeps a server that is dropped as a former one, unless a later one has its
 // address. The mutex is held.
 func (g *Group) remember(server Former) {
+	server.Position = g.acknowledged.position
+	if newest := g.History.Newest().Position; newest.Compare(server.Position) > 0 {
+		server.Position = newest
+	}
 	for _, s := range g.servers {
 		if server.replacedBy(s.Info()) {
 			return
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -244,7 +244,7 @@
 	defer g.mu.Unlock()
 	for id, s := range g.servers {
 		s.mu.Lock()
-		former := Former{s.info, s.missing}
+		former := Former{ServerInfo: s.info, Since: s.missing}
 		s.mu.Unlock()
 		if former.Since != 0 && boottime.Since(former.Since) > missingTime {
 			s.Conns.Close()
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -8,6 +8,7 @@
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
+	"chicoryline/internal/position"
 	"chicoryline/internal/steward"
 )
 
@@ -58,6 +59,10 @@
 		DomainHeard: func(s steward.Server, since boottime.Time) bool {
 			return settled[s.ID] && (s.Domain == e.settings.Domain || e.mesh.DomainHeard(s.Domain, since))
 		},
+		Witnessed: func() bool {
+			at := g.Census().AcknowledgedAt
+			return at != 0 && e.mesh.HeardAllSince(at)
+		},
 		Progress: func(in time.Duration) { g.Expect(boottime.Now().Add(in)) },
 		Answered: g.NoteReachable,
 		Done: func(server string) {
@@ -78,16 +83,16 @@
 // statements, and former ones, which may still receive commits.
 func (e *Process) taskServers(current []*dispatch.Server, former []dispatch.Former) []steward.Server {
 	var list []steward.Server
-	add := func(info dispatch.ServerInfo, missing time.Duration) {
+	add := func(info dispatch.ServerInfo, missing time.Duration, p position.Position) {
 		list = append(list, steward.Server{
-			ID: info.ID, Address: info.Address, Domain: info.Domain, Leaving: info.Leaving, Missing: missing,
+			ID: info.ID, Address: info.Address, Domain: info.Domain, Leaving: info.Leaving, Missing: missing, Position: p,
 		})
 	}
 	for _, s := range current {
-		add(s.Info(), s.Missing())
+		add(s.Info(), s.Missing(), position.Position{})
 	}
 	for _, f := range former {
-		add(f.ServerInfo, boottime.Since(f.Since))
+		add(f.ServerInfo, boottime.Since(f.Since), f.Position)
 	}
 	return list
 }
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -271,6 +271,25 @@
 	return slices.Sorted(maps.Keys(domains))
 }
 
+// HeardAllSince reports whether each other VM is in touch, or had fallen silent before the
+// moment. In a fleet of several cells a cell's digest stands for its VMs.
+func (m *Mesh) HeardAllSince(at boottime.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	for _, vm := range m.cells[m.own].vms {
+		if p := m.peers[vm]; p != nil && !m.inTouch(vm, now) && p.heard >= at {
+			return false
+		}
+	}
+	for _, d := range m.digests {
+		if now.Sub(d.at) >= digestTime && d.at >= at {
+			return false
+		}
+	}
+	return true
+}
+
 // DomainHeard reports whether a VM of the failure domain has been heard of after the
 // moment. In a fleet of several cells the domain's digest stands for its VMs, as in
 // DomainsInTouch.
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -283,3 +283,27 @@
 		t.Errorf("news claim a proof %v after it was made", nodes[1].oldest)
 	}
 }
+
+// What the VMs in touch know to be acknowledged says nothing about one that fell silent
+// after they learned it.
+func TestSilentVMMayHaveSeenMore(t *testing.T) {
+	now := boottime.Now()
+	learned := now.Add(-2 * HeardTime)
+	m := New(Config{VM: "vm0000"})
+	m.SetPeers(peers(3, 1))
+	m.peers["vm0001"].heard = now
+	for _, c := range []struct {
+		name  string
+		heard boottime.Time
+		want  bool
+	}{
+		{"in touch", now, true},
+		{"silent since before", learned.Add(-time.Millisecond), true},
+		{"silent since after", learned.Add(time.Millisecond), false},
+	} {
+		m.peers["vm0002"].heard = c.heard
+		if got := m.HeardAllSince(learned); got != c.want {
+			t.Errorf("%s: %v", c.name, got)
+		}
+	}
+}
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -139,8 +139,10 @@
 // was acknowledged: a replica that has the same is complete, whichever other servers
 // the group has.
 func (a *attempt) handOver(ctx context.Context, leader *member) (*member, error) {
-	if a.awaitReplica(ctx, leader.status.Received, leader) == nil && (a.t.Reason == Leaving || a.unreached(ctx) > 0) {
-		return nil, errkind.New(errkind.NoPrimary, "no replica has all that primary %s has", leader.ID)
+	if a.awaitReplica(ctx, leader.status.Received, leader) == nil {
+		if a.t.Reason == Leaving || a.unreached(ctx) > 0 || !a.witnessed(leader.status.Received.Term) {
+			return nil, errkind.New(errkind.NoPrimary, "no replica has all that primary %s has", leader.ID)
+		}
 	}
 	a.progress()
 	term := a.nextTerm()
@@ -161,6 +163,9 @@
 	if a.unreached(ctx) == 0 {
 		target, err := a.secure(ctx, leader)
 		time.Sleep(newsTime - boottime.Since(steppedDown))
+		if err == nil && !a.witnessed(leader.status.Received.Term) {
+			err = errkind.New(errkind.NoPrimary, "a VM is silent that may have seen commits acknowledged")
+		}
 		if err == nil {
 			err = a.holdsAcknowledged(target)
 		}
@@ -182,10 +187,21 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, m := range a.members {
+		if m.gone && !target.status.Received.AtLeast(m.Position) && !a.witnessed(target.status.Received.Term) {
+			return nil, errkind.New(errkind.NoPrimary, "%s is gone and may have held commits that %s lacks", m.ID, target.ID)
+		}
+	}
 	a.progress()
 	return target, nil
 }
 
+// witnessed reports whether the position that is known to be acknowledged is of the term
+// and covers all that was acknowledged.
+func (a *attempt) witnessed(term uint64) bool {
+	return a.t.Witnessed != nil && a.acknowledged().Term == term && a.t.Witnessed()
+}
+
 func (a *attempt) progress() {
 	if a.t.Progress != nil {
 		a.t.Progress(ExpectedPromotion)
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -25,6 +25,7 @@
 	err := s.run(context.Background(), Task{
 		DomainHeard: func(Server, boottime.Time) bool { return heard },
 		Group:       "g", Primary: "a", Servers: servers, Reason: reason,
+		Witnessed:    func() bool { return acknowledged > 0 },
 		Acknowledged: func() position.Position { return position.Position{Term: 1, Offset: acknowledged} },
 		Answered:     func() {},
 		Done:         func(server string) { done = server },
@@ -127,6 +128,31 @@
 	}
 }
 
+// All VMs had been restarted: none knew of the commits that a server now gone had let the
+// primary acknowledge (hunt kremstal-ballon, trouble-1 --vary --seed 29).
+func TestNothingIsPromotedBehindThePrimaryWithoutWitnesses(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"a": 354, "b": 336, "c": 336}, primary: "a"}
+	done, err := attemptFor(newSteward("vm1", newFakeStore(), g), CommitStuck, 0, listed("a", "b", "c")...)
+	if err == nil || done != "" || g.primary != "a" {
+		t.Errorf("%q, %v, %q leads", done, err, g.primary)
+	}
+}
+
+// A server that left took the only other copy of acknowledged commits with it.
+func TestServerThatIsGoneMayHaveHeldMore(t *testing.T) {
+	for _, c := range []struct {
+		at   uint64
+		want string
+	}{{7, "b"}, {8, ""}} {
+		g := &fakeGroup{received: map[string]uint64{"b": 7}, down: map[string]bool{"a": true, "c": true}}
+		gone := Server{ID: "c", Missing: time.Minute, Position: position.Position{Term: 1, Offset: c.at}}
+		done, err := attemptFor(newSteward("vm1", newFakeStore(), g), Silent, 0, Server{ID: "a"}, Server{ID: "b"}, gone)
+		if done != c.want || (err == nil) != (c.want != "") {
+			t.Errorf("gone at %d: %q, %v, want %q", c.at, done, err, c.want)
+		}
+	}
+}
+
 // The server that the steward's VM takes for the primary may have been replaced.
 func TestServerThatLeadsIsNotReplacedForAnother(t *testing.T) {
 	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "b"}
--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -305,6 +305,11 @@
 			return position.Position{Term: 1, Offset: m.seen}
 		},
 	}
+	t.Witnessed = func() bool {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		return m.seen == m.acked
+	}
 	t.DomainHeard = func(s Server, _ boottime.Time) bool {
 		m.mu.Lock()
 		defer m.mu.Unlock()
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -72,6 +72,9 @@
 	// Missing is how long the server's discovery entry has been missing, 0 if it is
 	// there. A server may run, and receive commits, without an entry.
 	Missing time.Duration
+	// Position is the end of the group's log when the server was dropped, zero if it was
+	// not: if it is gone, nothing beyond was acknowledged by it.
+	Position position.Position
 }
 
 // Control runs control statements at backend servers.
@@ -178,6 +181,9 @@
 	// Acknowledged returns the highest position that a VM in touch knows to be
 	// acknowledged.
 	Acknowledged func() position.Position
+	// Witnessed reports whether Acknowledged covers all that was acknowledged: each VM is
+	// in touch, or fell silent before the position was learned.
+	Witnessed func() bool
 	// DomainHeard reports whether the server's failure domain has been in touch for long
 	// enough for entries to be back, and a VM of it has been heard of after the moment.
 	DomainHeard func(s Server, since boottime.Time) bool
