Backend servers: a watch without an answer no longer hides who leaves

Cause: a watch of the store waits up to 29 s for a change, and one that got no answer was taken for one without a change. The VMs that broke the rule had sent theirs while the store was down; the store came back and answered other calls, the watch stayed silent until its own time limit (log: store_watch lost at 40.03 s and 41.03 s). They never heard that the server leaves, and used it on after its successor's claim had faded. Besides, the time of a leaving server counted from when a VM heard of it, and half of it was given to one that was not known before.

Change: a Follower with ProofAge asks the store beside its watch once the last proof is older than that (2.5 s for backend servers) and drops a watch that did not tell what the answer tells. Each row carries the last moment up to which all changes were known before it, also through another VM's copy; the time of a leaving server counts from there. A server that is first seen leaving, or whose entry was missing before, gets no new work. Rows that were delivered already are not delivered again by a late answer.

Tests, each failing with its part taken back: TestSilentWatchHidesNoChange, TestLateAnswerBringsNoOldRows, TestLeavingTimeCountsFromTheLastKnownStay. TestServerFirstSeenLeavingGetsHalfTheTime is replaced by the last, which allows no time where it allowed half. TestServerThatLeavesGetsNoWorkForLong now gives the entry a date, without which it gets no work at all.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	Version uint64
 	// Deleted marks a row that is gone, in answers of Watch.
 	Deleted bool
+	// After is set by a Follower: the row changed later than that. 0 is not known.
+	After boottime.Time
 }
 
 // Condition is a row version that must hold; version 0: the row does not exist.
@@ -58,6 +61,9 @@
 	Timeout time.Duration
 	// Pause is the least time from a change to the next call.
 	Pause time.Duration
+	// ProofAge, if set, is how long after the last proof the store is asked beside the
+	// watch: one without an answer may be lost.
+	ProofAge time.Duration
 	// Reset takes the whole table after a gap, Update a change, both in order.
 	Reset  func([]Row)
 	Update func([]Row)
@@ -69,11 +75,16 @@
 	Relay *Relay
 	Log   *logrus.Entry
 
+	failing bool
+
 	// mu guards the fields below it and the order of Reset and Update.
 	mu      sync.Mutex
 	version uint64
 	loaded  bool
-	failing bool
+	// proved is a moment up to which all changes have been delivered.
+	proved boottime.Time
+	// drop ends the watch that is under way.
+	drop context.CancelFunc
 }
 
 const (
@@ -88,10 +99,15 @@
 	// relayWait is how long one call of another VM waits for a change. A VM that is
 	// lost meanwhile is noticed within this time at the latest.
 	relayWait = 2500 * time.Millisecond
+	// proofPoll is the pause between two looks at the age of the proof.
+	proofPoll = 200 * time.Millisecond
 )
 
 // Run follows the table until the context ends.
 func (f *Follower) Run(ctx context.Context) {
+	if f.ProofAge > 0 {
+		go f.keepProved(ctx)
+	}
 	pause := firstPause
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -130,6 +146,30 @@
 	return min(pause, lastPause)
 }
 
+// keepProved asks the store before the proof at hand gets older than ProofAge.
+func (f *Follower) keepProved(ctx context.Context) {
+	pause := proofPoll
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(pause):
+		}
+		f.mu.Lock()
+		due := f.loaded && boottime.Since(f.proved) >= f.ProofAge
+		f.mu.Unlock()
+		if _, relayed := f.source(); relayed || !due {
+			pause = proofPoll
+			continue
+		}
+		if err := f.Check(ctx); err != nil {
+			pause = min(2*pause, lastPause)
+			continue
+		}
+		pause = proofPoll
+	}
+}
+
 func (f *Follower) noteHealth(err error) {
 	failing := err != nil
 	if failing == f.failing {
@@ -163,8 +203,8 @@
 	ctx, cancel := context.WithTimeout(ctx, f.Timeout)
 	defer cancel()
 	if address, ok := f.source(); ok {
-		rows, version, err := f.Relay.Rows(ctx, address, f.Table)
-		if err == nil && f.reset(rows, version) {
+		a, err := f.Relay.Rows(ctx, address, f.Table)
+		if err == nil && f.reset(a) {
 			return nil
 		}
 		f.noteRelay(address, err)
@@ -174,26 +214,46 @@
 	if err != nil {
 		return err
 	}
-	f.reset(rows, version)
+	f.reset(Answer{rows, version, start})
 	f.noteAnswer(start)
 	return nil
 }
 
+// Answer is rows as of a version; Proved is a moment up to which it has all changes, 0
+// if none is known.
+type Answer struct {
+	Rows    []Row
+	Version uint64
+	Proved  boottime.Time
+}
+
 // reset takes the whole table unless it is older than what is at hand.
-func (f *Follower) reset(rows []Row, version uint64) bool {
+func (f *Follower) reset(a Answer) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version < f.version {
+	if a.Version < f.version {
 		return false
 	}
-	f.Reset(rows)
-	f.version, f.loaded = version, true
+	f.Reset(f.date(a.Rows))
+	f.version, f.loaded, f.proved = a.Version, true, max(f.proved, a.Proved)
 	if f.Copies != nil {
-		f.Copies.reset(f.Table, rows, version)
+		f.Copies.reset(f.Table, a.Rows, a.Version, f.proved)
 	}
 	return true
 }
 
+// date notes in each row that is new after which moment it has changed. The mutex is
+// held.
+func (f *Follower) date(rows []Row) []Row {
+	for i := range rows {
+		rows[i].After = 0
+		if rows[i].Version > f.version {
+			rows[i].After = f.proved
+		}
+	}
+	return rows
+}
+
 // source returns the VM to read from instead of the store.
 func (f *Follower) source() (address string, ok bool) {
 	if f.Relay == nil {
@@ -234,17 +294,30 @@
 	f.mu.Unlock()
 	if address, ok := f.source(); ok {
 		call, cancel := context.WithTimeout(ctx, relayWait+f.Timeout)
-		rows, version, err := f.Relay.Watch(call, address, f.Table, after, min(wait, relayWait))
+		a, err := f.Relay.Watch(call, address, f.Table, after, min(wait, relayWait))
 		cancel()
 		if err == nil || errkind.Is(err, errkind.HistoryGone) {
-			return f.update(rows, version), true, err
+			return f.update(a), true, err
 		}
 		f.noteRelay(address, err)
 	}
-	changed, err = f.watchStore(ctx, after, wait)
+	watch, cancel := context.WithCancel(ctx)
+	defer cancel()
+	f.setDrop(cancel)
+	defer f.setDrop(nil)
+	changed, err = f.watchStore(watch, after, wait)
+	if err != nil && watch.Err() != nil && ctx.Err() == nil {
+		err = errkind.New(errkind.PlatformUnavailable, "store: watch after %d kept silent about changes", after)
+	}
 	return changed, false, err
 }
 
+func (f *Follower) setDrop(drop context.CancelFunc) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.drop = drop
+}
+
 func (f *Follower) watchStore(ctx context.Context, after uint64, wait time.Duration) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
@@ -253,34 +326,38 @@
 	if err != nil {
 		return false, err
 	}
-	changed = f.update(rows, version)
+	changed = f.update(Answer{rows, version, start})
 	f.noteAnswer(start)
 	return changed, nil
 }
 
-// update delivers changes up to the version.
-func (f *Follower) update(rows []Row, version uint64) (changed bool) {
+// update delivers the changes in the answer that have not been delivered.
+func (f *Follower) update(a Answer) (changed bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	rows := slices.DeleteFunc(a.Rows, func(r Row) bool { return r.Version <= f.version })
 	if len(rows) > 0 {
-		f.Update(rows)
+		f.Update(f.date(rows))
 	}
-	f.version = max(f.version, version)
+	f.version, f.proved = max(f.version, a.Version), max(f.proved, a.Proved)
 	if f.Copies != nil {
-		f.Copies.update(f.Table, rows, version)
+		f.Copies.update(f.Table, rows, f.version, f.proved)
 	}
 	return len(rows) > 0
 }
 
 // Check delivers the changes that the store has now, without waiting for more, beside
-// the watch that Run has under way.
+// the watch that Run has under way. A watch that did not tell them is dropped.
 func (f *Follower) Check(ctx context.Context) error {
 	if !f.isLoaded() {
 		return errkind.New(errkind.PlatformUnavailable, "table %s is not loaded", f.Table)
 	}
 	f.mu.Lock()
-	after := f.version
+	after, drop := f.version, f.drop
 	f.mu.Unlock()
-	_, err := f.watchStore(ctx, after, 0)
+	changed, err := f.watchStore(ctx, after, 0)
+	if changed && drop != nil {
+		drop()
+	}
 	return err
 }
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -206,3 +206,98 @@
 		t.Error(err)
 	}
 }
+
+// deafStore gets no answer to watches that wait; calls that do not wait are answered.
+type deafStore struct {
+	*fakeStore
+	watches chan uint64
+}
+
+func (s *deafStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error) {
+	if wait == 0 {
+		return s.fakeStore.Watch(ctx, table, after, wait)
+	}
+	select {
+	case s.watches <- after:
+	case <-ctx.Done():
+	}
+	<-ctx.Done()
+	return nil, 0, ctx.Err()
+}
+
+// A watch sent while the store was down was never answered; for 30 s a VM sent work to a
+// server that had left (releases-under-cuts, kremstal-ballon, seed 90: DRAIN).
+func TestSilentWatchHidesNoChange(t *testing.T) {
+	s, r := &deafStore{fakeStore: &fakeStore{}, watches: make(chan uint64)}, &recorder{}
+	s.put("a")
+	f := follower(s, r)
+	f.Wait, f.ProofAge = time.Hour, time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { f.Run(ctx); close(done) }()
+	if after := <-s.watches; after != 1 {
+		t.Errorf("watch after %d, want 1", after)
+	}
+	s.put("b")
+	select {
+	case after := <-s.watches: // the silent watch is replaced
+		if after != 2 {
+			t.Errorf("watch after %d, want 2", after)
+		}
+	case <-time.After(20 * time.Second):
+		t.Error("the change was not noticed")
+	}
+	cancel()
+	<-done
+	if diff := cmp.Diff([]string{"a", "b"}, r.keys); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// An answer that was held up comes after a later one and must not bring old rows back.
+func TestLateAnswerBringsNoOldRows(t *testing.T) {
+	s, r := &fakeStore{}, &recorder{}
+	f := follower(s, r)
+	if err := f.step(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	late := Answer{Rows: []Row{{Key: "x", Version: 1}}, Version: 1}
+	f.update(Answer{Rows: []Row{{Key: "x", Version: 2}}, Version: 2})
+	f.update(late)
+	if diff := cmp.Diff([]string{"x"}, r.keys); diff != "" || f.version != 2 {
+		t.Errorf("version %d, %s", f.version, diff)
+	}
+}
+
+// A row is dated by the last moment at which the follower knew of all changes, however
+// late it hears of it.
+func TestRowChangedAfterTheProofBefore(t *testing.T) {
+	s := &fakeStore{}
+	s.put("a")
+	f := follower(s, &recorder{})
+	var got []Row
+	f.Reset = func(rows []Row) { got = rows }
+	f.Update = func(rows []Row) { got = rows }
+	ctx := context.Background()
+	if err := f.load(ctx); err != nil || got[0].After != 0 {
+		t.Fatalf("row of the first answer is dated %v, %v", got[0].After, err)
+	}
+	before := boottime.Now()
+	if err := f.Check(ctx); err != nil {
+		t.Fatal(err)
+	}
+	proved := boottime.Now()
+	s.errs = []error{errkind.New(errkind.PlatformUnavailable, "fake")}
+	if err := f.Check(ctx); err == nil {
+		t.Fatal("no error")
+	}
+	s.put("b")
+	if err := f.Check(ctx); err != nil || got[0].After < before || got[0].After > proved {
+		t.Errorf("row is dated %v, want between %v and %v; %v", got[0].After, before, proved, err)
+	}
+	date := f.proved
+	s.put("c")
+	if err := f.load(ctx); err != nil || got[1].After != 0 || got[2].After != date {
+		t.Errorf("dates %v and %v, want 0 for the known row and %v for the new one; %v", got[1].After, got[2].After, date, err)
+	}
+}
--- a/internal/coord/copy.go
+++ b/internal/coord/copy.go
@@ -33,7 +33,9 @@
 	rows          map[string]Row
 	deleted       int
 	from, version uint64
-	changed       chan struct{}
+	// proved is a moment up to which all changes are in it, 0 if none is known.
+	proved  boottime.Time
+	changed chan struct{}
 }
 
 // NewCopies returns a holder without tables.
@@ -47,11 +49,11 @@
 }
 
 // reset takes the whole table as of the version.
-func (c *Copies) reset(table string, rows []Row, version uint64) {
+func (c *Copies) reset(table string, rows []Row, version uint64, proved boottime.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.tables[table]
-	t := &tableCopy{rows: make(map[string]Row, len(rows)), from: version, version: version, changed: make(chan struct{})}
+	t := &tableCopy{rows: make(map[string]Row, len(rows)), from: version, version: version, proved: proved, changed: make(chan struct{})}
 	for _, r := range rows {
 		t.rows[r.Key] = r
 	}
@@ -62,7 +64,7 @@
 }
 
 // update takes the changes up to the version.
-func (c *Copies) update(table string, rows []Row, version uint64) {
+func (c *Copies) update(table string, rows []Row, version uint64, proved boottime.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tables[table]
@@ -78,7 +80,7 @@
 			t.deleted++
 		}
 	}
-	t.version = max(t.version, version)
+	t.version, t.proved = max(t.version, version), max(t.proved, proved)
 	if t.deleted > maxDeleted {
 		t.forgetDeleted()
 	}
@@ -138,10 +140,19 @@
 	Wait  time.Duration
 }
 
-// TableReply carries rows as of the version.
+// TableReply carries rows as of the version. If Dated is set, all changes are in it up to
+// the moment Proved after the call arrived; it is negative for a moment before. Clocks
+// are not compared.
 type TableReply struct {
 	Rows    []Row
 	Version uint64
+	Dated   bool
+	Proved  time.Duration
+}
+
+// fill takes the copy's state; the call arrived at the moment.
+func (r *TableReply) fill(t *tableCopy, rows []Row, arrived boottime.Time) {
+	r.Rows, r.Version, r.Dated, r.Proved = rows, t.version, t.proved != 0, t.proved.Sub(arrived)
 }
 
 // CopyService is the net/rpc face of Copies, registered as "Tables".
@@ -152,18 +163,20 @@
 
 // Rows returns all rows of a table.
 func (s *CopyService) Rows(args *TableArgs, reply *TableReply) error {
+	arrived := boottime.Now()
 	s.copies.mu.Lock()
 	defer s.copies.mu.Unlock()
 	t, err := s.copies.table(args.Table)
 	if err != nil {
 		return peer.Encode(err)
 	}
-	reply.Rows, reply.Version = t.all(), t.version
+	reply.fill(t, t.all(), arrived)
 	return nil
 }
 
 // Watch returns the changes after a version, waiting for one.
 func (s *CopyService) Watch(args *TableArgs, reply *TableReply) error {
+	arrived := boottime.Now()
 	timer := time.NewTimer(args.Wait)
 	defer timer.Stop()
 	for expired := false; ; {
@@ -176,7 +189,7 @@
 			s.copies.mu.Unlock()
 			return peer.Encode(err)
 		}
-		reply.Rows, reply.Version = t.since(args.After, true), t.version
+		reply.fill(t, t.since(args.After, true), arrived)
 		changed := t.changed
 		s.copies.mu.Unlock()
 		if len(reply.Rows) > 0 || expired {
@@ -198,17 +211,23 @@
 }
 
 // Rows returns all rows of the table.
-func (r *Relay) Rows(ctx context.Context, address, table string) ([]Row, uint64, error) {
+func (r *Relay) Rows(ctx context.Context, address, table string) (Answer, error) {
 	return r.call(ctx, address, "Tables.Rows", &TableArgs{Table: table})
 }
 
 // Watch returns the changes after the version.
-func (r *Relay) Watch(ctx context.Context, address, table string, after uint64, wait time.Duration) ([]Row, uint64, error) {
+func (r *Relay) Watch(ctx context.Context, address, table string, after uint64, wait time.Duration) (Answer, error) {
 	return r.call(ctx, address, "Tables.Watch", &TableArgs{Table: table, After: after, Wait: wait})
 }
 
-func (r *Relay) call(ctx context.Context, address, method string, args *TableArgs) ([]Row, uint64, error) {
+func (r *Relay) call(ctx context.Context, address, method string, args *TableArgs) (Answer, error) {
 	var reply TableReply
+	sent := boottime.Now()
 	err := r.Calls.Call(ctx, address, method, args, &reply)
-	return reply.Rows, reply.Version, err
+	a := Answer{Rows: reply.Rows, Version: reply.Version}
+	if reply.Dated {
+		// The call arrived no sooner than it was sent.
+		a.Proved = max(sent.Add(reply.Proved), 0)
+	}
+	return a, err
 }
--- a/internal/coord/copy_test.go
+++ b/internal/coord/copy_test.go
@@ -208,16 +208,16 @@
 func TestDeletedRowsAreHandedOn(t *testing.T) {
 	c := NewCopies()
 	c.noteContact(boottime.Now())
-	c.reset("t", []Row{{Key: "x", Version: 1}}, 1)
+	c.reset("t", []Row{{Key: "x", Version: 1}}, 1, 0)
 	for i := range uint64(maxDeleted) {
-		c.update("t", []Row{{Key: fmt.Sprint(i), Version: 2 + i, Deleted: true}}, 2+i)
+		c.update("t", []Row{{Key: fmt.Sprint(i), Version: 2 + i, Deleted: true}}, 2+i, 0)
 	}
 	service := NewCopyService(c)
 	var reply TableReply
 	if err := service.Watch(&TableArgs{Table: "t", After: 1}, &reply); err != nil || len(reply.Rows) != maxDeleted || !reply.Rows[0].Deleted {
 		t.Fatalf("%d rows, %v", len(reply.Rows), err)
 	}
-	c.update("t", []Row{{Key: "x", Version: 9999, Deleted: true}}, 9999)
+	c.update("t", []Row{{Key: "x", Version: 9999, Deleted: true}}, 9999, 0)
 	if err := decode(service.Watch(&TableArgs{Table: "t", After: 1}, &TableReply{})); !errkind.Is(err, errkind.HistoryGone) {
 		t.Errorf("error %v", err)
 	}
@@ -226,3 +226,28 @@
 		t.Errorf("%+v, %v", all, err)
 	}
 }
+
+// A member knows as much about the date of a change as the leader did, less the way of
+// its call.
+func TestRelayedRowIsDatedByTheLeadersProof(t *testing.T) {
+	_, store, vms := newCell("a", "b")
+	a, b := vms["a"], vms["b"]
+	store.put("x")
+	steps(t, a, 1)
+	steps(t, b, 1)
+	if b.proved > a.proved || b.proved == 0 {
+		t.Errorf("proof of the member %v, of the leader %v", b.proved, a.proved)
+	}
+	old := b.proved
+	var got []Row
+	b.Update = func(rows []Row) { got = rows }
+	store.put("y")
+	steps(t, a, 1)
+	steps(t, b, 1)
+	if len(got) != 1 || got[0].After != old {
+		t.Errorf("rows %v, want one dated %v", got, old)
+	}
+	if b.proved > a.proved || b.proved <= old {
+		t.Errorf("proof of the member %v after %v, of the leader %v", b.proved, old, a.proved)
+	}
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -208,17 +208,7 @@
 	} else if s.isMissing() {
 		g.serverLine(s).Warn("entry returned")
 	}
-	s.mu.Lock()
-	leaves := info.Leaving && !s.info.Leaving
-	if leaves {
-		s.leftAt = boottime.Now()
-		if s.info.ID == "" {
-			// It is not known for how long the server has been leaving.
-			s.leftAt = s.leftAt.Add(-g.cfg.LeaveTime / 2)
-		}
-	}
-	s.info, s.missing = info, 0
-	s.mu.Unlock()
+	leaves := s.take(info)
 	switch {
 	case isNew:
 		g.serverLine(s).WithField("address", info.Address).Info("known")
--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -107,10 +107,10 @@
 // than it may (hunt fogas-pool, mix --seed 355159337549).
 func TestServerThatLeavesGetsNoWorkForLong(t *testing.T) {
 	g := newGroup("a", "b")
+	now := boottime.Now()
 	info := entryOf("a", true, 5)
-	info.Leaving = true
+	info.Leaving, info.After = true, now
 	g.update(info)
-	now := boottime.Now()
 	if _, err := g.awaitLeader(context.Background(), now.Add(time.Second)); err != nil {
 		t.Fatalf("leaving primary is refused at once: %v", err)
 	}
@@ -124,14 +124,39 @@
 	}
 }
 
-func TestServerFirstSeenLeavingGetsHalfTheTime(t *testing.T) {
-	g := newGroup("a")
-	info := entryOf("b", true, 5)
-	info.Leaving = true
-	g.update(info)
-	s := g.servers["b"]
-	if now := boottime.Now(); !s.hasLeft(now.Add(g.cfg.LeaveTime/2), g.cfg.LeaveTime) || s.hasLeft(now, g.cfg.LeaveTime) {
-		t.Error("a server of unknown leaving time is not given half of it")
+// The time of a leaving server was counted from when the VM heard of it, or half of it was
+// given to one that it did not know before (DRAIN).
+func TestLeavingTimeCountsFromTheLastKnownStay(t *testing.T) {
+	now := boottime.Now()
+	for _, c := range []struct {
+		name string
+		// known tells that the VM knew the server before, gone that its entry was
+		// missing meanwhile.
+		known, gone bool
+		after       boottime.Time
+		want        bool
+	}{
+		{"heard at once", true, false, now, true},
+		{"heard late", true, false, now.Add(-7 * time.Second), false},
+		{"date not known", true, false, 0, false},
+		{"entry vanished before", true, true, now, false},
+		{"not known before", false, false, now, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			g := newGroup("a")
+			if c.known {
+				g.update(entryOf("b", true, 4))
+			}
+			if c.gone {
+				g.missing("b")
+			}
+			info := entryOf("b", true, 5)
+			info.Leaving, info.After = true, c.after
+			g.update(info)
+			if _, err := g.awaitLeader(context.Background(), now); (err == nil) != c.want {
+				t.Errorf("error %v, want work %v", err, c.want)
+			}
+		})
 	}
 }
 
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -26,6 +26,8 @@
 	Started int64
 	// Version rises with each change of the entry.
 	Version uint64
+	// After is a moment before the entry's last change, 0 if none is known.
+	After boottime.Time
 }
 
 const (
@@ -63,7 +65,7 @@
 	known, missing boottime.Time
 	// load is the smoothed number of statements under way.
 	load float64
-	// leftAt is when the server was first known to leave.
+	// leftAt is the last moment at which the server was known to stay, 0 if none is.
 	leftAt boottime.Time
 }
 
@@ -99,6 +101,22 @@
 	return s.missing != 0
 }
 
+// take takes the entry of the server; leaves tells that it begins to leave by it.
+func (s *Server) take(info ServerInfo) (leaves bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leaves = info.Leaving && !s.info.Leaving
+	if leaves {
+		s.leftAt = info.After
+		if s.info.ID == "" || s.missing != 0 {
+			// It may have said so in an entry that this VM did not see.
+			s.leftAt = 0
+		}
+	}
+	s.info, s.missing = info, 0
+	return leaves
+}
+
 // noteSuccess records an answer of the server.
 func (s *Server) noteSuccess(took time.Duration, p position.Position) {
 	s.Conns.NoteResponse(took)
@@ -158,15 +176,16 @@
 	return now < s.avoid
 }
 
-// leaveMargin is taken off the time that a leaving server may get work: the delay
-// of its announcement and the way of a statement.
+// leaveMargin is taken off the time that a leaving server may get work: the way of a
+// statement.
 const leaveMargin = 500 * time.Millisecond
 
-// hasLeft reports whether the server has been leaving for too long to get work.
+// hasLeft reports whether the server may have been leaving for too long to get work.
+// When it said so is not known, only how long it surely had not.
 func (s *Server) hasLeft(now boottime.Time, leaveTime time.Duration) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.info.Leaving && now.Sub(s.leftAt) >= leaveTime-leaveMargin
+	return s.info.Leaving && (s.leftAt == 0 || now.Sub(s.leftAt) >= leaveTime-leaveMargin)
 }
 
 // eligible reports whether the server may have the position and may be asked.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -68,6 +68,10 @@
 	tableWait = 29 * time.Second
 	// serverPause gathers the changes of backend servers that start or leave together.
 	serverPause = 250 * time.Millisecond
+	// serverProofAge is the age of the list of backend servers at which the store is
+	// asked anew. With two calls that are lost it stays within the time that a leaving
+	// server may get work, 6.5 s.
+	serverProofAge = 2500 * time.Millisecond
 	// memberPause gathers the changes of many VMs that start together.
 	memberPause = 3 * time.Second
 	// storeTimeout bounds a call of the store beyond its wait: 4 ms an answer, 60
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -106,7 +106,7 @@
 			e.router.Missing(r.Key)
 			continue
 		}
-		info.Version = r.Version
+		info.Version, info.After = r.Version, r.After
 		e.router.Update(info)
 	}
 }
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -113,7 +113,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, hearWait)
-		_, _, err := relay.Rows(call, address, tableMembers)
+		_, err := relay.Rows(call, address, tableMembers)
 		cancel()
 		if err == nil {
 			return
