Leaving servers: the wait for a connection counts

A statement was sent after a leaving server's time if it had waited for a connection: the time was looked at when the server was chosen, and the wait may last up to the statement's limit. It is looked at again with the connection at hand; the statement then goes to another server.

--- a/internal/dispatch/read.go
+++ b/internal/dispatch/read.go
@@ -178,7 +178,7 @@
 // readAt asks one server. pending tells that the answer, if it comes, goes to
 // late.
 func (g *Group) readAt(ctx context.Context, s *Server, call *Call, need position.Position, late chan answer) (r statement.Result, err error, pending bool) {
-	c, err := s.Conns.Acquire(ctx, call.request(s))
+	c, err := g.acquire(ctx, s, call)
 	if err != nil {
 		if !errkind.Is(err, errkind.QueueFull) && !errkind.Is(err, errkind.QueueTimeout) && !errkind.Is(err, errkind.ConnectionLimit) {
 			s.noteFailure()
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -172,7 +172,7 @@
 		return false
 	}
 	switch errkind.KindOf(err) {
-	case errkind.Unreachable, errkind.ConnectionLimit, errkind.WrongServer, errkind.ReadOnly:
+	case errkind.Unreachable, errkind.ConnectionLimit, errkind.WrongServer, errkind.ReadOnly, errkind.ShuttingDown:
 	default:
 		return false
 	}
@@ -207,7 +207,7 @@
 		return nil, nil, err
 	}
 	start := boottime.Now()
-	c, err := s.Conns.Acquire(ctx, call.request(s))
+	c, err := g.acquire(ctx, s, call)
 	if errkind.Is(err, errkind.Unreachable) || errkind.Is(err, errkind.WrongServer) {
 		s.noteFailure()
 		g.noteFailed(s, start)
@@ -215,6 +215,17 @@
 	return s, c, err
 }
 
+// acquire returns a connection to the server, unless the wait for it took the rest of the
+// time in which a leaving server may get work.
+func (g *Group) acquire(ctx context.Context, s *Server, call *Call) (*connset.Conn, error) {
+	c, err := s.Conns.Acquire(ctx, call.request(s))
+	if err == nil && s.hasLeft(boottime.Now(), g.cfg.LeaveTime) {
+		c.Release()
+		return nil, errkind.New(errkind.ShuttingDown, "%s has left", s.Info().ID)
+	}
+	return c, err
+}
+
 // begin opens a transaction at the primary and proves by it that the server
 // leads.
 func (g *Group) begin(ctx context.Context, call *Call) (*Server, *connset.Conn, error) {
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -52,7 +52,7 @@
 			continue
 		}
 		tried = append(tried, s)
-		c, err := s.Conns.Acquire(ctx, call.request(s))
+		c, err := g.acquire(ctx, s, call)
 		if err != nil {
 			last = err
 			continue
