Stale reads: a commit that wrote nothing proves no position

Callers of routes with a bounded age could be given older data than stated (STALE). Cause: a primary that has been replaced refuses every statement of an open transaction except the commit of one that wrote nothing (PROTOCOL, Instances). Its answer's position was taken for one that covers all commits up to then, and told to all VMs. Only answers that a server without the lead would refuse prove a position now. TestCommitThatWroteNothingProvesNoPosition fails before.

--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -85,7 +85,7 @@
 		return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
 	}
 	t.changed = t.conn.TakeChanged() || t.changed
-	r, err := t.exchange(call)
+	r, err := t.exchange(call, true)
 	if err != nil {
 		t.drop(err, nil)
 		return statement.Result{}, errkind.New(errkind.TransactionLost, "%s: %v", t.server.Info().ID, err)
@@ -98,7 +98,8 @@
 // transaction wrote.
 func (t *Tx) Commit(call *Call) (statement.Result, error) {
 	sent := boottime.Now()
-	r, err := t.exchange(call)
+	// A server that has lost the lead still commits a transaction that wrote nothing.
+	r, err := t.exchange(call, t.wrote)
 	if err != nil {
 		if t.wrote {
 			t.drop(err, t.group.takeLate)
@@ -120,7 +121,9 @@
 	return r, nil
 }
 
-func (t *Tx) exchange(call *Call) (statement.Result, error) {
+// exchange sends a statement and awaits its answer; proves tells that only a server that
+// leads answers it with success.
+func (t *Tx) exchange(call *Call, proves bool) (statement.Result, error) {
 	sent := boottime.Now()
 	if err := t.conn.Start(call.Command); err != nil {
 		return statement.Result{}, err
@@ -132,7 +135,7 @@
 	}
 	if r.Err == nil {
 		t.server.noteSuccess(boottime.Since(sent), position.Position{})
-		if t.current {
+		if t.current && proves {
 			t.group.History.Add(sent, r.Position)
 		}
 		return r, nil
