Connections: a rollback that failed is no end of a transaction

The answer to the rollback that ends a transaction is left to the next user of the connection, who read it without looking at it. Had the server refused the rollback, the next customer's statement would have run in the open transaction (PINNED), or failed for as long as the connection was kept. The state that the server tells with the last such answer has to be idle, else the connection is dropped and nothing of the statement is sent. TestRollbackThatFailedIsNoEnd fails before.

--- a/internal/connset/align.go
+++ b/internal/connset/align.go
@@ -138,13 +138,20 @@
 // between failure domains and the server's processing, several times over.
 const drainTime = 150 * time.Millisecond
 
-// drain reads the answers that were left to this user.
+// drain reads the answers that were left to this user. The last is that to the end of a
+// transaction: the connection is of no use if the server says that one is open.
 func (c *Conn) drain(wait time.Duration) error {
+	status := statement.Idle
 	for c.unread > 0 {
-		if _, err := c.Conn.Receive(wait); err != nil {
+		r, err := c.Conn.Receive(wait)
+		if err != nil {
 			return errkind.New(errkind.Unreachable, "%v", err)
 		}
 		c.unread--
+		status = r.Status
+	}
+	if status != statement.Idle {
+		return errkind.New(errkind.Unreachable, "an earlier transaction was not ended: state %q", status)
 	}
 	return nil
 }
--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -44,7 +44,7 @@
 	c.pending = c.pending[1:]
 	r := statement.Result{Status: statement.Idle, Signature: text}
 	if text == c.fail {
-		r.Err = errkind.New(errkind.StatementFailed, "made to fail")
+		r.Err, r.Status = errkind.New(errkind.StatementFailed, "made to fail"), statement.Failed
 	}
 	return r, nil
 }
@@ -296,6 +296,23 @@
 	}
 }
 
+// The answer to a rollback was not looked at: the next customer's statement ran in the
+// transaction that was still open.
+func TestRollbackThatFailedIsNoEnd(t *testing.T) {
+	d := &fakeDialer{}
+	s := New(d, "", "g", "s", 1)
+	c := acquire(t, s, patient)
+	d.conns[0].fail = "rollback"
+	c.Finish(fakeTexts{})
+	c = acquire(t, s, patient)
+	if err := c.Start(statement.Command{Text: "second"}); !errkind.Is(err, errkind.Unreachable) {
+		t.Errorf("error %v, want unreachable", err)
+	}
+	if d := cmp.Diff([]string{"rollback"}, d.conns[0].sent); d != "" {
+		t.Errorf("sent: %s", d)
+	}
+}
+
 func TestClosedSetRefuses(t *testing.T) {
 	s := New(&fakeDialer{}, "", "g", "s", 1)
 	held := acquire(t, s, patient)
