Withdrawn keys: open transactions ask again

The key was looked at when a transaction began, the age of the configuration when its first statement came, and neither again: the holder of a withdrawn key could go on in an open transaction for longer than revoke_ms, and so could anyone at a VM that had lost the store (CONFIG). Each statement and the commit now need a valid key and a configuration within its lease; else the transaction is rolled back. A commit that fails ends the transaction, as the protocol has it, instead of leaving it failed. TestWithdrawnKeyEndsTheOpenTransaction and TestStaleConfigurationEndsTheOpenTransaction fail before.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -140,12 +140,16 @@
 // Fresh reports whether the lease holds.
 func (v *View) Fresh() bool { return v.Config() != nil && v.Age() < v.lease }
 
+func (v *View) stale() error {
+	return errkind.New(errkind.ConfigStale, "configuration last known to be the newest %d ms ago", v.Age().Milliseconds())
+}
+
 // Authorize returns the route of the database and the customer that holds the
 // key. A public route takes any key; the customer is then zero if none holds it.
 func (v *View) Authorize(database, key string) (Route, Customer, error) {
 	c := v.Config()
 	if c == nil || !v.Fresh() {
-		return Route{}, Customer{}, errkind.New(errkind.ConfigStale, "configuration last known to be the newest %d ms ago", v.Age().Milliseconds())
+		return Route{}, Customer{}, v.stale()
 	}
 	route, ok := c.Routes[database]
 	if !ok {
@@ -157,3 +161,16 @@
 	}
 	return route, customer, nil
 }
+
+// Recheck returns an error if the key no longer is the customer's, or may not be. The
+// name is empty for a caller that no customer's key was asked of.
+func (v *View) Recheck(key, customer string) error {
+	c := v.Config()
+	if c == nil || !v.Fresh() {
+		return v.stale()
+	}
+	if customer != "" && c.Keys[key] != customer {
+		return errkind.New(errkind.Unauthorized, "version %d", c.Version)
+	}
+	return nil
+}
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -369,6 +369,10 @@
 		return s.refuse(errkind.New(errkind.TransactionLost, "transaction had failed"))
 	}
 	call, write, err := s.call(st, t.route, t.customer, arrived)
+	if err == nil {
+		// The key may have been withdrawn since the transaction began.
+		err = s.core.Access.Recheck(s.key, t.customer.Name)
+	}
 	if err == nil && write && t.readOnly {
 		err = errkind.New(errkind.ReadOnly, "transaction is read-only")
 	}
@@ -392,9 +396,6 @@
 // openTransaction opens the transaction at a backend server.
 func (s *Session) openTransaction(call *dispatch.Call) error {
 	t := s.tx
-	if !s.core.Access.Fresh() {
-		return errkind.New(errkind.ConfigStale, "configuration last known to be the newest %d ms ago", s.core.Access.Age().Milliseconds())
-	}
 	var err error
 	if t.readOnly && t.route.Consistency != access.Current {
 		t.tx, err = t.group.BeginRead(call, call.Arrived.Add(-t.route.MaxStaleness), s.ownFor(t.route))
@@ -415,7 +416,8 @@
 	return s.result(r, err)
 }
 
-// fail answers an error inside a transaction, which has failed by it.
+// fail answers an error inside a transaction, which has failed by it and, at its commit,
+// is over.
 func (s *Session) fail(st statement.Statement, arrived boottime.Time, r statement.Result, err error) statement.Result {
 	t := s.tx
 	if t.tx != nil {
@@ -423,6 +425,9 @@
 		t.tx = nil
 	}
 	t.failed = true
+	if st.Op == statement.Commit {
+		s.tx = nil
+	}
 	s.report(st, t.route, t.customer, arrived, err)
 	return s.result(r, err)
 }
--- /dev/null
+++ b/internal/session/session_test.go
@@ -0,0 +1,116 @@
+package session
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/connset"
+	"chicoryline/internal/dispatch"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+// server takes every statement and keeps the ids.
+type server struct {
+	connset.Texts
+	ids []string
+}
+
+func (s *server) Dial(context.Context, string, string, string, string) (statement.Conn, error) {
+	return s, nil
+}
+
+func (s *server) Send(commands ...statement.Command) error {
+	for _, c := range commands {
+		if c.ID != "" {
+			s.ids = append(s.ids, c.ID)
+		}
+	}
+	return nil
+}
+
+func (s *server) Receive(time.Duration) (statement.Result, error) {
+	return statement.Result{Signature: "s", Status: statement.InTx}, nil
+}
+
+func (s *server) Alive() bool       { return true }
+func (s *server) Close()            {}
+func (s *server) Begin(bool) string { return "begin" }
+func (s *server) Rollback() string  { return "rollback" }
+
+// unlimited admits every operation and watches none.
+type unlimited struct{}
+
+func (unlimited) Admit(access.Customer) (time.Duration, bool) { return 0, true }
+func (unlimited) Statement(Event)                             {}
+
+// newSession returns a session of customer c, who holds the key k.
+func newSession(t *testing.T) (*Session, *access.View, *server) {
+	t.Helper()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	s := &server{}
+	router := dispatch.NewRouter(dispatch.Config{LeaveTime: time.Minute, Dialer: s, Texts: s, Log: logrus.NewEntry(log)})
+	router.SetLimits("g", 4, func(*dispatch.Server) int { return 4 })
+	router.Update(dispatch.ServerInfo{ID: "a", Group: "g", Slots: 5, Primary: true, Version: 1})
+	view := access.NewView(time.Hour)
+	configure(view, 1, map[string]string{"k": "c"})
+	core := &Core{Access: view, Limiter: unlimited{}, Router: router, Observer: unlimited{}, Texts: s, Log: logrus.NewEntry(log)}
+	session, err := core.Open(t.Context(), "db", "k")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return session, view, s
+}
+
+func configure(v *access.View, version int64, keys map[string]string) {
+	v.Apply(&access.Config{
+		Version: version, Keys: keys, Customers: map[string]access.Customer{"c": {Name: "c"}},
+		Routes: map[string]access.Route{"db": {Database: "db", Group: "g", Timeout: time.Minute, Target: time.Minute}},
+	})
+	v.Prove(version, boottime.Now())
+}
+
+// A key was looked at when a transaction began and never again: its holder could go on in
+// the open transaction for as long as it liked.
+func TestWithdrawnKeyEndsTheOpenTransaction(t *testing.T) {
+	for _, op := range []statement.Op{statement.Read, statement.Write, statement.Commit} {
+		s, view, server := newSession(t)
+		s.Handle(statement.Statement{ID: "1", Op: statement.Begin})
+		if r := s.Handle(statement.Statement{ID: "2", Op: statement.Read}); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+		configure(view, 2, nil)
+		r := s.Handle(statement.Statement{ID: "3", Op: op})
+		if !errkind.Is(r.Err, errkind.Unauthorized) || len(server.ids) != 1 {
+			t.Errorf("operation %d: error %v, statements sent %v", op, r.Err, server.ids)
+		}
+		if want := op != statement.Commit; s.tx != nil != want {
+			t.Errorf("operation %d: transaction is open: %v, want %v", op, !want, want)
+		}
+		if r := s.Handle(statement.Statement{ID: "4", Op: statement.Rollback}); r.Status != statement.Idle || len(server.ids) != 1 {
+			t.Errorf("operation %d: state %c, statements sent %v", op, r.Status, server.ids)
+		}
+	}
+}
+
+// A VM that no longer knows whether the configuration is the newest cannot know whether
+// the key still holds.
+func TestStaleConfigurationEndsTheOpenTransaction(t *testing.T) {
+	s, _, server := newSession(t)
+	s.Handle(statement.Statement{ID: "1", Op: statement.Begin})
+	if r := s.Handle(statement.Statement{ID: "2", Op: statement.Read}); r.Err != nil {
+		t.Fatal(r.Err)
+	}
+	s.core.Access = access.NewView(time.Hour) // nothing is proved
+	r := s.Handle(statement.Statement{ID: "3", Op: statement.Read})
+	if !errkind.Is(r.Err, errkind.ConfigStale) || len(server.ids) != 1 {
+		t.Errorf("error %v, statements sent %v", r.Err, server.ids)
+	}
+}
