Configuration: none is proved by the start of the VM

Without any proof the age of the configuration counted from the start of the VM, so that one which had just started served within its first 4.6 s with a configuration that only another VM had handed on. TestNoProofIsNoProofAtTheStart fails before. TestAuthorize had the same check, and passed only on a machine that had run for over a minute.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -137,8 +137,11 @@
 // Age returns how long ago the configuration was known to be the newest.
 func (v *View) Age() time.Duration { return boottime.Since(boottime.Time(v.proved.Load())) }
 
-// Fresh reports whether the lease holds.
-func (v *View) Fresh() bool { return v.Config() != nil && v.Age() < v.lease }
+// Fresh reports whether the lease holds. One that was never proved does not, however
+// short ago the VM has started.
+func (v *View) Fresh() bool {
+	return v.Config() != nil && v.proved.Load() != 0 && v.Age() < v.lease
+}
 
 func (v *View) stale() error {
 	return errkind.New(errkind.ConfigStale, "configuration last known to be the newest %d ms ago", v.Age().Milliseconds())
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -1,6 +1,7 @@
 package access
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -86,3 +87,13 @@
 		t.Errorf("version %d after %d changes", v.Config().Version, changes)
 	}
 }
+
+// No proof counted as one at the start of the VM: one that had just started served with a
+// configuration that nobody had proved.
+func TestNoProofIsNoProofAtTheStart(t *testing.T) {
+	v := NewView(math.MaxInt64)
+	v.Apply(config(1, map[string]string{"k": "a"}))
+	if _, _, err := v.Authorize("db", "k"); v.Fresh() || !errkind.Is(err, errkind.ConfigStale) {
+		t.Errorf("fresh %v, error %v without a proof", v.Fresh(), err)
+	}
+}
