Stewards read the latest changes beside the watch, in the order of versions

Refresh read the whole table of backend servers; its rows carried no date, so that a server that had just begun to leave got no work at all from that VM, and a late answer could have brought back an entry that was removed meanwhile. It now asks for the changes after those delivered (coord.Follower.Check), which are dated and delivered once.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -190,9 +190,6 @@
 	s := g.servers[info.ID]
 	if s != nil {
 		old := s.Info()
-		if info.Version < old.Version || info.Version == old.Version && info.Version != 0 && s.isMissing() {
-			return // read before what is known
-		}
 		if old.Address != info.Address || old.Started != info.Started {
 			// The server has started anew: its connections are gone.
 			g.serverLine(s).WithFields(logrus.Fields{"new_started": info.Started, "address": info.Address}).Warn("started anew")
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -140,6 +140,7 @@
 	copies   *coord.Copies
 	homes    homes
 	touch    touch
+	servers  atomic.Pointer[coord.Follower]
 	started  boottime.Time
 	// joined is closed when this VM knows the others, or has waited for that for long
 	// enough.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -9,6 +9,7 @@
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/coord"
+	"chicoryline/internal/errkind"
 	"chicoryline/internal/mesh"
 	"chicoryline/internal/steward"
 )
@@ -111,16 +112,14 @@
 	}
 }
 
-// readServers takes the entries that the store holds now: what is followed comes late,
-// and for as long as a watch hangs not at all.
+// readServers takes the changes that the store has now: what is followed comes late, and
+// for as long as a watch hangs not at all.
 func (e *Process) readServers(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
-	rows, _, err := e.platform.Store.Rows(ctx, e.platform.ServerTable)
-	if err == nil {
-		e.takeServers(rows)
+	f := e.servers.Load()
+	if f == nil {
+		return errkind.New(errkind.PlatformUnavailable, "backend servers are not followed yet")
 	}
-	return err
+	return f.Check(ctx)
 }
 
 func (e *Process) followServers(ctx context.Context) {
@@ -137,7 +136,8 @@
 		e.takeServers(rows)
 	}
 	f := e.follower(e.platform.ServerTable, reset, e.takeServers)
-	f.Pause = serverPause
+	f.Pause, f.ProofAge = serverPause, serverProofAge
+	e.servers.Store(f)
 	f.Run(ctx)
 }
 
