Rosters: VMs that start know the servers whose entries had vanished

Cause: a process knows of a server without an entry only if it has seen the entry.

Change: the first VM of a group keeps a row in the store with the servers that may hold its commits, those without an entry with the end of the log when they were dropped. It is written when the servers change, at most once a second; read at the start and when a steward begins. A server that is gone and whose position is not known needs witnesses.

Evidence: TestRestartedVMsKnowServersWithoutAnEntry; the case "not known" of TestServerThatIsGoneMayHaveHeldMore fails before.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -185,7 +185,7 @@
 }
 
 func (f *Follower) step(ctx context.Context) error {
-	if !f.isLoaded() {
+	if !f.Loaded() {
 		return f.load(ctx)
 	}
 	changed, relayed, err := f.watch(ctx, f.Wait)
@@ -280,7 +280,8 @@
 	}
 }
 
-func (f *Follower) isLoaded() bool {
+// Loaded reports whether the table has been read.
+func (f *Follower) Loaded() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.loaded
@@ -349,7 +350,7 @@
 // Check delivers the changes that the store has now, without waiting for more, beside
 // the watch that Run has under way. A watch that did not tell them is dropped.
 func (f *Follower) Check(ctx context.Context) error {
-	if !f.isLoaded() {
+	if !f.Loaded() {
 		return errkind.New(errkind.PlatformUnavailable, "table %s is not loaded", f.Table)
 	}
 	f.mu.Lock()
--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -19,8 +19,8 @@
 	ServerInfo
 	// Since is when the entry vanished.
 	Since boottime.Time
-	// Position is the end of the group's log when the server was dropped: if it was gone
-	// by then, it has let nothing beyond be acknowledged.
+	// Position is the end of the group's log when the server was dropped, zero if it is
+	// not known: a server that was gone by then has let nothing beyond be acknowledged.
 	Position position.Position
 }
 
@@ -64,13 +64,32 @@
 	return slices.Clone(g.former)
 }
 
-// remember keeps a server that is dropped as a former one, unless a later one has its
-// address. The mutex is held.
+// Recall takes a former server from another VM, unless this one knows better.
+func (g *Group) Recall(server Former) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if _, ok := g.servers[server.ID]; ok {
+		return
+	}
+	for _, f := range g.former {
+		if f.ID == server.ID || f.Address == server.Address && f.Started >= server.Started {
+			return
+		}
+	}
+	g.keep(server)
+}
+
+// remember keeps a server that is dropped now as a former one. The mutex is held.
 func (g *Group) remember(server Former) {
 	server.Position = g.acknowledged.position
 	if newest := g.History.Newest().Position; newest.Compare(server.Position) > 0 {
 		server.Position = newest
 	}
+	g.keep(server)
+}
+
+// keep adds a former server unless a later one has its address. The mutex is held.
+func (g *Group) keep(server Former) {
 	for _, s := range g.servers {
 		if server.replacedBy(s.Info()) {
 			return
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -54,6 +54,9 @@
 		Group: g.Name, Primary: h.Last, Servers: servers, Reason: reason, Acknowledged: g.Acknowledged,
 		Refresh: func(ctx context.Context) ([]steward.Server, error) {
 			err := e.readServers(ctx)
+			if err == nil {
+				err = e.readRosters(ctx)
+			}
 			return e.taskServers(g.Servers(), g.Former()), err
 		},
 		DomainHeard: func(s steward.Server, since boottime.Time) bool {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -155,6 +155,8 @@
 	// and a hash of the server's id; reported is this VM's own as the others know it.
 	loads    map[string]map[uint32]float32
 	reported map[uint32]float32
+	// rosters are the rows of tableRosters as last read or written, by group.
+	rosters map[string]rosterRow
 }
 
 // member is the row of a VM.
@@ -167,7 +169,7 @@
 func New(s Settings, p Platform, log *logrus.Entry) *Process {
 	log = log.WithField("vm", s.VM)
 	e := &Process{
-		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[uint32]float32{},
+		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[uint32]float32{}, rosters: map[string]rosterRow{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
 		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
 		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -122,6 +122,11 @@
 	return f.Check(ctx)
 }
 
+func (e *Process) serversLoaded() bool {
+	f := e.servers.Load()
+	return f != nil && f.Loaded()
+}
+
 func (e *Process) followServers(ctx context.Context) {
 	reset := func(rows []coord.Row) {
 		present := map[string]bool{}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -44,6 +44,7 @@
 	go e.followServers(ctx)
 	go e.followMembers(ctx)
 	go e.followStewards(ctx)
+	go e.keepRosters(ctx)
 }
 
 // register reads the list of VMs and writes this VM's row unless it is there. The same
--- /dev/null
+++ b/internal/entry/roster.go
@@ -0,0 +1,137 @@
+package entry
+
+import (
+	"bytes"
+	"cmp"
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/coord"
+	"chicoryline/internal/dispatch"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+// tableRosters holds one row for each database group: the servers that may hold its
+// commits, listed in discovery or not. VMs that all start anew know of servers without
+// an entry by it.
+const tableRosters = "rosters"
+
+// rosterInterval is the pause between two looks at whether a roster has to be written:
+// servers come and go every few seconds at most.
+const rosterInterval = time.Second
+
+// rosterServer is one server of a roster.
+type rosterServer struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+	Domain  string `json:"domain"`
+	Started int64  `json:"started"`
+	// Former tells that the entry was missing for long, Position the end of the group's
+	// log then.
+	Former   bool              `json:"former,omitempty"`
+	Position position.Position `json:"position"`
+}
+
+// rosterRow is what a group's row is known to hold.
+type rosterRow struct {
+	version uint64
+	value   []byte
+}
+
+// roster returns the value of the group's row, as this VM sees the group.
+func roster(g *dispatch.Group) ([]byte, error) {
+	var list []rosterServer
+	for _, s := range g.Servers() {
+		info := s.Info()
+		list = append(list, rosterServer{ID: info.ID, Address: info.Address, Domain: info.Domain, Started: info.Started})
+	}
+	for _, f := range g.Former() {
+		list = append(list, rosterServer{ID: f.ID, Address: f.Address, Domain: f.Domain, Started: f.Started, Former: true, Position: f.Position})
+	}
+	slices.SortFunc(list, func(a, b rosterServer) int { return cmp.Compare(a.ID, b.ID) })
+	return json.Marshal(list)
+}
+
+// readRosters takes the rosters that the store holds.
+func (e *Process) readRosters(ctx context.Context) error {
+	rows, _, err := e.platform.Store.Rows(ctx, tableRosters)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		var list []rosterServer
+		if err := json.Unmarshal(r.Value, &list); err != nil {
+			e.log.WithError(err).WithFields(logrus.Fields{"event": "roster", "group": r.Key}).Warn("row was not read")
+			continue
+		}
+		g := e.router.Group(r.Key)
+		for _, s := range list {
+			g.Recall(dispatch.Former{
+				ServerInfo: dispatch.ServerInfo{ID: s.ID, Group: r.Key, Address: s.Address, Domain: s.Domain, Started: s.Started, Slots: 1},
+				Since:      boottime.Now(), Position: s.Position,
+			})
+		}
+		e.mu.Lock()
+		e.rosters[r.Key] = rosterRow{r.Version, r.Value}
+		e.mu.Unlock()
+	}
+	return nil
+}
+
+// keepRosters writes the rosters of the groups for which this VM comes first.
+func (e *Process) keepRosters(ctx context.Context) {
+	for ctx.Err() == nil && !e.serversLoaded() {
+		time.Sleep(upkeepInterval)
+	}
+	e.untilDone(ctx, e.readRosters)
+	every(ctx, rosterInterval, func() {
+		for _, g := range e.router.Groups() {
+			if !e.isConfigured(g.Name) || len(g.Servers()) == 0 || e.rank(g.Name) > 0 {
+				continue
+			}
+			if err := e.writeRoster(ctx, g); err != nil && !errkind.Is(err, errkind.Conflict) {
+				e.log.WithError(err).WithFields(logrus.Fields{"event": "roster", "group": g.Name}).Warn("row was not written")
+				return // the store is tried again after the interval
+			}
+		}
+	})
+}
+
+// writeRoster writes the group's roster if it has changed. If another VM has written
+// meanwhile, the rosters are read, and the next look writes.
+func (e *Process) writeRoster(ctx context.Context, g *dispatch.Group) error {
+	value, err := roster(g)
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	row := e.rosters[g.Name]
+	e.mu.Unlock()
+	if bytes.Equal(row.value, value) {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	version, err := e.platform.Store.Apply(ctx, coord.Change{
+		If:  []coord.Condition{{Table: tableRosters, Key: g.Name, Version: row.version}},
+		Put: []coord.Row{{Table: tableRosters, Key: g.Name, Value: value}},
+	})
+	if errkind.Is(err, errkind.Conflict) || errkind.Is(err, errkind.PlatformUnknown) {
+		if readErr := e.readRosters(ctx); readErr != nil {
+			return readErr
+		}
+	}
+	if err != nil {
+		return err
+	}
+	e.mu.Lock()
+	e.rosters[g.Name] = rosterRow{version, value}
+	e.mu.Unlock()
+	return nil
+}
--- /dev/null
+++ b/internal/entry/roster_test.go
@@ -0,0 +1,98 @@
+package entry
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chicoryline/internal/coord"
+	"chicoryline/internal/dispatch"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+)
+
+// rowStore is rows in memory.
+type rowStore struct {
+	mu      sync.Mutex
+	rows    map[string]coord.Row
+	version uint64
+}
+
+func (s *rowStore) Rows(context.Context, string) ([]coord.Row, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []coord.Row
+	for _, r := range s.rows {
+		list = append(list, r)
+	}
+	return list, s.version, nil
+}
+
+func (s *rowStore) Watch(context.Context, string, uint64, time.Duration) ([]coord.Row, uint64, error) {
+	return nil, 0, errkind.New(errkind.PlatformUnavailable, "fake")
+}
+
+func (s *rowStore) Apply(_ context.Context, c coord.Change) (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, x := range c.If {
+		if s.rows[x.Key].Version != x.Version {
+			return 0, errkind.New(errkind.Conflict, "fake")
+		}
+	}
+	s.version++
+	for _, r := range c.Put {
+		r.Version = s.version
+		s.rows[r.Key] = r
+	}
+	return s.version, nil
+}
+
+func entryIn(id, address string) dispatch.ServerInfo {
+	return dispatch.ServerInfo{ID: id, Group: "g", Address: address, Domain: "north", Slots: 1, Started: 1}
+}
+
+// All VMs lost power while a server had no entry; those that came back did not know it
+// and replaced a primary whose commits it had received.
+func TestRestartedVMsKnowServersWithoutAnEntry(t *testing.T) {
+	store, ctx := &rowStore{rows: map[string]coord.Row{}}, context.Background()
+	before := newProcess(store)
+	g := before.router.Group("g")
+	for _, id := range []string{"1", "2", "3"} {
+		before.router.Update(entryIn("s"+id, "127.0.0.1:"+id))
+	}
+	former := dispatch.Former{ServerInfo: entryIn("s4", "127.0.0.1:4"), Since: 1, Position: position.Position{Term: 2, Offset: 7}}
+	g.Recall(former)
+	if err := before.writeRoster(ctx, g); err != nil {
+		t.Fatal(err)
+	}
+
+	after := newProcess(store)
+	after.router.Update(entryIn("s1", "127.0.0.1:1"))
+	renewed := entryIn("s5", "127.0.0.1:3") // at the address of s3
+	renewed.Started = 2
+	after.router.Update(renewed)
+	if err := after.readRosters(ctx); err != nil {
+		t.Fatal(err)
+	}
+	known := map[string]position.Position{}
+	for _, f := range after.router.Group("g").Former() {
+		known[f.ID] = f.Position
+	}
+	if diff := cmp.Diff(map[string]position.Position{"s2": {}, "s4": {Term: 2, Offset: 7}}, known); diff != "" {
+		t.Error(diff)
+	}
+
+	// A VM that has not read the row that another one has written reads it first.
+	late := newProcess(store)
+	late.router.Update(entryIn("s1", "127.0.0.1:1"))
+	if err := late.writeRoster(ctx, late.router.Group("g")); !errkind.Is(err, errkind.Conflict) {
+		t.Errorf("the other's row was overwritten: %v", err)
+	}
+	if n := len(late.router.Group("g").Former()); n != 3 {
+		t.Errorf("%d former servers known, want 3", n)
+	}
+}
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -21,6 +21,7 @@
 	{"ready", "ready, config_age_ms", "the readiness check changed its answer"},
 	{"config", "version, routes, customers", "a configuration came into force, or could not be read"},
 	{"store_watch", "table, store_version, cause, address", "the store's changes of a table were lost or regained, or the VM at the address did not hand them on"},
+	{"roster", "group", "the row of a group's servers was not read or written"},
 	{"member", "member, silent_ms", "a VM or cell is no longer in touch, or its row is at fault"},
 	{"members", "count", "the list of VMs changed"},
 	{"rate_home", "address, member", "the VM that admits a customer's operations did not answer, or is not listed"},
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -188,7 +188,8 @@
 		return nil, err
 	}
 	for _, m := range a.members {
-		if m.gone && !target.status.Received.AtLeast(m.Position) && !a.witnessed(target.status.Received.Term) {
+		covered := !m.Position.IsZero() && target.status.Received.AtLeast(m.Position)
+		if m.gone && !covered && !a.witnessed(target.status.Received.Term) {
 			return nil, errkind.New(errkind.NoPrimary, "%s is gone and may have held commits that %s lacks", m.ID, target.ID)
 		}
 	}
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -96,7 +96,8 @@
 
 // A server whose entry had vanished was left out, though it ran and received commits.
 func TestServerWithoutEntryIsAskedBeforeAPromotion(t *testing.T) {
-	hidden := Server{ID: "c", Missing: time.Minute}
+	dropped := position.Position{Term: 1, Offset: 5}
+	hidden := Server{ID: "c", Missing: time.Minute, Position: dropped}
 	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 9}, down: map[string]bool{"a": true}}
 	if done, err := attemptFor(newSteward("vm1", newFakeStore(), g), Silent, 0, Server{ID: "a"}, Server{ID: "b"}, hidden); err != nil || done != "c" {
 		t.Errorf("one in reach: %q, %v", done, err)
@@ -112,7 +113,7 @@
 		{"behind a cut of its domain", time.Minute, false, ""},
 	} {
 		g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 9}, down: map[string]bool{"a": true, "c": true}}
-		done, err := attemptHearing(newSteward("vm1", newFakeStore(), g), Silent, 0, c.heard, Server{ID: "a"}, Server{ID: "b"}, Server{ID: "c", Missing: c.missing})
+		done, err := attemptHearing(newSteward("vm1", newFakeStore(), g), Silent, 0, c.heard, Server{ID: "a"}, Server{ID: "b"}, Server{ID: "c", Missing: c.missing, Position: dropped})
 		if done != c.want || (err == nil) != (c.want != "") {
 			t.Errorf("%s: %q, %v, want %q", c.name, done, err, c.want)
 		}
@@ -143,9 +144,12 @@
 	for _, c := range []struct {
 		at   uint64
 		want string
-	}{{7, "b"}, {8, ""}} {
+	}{{7, "b"}, {8, ""}, {0, ""}} {
 		g := &fakeGroup{received: map[string]uint64{"b": 7}, down: map[string]bool{"a": true, "c": true}}
 		gone := Server{ID: "c", Missing: time.Minute, Position: position.Position{Term: 1, Offset: c.at}}
+		if c.at == 0 {
+			gone.Position = position.Position{} // not known
+		}
 		done, err := attemptFor(newSteward("vm1", newFakeStore(), g), Silent, 0, Server{ID: "a"}, Server{ID: "b"}, gone)
 		if done != c.want || (err == nil) != (c.want != "") {
 			t.Errorf("gone at %d: %q, %v, want %q", c.at, done, err, c.want)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -72,8 +72,8 @@
 	// Missing is how long the server's discovery entry has been missing, 0 if it is
 	// there. A server may run, and receive commits, without an entry.
 	Missing time.Duration
-	// Position is the end of the group's log when the server was dropped, zero if it was
-	// not: if it is gone, nothing beyond was acknowledged by it.
+	// Position is the end of the group's log when the server was dropped, zero if it is not
+	// known: if the server is gone, nothing beyond was acknowledged by it.
 	Position position.Position
 }
 
