--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -54,6 +54,8 @@
 	term    uint64
 	primary *Server // nil after STEPDOWN
 	acked   []ackedWrite
+	// promoted are the servers that were promoted, in turn.
+	promoted []string
 	// problems are broken rules that a server saw by itself.
 	problems []string
 	changed  func(*Server)
@@ -156,6 +158,7 @@
 	}
 	g.term++
 	g.primary = target
+	g.promoted = append(g.promoted, target.ID)
 	target.paused, target.heldTerm, target.term = false, 0, g.term
 	for _, w := range g.acked {
 		if !target.holds(w.Write) {
@@ -208,6 +211,13 @@
 	return true
 }
 
+// Promoted returns the ids of the servers that were promoted, in turn.
+func (g *Group) Promoted() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]string(nil), g.promoted...)
+}
+
 // Acknowledged returns the writes whose commits were acknowledged, in the order of
 // the log.
 func (g *Group) Acknowledged() []Write {
@@ -255,6 +265,17 @@
 	}
 }
 
+// Commit commits a write at the primary as a caller does that reaches it where VMs may
+// not. It reports whether the commit was acknowledged.
+func (g *Group) Commit(w Write) bool {
+	p := g.Primary()
+	if p == nil {
+		return false
+	}
+	_, _, acked := g.commit(p, []Write{w})
+	return acked
+}
+
 // commit appends the writes at the primary and passes them to the replicas. It is
 // false if the server does not lead, or no replica has received them.
 func (g *Group) commit(s *Server, writes []Write) (position string, led, acked bool) {
