--- a/internal/steward/late_test.go
+++ b/internal/steward/late_test.go
@@ -317,3 +317,10 @@
 func TestRefusedPauseIsTakenForAPause(t *testing.T) {
 	duringLateOrder(newStand(t, "1.253"), steward.Silent, true)
 }
+
+// The same while the primary is in reach: it has lost the lead when the next order comes.
+func TestLateOrderReplacesAPrimaryThatIsInReach(t *testing.T) {
+	s := newStand(t, "1.254")
+	s.old.Silence(false)
+	duringLateOrder(s, steward.Leaving, false)
+}
