Stewards pause the replicas while they fence a late order

The order for the primary is a promotion if the late one was carried out first: the primary gets the lead back from a server that has acknowledged more meanwhile.

Change: the other servers are paused beyond the term into which the late order leads, before the fencing order is sent, and receive again once the primary is seen to lead after the time of a promotion. With a server out of reach nothing is ordered, and the change stays unfinished.

TestUnfinishedChangeIsBroughtToAnEnd expects the pauses.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -71,16 +71,34 @@
 }
 
 // fenceOrders makes sure that no order of an earlier steward takes effect from now on.
-// An order for the primary changes nothing, and its token fences the older ones.
+// An order for the primary changes nothing, and its token fences the older ones. One of
+// those may have been carried out just before: its server leads then until the primary
+// is back, and acknowledges nothing, as the others are paused beyond its term.
 func (a *attempt) fenceOrders(ctx context.Context, leader *member) error {
 	if a.lease.pending == "" || a.lease.pending == leader.ID {
 		a.lease.pending = ""
 		return nil
 	}
+	if n := a.unreached(ctx); n > 0 {
+		return errkind.New(errkind.NoPrimary, "an order for %s may still be carried out, and %d servers are out of reach", a.lease.pending, n)
+	}
+	term := a.nextTerm() + 1
+	for _, m := range a.members {
+		if m.conn != nil && m != leader {
+			if err := a.pause(ctx, m, term); err != nil {
+				return err
+			}
+		}
+	}
 	if err := a.order(ctx, leader.ID); err != nil {
 		return err
 	}
+	time.Sleep(ExpectedPromotion)
+	if !a.leads(ctx, leader) {
+		return errkind.New(errkind.NoPrimary, "%s does not lead after the order that fences older ones", leader.ID)
+	}
 	a.lease.pending = ""
+	a.resume(ctx, a.leftPaused)
 	return nil
 }
 
@@ -216,7 +234,7 @@
 	target := a.prefer(but)
 	for _, m := range a.members {
 		if m.conn != nil && m != but && m != target {
-			if err := a.pause(ctx, m); err != nil {
+			if err := a.pause(ctx, m, a.nextTerm()); err != nil {
 				return nil, err
 			}
 		}
@@ -230,7 +248,7 @@
 		}
 	}
 	if target != nil && !Safe(a.replicas(but), target.ID) {
-		if err := a.pause(ctx, target); err != nil {
+		if err := a.pause(ctx, target, a.nextTerm()); err != nil {
 			return nil, err
 		}
 		target = a.prefer(but)
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -181,7 +181,7 @@
 		t.Fatal(err)
 	}
 	// The order for b may still be carried out until a newer one has been answered.
-	if diff := cmp.Diff([]string{"promote a", "resume b", "resume c"}, g.events[:3]); diff != "" {
+	if diff := cmp.Diff([]string{"pause b at 3", "pause c at 3", "promote a", "resume b", "resume c"}, g.events[:5]); diff != "" {
 		t.Error(diff)
 	}
 	if r, _, err := s.read(context.Background(), "g"); err != nil || r.Active || r.Token <= 5 {
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -164,8 +164,7 @@
 	return nil
 }
 
-func (a *attempt) pause(ctx context.Context, m *member) error {
-	term := a.nextTerm()
+func (a *attempt) pause(ctx context.Context, m *member, term uint64) error {
 	m.held = true
 	err := a.command(ctx, m, "pause", func(conn statement.Conn, wait time.Duration) (statement.ServerStatus, error) {
 		return a.s.cfg.Control.Pause(conn, term, wait)
