--- a/soak/callers.go
+++ b/soak/callers.go
@@ -14,6 +14,12 @@
 const (
 	exchangeTime = 4 * time.Second
 	callerPause  = 15 * time.Millisecond
+	// writers is the number of callers for each group that only write, in series of
+	// faults; they turn to another VM after burstWait, so that some statement is sent
+	// at every moment.
+	writers    = 4
+	burstWait  = 400 * time.Millisecond
+	burstPause = 8 * time.Millisecond
 )
 
 // ledger is what callers know. The mutex guards it.
@@ -76,6 +82,22 @@
 	}
 }
 
+// burst writes without a rest, on sessions that it gives up soon.
+func (c *caller) burst(stop *atomic.Bool) {
+	for value := 1; !stop.Load(); {
+		address := c.run.world.Front(c.rand.IntN(c.run.world.Options.VMs))
+		session, err := lineclient.Dial(address, fmt.Sprintf("own-%d", c.group), "key-"+strconv.Itoa(c.number%customers), burstWait)
+		if err != nil {
+			time.Sleep(burstPause)
+			continue
+		}
+		for ; !stop.Load() && c.write(session, value); value++ {
+			time.Sleep(burstPause)
+		}
+		session.Close()
+	}
+}
+
 // step is one operation; false ends the session.
 func (c *caller) step(s *lineclient.Client, route string, value int) bool {
 	switch c.rand.IntN(4) {
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -23,8 +23,9 @@
 	vm := r.vms[r.rand.IntN(len(r.vms))]
 	store := r.stores[r.rand.IntN(len(r.stores))]
 	group := r.world.Groups[r.rand.IntN(len(r.world.Groups))]
-	server := group.Servers()[r.rand.IntN(len(group.Servers()))]
-	link := r.servers[server.ID]
+	servers := r.present(group)
+	server := servers[r.rand.IntN(len(servers))]
+	link := r.link(server)
 	kinds := []struct {
 		name  string
 		begin func()
@@ -62,7 +63,7 @@
 		{"lag " + server.ID, func() { server.SetLag(length); r.later(length, func() { server.SetLag(0) }) }},
 	}
 	k := kinds[r.rand.IntN(len(kinds))]
-	r.events = append(r.events, k.name)
+	r.note("%s", k.name)
 	k.begin()
 }
 
@@ -82,37 +83,89 @@
 	r.later(length, func() { r.world.Store.SetFault(rowstore.None) })
 }
 
+// present returns the group's servers that have not left.
+func (r *run) present(g *linegroup.Group) []*linegroup.Server {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var list []*linegroup.Server
+	for _, s := range g.Servers() {
+		if !r.left[s] {
+			list = append(list, s)
+		}
+	}
+	return list
+}
+
 // crash ends a server for a while, if there is one and the rest of its group runs.
 func (r *run) crash(s *linegroup.Server, length time.Duration) {
+	if r.stopServer(s) {
+		r.world.Announce(s)
+		r.later(length, func() { r.restartServer(s) })
+	}
+}
+
+// stopServer ends a server if the rest of its group runs; its entry stays.
+func (r *run) stopServer(s *linegroup.Server) bool {
 	if s == nil {
-		return
+		return false
 	}
+	r.crashing.Lock()
+	defer r.crashing.Unlock()
 	for _, g := range r.world.Groups {
-		for _, o := range g.Servers() {
+		for _, o := range r.present(g) {
 			if up, _, _ := o.State(); !up && g.Name() == s.ID[:len(g.Name())] {
-				return
+				return false
 			}
 		}
 	}
 	s.Crash()
+	return true
+}
+
+// restartServer brings a server back that is down and has not left.
+func (r *run) restartServer(s *linegroup.Server) {
+	r.crashing.Lock()
+	defer r.crashing.Unlock()
+	r.mu.Lock()
+	left := r.left[s]
+	r.mu.Unlock()
+	if up, _, _ := s.State(); up || left {
+		return
+	}
+	if err := s.Restart(); err != nil {
+		r.ledger.problem("%s did not restart: %v", s.ID, err)
+		return
+	}
+	r.world.Announce(s)
+}
+
+// leave ends a server for good.
+func (r *run) leave(s *linegroup.Server) {
+	r.crashing.Lock()
+	defer r.crashing.Unlock()
+	r.mu.Lock()
+	r.left[s] = true
+	r.mu.Unlock()
+	s.Crash()
 	r.world.Announce(s)
-	r.later(length, func() {
-		if err := s.Restart(); err != nil {
-			r.ledger.problem("%s did not restart: %v", s.ID, err)
-			return
-		}
-		r.world.Announce(s)
-	})
 }
 
 // heal ends what is left of faults.
 func (r *run) heal() {
 	r.world.Store.SetFault(rowstore.None)
+	r.world.Store.LoseOrders(0, 0)
 	for _, p := range r.stores {
 		p.set(0, false, false)
 	}
-	for _, p := range r.servers {
-		p.set(0, false, false)
+	for _, g := range r.world.Groups {
+		for _, s := range r.present(g) {
+			r.link(s).set(0, false, false)
+			s.Deafen(false)
+			s.Cut(false)
+			s.Silence(false)
+			r.restartServer(s)
+			r.world.Show(s)
+		}
 	}
 	for _, vm := range r.vms {
 		vm.signal(syscall.SIGCONT)
--- a/soak/main.go
+++ b/soak/main.go
@@ -18,6 +18,8 @@
 	Length  time.Duration `long:"length" default:"20s" description:"time of faults for each seed"`
 	VMs     int           `long:"vms" default:"5" description:"number of processes"`
 	Callers int           `long:"callers" default:"16" description:"number of callers"`
+	Series  bool          `long:"series" description:"play series of faults on each group, with more writers, beside the single faults"`
+	Events  bool          `long:"events" description:"print the faults of all seeds, not only of those with a problem"`
 	Logs    string        `long:"logs" description:"folder for the logs of processes; kept for seeds with a problem"`
 }
 
@@ -34,6 +36,9 @@
 			os.Exit(1)
 		}
 		fmt.Println(report)
+		if o.Events && len(report.problems) == 0 {
+			fmt.Println(report.faults())
+		}
 		if len(report.problems) > 0 {
 			failed++
 		}
--- a/soak/run.go
+++ b/soak/run.go
@@ -25,6 +25,8 @@
 	// after the last fault: the platform's rules allow 12 s.
 	readyTime   = 20 * time.Second
 	recoverTime = 12 * time.Second
+	// shownProblems bounds the problems of one kind that a report prints.
+	shownProblems = 4
 	// stopTime is what a process has between SIGTERM and SIGKILL.
 	stopTime = 6 * time.Second
 )
@@ -39,10 +41,24 @@
 	callers int
 	folder  string
 	stores  []*proxy // one before the store for each VM
-	servers map[string]*proxy
 	vms     []*process
-	events  []string
+	started time.Time
 	wg      sync.WaitGroup // faults that end later
+	// crashing is held while a server ends or starts.
+	crashing sync.Mutex
+
+	// mu guards the fields below it.
+	mu      sync.Mutex
+	servers map[string]*proxy
+	left    map[*linegroup.Server]bool
+	events  []string
+}
+
+// note keeps what was done, with its time.
+func (r *run) note(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.events = append(r.events, fmt.Sprintf("%.3f s %s", time.Since(r.started).Seconds(), fmt.Sprintf(format, args...)))
 }
 
 // report is what a seed brought.
@@ -56,11 +72,20 @@
 func (r report) String() string {
 	text := fmt.Sprintf("seed=%d acknowledged=%d denied=%d reads=%d faults=%d problems=%d", r.seed, r.acked, r.denied, r.reads, len(r.events), len(r.problems))
 	if len(r.problems) > 0 {
-		text += "\n  faults: " + strings.Join(r.events, ", ") + "\n  " + strings.Join(r.problems, "\n  ")
+		text += "\n" + r.faults()
+		shown := map[string]int{}
+		for _, p := range r.problems {
+			kind, _, _ := strings.Cut(p, " ")
+			if shown[kind]++; shown[kind] <= shownProblems {
+				text += "\n  " + p
+			}
+		}
 	}
 	return text
 }
 
+func (r report) faults() string { return "  faults:\n    " + strings.Join(r.events, "\n    ") }
+
 // process is one process of the program; only those started here are ever ended.
 type process struct {
 	run  *run
@@ -68,6 +93,8 @@
 	mu   sync.Mutex
 	cmd  *exec.Cmd
 	done chan struct{}
+	// ending tells that the process was told to end.
+	ending bool
 }
 
 func (p *process) start() error {
@@ -91,10 +118,15 @@
 		return err
 	}
 	done := make(chan struct{})
-	p.cmd, p.done = cmd, done
+	p.cmd, p.done, p.ending = cmd, done, false
 	go func() {
-		// The state of a process that was killed on purpose is no finding.
-		_ = cmd.Wait()
+		err := cmd.Wait()
+		p.mu.Lock()
+		ending := p.ending
+		p.mu.Unlock()
+		if !ending {
+			p.run.ledger.problem("vm %d ended by itself: %v", p.vm, err)
+		}
 		close(done)
 	}()
 	return nil
@@ -109,6 +141,9 @@
 
 // end stops the process, by force after its time.
 func (p *process) end(s syscall.Signal) {
+	p.mu.Lock()
+	p.ending = true
+	p.mu.Unlock()
 	p.signal(s)
 	select {
 	case <-p.done:
@@ -122,7 +157,7 @@
 func soak(o options, seed uint64) (report, error) {
 	r := &run{
 		options: o, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), ledger: newLedger(),
-		callers: o.Callers, servers: map[string]*proxy{},
+		callers: o.Callers, servers: map[string]*proxy{}, left: map[*linegroup.Server]bool{},
 	}
 	folder, err := os.MkdirTemp(o.Logs, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
@@ -140,15 +175,28 @@
 		c := &caller{run: r, number: i, group: i % groups, rand: rand.New(rand.NewPCG(seed, uint64(i))), ids: &ids}
 		callers.Go(func() { c.loop(&stop) })
 	}
-	for end := time.Now().Add(o.Length); time.Now().Before(end); {
-		time.Sleep(time.Duration(200+r.rand.IntN(900)) * time.Millisecond)
-		r.fault()
+	r.started = time.Now()
+	end := r.started.Add(o.Length)
+	watch := r.watch()
+	if o.Series {
+		for i := range groups * writers {
+			c := &caller{run: r, number: o.Callers + i, group: i % groups, rand: rand.New(rand.NewPCG(seed, uint64(o.Callers+i))), ids: &ids}
+			callers.Go(func() { c.burst(&stop) })
+		}
+		r.series(end)
+	} else {
+		for time.Now().Before(end) {
+			time.Sleep(time.Duration(200+r.rand.IntN(900)) * time.Millisecond)
+			r.fault()
+		}
 	}
 	r.wg.Wait()
+	watch.calmDown()
 	r.heal()
 	r.awaitService()
 	stop.Store(true)
 	callers.Wait()
+	watch.end()
 	for _, p := range r.vms {
 		p.end(syscall.SIGTERM)
 	}
@@ -163,7 +211,8 @@
 func (r *run) open() error {
 	o := world.Options{
 		Groups: groups, Domains: []string{"north", "south", "east"}, VMs: r.options.VMs, MaxConnections: 34,
-		Network: fmt.Sprintf("2.%d", r.seed%250), Lag: 30 * time.Millisecond, Work: 2 * time.Millisecond,
+		// Two soaks at once need different networks.
+		Network: fmt.Sprintf("%d.%d", 2+os.Getpid()%200, r.seed%250), Lag: 30 * time.Millisecond, Work: 2 * time.Millisecond,
 		PromoteTime: 300 * time.Millisecond, KeyLifetime: 5 * time.Second, ServerAddress: r.serverAddress,
 	}
 	for i := range customers {
@@ -189,16 +238,21 @@
 }
 
 // serverAddress gives the address of the proxy before a backend server.
-func (r *run) serverAddress(s *linegroup.Server) string {
+func (r *run) serverAddress(s *linegroup.Server) string { return r.link(s).address() }
+
+// link returns the proxy before a server.
+func (r *run) link(s *linegroup.Server) *proxy {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	p := r.servers[s.ID]
 	if p == nil {
 		var err error
 		if p, err = newProxy(s.Address); err != nil {
-			return s.Address
+			panic(err) // loopback has no port left
 		}
 		r.servers[s.ID] = p
 	}
-	return p.address()
+	return p
 }
 
 // awaitWrites waits until every VM takes a write for every group.
