Rosters name servers; their positions alone are no reason to write

In a large fleet the first VM of each cell writes a group's roster. Two that dropped a server at different moments kept different positions, and would have written over each other once a second.

--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"cmp"
 	"context"
 	"encoding/json"
@@ -41,11 +40,18 @@
 // rosterRow is what a group's row is known to hold.
 type rosterRow struct {
 	version uint64
-	value   []byte
+	servers []rosterServer
 }
 
-// roster returns the value of the group's row, as this VM sees the group.
-func roster(g *dispatch.Group) ([]byte, error) {
+// sameServers reports whether two rosters, sorted by id, name the same servers. The
+// positions do not count: VMs drop a server at slightly different moments, and in a large
+// fleet one VM of each cell writes.
+func sameServers(a, b []rosterServer) bool {
+	return slices.EqualFunc(a, b, func(x, y rosterServer) bool { return x.ID == y.ID && x.Former == y.Former })
+}
+
+// roster returns the group's servers as this VM sees them, sorted by id.
+func roster(g *dispatch.Group) []rosterServer {
 	var list []rosterServer
 	for _, s := range g.Servers() {
 		info := s.Info()
@@ -55,7 +61,7 @@
 		list = append(list, rosterServer{ID: f.ID, Address: f.Address, Domain: f.Domain, Started: f.Started, Former: true, Position: f.Position})
 	}
 	slices.SortFunc(list, func(a, b rosterServer) int { return cmp.Compare(a.ID, b.ID) })
-	return json.Marshal(list)
+	return list
 }
 
 // readRosters takes the rosters that the store holds.
@@ -78,7 +84,7 @@
 			})
 		}
 		e.mu.Lock()
-		e.rosters[r.Key] = rosterRow{r.Version, r.Value}
+		e.rosters[r.Key] = rosterRow{r.Version, list}
 		e.mu.Unlock()
 	}
 	return nil
@@ -106,16 +112,17 @@
 // writeRoster writes the group's roster if it has changed. If another VM has written
 // meanwhile, the rosters are read, and the next look writes.
 func (e *Process) writeRoster(ctx context.Context, g *dispatch.Group) error {
-	value, err := roster(g)
-	if err != nil {
-		return err
-	}
+	servers := roster(g)
 	e.mu.Lock()
 	row := e.rosters[g.Name]
 	e.mu.Unlock()
-	if bytes.Equal(row.value, value) {
+	if sameServers(row.servers, servers) {
 		return nil
 	}
+	value, err := json.Marshal(servers)
+	if err != nil {
+		return errkind.New(errkind.Internal, "%v", err)
+	}
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	version, err := e.platform.Store.Apply(ctx, coord.Change{
@@ -131,7 +138,7 @@
 		return err
 	}
 	e.mu.Lock()
-	e.rosters[g.Name] = rosterRow{version, value}
+	e.rosters[g.Name] = rosterRow{version, servers}
 	e.mu.Unlock()
 	return nil
 }
--- a/internal/entry/roster_test.go
+++ b/internal/entry/roster_test.go
@@ -70,6 +70,12 @@
 		t.Fatal(err)
 	}
 
+	// Another position of the same servers is no change.
+	g.HearAcknowledged(position.Position{Term: 2, Offset: 9})
+	if err := before.writeRoster(ctx, g); err != nil || store.version != 1 {
+		t.Errorf("written again: version %d, %v", store.version, err)
+	}
+
 	after := newProcess(store)
 	after.router.Update(entryIn("s1", "127.0.0.1:1"))
 	renewed := entryIn("s5", "127.0.0.1:3") // at the address of s3
