Black box tests: addresses that no connection can take

The harness lets the kernel choose a free port and gives it back until the process starts; any connection that is opened meanwhile may get the same one. Ports now come from a range below the kernel's, each given once. No check is changed.

--- a/test/blackbox/harness_test.go
+++ b/test/blackbox/harness_test.go
@@ -11,6 +11,7 @@
 	"crypto/tls"
 	"encoding/json"
 	"fmt"
+	mathrand "math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -64,15 +65,30 @@
 	admins    map[string]string
 }
 
-// freeAddress returns a loopback address that was free a moment ago.
+// firstPort and ports are a range of which the kernel takes none for connections: it
+// begins at 32768 there.
+const firstPort, ports = 20000, 12000
+
+var given sync.Map // ports that a test has got
+
+// freeAddress returns a loopback address that was free a moment ago and that no
+// connection takes meanwhile.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range ports {
+		port := firstPort + mathrand.IntN(ports)
+		if _, taken := given.LoadOrStore(port, true); taken {
+			continue
+		}
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err != nil {
+			continue // another process has it
+		}
+		defer func() { _ = l.Close() }()
+		return l.Addr().String()
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no free port")
+	return ""
 }
 
 // start runs the binary and waits for the first line of its output.
