Stewards remember every order without an answer

Cause: the row named one order. A second one without an answer, for another server or the one that fences, took its place, and a later steward fenced or preferred the wrong one. Besides, replicas were paused at the next term while an earlier order was open: the promotion that it brings about ends such a pause.

Change: the row keeps the servers of all orders that may still be carried out until a newer one is answered. While there are any, pauses hold one term longer. If several servers may still be ordered to lead, none receives after an attempt was given up.

Evidence: TestEarlierOrdersStayInTheRow; TestUnfinishedOrderKeepsTheOthersPaused looks at the list.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -75,17 +76,16 @@
 // those may have been carried out just before: its server leads then until the primary
 // is back, and acknowledges nothing, as the others are paused beyond its term.
 func (a *attempt) fenceOrders(ctx context.Context, leader *member) error {
-	if a.lease.pending == "" || a.lease.pending == leader.ID {
-		a.lease.pending = ""
+	if !slices.ContainsFunc(a.lease.pending, func(id string) bool { return id != leader.ID }) {
+		a.lease.pending = nil
 		return nil
 	}
 	if n := a.unreached(ctx); n > 0 {
-		return errkind.New(errkind.NoPrimary, "an order for %s may still be carried out, and %d servers are out of reach", a.lease.pending, n)
+		return errkind.New(errkind.NoPrimary, "orders for %v may still be carried out, and %d servers are out of reach", a.lease.pending, n)
 	}
-	term := a.nextTerm() + 1
 	for _, m := range a.members {
 		if m.conn != nil && m != leader {
-			if err := a.pause(ctx, m, term); err != nil {
+			if err := a.pause(ctx, m); err != nil {
 				return err
 			}
 		}
@@ -97,7 +97,7 @@
 	if !a.leads(ctx, leader) {
 		return errkind.New(errkind.NoPrimary, "%s does not lead after the order that fences older ones", leader.ID)
 	}
-	a.lease.pending = ""
+	a.lease.pending = nil
 	a.resume(ctx, a.leftPaused)
 	return nil
 }
@@ -234,7 +234,7 @@
 	target := a.prefer(but)
 	for _, m := range a.members {
 		if m.conn != nil && m != but && m != target {
-			if err := a.pause(ctx, m, a.nextTerm()); err != nil {
+			if err := a.pause(ctx, m); err != nil {
 				return nil, err
 			}
 		}
@@ -248,7 +248,7 @@
 		}
 	}
 	if target != nil && !Safe(a.replicas(but), target.ID) {
-		if err := a.pause(ctx, target, a.nextTerm()); err != nil {
+		if err := a.pause(ctx, target); err != nil {
 			return nil, err
 		}
 		target = a.prefer(but)
@@ -268,10 +268,12 @@
 // prefer returns the furthest replica. Among equals it is the one that an earlier order
 // names, which may still be carried out.
 func (a *attempt) prefer(but *member) *member {
-	list := a.replicas(but)
-	best := a.member(Choose(list))
-	if p := a.member(a.lease.pending); best != nil && p != nil && p != but && p.conn != nil && p.status.Received.AtLeast(best.status.Received) {
-		return p
+	best := a.member(Choose(a.replicas(but)))
+	for _, id := range a.lease.pending {
+		p := a.member(id)
+		if best != nil && p != nil && p != but && p.conn != nil && p.status.Received.AtLeast(best.status.Received) {
+			return p
+		}
 	}
 	return best
 }
@@ -365,13 +367,15 @@
 }
 
 // giveUp ends a change that has ordered nothing: the replicas receive again. If an
-// earlier order may still be carried out, only the server that it names does. The change
-// stays unfinished as long as a replica is paused.
+// earlier order may still be carried out, only the server that it names does; if several
+// may, none. The change stays unfinished as long as a replica is paused.
 func (a *attempt) giveUp(cause error) error {
 	ctx, cancel := a.settle()
 	defer cancel()
-	if a.lease.pending != "" {
-		a.resume(ctx, func(m *member) bool { return m.ID == a.lease.pending && a.leftPaused(m) })
+	if len(a.lease.pending) > 0 {
+		if len(a.lease.pending) == 1 {
+			a.resume(ctx, func(m *member) bool { return m.ID == a.lease.pending[0] && a.leftPaused(m) })
+		}
 		return cause
 	}
 	a.resume(ctx, a.leftPaused)
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -210,3 +210,34 @@
 		t.Error("held after another steward has taken the row")
 	}
 }
+
+// A second order without an answer took the place of the first in the row, and nobody
+// fenced the first one.
+func TestEarlierOrdersStayInTheRow(t *testing.T) {
+	store := newFakeStore()
+	value := `{"holder":"vm1","token":4,"active":true,"target":"b"}`
+	store.rows["g"] = coord.Row{Table: Table, Key: "g", Value: []byte(value), Version: 1}
+	store.version = 1
+	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 9}, down: map[string]bool{"a": true}}
+	for range 100 {
+		g.answers = append(g.answers, errkind.New(errkind.PlatformUnknown, "fake"))
+	}
+	s := newSteward("vm1", store, g)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	err := s.run(ctx, Task{Group: "g", Primary: "a", Servers: listed("a", "b", "c"), Reason: Silent, Answered: func() {}, Done: func(string) {}}, s.cfg.Log)
+	if err == nil {
+		t.Fatal("an order that gets no answer is done")
+	}
+	r, _, err := s.read(context.Background(), "g")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"b", "c"}, r.unanswered()); diff != "" {
+		t.Error(diff)
+	}
+	// The pauses outlive the promotion that the first order may still bring about.
+	if diff := cmp.Diff([]string{"pause b at 3"}, g.events); diff != "" {
+		t.Error(diff)
+	}
+}
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -164,7 +164,13 @@
 	return nil
 }
 
-func (a *attempt) pause(ctx context.Context, m *member, term uint64) error {
+// pause stops a server from receiving until the next promotion, or beyond the one that
+// an earlier order may still bring about.
+func (a *attempt) pause(ctx context.Context, m *member) error {
+	term := a.nextTerm()
+	if len(a.lease.pending) > 0 {
+		term++
+	}
 	m.held = true
 	err := a.command(ctx, m, "pause", func(conn statement.Conn, wait time.Duration) (statement.ServerStatus, error) {
 		return a.s.cfg.Control.Pause(conn, term, wait)
@@ -193,7 +199,7 @@
 // may have paused.
 func (a *attempt) leftPaused(m *member) bool { return m.held || a.lease.unfinished && m.conn != nil }
 
-// nextTerm is that of the next promotion. A pause at it ends with the promotion.
+// nextTerm is that of the next promotion.
 func (a *attempt) nextTerm() uint64 {
 	term := uint64(0)
 	for _, m := range a.members {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -168,6 +170,24 @@
 	Target string `json:"target"`
 	// Ordered tells that the order was answered: it is in force, and older ones are not.
 	Ordered bool `json:"ordered,omitempty"`
+	// Earlier are servers that earlier orders without an answer name.
+	Earlier []string `json:"earlier,omitempty"`
+}
+
+// unanswered returns the servers that orders name which may still be carried out.
+func (r record) unanswered() []string {
+	switch {
+	case !r.Active || r.Ordered:
+		return nil
+	case r.Target == "" || slices.Contains(r.Earlier, r.Target):
+		return r.Earlier
+	}
+	return append(slices.Clone(r.Earlier), r.Target)
+}
+
+func (r record) equal(o record) bool {
+	return r.Holder == o.Holder && r.Token == o.Token && r.Active == o.Active && r.Target == o.Target &&
+		r.Ordered == o.Ordered && slices.Equal(r.Earlier, o.Earlier)
 }
 
 // Task is one change of primary.
@@ -234,7 +254,7 @@
 	if err != nil {
 		return err
 	}
-	log.WithFields(logrus.Fields{"token": lease.record.Token, "previous_holder": lease.previous, "pending": lease.pending}).Info("lease taken")
+	log.WithFields(logrus.Fields{"token": lease.record.Token, "previous_holder": lease.previous, "pending": strings.Join(lease.pending, ",")}).Info("lease taken")
 	a := &attempt{
 		s: s, t: t, lease: lease, log: log.WithField("token", lease.record.Token),
 		settle: func() (context.Context, context.CancelFunc) { return context.WithTimeout(process, settleTime) },
@@ -292,9 +312,8 @@
 	// unfinished tells that the change before this one was not brought to an end: it may
 	// have left replicas paused.
 	unfinished bool
-	// pending is the server that an unfinished change has ordered to lead; the order
-	// may still be carried out.
-	pending string
+	// pending are the servers that earlier orders name which may still be carried out.
+	pending []string
 }
 
 // claim takes the group's row with the next token.
@@ -307,11 +326,9 @@
 		return nil, errkind.New(errkind.Conflict, "%s held the lease %d ms ago", old.Holder, age.Milliseconds())
 	}
 	l := &lease{group: group, version: version, previous: old.Holder, unfinished: old.Active}
-	l.record = record{Holder: s.cfg.VM, Token: old.Token, Active: true}
-	if old.Active && !old.Ordered {
-		l.pending = old.Target
-	}
-	return l, s.advance(ctx, l, l.pending)
+	l.pending = old.unanswered()
+	l.record = record{Holder: s.cfg.VM, Token: old.Token, Active: true, Earlier: l.pending}
+	return l, s.advance(ctx, l, "")
 }
 
 // sight returns how long ago the version of a group's row was first seen.
@@ -375,6 +392,7 @@
 func (s *Steward) advance(ctx context.Context, l *lease, target string) error {
 	next := l.record
 	next.Token++
+	next.Earlier = l.record.unanswered()
 	next.Target, next.Ordered = target, false
 	return s.write(ctx, l, next)
 }
@@ -404,7 +422,7 @@
 		// The write may have been done, or may be done later under its condition.
 		// Reading the row back tells only the first; the lease is given up then.
 		found, at, readErr := s.read(ctx, l.group)
-		if readErr == nil && at != l.version && found == next {
+		if readErr == nil && at != l.version && found.equal(next) {
 			version, err = at, nil
 		}
 	}
@@ -418,12 +436,12 @@
 // ordered notes that the order was answered.
 func (s *Steward) ordered(ctx context.Context, l *lease) error {
 	next := l.record
-	next.Ordered = true
+	next.Ordered, next.Earlier = true, nil
 	return s.write(ctx, l, next)
 }
 
 func (s *Steward) finish(ctx context.Context, l *lease) error {
 	next := l.record
-	next.Active = false
+	next.Active, next.Earlier = false, nil
 	return s.write(ctx, l, next)
 }
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -315,7 +316,7 @@
 		t.Fatal("a replica is out of reach")
 	}
 	r, _, err := s.read(context.Background(), "g")
-	if err != nil || !r.Active || r.Target != "b" || r.Token != 5 {
+	if err != nil || !r.Active || !slices.Equal(r.Earlier, []string{"b"}) || r.Token != 5 {
 		t.Errorf("row %+v, %v", r, err)
 	}
 	for _, e := range g.events {
