VMs: one that sends news and is not in the list is looked for

Cause: as with backend servers, the watch of the list of VMs was sent during the outage and stayed silent for up to 30 s after it. The others took their list for the whole fleet: they used all of every rate, dropped the news of the VMs that they did not know, and sent them none; the new ones, which knew all and heard each other, used their part beside it. That news come from a VM that is not in the list is a proof that the list is old; the changes of the list are now asked for then, at most once a second, beside the watch, which is dropped if it kept them back.

TestNewsOfAnUnknownVMAreToldOf does not compile before, TestVMThatSendsNewsIsLookedFor fails without the asking.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -72,6 +72,9 @@
 	// asked anew. With two calls that are lost it stays within the time that a leaving
 	// server may get work, 6.5 s.
 	serverProofAge = 2500 * time.Millisecond
+	// unknownPause is the least time between two looks at the list of VMs because of one
+	// that is not in it: two rounds of news.
+	unknownPause = time.Second
 	// memberPause gathers the changes of many VMs that start together.
 	memberPause = 3 * time.Second
 	// storeTimeout bounds a call of the store beyond its wait: 4 ms an answer, 60
@@ -141,7 +144,9 @@
 	homes    homes
 	touch    touch
 	servers  atomic.Pointer[coord.Follower]
-	started  boottime.Time
+	// unknown wakes the follower of the list of VMs.
+	unknown chan struct{}
+	started boottime.Time
 	// joined is closed when this VM knows the others, or has waited for that for long
 	// enough.
 	joined  chan struct{}
@@ -178,6 +183,7 @@
 		started:  boottime.Now(),
 		copies:   coord.NewCopies(),
 		joined:   make(chan struct{}),
+		unknown:  make(chan struct{}, 1),
 	}
 	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
 	homes := ratelimit.NewHomes(e.limiter, e.peers, e.ownerOf, log)
@@ -216,7 +222,7 @@
 	defer peers.Close()
 	work, stop := context.WithCancel(context.Background())
 	defer stop()
-	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, ReceiveDigest: e.hearDigest, Lost: e.forget, Log: e.log})
+	e.mesh = mesh.New(mesh.Config{VM: e.settings.VM, Conn: meshConn, Compose: e.compose, Urgent: e.urgent, Receive: e.hear, ReceiveDigest: e.hearDigest, Lost: e.forget, Unknown: e.noteUnknown, Log: e.log})
 	readiness := &http.Server{ReadHeaderTimeout: storeTimeout, Handler: http.HandlerFunc(e.answerReady)}
 	go e.serveReady(readiness, readyListener)
 	defer readiness.Close()
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -178,9 +179,37 @@
 func (e *Process) followMembers(ctx context.Context) {
 	f := e.follower(tableMembers, func(rows []coord.Row) { e.updateMembers(rows, true) }, func(rows []coord.Row) { e.updateMembers(rows, false) })
 	f.Pause = memberPause
+	go e.askForUnknown(ctx, f)
 	f.Run(ctx)
 }
 
+// noteUnknown takes the name of a VM that sends news and is not in the list of VMs.
+func (e *Process) noteUnknown(string) {
+	select {
+	case e.unknown <- struct{}{}:
+	default:
+	}
+}
+
+// askForUnknown reads what is new in the list of VMs when one that is not in it sends
+// news: it uses its part of the rates, and the watch of the list may be silent.
+func (e *Process) askForUnknown(ctx context.Context, f *coord.Follower) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-e.unknown:
+		}
+		if err := f.Check(ctx); err != nil {
+			e.log.WithError(err).WithField("event", "member").Debug("list of VMs was not read")
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(unknownPause):
+		}
+	}
+}
+
 func (e *Process) updateMembers(rows []coord.Row, all bool) {
 	e.mu.Lock()
 	if all {
--- a/internal/entry/join_test.go
+++ b/internal/entry/join_test.go
@@ -91,3 +91,39 @@
 		}
 	}
 }
+
+// silentStore answers no watch that waits.
+type silentStore struct{ growingStore }
+
+func (s *silentStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]coord.Row, uint64, error) {
+	if wait > 0 {
+		<-ctx.Done()
+		return nil, 0, ctx.Err()
+	}
+	row := coord.Row{Table: tableMembers, Key: "vm2", Value: []byte(`{"address":"127.0.0.2:1","domain":"south"}`), Version: 9}
+	return []coord.Row{row}, 9, nil
+}
+
+// VMs that were added while the watch of the list was silent stayed unknown to the others:
+// these used the whole of a rate and the new ones their part (kremstal-ballon, trial
+// added-after-silence: QUOTA in 6 of 8 plays).
+func TestVMThatSendsNewsIsLookedFor(t *testing.T) {
+	e := newProcess(&silentStore{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { e.followMembers(ctx); close(done) }()
+	known := func() bool {
+		e.mu.Lock()
+		defer e.mu.Unlock()
+		_, ok := e.members["vm2"]
+		return ok
+	}
+	for end := time.Now().Add(20 * time.Second); !known() && time.Now().Before(end); time.Sleep(time.Millisecond) {
+		e.noteUnknown("vm2")
+	}
+	if !known() {
+		t.Error("the VM stays unknown")
+	}
+	cancel()
+	<-done
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -144,6 +144,8 @@
 	// were true at the moment since, on this VM's clock, or later. since is 0 if the
 	// sender has not heard this VM.
 	Receive, ReceiveDigest func(source string, n News, since boottime.Time)
+	// Unknown, if set, is told of a VM that sends news and is not among the peers.
+	Unknown func(vm string)
 	// Lost is told of a source whose news are no longer valid.
 	Lost func(source string)
 	Log  *logrus.Entry
@@ -546,6 +548,9 @@
 	p := m.peers[e.VM]
 	if p == nil || p.incarnation == e.Incarnation && e.Sent <= p.sent {
 		m.mu.Unlock()
+		if p == nil && m.cfg.Unknown != nil {
+			m.cfg.Unknown(e.VM)
+		}
 		return
 	}
 	p.incarnation, p.sent, p.heard = e.Incarnation, e.Sent, now
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -307,3 +307,21 @@
 		}
 	}
 }
+
+// Datagrams of a VM that was not in the list were dropped without a word: for as long as
+// the watch of the list was silent, the VM stayed unknown (QUOTA).
+func TestNewsOfAnUnknownVMAreToldOf(t *testing.T) {
+	var unknown []string
+	m := New(Config{VM: "vm0000", Unknown: func(vm string) { unknown = append(unknown, vm) }, Receive: func(string, News, boottime.Time) {}})
+	m.SetPeers(peers(2, 1))
+	for _, vm := range []string{"vm0001", "vm0007"} {
+		data, err := encode(envelope{VM: vm, Incarnation: 1, Sent: 1, News: &News{}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.receive(data)
+	}
+	if diff := cmp.Diff([]string{"vm0007"}, unknown); diff != "" {
+		t.Error(diff)
+	}
+}
