Soak: a write without an answer may run after newer ones

The check of current reads was wrong in one case. A missing answer promises nothing, so this is allowed; single faults pause for less than 4 s and could not show it.

A caller now turns to a new item after a write without an answer or without a promise, so that reads are compared as strictly as before.

A server that is to leave may be missing when the group has no primary: the soak would have ended by a nil pointer; seen in the code, not in a run.

--- a/soak/callers.go
+++ b/soak/callers.go
@@ -28,12 +28,13 @@
 	acked    map[string]bool // by id of the write
 	denied   map[string]bool
 	newest   map[string]int // highest acknowledged value by item
+	items    map[int]int    // number of the present item, by caller
 	problems []string
 	reads    int
 }
 
 func newLedger() *ledger {
-	return &ledger{acked: map[string]bool{}, denied: map[string]bool{}, newest: map[string]int{}}
+	return &ledger{acked: map[string]bool{}, denied: map[string]bool{}, newest: map[string]int{}, items: map[int]int{}}
 }
 
 func (l *ledger) problem(format string, args ...any) {
@@ -48,8 +49,16 @@
 	return l.newest[item]
 }
 
+// itemOf returns the item that a caller writes to.
+func (l *ledger) itemOf(caller int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return fmt.Sprintf("item%d-%d", caller, l.items[caller])
+}
+
 // caller writes rising values to its own item and reads them back, on sessions that
-// it keeps as long as they stand.
+// it keeps as long as they stand. A write without an answer promises nothing and may
+// be run late, after newer ones: the caller turns to another item.
 type caller struct {
 	run    *run
 	number int
@@ -109,7 +118,7 @@
 	return c.read(s, route)
 }
 
-func (c *caller) item() string { return fmt.Sprintf("item%d", c.number) }
+func (c *caller) item() string { return c.run.ledger.itemOf(c.number) }
 
 func (c *caller) id() string { return fmt.Sprintf("s%08d", c.ids.Add(1)) }
 
@@ -139,6 +148,12 @@
 
 // settle takes the answer that decides about a write.
 func (c *caller) settle(id string, value int, a lineclient.Answer, err error) bool {
+	if err != nil || a.Code != "" && !a.IsPromise() {
+		c.run.ledger.mu.Lock()
+		c.run.ledger.items[c.number]++
+		c.run.ledger.mu.Unlock()
+		c.own = 0
+	}
 	if err != nil {
 		return false
 	}
@@ -146,10 +161,10 @@
 		c.deny(id)
 	}
 	if a.Code == "" {
-		l := c.run.ledger
+		l, item := c.run.ledger, c.item()
 		l.mu.Lock()
 		l.acked[id] = true
-		l.newest[c.item()] = max(l.newest[c.item()], value)
+		l.newest[item] = max(l.newest[item], value)
 		l.mu.Unlock()
 		c.own = max(c.own, value)
 	}
@@ -167,7 +182,7 @@
 func (c *caller) read(s *lineclient.Client, route string) bool {
 	item, least := c.item(), c.own
 	if route == "current" {
-		item = fmt.Sprintf("item%d", c.rand.IntN(c.run.callers)/c.run.world.Options.Groups*c.run.world.Options.Groups+c.group)
+		item = c.run.ledger.itemOf(c.rand.IntN(c.run.callers)/c.run.world.Options.Groups*c.run.world.Options.Groups + c.group)
 		least = c.run.ledger.newestOf(item)
 	}
 	id := c.id()
--- a/soak/series.go
+++ b/soak/series.go
@@ -156,6 +156,9 @@
 	if leaver == nil || !late && l.rand.IntN(2) == 0 {
 		leaver = first
 	}
+	if leaver == nil {
+		return
+	}
 	options := l.run.world.Options
 	domain := options.Domains[l.rand.IntN(len(options.Domains))]
 	steps := []step{
