--- /dev/null
+++ b/internal/steward/review_test.go
@@ -0,0 +1,162 @@
+package steward
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/coord"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
+	"chicoryline/internal/statement"
+)
+
+// leftUnfinished is a store whose row tells of a change that another steward has left.
+func leftUnfinished(target string) *fakeStore {
+	store := newFakeStore()
+	value := `{"holder":"vm1","token":4,"active":true,"target":"` + target + `"}`
+	store.rows["g"] = coord.Row{Table: Table, Key: "g", Value: []byte(value), Version: 1}
+	store.version = 1
+	return store
+}
+
+// A replica that a steward had left paused was out of reach when the change was brought to
+// an end: the row was closed, and nobody resumed the replica.
+func TestChangeIsUnfinishedWhileAReplicaThatMayBePausedIsOutOfReach(t *testing.T) {
+	store := leftUnfinished("")
+	g := &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 9}, primary: "a", down: map[string]bool{"b": true}}
+	s := newSteward("vm1", store, g)
+	_, err := attemptFor(s, Unfinished, 9, listed("a", "b", "c")...)
+	r, _, readErr := s.read(context.Background(), "g")
+	if readErr != nil || !r.Active {
+		t.Errorf("row %+v (%v), attempt %v: b may still be paused", r, readErr, err)
+	}
+}
+
+// The primary leaves, and its replicas were left paused: only stuck commits healed them.
+func TestPausedReplicasAreResumedBeforeALeavingPrimaryIsGivenUp(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"a": 99, "b": 50, "c": 50}, primary: "a", catchUp: true}
+	s := newSteward("vm1", newFakeStore(), g)
+	var err error
+	done := ""
+	for range 3 {
+		if done, err = attemptFor(s, Leaving, 99, listed("a", "b", "c")...); done != "" {
+			break
+		}
+	}
+	if done == "" || done == "a" {
+		t.Errorf("%q leads after three attempts, %v; events %v", done, err, g.events)
+	}
+}
+
+// A late order for a replica that is out of reach, beside a primary that is well: all other
+// replicas stay paused, so that no commit is answered.
+func TestPrimaryKeepsAReplicaWhileAnOrderCannotBeFenced(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 7}, primary: "a", down: map[string]bool{"b": true}, catchUp: true}
+	s := newSteward("vm1", leftUnfinished("b"), g)
+	for range 3 {
+		_, err := attemptFor(s, CommitStuck, 9, listed("a", "b", "c")...)
+		t.Log(err)
+	}
+	if diff := cmp.Diff(uint64(9), g.received["c"]); diff != "" {
+		t.Errorf("c receives nothing and the primary is well: %s; events %v", diff, g.events)
+	}
+}
+
+// The primary had stepped down, and the platform refused the order as the target had
+// crashed: the group had no primary, though the one that stepped down has all commits.
+func TestPrimaryThatSteppedDownGetsTheLeadBackAfterARefusedOrder(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7}, primary: "a", answers: []error{errkind.New(errkind.Fenced, "not running")}}
+	s := newSteward("vm1", newFakeStore(), g)
+	_, err := attemptFor(s, Leaving, 7, listed("a", "b")...)
+	g.down = map[string]bool{"b": true}
+	for range 3 { // as supervise goes on
+		if g.primary != "" {
+			return
+		}
+		_, err = attemptFor(s, Missing, 7, listed("a", "b")...)
+	}
+	t.Errorf("no server leads, and a is in reach with all commits: %v; events %v", err, g.events)
+}
+
+// A replica that left long ago was gone while its failure domain was in touch. During a
+// later cut of the domain it counted as one that may run.
+func TestServerThatWasGoneStaysGoneBehindACut(t *testing.T) {
+	heard := true
+	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7}, down: map[string]bool{"a": true, "c": true}}
+	s := newSteward("vm1", newFakeStore(), g)
+	attempt := func(primary string) (done string, err error) {
+		err = s.run(context.Background(), Task{
+			Group: "g", Primary: primary, Reason: Silent,
+			Servers:      []Server{{ID: "a"}, {ID: "b"}, {ID: "c", Missing: time.Hour, Position: position.Position{Term: 1, Offset: 5}}},
+			DomainHeard:  func(Server, boottime.Time) bool { return heard },
+			Witnessed:    func() bool { return true },
+			Acknowledged: func() position.Position { return position.Position{Term: 1, Offset: 7} },
+			Answered:     func() {}, Done: func(server string) { done = server },
+		}, s.cfg.Log)
+		return done, err
+	}
+	if done, err := attempt("a"); done != "b" {
+		t.Fatalf("%q, %v", done, err)
+	}
+	heard = false // c's domain is cut off with b; a has returned
+	g.down = map[string]bool{"b": true, "c": true}
+	g.lose()
+	if done, err := attempt("b"); done != "a" {
+		t.Errorf("%q leads: %v", done, err)
+	}
+}
+
+// fullDialer refuses connections to a server that has as many as it takes.
+type fullDialer struct {
+	*fakeGroup
+	full string
+}
+
+func (d fullDialer) Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error) {
+	if server == d.full {
+		return nil, errkind.New(errkind.ConnectionLimit, "fake")
+	}
+	return d.fakeGroup.Dial(ctx, address, group, server, customer)
+}
+
+// A primary whose connections are all taken answers: it was replaced without stepping down.
+func TestPrimaryWithoutAFreeConnectionIsNotSilent(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "a"}
+	s := newSteward("vm1", newFakeStore(), g)
+	s.cfg.Dialer = fullDialer{g, "a"}
+	if done, err := attemptFor(s, Silent, 7, listed("a", "b", "c")...); done != "" {
+		t.Errorf("%q was promoted beside a primary that answers: %v; events %v", done, err, g.events)
+	}
+}
+
+// lateDialer reaches a server from its second connection on.
+type lateDialer struct {
+	*fakeGroup
+	late  string
+	tries *atomic.Int32
+}
+
+func (d lateDialer) Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error) {
+	if server == d.late && d.tries.Add(1) == 1 {
+		return nil, errkind.New(errkind.Unreachable, "fake")
+	}
+	return d.fakeGroup.Dial(ctx, address, group, server, customer)
+}
+
+// A cut ended between the probe of the primary and the order: the primary was well and in
+// reach, was not asked again, and was replaced without stepping down (play trouble-1
+// --seed 46 at 39.8 s, group dale90c: 1/250 known as acknowledged, 1/296 received).
+func TestPrimaryInReachAfterTheProbeIsNotReplacedUnasked(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "a"}
+	s := newSteward("vm1", newFakeStore(), g)
+	s.cfg.Dialer = lateDialer{g, "a", new(atomic.Int32)}
+	done, err := attemptFor(s, Silent, 7, listed("a", "b", "c")...)
+	if done != "" && (len(g.events) == 0 || g.events[0] != "step down a at 2") {
+		t.Errorf("%q was promoted beside a primary in reach: %v; events %v", done, err, g.events)
+	}
+}
