Stewards ask the primary again, count witnesses that are some, and settle what is left

What callers could see: acknowledged commits lost just after a cut, or a group without a primary.

- A primary that was silent was asked before the lease was taken, and never again.
It is asked with the others now, and once more beside the pauses; a refusal is an answer.
- HeardAllSince forgot silent VMs after a round of news, and took restarted ones, ones never heard of, and cells with VMs missing for witnesses.
- The position of a dropped server was what this VM knew, though the server's domain was cut off.
What a former server may hold is known only once it is found not to run while all VMs are witnesses; the first VM of the group looks for that, and the roster keeps it.
- A refused order gives the lead back to the primary that has stepped down.
- A change stays unfinished while a server that may be paused is out of reach; a leaving primary's replicas are resumed; the server of an open order may be out of reach while the order is fenced.
- Digests count by when they were made.
Servers are commanded over a connection that stands before the lease is looked at.

--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -19,8 +19,10 @@
 	ServerInfo
 	// Since is when the entry vanished.
 	Since boottime.Time
-	// Position is the end of the group's log when the server was dropped, zero if it is
-	// not known: a server that was gone by then has let nothing beyond be acknowledged.
+	// Gone tells that the server was found not to run, while all VMs could tell what they
+	// had seen acknowledged; Position is the end of the group's log then: the server has
+	// let nothing beyond be acknowledged.
+	Gone     bool
 	Position position.Position
 }
 
@@ -71,21 +73,34 @@
 	if _, ok := g.servers[server.ID]; ok {
 		return
 	}
-	for _, f := range g.former {
-		if f.ID == server.ID || f.Address == server.Address && f.Started >= server.Started {
+	for i, f := range g.former {
+		switch {
+		case f.ID == server.ID:
+			if server.Gone && !f.Gone {
+				g.former[i].Gone, g.former[i].Position = true, server.Position
+			}
+			return
+		case f.Address == server.Address && f.Started >= server.Started:
 			return
 		}
 	}
 	g.keep(server)
 }
 
-// remember keeps a server that is dropped now as a former one. The mutex is held.
-func (g *Group) remember(server Former) {
-	server.Position = g.acknowledged.position
-	if newest := g.History.Newest().Position; newest.Compare(server.Position) > 0 {
-		server.Position = newest
+// NoteGone notes that the former server does not run.
+func (g *Group) NoteGone(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	end := g.acknowledged.position
+	if newest := g.History.Newest().Position; newest.Compare(end) > 0 {
+		end = newest
+	}
+	for i, f := range g.former {
+		if f.ID == id && !f.Gone {
+			g.former[i].Gone, g.former[i].Position = true, end
+			g.formerLine(g.former[i]).WithFields(g.acknowledged.fields()).Warn("does not run")
+		}
 	}
-	g.keep(server)
 }
 
 // keep adds a former server unless a later one has its address. The mutex is held.
--- a/internal/dispatch/formerpos_test.go
+++ b/internal/dispatch/formerpos_test.go
@@ -15,7 +15,7 @@
 	g := &Group{Name: "g"}
 	g.HearAcknowledged(before)
 	g.mu.Lock()
-	g.remember(Former{ServerInfo: ServerInfo{ID: "s", Address: "127.0.0.1:1"}, Since: boottime.Now().Add(-time.Minute)})
+	g.keep(Former{ServerInfo: ServerInfo{ID: "s", Address: "127.0.0.1:1"}, Since: boottime.Now().Add(-time.Minute)})
 	g.mu.Unlock()
 	g.HearAcknowledged(behind) // the cut ends, and its VMs tell what the server acknowledged
 	if p := g.Former()[0].Position; !p.IsZero() && !p.AtLeast(behind) {
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -238,7 +238,7 @@
 			delete(g.servers, id)
 			delete(g.denied, s)
 			g.serverLine(s).Warn("gone")
-			g.remember(former)
+			g.keep(former)
 			g.elect()
 		}
 	}
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -8,7 +8,6 @@
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
-	"chicoryline/internal/position"
 	"chicoryline/internal/steward"
 )
 
@@ -23,6 +22,7 @@
 		}
 		e.touch.look(boottime.Now(), append(e.mesh.DomainsInTouch(), e.settings.Domain))
 		for _, g := range e.router.Groups() {
+			e.checkFormer(ctx, g)
 			if task, ok := e.task(g); ok {
 				e.steward.Start(ctx, task)
 			}
@@ -62,12 +62,9 @@
 		DomainHeard: func(s steward.Server, since boottime.Time) bool {
 			return settled[s.ID] && (s.Domain == e.settings.Domain || e.mesh.DomainHeard(s.Domain, since))
 		},
-		Witnessed: func() bool {
-			at := g.Census().AcknowledgedAt
-			return at != 0 && e.mesh.HeardAllSince(at)
-		},
-		Progress: func(in time.Duration) { g.Expect(boottime.Now().Add(in)) },
-		Answered: g.NoteReachable,
+		Witnessed: func() bool { return e.isWitnessed(g) },
+		Progress:  func(in time.Duration) { g.Expect(boottime.Now().Add(in)) },
+		Answered:  g.NoteReachable,
 		Done: func(server string) {
 			g.Expect(boottime.Now().Add(steward.ExpectedPromotion))
 			g.Succeed(server, false)
@@ -75,6 +72,12 @@
 	}, true
 }
 
+// isWitnessed reports whether what this VM knows to be acknowledged covers all that was.
+func (e *Process) isWitnessed(g *dispatch.Group) bool {
+	at := g.Census().AcknowledgedAt
+	return at != 0 && e.mesh.HeardAllSince(at)
+}
+
 // isConfigured reports whether the configuration names the group. One that was removed
 // keeps its former servers and needs no primary.
 func (e *Process) isConfigured(group string) bool {
@@ -86,16 +89,18 @@
 // statements, and former ones, which may still receive commits.
 func (e *Process) taskServers(current []*dispatch.Server, former []dispatch.Former) []steward.Server {
 	var list []steward.Server
-	add := func(info dispatch.ServerInfo, missing time.Duration, p position.Position) {
+	add := func(info dispatch.ServerInfo, missing time.Duration) {
 		list = append(list, steward.Server{
-			ID: info.ID, Address: info.Address, Domain: info.Domain, Leaving: info.Leaving, Missing: missing, Position: p,
+			ID: info.ID, Address: info.Address, Domain: info.Domain, Leaving: info.Leaving, Missing: missing,
 		})
 	}
 	for _, s := range current {
-		add(s.Info(), s.Missing(), position.Position{})
+		add(s.Info(), s.Missing())
 	}
 	for _, f := range former {
-		add(f.ServerInfo, boottime.Since(f.Since), f.Position)
+		add(f.ServerInfo, boottime.Since(f.Since))
+		last := &list[len(list)-1]
+		last.FoundGone, last.Position = f.Gone, f.Position
 	}
 	return list
 }
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -162,6 +162,8 @@
 	reported map[uint32]float32
 	// rosters are the rows of tableRosters as last read or written, by group.
 	rosters map[string]rosterRow
+	// looks are the last looks at former servers.
+	looks map[lookKey]boottime.Time
 }
 
 // member is the row of a VM.
@@ -174,7 +176,7 @@
 func New(s Settings, p Platform, log *logrus.Entry) *Process {
 	log = log.WithField("vm", s.VM)
 	e := &Process{
-		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[uint32]float32{}, rosters: map[string]rosterRow{},
+		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[uint32]float32{}, rosters: map[string]rosterRow{}, looks: map[lookKey]boottime.Time{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
 		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
 		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -17,8 +17,8 @@
 )
 
 // tableRosters holds one row for each database group: the servers that may hold its
-// commits, listed in discovery or not. VMs that all start anew know of servers without
-// an entry by it.
+// commits, listed in discovery or not. By it VMs that all start anew know of servers
+// without an entry, and of those that were found gone.
 const tableRosters = "rosters"
 
 // rosterInterval is the pause between two looks at whether a roster has to be written:
@@ -31,9 +31,9 @@
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
 	Started int64  `json:"started"`
-	// Former tells that the entry was missing for long, Position the end of the group's
-	// log then.
+	// Former, Gone and Position are those of dispatch.Former.
 	Former   bool              `json:"former,omitempty"`
+	Gone     bool              `json:"gone,omitempty"`
 	Position position.Position `json:"position"`
 }
 
@@ -47,7 +47,7 @@
 // positions do not count: VMs drop a server at slightly different moments, and in a large
 // fleet one VM of each cell writes.
 func sameServers(a, b []rosterServer) bool {
-	return slices.EqualFunc(a, b, func(x, y rosterServer) bool { return x.ID == y.ID && x.Former == y.Former })
+	return slices.EqualFunc(a, b, func(x, y rosterServer) bool { return x.ID == y.ID && x.Former == y.Former && x.Gone == y.Gone })
 }
 
 // roster returns the group's servers as this VM sees them, sorted by id.
@@ -58,7 +58,7 @@
 		list = append(list, rosterServer{ID: info.ID, Address: info.Address, Domain: info.Domain, Started: info.Started})
 	}
 	for _, f := range g.Former() {
-		list = append(list, rosterServer{ID: f.ID, Address: f.Address, Domain: f.Domain, Started: f.Started, Former: true, Position: f.Position})
+		list = append(list, rosterServer{ID: f.ID, Address: f.Address, Domain: f.Domain, Started: f.Started, Former: true, Gone: f.Gone, Position: f.Position})
 	}
 	slices.SortFunc(list, func(a, b rosterServer) int { return cmp.Compare(a.ID, b.ID) })
 	return list
@@ -80,7 +80,7 @@
 		for _, s := range list {
 			g.Recall(dispatch.Former{
 				ServerInfo: dispatch.ServerInfo{ID: s.ID, Group: r.Key, Address: s.Address, Domain: s.Domain, Started: s.Started, Slots: 1},
-				Since:      boottime.Now(), Position: s.Position,
+				Since:      boottime.Now(), Gone: s.Gone, Position: s.Position,
 			})
 		}
 		e.mu.Lock()
--- a/internal/entry/roster_test.go
+++ b/internal/entry/roster_test.go
@@ -64,7 +64,7 @@
 	for _, id := range []string{"1", "2", "3"} {
 		before.router.Update(entryIn("s"+id, "127.0.0.1:"+id))
 	}
-	former := dispatch.Former{ServerInfo: entryIn("s4", "127.0.0.1:4"), Since: 1, Position: position.Position{Term: 2, Offset: 7}}
+	former := dispatch.Former{ServerInfo: entryIn("s4", "127.0.0.1:4"), Since: 1, Gone: true, Position: position.Position{Term: 2, Offset: 7}}
 	g.Recall(former)
 	if err := before.writeRoster(ctx, g); err != nil {
 		t.Fatal(err)
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -126,7 +126,9 @@
 	// incarnation and sent are those of the newest datagram from the peer.
 	incarnation uint64
 	sent        boottime.Time
-	heard       boottime.Time
+	// heard is 0 while the peer is silent, last is kept; began is when the present
+	// incarnation was first heard of.
+	heard, last, began boottime.Time
 	// news were true at since or later; only kept of VMs of the own cell.
 	news  *News
 	since boottime.Time
@@ -273,19 +275,33 @@
 	return slices.Sorted(maps.Keys(domains))
 }
 
-// HeardAllSince reports whether each other VM is in touch, or had fallen silent before the
-// moment. In a fleet of several cells a cell's digest stands for its VMs.
+// HeardAllSince reports whether what VMs in touch know covers the time up to the moment:
+// each other VM is in touch and has run since before it, or had been silent for a round of
+// news by then. In a fleet of several cells a digest that sums up a whole cell stands for
+// its VMs; one that has restarted there is not noticed.
 func (m *Mesh) HeardAllSince(at boottime.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
 	for _, vm := range m.cells[m.own].vms {
-		if p := m.peers[vm]; p != nil && !m.inTouch(vm, now) && p.heard >= at {
+		p := m.peers[vm]
+		switch {
+		case vm == m.cfg.VM:
+		case p == nil || p.last == 0:
+			return false
+		case m.inTouch(vm, now):
+			if p.began > at {
+				return false
+			}
+		case p.last.Add(Interval) >= at:
 			return false
 		}
 	}
-	for _, d := range m.digests {
-		if now.Sub(d.at) >= digestTime && d.at >= at {
+	for i, c := range m.cells {
+		if i == m.own {
+			continue
+		}
+		if d, ok := m.digests[c.name]; !ok || now.Sub(d.at) >= digestTime || d.Members < len(c.vms) {
 			return false
 		}
 	}
@@ -293,8 +309,8 @@
 }
 
 // DomainHeard reports whether a VM of the failure domain has been heard of after the
-// moment. In a fleet of several cells the domain's digest stands for its VMs, as in
-// DomainsInTouch.
+// moment. In a fleet of several cells a digest of the domain that was made after it stands
+// for its VMs.
 func (m *Mesh) DomainHeard(domain string, since boottime.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -303,9 +319,8 @@
 			return true
 		}
 	}
-	now := boottime.Now()
 	for _, c := range m.cells {
-		if d, ok := m.digests[c.name]; ok && c.domain == domain && d.since != 0 && now.Sub(d.since) < domainTime {
+		if d, ok := m.digests[c.name]; ok && c.domain == domain && d.since > since {
 			return true
 		}
 	}
@@ -553,7 +568,10 @@
 		}
 		return
 	}
-	p.incarnation, p.sent, p.heard = e.Incarnation, e.Sent, now
+	if p.incarnation != e.Incarnation || p.began == 0 {
+		p.began = now
+	}
+	p.incarnation, p.sent, p.heard, p.last = e.Incarnation, e.Sent, now, now
 	inside := m.cells[m.own].has(e.VM)
 	if inside && e.News != nil {
 		p.news, p.since = e.News, since
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -291,17 +291,18 @@
 	learned := now.Add(-2 * HeardTime)
 	m := New(Config{VM: "vm0000"})
 	m.SetPeers(peers(3, 1))
-	m.peers["vm0001"].heard = now
+	m.peers["vm0001"].heard, m.peers["vm0001"].last = now, now
 	for _, c := range []struct {
 		name  string
 		heard boottime.Time
 		want  bool
 	}{
 		{"in touch", now, true},
-		{"silent since before", learned.Add(-time.Millisecond), true},
+		{"silent for a round before", learned.Add(-Interval - time.Millisecond), true},
+		{"may have said nothing of its last commits", learned.Add(-time.Millisecond), false},
 		{"silent since after", learned.Add(time.Millisecond), false},
 	} {
-		m.peers["vm0002"].heard = c.heard
+		m.peers["vm0002"].heard, m.peers["vm0002"].last = c.heard, c.heard
 		if got := m.HeardAllSince(learned); got != c.want {
 			t.Errorf("%s: %v", c.name, got)
 		}
--- a/internal/mesh/witness_test.go
+++ b/internal/mesh/witness_test.go
@@ -12,7 +12,7 @@
 	t.Helper()
 	m := New(Config{VM: "vm0000"})
 	m.SetPeers(peers(2, 1))
-	m.peers["vm0001"].heard = heard
+	m.peers["vm0001"].heard, m.peers["vm0001"].last = heard, heard
 	return m
 }
 
@@ -79,7 +79,7 @@
 	m.SetPeers(peers(40, 4))
 	for _, vm := range m.cells[m.own].vms {
 		if p := m.peers[vm]; p != nil {
-			p.heard = now
+			p.heard, p.last = now, now
 		}
 	}
 	m.digests["d1/0"] = heardDigest{Digest: Digest{Cell: "d1/0", Members: 9}, at: now, since: now} // of 10
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -40,6 +40,9 @@
 // carryOut changes the primary, or settles what an earlier change has left.
 func (a *attempt) carryOut(ctx context.Context) error {
 	leader := a.leader()
+	if p := a.member(a.t.Primary); p != nil && p.answers && (a.t.Reason == Silent || p.conn == nil) {
+		return a.giveUp(a.primaryAnswers())
+	}
 	if leader == nil && a.t.Reason == Unfinished {
 		// What was left paused stays so: a primary out of reach may live.
 		return errkind.New(errkind.NoPrimary, "no server in reach leads")
@@ -49,14 +52,16 @@
 		if err != nil {
 			return a.giveUp(err)
 		}
-		return a.promote(target)
+		return a.promote(target, nil)
 	}
 	if err := a.fenceOrders(ctx, leader); err != nil {
 		return a.giveUp(err)
 	}
 	switch {
-	case leader.ID != a.t.Primary, a.t.Reason == Missing:
-		a.t.Done(leader.ID)
+	case leader.ID != a.t.Primary, leader.unlisted, a.t.Reason == Missing:
+		if !leader.unlisted {
+			a.t.Done(leader.ID)
+		}
 		return a.giveUp(errkind.New(errkind.Conflict, "%s leads", leader.ID))
 	case a.t.Reason == Unfinished:
 		return a.giveUp(nil)
@@ -68,7 +73,7 @@
 	if err != nil {
 		return a.giveUp(err)
 	}
-	return a.promote(target)
+	return a.promote(target, leader)
 }
 
 // fenceOrders makes sure that no order of an earlier steward takes effect from now on.
@@ -80,7 +85,7 @@
 		a.lease.pending = nil
 		return nil
 	}
-	if n := a.unreached(ctx); n > 0 {
+	if n := a.unreached(ctx); n > 1 || n == 1 && !a.pendingIsUnreached(ctx) {
 		return errkind.New(errkind.NoPrimary, "orders for %v may still be carried out, and %d servers are out of reach", a.lease.pending, n)
 	}
 	for _, m := range a.members {
@@ -98,10 +103,24 @@
 		return errkind.New(errkind.NoPrimary, "%s does not lead after the order that fences older ones", leader.ID)
 	}
 	a.lease.pending = nil
+	if err := a.s.ordered(ctx, a.lease); err != nil {
+		return err
+	}
 	a.resume(ctx, a.leftPaused)
 	return nil
 }
 
+// pendingIsUnreached tells that a server that an open order names is out of reach. If it
+// leads by now it acknowledges nothing, while those in reach are paused.
+func (a *attempt) pendingIsUnreached(ctx context.Context) bool {
+	for _, id := range a.lease.pending {
+		if m := a.member(id); m != nil && m.conn == nil && !a.isGone(ctx, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // heal lets the replicas of a primary that answers receive again and reports whether
 // one of them then has all that the primary has.
 //
@@ -157,7 +176,7 @@
 // was acknowledged: a replica that has the same is complete, whichever other servers
 // the group has.
 func (a *attempt) handOver(ctx context.Context, leader *member) (*member, error) {
-	if a.awaitReplica(ctx, leader.status.Received, leader) == nil {
+	if a.awaitReplica(ctx, leader.status.Received, leader) == nil && !(a.t.Reason == Leaving && a.heal(ctx, leader)) {
 		if a.t.Reason == Leaving || a.unreached(ctx) > 0 || !a.witnessed(leader.status.Received.Term) {
 			return nil, errkind.New(errkind.NoPrimary, "no replica has all that primary %s has", leader.ID)
 		}
@@ -201,12 +220,16 @@
 	if n := a.unreached(ctx); n > 0 {
 		return nil, errkind.New(errkind.NoPrimary, "%d servers beside the primary are out of reach", n)
 	}
+	answers := a.askPrimaryAgain(ctx)
 	target, err := a.secure(ctx, nil)
+	if <-answers {
+		return nil, a.primaryAnswers()
+	}
 	if err != nil {
 		return nil, err
 	}
 	for _, m := range a.members {
-		covered := !m.Position.IsZero() && target.status.Received.AtLeast(m.Position)
+		covered := m.FoundGone && target.status.Received.AtLeast(m.Position)
 		if m.gone && !covered && !a.witnessed(target.status.Received.Term) {
 			return nil, errkind.New(errkind.NoPrimary, "%s is gone and may have held commits that %s lacks", m.ID, target.ID)
 		}
@@ -215,6 +238,33 @@
 	return target, nil
 }
 
+// askPrimaryAgain tells whether a primary that was out of reach answers now: a partition
+// may have ended since.
+func (a *attempt) askPrimaryAgain(ctx context.Context) <-chan bool {
+	answers := make(chan bool, 1)
+	p := a.member(a.t.Primary)
+	if p == nil || p.conn != nil {
+		answers <- false
+		return answers
+	}
+	go func() {
+		again := &member{Server: p.Server}
+		defer again.hangUp()
+		if err := a.ask(ctx, again, a.s.cfg.Control.Status); err != nil {
+			a.log.WithError(err).WithField("backend_server", p.ID).Info("primary asked again")
+		}
+		answers <- again.answers
+	}()
+	return answers
+}
+
+func (a *attempt) primaryAnswers() error {
+	if a.t.Reason == Silent {
+		a.t.Answered()
+	}
+	return errkind.New(errkind.Conflict, "primary %s answers", a.t.Primary)
+}
+
 // witnessed reports whether the position that is known to be acknowledged is of the term
 // and covers all that was acknowledged.
 func (a *attempt) witnessed(term uint64) bool {
@@ -279,14 +329,22 @@
 }
 
 // promote orders the promotion and, once the target leads, lets the others receive
-// again. An order that was sent has to be settled, so it has its own time.
-func (a *attempt) promote(target *member) error {
+// again. An order that was sent has to be settled, so it has its own time. A primary that
+// has stepped down gets the lead back if the order is refused.
+func (a *attempt) promote(target, steppedDown *member) error {
 	if err := a.holdsAcknowledged(target); err != nil {
 		return a.giveUp(err)
 	}
 	ctx, cancel := a.settle()
 	defer cancel()
-	if err := a.order(ctx, target.ID); err != nil {
+	err := a.order(ctx, target.ID)
+	if errkind.Is(err, errkind.Fenced) && steppedDown != nil && a.s.write(ctx, a.lease, a.lease.record) == nil {
+		// No other steward has the row, so the target does not run.
+		a.log.WithField("backend_server", target.ID).Warn("order refused; the primary gets the lead back")
+		target = steppedDown
+		err = a.order(ctx, target.ID)
+	}
+	if err != nil {
 		// The order may still be carried out: the others stay paused, and the row
 		// tells the next steward.
 		return err
@@ -379,7 +437,7 @@
 		return cause
 	}
 	a.resume(ctx, a.leftPaused)
-	if a.anyHeld() {
+	if a.anyHeld() || slices.ContainsFunc(a.members, a.mayBePaused) {
 		return cause
 	}
 	a.lease.record.Target = ""
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -113,7 +113,7 @@
 		{"behind a cut of its domain", time.Minute, false, ""},
 	} {
 		g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 9}, down: map[string]bool{"a": true, "c": true}}
-		done, err := attemptHearing(newSteward("vm1", newFakeStore(), g), Silent, 0, c.heard, Server{ID: "a"}, Server{ID: "b"}, Server{ID: "c", Missing: c.missing, Position: dropped})
+		done, err := attemptHearing(newSteward("vm1", newFakeStore(), g), Silent, 0, c.heard, Server{ID: "a"}, Server{ID: "b"}, Server{ID: "c", Missing: c.missing, FoundGone: c.missing == GoneTime, Position: dropped})
 		if done != c.want || (err == nil) != (c.want != "") {
 			t.Errorf("%s: %q, %v, want %q", c.name, done, err, c.want)
 		}
@@ -146,10 +146,7 @@
 		want string
 	}{{7, "b"}, {8, ""}, {0, ""}} {
 		g := &fakeGroup{received: map[string]uint64{"b": 7}, down: map[string]bool{"a": true, "c": true}}
-		gone := Server{ID: "c", Missing: time.Minute, Position: position.Position{Term: 1, Offset: c.at}}
-		if c.at == 0 {
-			gone.Position = position.Position{} // not known
-		}
+		gone := Server{ID: "c", Missing: time.Minute, FoundGone: c.at > 0, Position: position.Position{Term: 1, Offset: c.at}}
 		done, err := attemptFor(newSteward("vm1", newFakeStore(), g), Silent, 0, Server{ID: "a"}, Server{ID: "b"}, gone)
 		if done != c.want || (err == nil) != (c.want != "") {
 			t.Errorf("gone at %d: %q, %v, want %q", c.at, done, err, c.want)
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -21,6 +21,8 @@
 	// unlisted tells that another server of the group answers at the address, which is
 	// not listed in discovery yet; it counts, and cannot be promoted without its id.
 	unlisted bool
+	// answers tells that it took the last connection, or refused it.
+	answers bool
 	// replaced tells that a server of another group answers at the address.
 	replaced bool
 	// paused tells that the server receives nothing. A restart ends a pause and the
@@ -65,7 +67,8 @@
 }
 
 // survey asks every server of the group, listed in discovery or not, what it holds. A
-// primary taken for silent is left to the probe.
+// primary that was silent is asked again: VMs that come back from a partition have missed
+// answers of a healthy one.
 func (a *attempt) survey(ctx context.Context) error {
 	if a.t.Refresh != nil {
 		servers, err := a.t.Refresh(ctx)
@@ -91,14 +94,14 @@
 	done := make(chan struct{}, len(a.members))
 	n := 0
 	for _, m := range a.members {
-		if m.conn != nil || m.replaced || a.t.Reason == Silent && m.ID == a.t.Primary {
+		if m.conn != nil || m.replaced {
 			continue
 		}
 		n++
 		go func() {
 			defer func() { done <- struct{}{} }()
 			tries := surveyTries
-			if m.Missing > 0 || a.t.Reason == Missing && m.ID == a.t.Primary {
+			if m.Missing > 0 || a.wasLost(m) {
 				tries = 1
 			}
 			for range tries {
@@ -124,6 +127,8 @@
 			conn, err = a.dial(ctx, m, "")
 			m.replaced = errkind.Is(err, errkind.WrongServer)
 		}
+		// A refusal is an answer.
+		m.answers = !errkind.Is(err, errkind.Unreachable)
 		if err != nil {
 			m.tried = boottime.Now()
 			return err
@@ -139,9 +144,17 @@
 	return nil
 }
 
+// wasLost tells that the server is a primary that gave no answer.
+func (a *attempt) wasLost(m *member) bool {
+	return m.ID == a.t.Primary && (a.t.Reason == Silent || a.t.Reason == Missing)
+}
+
 func (a *attempt) dial(ctx context.Context, m *member, id string) (statement.Conn, error) {
 	wait := controlWait
-	if m.Missing > 0 {
+	switch {
+	case a.wasLost(m):
+		wait = silentWait
+	case m.Missing > 0:
 		wait = missingWait
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -151,7 +164,13 @@
 
 // command runs a control statement that changes a server, while the lease is held.
 func (a *attempt) command(ctx context.Context, m *member, name string, run func(statement.Conn, time.Duration) (statement.ServerStatus, error)) error {
-	err := a.s.hold(ctx, a.lease)
+	var err error
+	if m.conn == nil {
+		err = a.ask(ctx, m, a.s.cfg.Control.Status)
+	}
+	if err == nil {
+		err = a.s.hold(ctx, a.lease)
+	}
 	if err == nil {
 		err = a.ask(ctx, m, run)
 	}
@@ -253,14 +272,23 @@
 
 // isGone reports whether a server out of reach is taken for gone. A partition hides the
 // server's entry as well as the server, and the VMs of its failure domain too: one of
-// them has to be heard of after the server did not answer.
+// them has to be heard of after the server did not answer, and it still does not.
 func (a *attempt) isGone(ctx context.Context, m *member) bool {
-	if m.gone || m.Missing < GoneTime || a.t.DomainHeard == nil {
-		return m.gone
+	if m.gone || m.FoundGone {
+		m.gone = true
+		return true
+	}
+	if m.Missing < GoneTime || a.t.DomainHeard == nil {
+		return false
 	}
 	for boottime.Since(m.tried) < heardWait && ctx.Err() == nil && !a.t.DomainHeard(m.Server, m.tried) {
 		time.Sleep(pollPause)
 	}
-	m.gone = a.t.DomainHeard(m.Server, m.tried)
+	m.gone = a.t.DomainHeard(m.Server, m.tried) && a.ask(ctx, m, a.s.cfg.Control.Status) != nil && !m.answers
 	return m.gone
 }
+
+// mayBePaused tells that a server out of reach may have been paused by an earlier steward.
+func (a *attempt) mayBePaused(m *member) bool {
+	return a.lease.unfinished && m.conn == nil && !m.replaced && !m.gone && !m.FoundGone
+}
--- a/internal/steward/review_test.go
+++ b/internal/steward/settle_test.go
@@ -75,7 +75,7 @@
 	_, err := attemptFor(s, Leaving, 7, listed("a", "b")...)
 	g.down = map[string]bool{"b": true}
 	for range 3 { // as supervise goes on
-		if g.primary != "" {
+		if g.leads() != "" {
 			return
 		}
 		_, err = attemptFor(s, Missing, 7, listed("a", "b")...)
@@ -89,10 +89,11 @@
 	heard := true
 	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7}, down: map[string]bool{"a": true, "c": true}}
 	s := newSteward("vm1", newFakeStore(), g)
+	c := Server{ID: "c", Missing: time.Hour, FoundGone: true, Position: position.Position{Term: 1, Offset: 5}}
 	attempt := func(primary string) (done string, err error) {
 		err = s.run(context.Background(), Task{
 			Group: "g", Primary: primary, Reason: Silent,
-			Servers:      []Server{{ID: "a"}, {ID: "b"}, {ID: "c", Missing: time.Hour, Position: position.Position{Term: 1, Offset: 5}}},
+			Servers:      []Server{{ID: "a"}, {ID: "b"}, c},
 			DomainHeard:  func(Server, boottime.Time) bool { return heard },
 			Witnessed:    func() bool { return true },
 			Acknowledged: func() position.Position { return position.Position{Term: 1, Offset: 7} },
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -40,13 +40,13 @@
 	// may be gone: several handshakes and a busy slot.
 	missingWait = 300 * time.Millisecond
 	// newsTime is how long VMs take to tell what they saw acknowledged: news leave twice a
-	// second.
-	newsTime = 600 * time.Millisecond
-	// heardWait is how long VMs of a server's failure domain have to be heard of: they send
-	// news twice a second.
-	heardWait = 700 * time.Millisecond
+	// second, and one may be lost.
+	newsTime = 1200 * time.Millisecond
+	// heardWait is how long to wait for VMs of a server's failure domain: two rounds of news,
+	// and one that the leader of a cell relays.
+	heardWait = 1500 * time.Millisecond
 	// orderWait bounds the wait for the answer to an order, which does not wait for the
-	// promotion: calls of the platform answer within 4 ms, 60 times that when it is slow.
+	// promotion: 25 ms as a rule, 60 times an answer of 4 ms when the platform is slow.
 	orderWait = 500 * time.Millisecond
 	// storeWait bounds one call of the store.
 	storeWait = 800 * time.Millisecond
@@ -60,9 +60,9 @@
 	// nothing, for any group, after the store failed it.
 	firstStorePause = 300 * time.Millisecond
 	lastStorePause  = 2400 * time.Millisecond
-	// probeTime is how long a silent primary is given to take a connection before it is
-	// replaced: several handshakes.
-	probeTime = 150 * time.Millisecond
+	// silentWait bounds the opening of a connection to a primary that was silent: several
+	// handshakes.
+	silentWait = 150 * time.Millisecond
 	// pollPause is the pause between two looks at a server.
 	pollPause = 30 * time.Millisecond
 )
@@ -74,9 +74,10 @@
 	// Missing is how long the server's discovery entry has been missing, 0 if it is
 	// there. A server may run, and receive commits, without an entry.
 	Missing time.Duration
-	// Position is the end of the group's log when the server was dropped, zero if it is not
-	// known: if the server is gone, nothing beyond was acknowledged by it.
-	Position position.Position
+	// FoundGone tells that the server was found not to run, and Position the end of the
+	// group's log then: the server has let nothing beyond be acknowledged.
+	FoundGone bool
+	Position  position.Position
 }
 
 // Control runs control statements at backend servers.
@@ -246,7 +247,6 @@
 func (s *Steward) run(process context.Context, t Task, log *logrus.Entry) error {
 	ctx, cancel := context.WithTimeout(process, attemptTime)
 	defer cancel()
-	alive := s.probe(ctx, t)
 	lease, err := s.claim(ctx, t.Group)
 	s.mu.Lock()
 	s.outage.note(boottime.Now(), err)
@@ -263,41 +263,9 @@
 	if err := a.survey(ctx); err != nil {
 		return a.giveUp(err)
 	}
-	if <-alive {
-		t.Answered()
-		return a.giveUp(errkind.New(errkind.Conflict, "primary %s answers", t.Primary))
-	}
 	return a.carryOut(ctx)
 }
 
-// probe tells whether a primary that was taken for silent takes a connection.
-//
-// Load pattern: a network partition ends. VMs that were cut off have missed answers of
-// a healthy primary and no others' news of it yet; they would replace it.
-func (s *Steward) probe(ctx context.Context, t Task) <-chan bool {
-	alive := make(chan bool, 1)
-	if t.Reason != Silent {
-		alive <- false
-		return alive
-	}
-	address := ""
-	for _, server := range t.Servers {
-		if server.ID == t.Primary {
-			address = server.Address
-		}
-	}
-	go func() {
-		call, cancel := context.WithTimeout(ctx, probeTime)
-		defer cancel()
-		c, err := s.cfg.Dialer.Dial(call, address, t.Group, t.Primary, "")
-		if err == nil {
-			c.Close()
-		}
-		alive <- err == nil
-	}()
-	return alive
-}
-
 // ExpectedPromotion is how long a promotion takes; the platform states 300 to 600 ms.
 const ExpectedPromotion = 700 * time.Millisecond
 
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -93,6 +93,13 @@
 	g.events = append(g.events, fmt.Sprintf(format, args...))
 }
 
+// leads returns the server that leads.
+func (g *fakeGroup) leads() string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary
+}
+
 // lose leaves the group without a primary.
 func (g *fakeGroup) lose() {
 	g.mu.Lock()
