--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -48,7 +48,7 @@
 	if done, err := attemptFor(newSteward("vm1", newFakeStore(), g), Leaving, 7, listed("a", "b", "c")...); err != nil || done != "b" {
 		t.Fatalf("%q, %v", done, err)
 	}
-	if diff := cmp.Diff([]string{"step down a at 2", "promote b"}, g.events[:2]); diff != "" {
+	if diff := cmp.Diff([]string{"step down a at 2", "promote b"}, g.history()[:2]); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -62,7 +62,7 @@
 		if err == nil || done != "" || len(g.tokens) != 0 {
 			t.Errorf("%s: %q, %v, tokens %v", reason, done, err, g.tokens)
 		}
-		if g.primary != "a" {
+		if g.leads() != "a" {
 			t.Errorf("%s: the primary has stepped down though none can follow it", reason)
 		}
 	}
@@ -89,7 +89,7 @@
 	if !errkind.Is(err, errkind.Conflict) || done != "" || len(g.tokens) != 0 {
 		t.Errorf("%q, %v, tokens %v", done, err, g.tokens)
 	}
-	if diff := cmp.Diff([]string{"resume b", "resume c"}, g.events); diff != "" {
+	if diff := cmp.Diff([]string{"resume b", "resume c"}, g.history()); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -134,8 +134,8 @@
 func TestNothingIsPromotedBehindThePrimaryWithoutWitnesses(t *testing.T) {
 	g := &fakeGroup{received: map[string]uint64{"a": 354, "b": 336, "c": 336}, primary: "a"}
 	done, err := attemptFor(newSteward("vm1", newFakeStore(), g), CommitStuck, 0, listed("a", "b", "c")...)
-	if err == nil || done != "" || g.primary != "a" {
-		t.Errorf("%q, %v, %q leads", done, err, g.primary)
+	if err == nil || done != "" || g.leads() != "a" {
+		t.Errorf("%q, %v, %q leads", done, err, g.leads())
 	}
 }
 
@@ -178,7 +178,7 @@
 		t.Fatal(err)
 	}
 	// The order for b may still be carried out until a newer one has been answered.
-	if diff := cmp.Diff([]string{"pause b at 3", "pause c at 3", "promote a", "resume b", "resume c"}, g.events[:5]); diff != "" {
+	if diff := cmp.Diff([]string{"pause b at 3", "pause c at 3", "promote a", "resume b", "resume c"}, g.history()[:5]); diff != "" {
 		t.Error(diff)
 	}
 	if r, _, err := s.read(context.Background(), "g"); err != nil || r.Active || r.Token <= 5 {
@@ -234,7 +234,7 @@
 		t.Error(diff)
 	}
 	// The pauses outlive the promotion that the first order may still bring about.
-	if diff := cmp.Diff([]string{"pause b at 3"}, g.events); diff != "" {
+	if diff := cmp.Diff([]string{"pause b at 3"}, g.history()); diff != "" {
 		t.Error(diff)
 	}
 }
--- a/internal/steward/settle_test.go
+++ b/internal/steward/settle_test.go
@@ -49,7 +49,7 @@
 		}
 	}
 	if done == "" || done == "a" {
-		t.Errorf("%q leads after three attempts, %v; events %v", done, err, g.events)
+		t.Errorf("%q leads after three attempts, %v; events %v", done, err, g.history())
 	}
 }
 
@@ -63,7 +63,7 @@
 		t.Log(err)
 	}
 	if diff := cmp.Diff(uint64(9), g.received["c"]); diff != "" {
-		t.Errorf("c receives nothing and the primary is well: %s; events %v", diff, g.events)
+		t.Errorf("c receives nothing and the primary is well: %s; events %v", diff, g.history())
 	}
 }
 
@@ -80,7 +80,7 @@
 		}
 		_, err = attemptFor(s, Missing, 7, listed("a", "b")...)
 	}
-	t.Errorf("no server leads, and a is in reach with all commits: %v; events %v", err, g.events)
+	t.Errorf("no server leads, and a is in reach with all commits: %v; events %v", err, g.history())
 }
 
 // A replica that left long ago was gone while its failure domain was in touch. During a
@@ -131,7 +131,7 @@
 	s := newSteward("vm1", newFakeStore(), g)
 	s.cfg.Dialer = fullDialer{g, "a"}
 	if done, err := attemptFor(s, Silent, 7, listed("a", "b", "c")...); done != "" {
-		t.Errorf("%q was promoted beside a primary that answers: %v; events %v", done, err, g.events)
+		t.Errorf("%q was promoted beside a primary that answers: %v; events %v", done, err, g.history())
 	}
 }
 
@@ -157,7 +157,7 @@
 	s := newSteward("vm1", newFakeStore(), g)
 	s.cfg.Dialer = lateDialer{g, "a", new(atomic.Int32)}
 	done, err := attemptFor(s, Silent, 7, listed("a", "b", "c")...)
-	if done != "" && (len(g.events) == 0 || g.events[0] != "step down a at 2") {
-		t.Errorf("%q was promoted beside a primary in reach: %v; events %v", done, err, g.events)
+	if done != "" && (len(g.history()) == 0 || g.history()[0] != "step down a at 2") {
+		t.Errorf("%q was promoted beside a primary in reach: %v; events %v", done, err, g.history())
 	}
 }
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -93,6 +93,13 @@
 	g.events = append(g.events, fmt.Sprintf(format, args...))
 }
 
+// history returns what came about, in order.
+func (g *fakeGroup) history() []string {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.events)
+}
+
 // leads returns the server that leads.
 func (g *fakeGroup) leads() string {
 	g.mu.Lock()
@@ -202,7 +209,7 @@
 	if done, err := changeFor(newSteward("vm1", newFakeStore(), g), Silent); err != nil || done != "b" {
 		t.Fatalf("%q, %v", done, err)
 	}
-	if diff := cmp.Diff([]string{"pause c at 2", "promote b", "b leads", "resume c"}, g.events); diff != "" {
+	if diff := cmp.Diff([]string{"pause c at 2", "promote b", "b leads", "resume c"}, g.history()); diff != "" {
 		t.Error(diff)
 	}
 }
@@ -326,7 +333,7 @@
 	if err != nil || !r.Active || !slices.Equal(r.Earlier, []string{"b"}) || r.Token != 5 {
 		t.Errorf("row %+v, %v", r, err)
 	}
-	for _, e := range g.events {
+	for _, e := range g.history() {
 		if e != "resume b" {
 			t.Errorf("event %q", e)
 		}
