Configuration: news of a newer version are a reason to ask

Cause: the watch of the configuration was sent while the store was down and stayed silent, as those of backend servers and VMs did. A VM then asks the store only once its proof is 3.0 to 3.6 s old; others' news that named a newer version were dropped. They are noted now: the store is asked at the next look, 0.2 s, and nothing is proved until the newer version is in force. The same holds for a newest version that could not be read (only read, not seen): it was passed over, and the one before was proved on and on, with its keys.

TestNewsOfANewerVersionAreNoted does not compile before.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -83,6 +83,9 @@
 	lease  time.Duration
 	config atomic.Pointer[Config]
 	proved atomic.Int64
+	// outdated tells that a configuration is known to be there that is not in force: a
+	// newer one of which another VM has told, or one that could not be read.
+	outdated atomic.Bool
 
 	mu       sync.Mutex
 	onChange []func(*Config)
@@ -105,6 +108,7 @@
 		return false
 	}
 	v.config.Store(c)
+	v.outdated.Store(false)
 	for _, f := range v.onChange {
 		f(c)
 	}
@@ -115,11 +119,22 @@
 func (v *View) Prove(version int64, at boottime.Time) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if c := v.config.Load(); c != nil && c.Version == version && int64(at) > v.proved.Load() {
+	c := v.config.Load()
+	switch {
+	case c == nil:
+	case version > c.Version:
+		v.outdated.Store(true)
+	case version == c.Version && int64(at) > v.proved.Load():
 		v.proved.Store(int64(at))
 	}
 }
 
+// Distrust notes that the newest configuration could not be read.
+func (v *View) Distrust() { v.outdated.Store(true) }
+
+// Outdated reports whether the configuration in force is known not to be the newest.
+func (v *View) Outdated() bool { return v.outdated.Load() }
+
 // Config returns the configuration in force, or nil before the first.
 func (v *View) Config() *Config { return v.config.Load() }
 
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -97,3 +97,27 @@
 		t.Errorf("fresh %v, error %v without a proof", v.Fresh(), err)
 	}
 }
+
+// News of a newer version were dropped: a VM whose watch was silent asked for it only once
+// its own proof had aged, later than a change has to be in force.
+func TestNewsOfANewerVersionAreNoted(t *testing.T) {
+	v := NewView(time.Hour)
+	v.Prove(3, boottime.Now())
+	v.Apply(config(1, nil))
+	v.Prove(1, boottime.Now())
+	if v.Outdated() {
+		t.Error("the newest version known is outdated")
+	}
+	v.Prove(2, boottime.Now())
+	if _, proved := v.Proved(); !v.Outdated() || proved == 0 {
+		t.Errorf("outdated %v, proved %v", v.Outdated(), proved)
+	}
+	v.Apply(config(2, nil))
+	if v.Outdated() {
+		t.Error("outdated with the version in force")
+	}
+	v.Distrust()
+	if !v.Outdated() {
+		t.Error("a version that was not read is in force")
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -24,6 +24,7 @@
 			c, err := e.platform.DecodeConfig(r.Value)
 			if err != nil {
 				e.log.WithError(err).WithField("event", "config").Error("configuration was not read")
+				e.view.Distrust()
 				continue
 			}
 			if e.view.Apply(c) {
@@ -63,7 +64,7 @@
 }
 
 func (e *Process) prove(at boottime.Time) {
-	if c := e.view.Config(); c != nil {
+	if c := e.view.Config(); c != nil && !e.view.Outdated() {
 		e.view.Prove(c.Version, at)
 	}
 }
@@ -81,14 +82,18 @@
 		if e.mesh.Leads() {
 			limit, longest = leaderProofAge, lastLeaderCheck
 		}
-		if e.view.Config() == nil || e.view.Age() < limit {
+		if e.view.Config() == nil || e.view.Age() < limit && !e.view.Outdated() {
 			next, pause = 0, upkeepInterval
 			return
 		}
 		if boottime.Now() < next {
 			return
 		}
-		if err := f.Check(ctx); err != nil {
+		err := f.Check(ctx)
+		if err == nil && e.view.Outdated() {
+			err = errkind.New(errkind.ConfigStale, "the newest version was not read")
+		}
+		if err != nil {
 			e.log.WithError(err).WithField("event", "store_watch").Debug("configuration was not proved")
 			next, pause = boottime.Now().Add(pause), min(2*pause, longest)
 		}
