Stewards: a server at the address of a silent primary is not the primary

What callers would see: a group without a primary until the entry of the crashed one had lapsed, for up to 6 s. Since the primary is asked with the others, any answer at its address counted as its own, also that of a new server there, which names another id. Found by reading; TestServerAtTheAddressOfTheSilentPrimaryIsNotThePrimary fails before ("primary a answers").

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -40,7 +40,7 @@
 // carryOut changes the primary, or settles what an earlier change has left.
 func (a *attempt) carryOut(ctx context.Context) error {
 	leader := a.leader()
-	if p := a.member(a.t.Primary); p != nil && p.answers && (a.t.Reason == Silent || p.conn == nil) {
+	if p := a.member(a.t.Primary); p != nil && p.isThere() && (a.t.Reason == Silent || p.conn == nil) {
 		return a.giveUp(a.primaryAnswers())
 	}
 	if leader == nil && a.t.Reason == Unfinished {
@@ -253,7 +253,7 @@
 		if err := a.ask(ctx, again, a.s.cfg.Control.Status); err != nil {
 			a.log.WithError(err).WithField("backend_server", p.ID).Info("primary asked again")
 		}
-		answers <- again.answers
+		answers <- again.isThere()
 	}()
 	return answers
 }
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -21,7 +21,7 @@
 	// unlisted tells that another server of the group answers at the address, which is
 	// not listed in discovery yet; it counts, and cannot be promoted without its id.
 	unlisted bool
-	// answers tells that it took the last connection, or refused it.
+	// answers tells that the last connection to the address was taken, or refused.
 	answers bool
 	// replaced tells that a server of another group answers at the address.
 	replaced bool
@@ -59,6 +59,9 @@
 	return state
 }
 
+// isThere tells that the server itself took the last connection, or refused it.
+func (m *member) isThere() bool { return m.answers && !m.unlisted && !m.replaced }
+
 func (m *member) hangUp() {
 	if m.conn != nil {
 		m.conn.Close()
--- a/internal/steward/settle_test.go
+++ b/internal/steward/settle_test.go
@@ -161,3 +161,30 @@
 		t.Errorf("%q was promoted beside a primary in reach: %v; events %v", done, err, g.history())
 	}
 }
+
+// placeDialer reaches another server of the group at the address of one that is gone.
+type placeDialer struct {
+	*fakeGroup
+	gone, now string
+}
+
+func (d placeDialer) Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error) {
+	switch server {
+	case d.gone:
+		return nil, errkind.New(errkind.WrongServer, "fake")
+	case "":
+		return d.fakeGroup.Dial(ctx, address, group, d.now, customer)
+	}
+	return d.fakeGroup.Dial(ctx, address, group, server, customer)
+}
+
+// A server that started at the address of a crashed primary was taken for the primary, and
+// nobody replaced it.
+func TestServerAtTheAddressOfTheSilentPrimaryIsNotThePrimary(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 7, "a2": 6}}
+	s := newSteward("vm1", newFakeStore(), g)
+	s.cfg.Dialer = placeDialer{g, "a", "a2"}
+	if done, err := attemptFor(s, Silent, 7, listed("a", "b", "c")...); done == "" || done == "a" {
+		t.Errorf("%q, %v", done, err)
+	}
+}
