Reads of the newest data need a proof that the primary leads

VMs behind a partition with the old primary went on reading from it. A transaction around a read proves nothing at a server that does not know that it was replaced. 2. When the partition ended, its entry came back, claimed to lead with the newest version, and every VM took it against the successor that it knew.

Class: a server's own word is taken for who leads. Ruled out: clocks (BOOTTIME throughout), the steward's choice of target (no LOST was seen).

Change: where a replaced primary goes on (the platform checks no tokens there), a statement that needs the newest data is sent only within 0.6 s of a proof that nobody had replaced the server: an acknowledged commit, own or in the news, or the status of a replica that is neither paused nor of a later term. A steward that cannot reach the primary stops all replicas, the target too, and waits 0.6 s before the order. Without a proof callers are refused at once, nothing was sent. Who leads: the server that the newest order names outweighs claims; one that was replaced counts again only after it has said replica. It is told to step down. Positions of a primary count as evidence only if it was proved to lead then.

A failover there takes 0.6 s longer.

--- a/internal/connset/align.go
+++ b/internal/connset/align.go
@@ -81,7 +81,7 @@
 // it as the last command. It returns begin's answer. After an error the connection
 // has to be discarded; nothing of the caller has run.
 func (c *Conn) Align(n Needs, texts Texts, begin *statement.Command, wait time.Duration) (statement.Result, error) {
-	if err := c.drain(wait); err != nil {
+	if err := c.Drain(wait); err != nil {
 		return statement.Result{}, err
 	}
 	commands := c.setup(n, texts)
@@ -124,7 +124,7 @@
 // left to the next user, behind answers that this user has to read first. An error
 // of kind Unreachable proves that nothing was sent.
 func (c *Conn) Start(command statement.Command, trailing ...statement.Command) error {
-	if err := c.drain(drainTime); err != nil {
+	if err := c.Drain(drainTime); err != nil {
 		return err
 	}
 	if len(trailing) == 0 {
@@ -138,9 +138,9 @@
 // between failure domains and the server's processing, several times over.
 const drainTime = 150 * time.Millisecond
 
-// drain reads the answers that were left to this user. The last is that to the end of a
+// Drain reads the answers that were left to this user. The last is that to the end of a
 // transaction: the connection is of no use if the server says that one is open.
-func (c *Conn) drain(wait time.Duration) error {
+func (c *Conn) Drain(wait time.Duration) error {
 	status := statement.Idle
 	for c.unread > 0 {
 		r, err := c.Conn.Receive(wait)
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -75,7 +75,12 @@
 	last         string
 	acknowledged acknowledged
 	former       formers
-	healthLines  lineBudget
+	lead         lead
+	// ordered is the server that the newest known order of a promotion names. replaced
+	// holds, with their incarnations, servers that were replaced as primaries.
+	ordered     string
+	replaced    map[string]int64
+	healthLines lineBudget
 }
 
 // Config is what all groups of a VM share.
@@ -85,7 +90,11 @@
 	LeaveTime time.Duration
 	Dialer    connset.Dialer
 	Texts     connset.Texts
-	Log       *logrus.Entry
+	Statuses  StatusReader
+	// LeadTime is how long a proof that a server leads holds; 0 where a replaced primary
+	// refuses reads by itself.
+	LeadTime time.Duration
+	Log      *logrus.Entry
 }
 
 // Router holds the groups. The mutex guards groups and limits.
@@ -108,7 +117,7 @@
 	defer r.mu.Unlock()
 	g := r.groups[name]
 	if g == nil {
-		g = &Group{Name: name, cfg: r.cfg, servers: map[string]*Server{}, denied: map[*Server]uint64{}, changed: make(chan struct{}), limit: max(1, r.limits[name])}
+		g = &Group{Name: name, cfg: r.cfg, servers: map[string]*Server{}, denied: map[*Server]uint64{}, replaced: map[string]int64{}, changed: make(chan struct{}), limit: max(1, r.limits[name])}
 		r.groups[name] = g
 	}
 	return g
@@ -206,6 +215,9 @@
 		g.serverLine(s).Warn("entry returned")
 	}
 	leaves := s.take(info)
+	if !info.Primary {
+		delete(g.replaced, info.ID)
+	}
 	switch {
 	case isNew:
 		g.serverLine(s).WithField("address", info.Address).Info("known")
@@ -244,19 +256,25 @@
 	}
 }
 
-// elect takes the server whose claim to lead is the newest; without a claim, the
-// one whose promotion was ordered a moment ago. The mutex is held.
+// elect takes the server that the newest order names, if it claims to lead; else the one
+// whose claim is the newest; without a claim, the one whose promotion was ordered a moment
+// ago. A claim does not count if its server denied it or was replaced since: a server that
+// was out of reach claims to lead once more, by a newer entry. The mutex is held.
 func (g *Group) elect() {
 	var best *Server
 	var bestVersion uint64
 	for _, s := range g.servers {
 		info := s.Info()
-		if version, denied := g.denied[s]; !info.Primary || denied && info.Version <= version {
+		if version, denied := g.denied[s]; !info.Primary || denied && info.Version <= version || g.isReplaced(info) {
 			continue
 		}
 		if best == nil || info.Version > bestVersion {
 			best, bestVersion = s, info.Version
 		}
+		if info.ID == g.ordered {
+			best, bestVersion = s, info.Version
+			break
+		}
 	}
 	how := "claimed"
 	if best == nil && g.changing() && g.servers[g.successor.Info().ID] == g.successor {
@@ -282,7 +300,7 @@
 func (g *Group) follow(s *Server, how string, version uint64) {
 	previous := g.leader.name()
 	g.leader = s
-	g.health, g.leaderless = health{}, 0
+	g.health, g.lead, g.leaderless = health{}, lead{}, 0
 	if s == nil {
 		g.last, g.leaderless = previous, boottime.Now()
 	}
@@ -318,15 +336,49 @@
 	if s != g.successor {
 		g.successor, g.succeeds = s, boottime.Now()
 	}
+	g.ordered = id
+	delete(g.replaced, id)
 	if s == g.leader {
 		return
 	}
-	if g.leader != nil && !primaryAnswers {
-		g.denied[g.leader] = g.leader.Info().Version
+	g.replaceOthers(id, primaryAnswers)
+	g.elect()
+}
+
+// Ordered takes the server that the newest order of a promotion named, from a table that
+// was read whole: the order may be long ago.
+func (g *Group) Ordered(id string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.ordered == id {
+		return
 	}
+	g.ordered = id
 	g.elect()
 }
 
+// replaceOthers keeps the claims of all servers but the successor from counting. A primary
+// that refuses by itself once it is replaced is used on while it answers. The mutex is
+// held.
+func (g *Group) replaceOthers(successor string, primaryAnswers bool) {
+	if g.cfg.LeadTime == 0 && primaryAnswers {
+		return
+	}
+	for _, s := range g.servers {
+		if info := s.Info(); info.Primary && info.ID != successor {
+			g.noteReplaced(info, "successor", successor)
+		}
+	}
+	for _, f := range g.former {
+		if f.Primary && f.ID != successor {
+			g.noteReplaced(f.ServerInfo, "successor", successor)
+		}
+	}
+	if g.leader != nil && g.leader.Info().ID != successor {
+		g.denied[g.leader] = g.leader.Info().Version
+	}
+}
+
 // Leader returns the server that leads as far as is known, or nil.
 func (g *Group) Leader() *Server {
 	g.mu.Lock()
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -89,6 +89,8 @@
 	Committed, Stuck  boottime.Time
 	// Own are the moments of this VM alone, for the others.
 	OwnAnswered, OwnCommitted boottime.Time
+	// Led is the last moment at which the primary surely led.
+	Led boottime.Time
 }
 
 // Health returns what is known of the primary.
@@ -99,7 +101,7 @@
 		Last: g.last, Since: g.leaderless, Changing: g.changing(),
 		Answered: max(g.health.answered, g.health.peerAnswered), Failing: g.health.failing,
 		Committed: max(g.health.committed, g.health.peerCommitted), Stuck: g.health.stuck,
-		OwnAnswered: g.health.answered, OwnCommitted: g.health.committed,
+		OwnAnswered: g.health.answered, OwnCommitted: g.health.committed, Led: g.lead.proved,
 	}
 	if g.leader != nil {
 		info := g.leader.Info()
--- /dev/null
+++ b/internal/dispatch/lead.go
@@ -0,0 +1,282 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/connset"
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+const (
+	// leadCheckWait bounds a check of the lead: a status at a replica, and one at the
+	// primary, each of which may wait for a slot.
+	leadCheckWait = 300 * time.Millisecond
+	// leadCheckPause is how long after a check that failed callers are refused without
+	// another one: a server out of reach would cost each of them leadCheckWait.
+	leadCheckPause = 250 * time.Millisecond
+)
+
+// StatusReader asks a server for its status over an idle connection.
+type StatusReader interface {
+	Status(c statement.Conn, wait time.Duration) (statement.ServerStatus, error)
+}
+
+// lead is what proves that the present primary has not been replaced. Where a replaced
+// primary goes on answering reads, a statement that needs the newest data is sent only
+// within Config.LeadTime of a proof, and a steward lets that time pass between stopping
+// all replicas and ordering a promotion.
+//
+// Two things prove it: an acknowledged commit, as a replica has received it, and the status
+// of a replica that is neither paused nor of a later term.
+type lead struct {
+	// proved is the last moment at which the primary surely led; refuted is when the last
+	// check failed.
+	proved, refuted boottime.Time
+	checking        *proof
+}
+
+// noteLead records that the server led at the moment.
+func (g *Group) noteLead(s *Server, at boottime.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s == g.leader {
+		g.lead.proved = max(g.lead.proved, at)
+	}
+}
+
+// HearLead takes another VM's proof that the server led at the moment.
+func (g *Group) HearLead(server string, at boottime.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.leader != nil && g.leader.Info().ID == server {
+		g.lead.proved = max(g.lead.proved, at)
+	}
+}
+
+// leads reports whether it is proved that the server had not been replaced at the moment.
+func (g *Group) leads(s *Server, at boottime.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.cfg.LeadTime == 0 || s == g.leader && at < g.lead.proved.Add(g.cfg.LeadTime)
+}
+
+// requireLead returns nil if the primary is proved to lead, after a check if need be. A
+// proof of half its time is renewed beside the statement.
+func (g *Group) requireLead(ctx context.Context, s *Server, call *Call) error {
+	if g.cfg.LeadTime == 0 {
+		return nil
+	}
+	now := boottime.Now()
+	g.mu.Lock()
+	age := now.Sub(g.lead.proved)
+	if s != g.leader || age < g.cfg.LeadTime/2 {
+		known := s == g.leader
+		g.mu.Unlock()
+		if !known {
+			return errkind.New(errkind.NoPrimary, "%s has been replaced", s.Info().ID)
+		}
+		return nil
+	}
+	check := g.lead.checking
+	if check == nil && now.Sub(g.lead.refuted) >= leadCheckPause {
+		check = &proof{done: make(chan struct{})}
+		g.lead.checking = check
+		go g.checkLead(s, call.Customer, check)
+	}
+	g.mu.Unlock()
+	if age < g.cfg.LeadTime {
+		return nil
+	}
+	err := errkind.New(errkind.NoPrimary, "%s is not proved to lead since %d ms; retry after %d ms", s.Info().ID, age.Milliseconds(), comeBack.Milliseconds())
+	if check == nil {
+		return err
+	}
+	select {
+	case <-check.done:
+		if check.err != nil {
+			return err
+		}
+		return nil
+	case <-ctx.Done():
+		return err
+	}
+}
+
+// checkLead asks replicas whether they still follow the primary.
+func (g *Group) checkLead(s *Server, customer string, check *proof) {
+	ctx, cancel := context.WithTimeout(context.Background(), leadCheckWait)
+	defer cancel()
+	sent := boottime.Now()
+	check.err = g.askReplicas(ctx, s, customer)
+	g.mu.Lock()
+	if g.lead.checking == check {
+		g.lead.checking = nil
+	}
+	if check.err != nil {
+		g.lead.refuted = boottime.Now()
+	} else if s == g.leader {
+		g.lead.proved = max(g.lead.proved, sent)
+	}
+	g.mu.Unlock()
+	if check.err != nil {
+		g.cfg.Log.WithError(check.err).WithFields(logrus.Fields{"event": "primary_health", "group": g.Name, "backend_server": s.Info().ID}).Warn("not proved to lead")
+	}
+	close(check.done)
+}
+
+// askReplicas returns nil if a replica follows the primary in its present term.
+func (g *Group) askReplicas(ctx context.Context, primary *Server, customer string) error {
+	term := primary.leadTerm()
+	err := errkind.New(errkind.Unreachable, "no replica of %s can be asked", g.Name)
+	for _, r := range g.replicasOf(primary, customer) {
+		status, askErr := g.askStatus(ctx, r, customer)
+		if askErr != nil {
+			err = askErr
+			continue
+		}
+		if term == 0 || status.Term > term {
+			own, ownErr := g.askStatus(ctx, primary, customer)
+			if ownErr != nil {
+				return ownErr
+			}
+			if !own.Primary {
+				g.Deny(primary)
+				return errkind.New(errkind.NoPrimary, "%s says that it does not lead", primary.Info().ID)
+			}
+			term = own.Term
+			primary.noteLeadTerm(term)
+		}
+		verdict := judgeLead(term, status)
+		if verdict == leadProved {
+			return nil
+		}
+		err = errkind.New(errkind.NoPrimary, "%s leads term %d, %s is in term %d and held at %d", primary.Info().ID, term, r.Info().ID, status.Term, status.Held)
+		if verdict == leadRefuted {
+			g.replace(primary, status.Term)
+			return err
+		}
+	}
+	return err
+}
+
+// leadVerdict is what the status of a replica says of a primary.
+type leadVerdict uint8
+
+const (
+	// leadOpen: a change of primary may be under way.
+	leadOpen leadVerdict = iota
+	// leadProved: no promotion was ordered before the replica answered, as a steward
+	// stops all replicas first.
+	leadProved
+	// leadRefuted: another server leads a later term.
+	leadRefuted
+)
+
+// judgeLead tells what a replica's status says of the primary that leads the term.
+func judgeLead(term uint64, replica statement.ServerStatus) leadVerdict {
+	switch {
+	case replica.Term > term:
+		return leadRefuted
+	case replica.Held > term || replica.Term < term || replica.Primary:
+		return leadOpen
+	}
+	return leadProved
+}
+
+// replicasOf returns the servers beside the primary that can be asked, those of the own
+// failure domain with an open connection first.
+func (g *Group) replicasOf(primary *Server, customer string) []*Server {
+	now := boottime.Now()
+	var near, far []*Server
+	for _, s := range g.Servers() {
+		switch info := s.Info(); {
+		case s == primary || s.avoided(now) || s.isMissing() || s.hasLeft(now, g.cfg.LeaveTime):
+		case info.Domain == g.cfg.Domain && s.Conns.Load(customer).Idle:
+			near = append([]*Server{s}, near...)
+		case info.Domain == g.cfg.Domain || s.Conns.Load(customer).Idle:
+			near = append(near, s)
+		default:
+			far = append(far, s)
+		}
+	}
+	return append(near, far...)
+}
+
+// askStatus asks a server for its status over a connection of the customer.
+func (g *Group) askStatus(ctx context.Context, s *Server, customer string) (statement.ServerStatus, error) {
+	c, err := s.Conns.Acquire(ctx, connset.Request{Customer: customer, Patience: leadCheckWait})
+	if err != nil {
+		return statement.ServerStatus{}, err
+	}
+	if err := c.Drain(beginWait); err != nil {
+		c.Discard()
+		return statement.ServerStatus{}, err
+	}
+	status, err := g.cfg.Statuses.Status(c.Conn, leadCheckWait)
+	if errkind.Is(err, errkind.Unreachable) || errkind.Is(err, errkind.ProtocolViolation) {
+		c.Discard()
+		s.noteFailure()
+		return status, err
+	}
+	c.Release()
+	return status, err
+}
+
+// replace notes that another server leads the term: the entry of the primary counts no
+// longer, whatever its version, until it says replica.
+func (g *Group) replace(s *Server, term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.noteReplaced(s.Info(), "term", term)
+	g.elect()
+}
+
+// noteReplaced keeps claims of the server from counting. The mutex is held.
+func (g *Group) noteReplaced(info ServerInfo, by string, value any) {
+	if g.isReplaced(info) {
+		return
+	}
+	g.replaced[info.ID] = info.Started
+	g.cfg.Log.WithFields(logrus.Fields{"event": "primary", "group": g.Name, "backend_server": info.ID, "entry_version": info.Version, by: value}).Warn("replaced")
+}
+
+// isReplaced reports whether the server was replaced as the primary and has not said
+// replica since. The mutex is held.
+func (g *Group) isReplaced(info ServerInfo) bool {
+	started, ok := g.replaced[info.ID]
+	return ok && started == info.Started
+}
+
+// Replaced returns servers that claim to lead though another has replaced them.
+func (g *Group) Replaced() []ServerInfo {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var list []ServerInfo
+	if len(g.replaced) == 0 {
+		return nil
+	}
+	for _, s := range g.servers {
+		if info := s.Info(); info.Primary && g.isReplaced(info) && !s.isMissing() {
+			list = append(list, info)
+		}
+	}
+	return list
+}
+
+// leadTerm returns the term that the server was last known to lead, 0 for none.
+func (s *Server) leadTerm() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ledTerm
+}
+
+func (s *Server) noteLeadTerm(term uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.ledTerm = term
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -136,6 +136,7 @@
 	g.History.Add(sent, r.Position)
 	g.HearAcknowledged(r.Position)
 	g.noteCommitted(s)
+	g.noteLead(s, sent)
 	return r, nil
 }
 
@@ -226,6 +227,14 @@
 	return c, err
 }
 
+// addPoint takes the position of the primary's log, which covers all commits acknowledged
+// before the statement was sent if the server led then.
+func (g *Group) addPoint(s *Server, sent boottime.Time, p position.Position) {
+	if g.leads(s, sent) {
+		g.History.Add(sent, p)
+	}
+}
+
 // begin opens a transaction at the primary and proves by it that the server
 // leads.
 func (g *Group) begin(ctx context.Context, call *Call) (*Server, *connset.Conn, error) {
@@ -235,6 +244,10 @@
 		if err != nil {
 			return nil, nil, err
 		}
+		if err := g.requireLead(ctx, s, call); err != nil {
+			c.Release()
+			return nil, nil, err
+		}
 		sent := boottime.Now()
 		r, err := c.Align(call.Needs, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(false)}, min(beginWait, call.remaining()))
 		if err != nil {
@@ -248,7 +261,7 @@
 			c.TakeChanged()
 			s.noteReached()
 			g.noteAnswered(s)
-			g.History.Add(sent, r.Position)
+			g.addPoint(s, sent, r.Position)
 			return s, c, nil
 		}
 		c.Finish(g.cfg.Texts)
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -67,6 +67,8 @@
 	load float64
 	// leftAt is the last moment at which the server was known to stay, 0 if none is.
 	leftAt boottime.Time
+	// ledTerm is the term that the server said it leads, 0 if it was not asked.
+	ledTerm uint64
 }
 
 // Info returns what discovery says.
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -116,6 +116,7 @@
 	if t.current && t.wrote {
 		t.group.HearAcknowledged(r.Position)
 		t.group.noteCommitted(t.server)
+		t.group.noteLead(t.server, sent)
 	}
 	t.release(r.Status)
 	return r, nil
@@ -136,7 +137,7 @@
 	if r.Err == nil {
 		t.server.noteSuccess(boottime.Since(sent), position.Position{})
 		if t.current && proves {
-			t.group.History.Add(sent, r.Position)
+			t.group.addPoint(t.server, sent, r.Position)
 		}
 		return r, nil
 	}
--- a/internal/entry/duty.go
+++ b/internal/entry/duty.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
@@ -14,8 +16,13 @@
 // superviseInterval is the pause between two looks at the groups' primaries.
 const superviseInterval = 100 * time.Millisecond
 
+// demoteInterval is the least time between two tries to make a replaced primary step down,
+// which ends by itself a second after it reaches its successor.
+const demoteInterval = time.Second
+
 // supervise replaces primaries that leave or do not answer.
 func (e *Process) supervise(ctx context.Context) {
+	demoted := map[string]boottime.Time{}
 	every(ctx, superviseInterval, func() {
 		if e.leaving.Load() {
 			return
@@ -23,6 +30,7 @@
 		e.touch.look(boottime.Now(), append(e.mesh.DomainsInTouch(), e.settings.Domain))
 		for _, g := range e.router.Groups() {
 			e.checkFormer(ctx, g)
+			e.demoteReplaced(ctx, g, demoted)
 			if task, ok := e.task(g); ok {
 				e.steward.Start(ctx, task)
 			}
@@ -30,6 +38,30 @@
 	})
 }
 
+// demoteReplaced tells servers of the group that claim to lead, and were replaced, to step
+// down. The first VM of the group does; tried holds its last tries by server.
+func (e *Process) demoteReplaced(ctx context.Context, g *dispatch.Group, tried map[string]boottime.Time) {
+	replaced, leader := g.Replaced(), g.Leader()
+	if len(replaced) == 0 || leader == nil || e.rank(g.Name) > 0 {
+		return
+	}
+	to := leader.Info()
+	for _, info := range replaced {
+		if info.ID == to.ID || boottime.Since(tried[info.ID]) < demoteInterval {
+			continue
+		}
+		maps.DeleteFunc(tried, func(_ string, at boottime.Time) bool { return boottime.Since(at) > lookTime })
+		tried[info.ID] = boottime.Now()
+		go func() {
+			old := steward.Server{ID: info.ID, Address: info.Address, Domain: info.Domain}
+			err := e.steward.Demote(ctx, g.Name, old, steward.Server{ID: to.ID, Address: to.Address, Domain: to.Domain})
+			if err != nil {
+				e.log.WithError(err).WithFields(logrus.Fields{"event": "failover", "group": g.Name, "backend_server": info.ID}).Info("replaced primary was not told to step down")
+			}
+		}()
+	}
+}
+
 // task returns the change of primary that the group needs now. It is false for none.
 func (e *Process) task(g *dispatch.Group) (steward.Task, bool) {
 	h := g.Health()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,12 +47,19 @@
 	StopTime time.Duration
 	// LeaveTime is how long a leaving backend server may still get work.
 	LeaveTime time.Duration
+	// ReplacedServe tells that a primary that was replaced may go on answering reads until
+	// it is told to step down or hears of its successor.
+	ReplacedServe bool
 }
 
 const (
 	// leaseMargin is taken off a key's lifetime: the rates of two clocks and the
 	// way of a statement to the backend server.
 	leaseMargin = 400 * time.Millisecond
+	// leadTime is how long a proof holds that a primary has not been replaced, where a
+	// replaced one serves. Commits and news of them, every 500 ms, bring most proofs; a
+	// failover takes this much longer.
+	leadTime = 600 * time.Millisecond
 	// leaderProofAge is the age at which the first VM of a cell asks the store for a
 	// new proof of the configuration. With the way of news to others, and one that is
 	// lost, proofs stay within the lease of 4.6 s.
@@ -98,6 +105,14 @@
 	memoryPart = 0.7
 )
 
+// leadTime returns the time that a proof of the lead holds, 0 if none is needed.
+func (s Settings) leadTime() time.Duration {
+	if s.ReplacedServe {
+		return leadTime
+	}
+	return 0
+}
+
 // tableMembers holds one row for each VM.
 const tableMembers = "members"
 
@@ -179,7 +194,7 @@
 		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]map[uint32]float32{}, rosters: map[string]rosterRow{}, looks: map[lookKey]boottime.Time{},
 		view:     access.NewView(s.KeyLifetime - leaseMargin),
 		limiter:  ratelimit.New(boottime.Now, s.RateWindow),
-		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, Dialer: p.Dialer, Texts: p.Texts, Log: log}),
+		router:   dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, LeadTime: s.leadTime(), Dialer: p.Dialer, Texts: p.Texts, Statuses: p.Control, Log: log}),
 		observer: newObserver(log),
 		clock:    timeline.NewClock(time.Now),
 		started:  boottime.Now(),
@@ -190,7 +205,7 @@
 	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
 	homes := ratelimit.NewHomes(e.limiter, e.peers, e.ownerOf, log)
 	e.core = &session.Core{Access: e.view, Limiter: homes, Owners: owner.New(e.peers, e.ownerOf, log), Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
-	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, Log: log})
+	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, LeadTime: s.leadTime(), Log: log})
 	e.view.OnChange(e.configure)
 	return e
 }
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -159,7 +159,10 @@
 		for _, r := range rows {
 			change, err := e.steward.Observe(r)
 			switch {
-			case r.Deleted || !act:
+			case r.Deleted:
+			case !act && err == nil && !change.Active && change.Primary != "":
+				e.router.Group(change.Group).Ordered(change.Primary)
+			case !act:
 			case err != nil:
 				e.log.WithError(err).WithFields(logrus.Fields{"event": "failover", "group": r.Key}).Warn("row was not read")
 			case change.Active:
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -136,7 +136,7 @@
 	news := mesh.GroupNews{
 		Position: point.Position, PositionAge: boottime.Age(point.At), Primary: h.Primary,
 		AnsweredAge: boottime.Age(h.OwnAnswered), CommittedAge: boottime.Age(h.OwnCommitted), Loads: map[uint32]float32{},
-		Acknowledged: g.Acknowledged(),
+		Acknowledged: g.Acknowledged(), LedAge: boottime.Age(h.Led),
 	}
 	for _, s := range g.Servers() {
 		if load := s.Load(); load >= leastLoad {
@@ -184,6 +184,9 @@
 		if news.PositionAge >= 0 {
 			g.History.Add(moment(since, news.PositionAge), news.Position)
 		}
+		if news.LedAge >= 0 {
+			g.HearLead(news.Primary, moment(since, news.LedAge))
+		}
 		g.HearHealth(news.Primary, moment(since, news.AnsweredAge), moment(since, news.CommittedAge))
 		if news.ExpectedIn > 0 {
 			g.Expect(boottime.Now().Add(time.Duration(news.ExpectedIn) * time.Millisecond))
--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -71,7 +71,7 @@
 	for name, g := range o.Groups {
 		sum, known := n.Groups[name]
 		if !known {
-			sum = GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, Primary: g.Primary, Loads: map[uint32]float32{}}
+			sum = GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, LedAge: -1, Primary: g.Primary, Loads: map[uint32]float32{}}
 		}
 		sum.add(g, held)
 		n.Groups[name] = sum
@@ -89,6 +89,9 @@
 		if o.CommittedAge >= 0 {
 			g.CommittedAge = younger(g.CommittedAge, o.CommittedAge+held)
 		}
+		if o.LedAge >= 0 {
+			g.LedAge = younger(g.LedAge, o.LedAge+held)
+		}
 	}
 	for server, load := range o.Loads {
 		g.Loads[server] += load
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -72,6 +72,8 @@
 	// Acknowledged is the highest position that an acknowledged commit was answered
 	// with, as far as the VM knows.
 	Acknowledged position.Position
+	// LedAge is when the primary was last proved not to have been replaced.
+	LedAge int64
 }
 
 // News is the body of a datagram.
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -20,6 +20,8 @@
 	lease   *lease
 	log     *logrus.Entry
 	members []*member
+	// found is another server that turned out to lead.
+	found string
 	// settle gives the time in which what was begun is brought to an end.
 	settle func() (context.Context, context.CancelFunc)
 }
@@ -60,6 +62,7 @@
 	switch {
 	case leader.ID != a.t.Primary, leader.unlisted, a.t.Reason == Missing:
 		if !leader.unlisted {
+			a.found = leader.ID
 			a.t.Done(leader.ID)
 		}
 		return a.giveUp(errkind.New(errkind.Conflict, "%s leads", leader.ID))
@@ -235,7 +238,31 @@
 		}
 	}
 	a.progress()
-	return target, nil
+	return a.outwaitLead(ctx, target)
+}
+
+// outwaitLead returns the successor once no VM can rest on a proof that the primary leads,
+// which it cannot be told: while no replica receives, none is made. A primary behind a
+// partition goes on answering reads, and VMs beside it sent them until then.
+func (a *attempt) outwaitLead(ctx context.Context, target *member) (*member, error) {
+	if a.s.cfg.LeadTime == 0 {
+		return target, nil
+	}
+	if !target.paused {
+		if err := a.pause(ctx, target); err != nil {
+			return nil, err
+		}
+		target = a.prefer(nil)
+		if !Safe(a.replicas(nil), target.ID) {
+			return nil, errkind.New(errkind.NoPrimary, "%s lacks commits that another replica received meanwhile", target.ID)
+		}
+	}
+	select {
+	case <-ctx.Done():
+		return nil, errkind.New(errkind.NoPrimary, "no time was left to wait for the end of the primary's lead")
+	case <-time.After(a.s.cfg.LeadTime):
+		return target, nil
+	}
 }
 
 // askPrimaryAgain tells whether a primary that was out of reach answers now: a partition
@@ -393,6 +420,9 @@
 			return err
 		}
 		log := a.log.WithFields(logrus.Fields{"backend_server": target, "token": a.lease.record.Token})
+		if err := a.s.hold(ctx, a.lease); err != nil {
+			return err
+		}
 		call, cancel := context.WithTimeout(ctx, orderWait)
 		err := a.s.cfg.Promoter.Promote(call, a.t.Group, target, a.s.cfg.VM, a.lease.record.Token)
 		cancel()
@@ -440,7 +470,7 @@
 	if a.anyHeld() || slices.ContainsFunc(a.members, a.mayBePaused) {
 		return cause
 	}
-	a.lease.record.Target = ""
+	a.lease.record.Target = a.found
 	if err := a.s.finish(ctx, a.lease); err != nil {
 		a.log.WithError(err).Warn("lease was not given back")
 	}
--- /dev/null
+++ b/internal/steward/demote.go
@@ -0,0 +1,51 @@
+package steward
+
+import (
+	"context"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+// Demote tells a server that was replaced, and still takes itself for the primary, to step
+// down. It needs no lease: a server of the term that the leader leads, or of a later one,
+// does not take the command.
+func (s *Steward) Demote(ctx context.Context, group string, replaced, leader Server) error {
+	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+	defer cancel()
+	at, err := s.statusOf(ctx, group, leader, s.cfg.Control.Status)
+	if err != nil {
+		return err
+	}
+	if !at.Primary {
+		return errkind.New(errkind.NoPrimary, "%s does not lead", leader.ID)
+	}
+	status, err := s.statusOf(ctx, group, replaced, s.cfg.Control.Status)
+	if err != nil || !status.Primary || status.Term >= at.Term {
+		return err
+	}
+	status, err = s.statusOf(ctx, group, replaced, func(c statement.Conn, _ time.Duration) (statement.ServerStatus, error) {
+		return s.cfg.Control.StepDown(c, at.Term, controlWait)
+	})
+	if err == nil {
+		s.cfg.Log.WithFields(logrus.Fields{
+			"event": "failover", "group": group, "backend_server": replaced.ID, "term": at.Term, "leads": status.Primary, "successor": leader.ID,
+		}).Warn("replaced primary was told to step down")
+	}
+	return err
+}
+
+// statusOf runs a control statement at a server over a connection of its own.
+func (s *Steward) statusOf(ctx context.Context, group string, server Server, run func(statement.Conn, time.Duration) (statement.ServerStatus, error)) (statement.ServerStatus, error) {
+	dial, cancel := context.WithTimeout(ctx, controlWait)
+	defer cancel()
+	conn, err := s.cfg.Dialer.Dial(dial, server.Address, group, server.ID, "")
+	if err != nil {
+		return statement.ServerStatus{}, err
+	}
+	defer conn.Close()
+	return run(conn, controlWait)
+}
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -84,6 +84,7 @@
 		a.members = append(a.members, &member{Server: server})
 	}
 	a.reach(ctx)
+	a.demoteReplaced(ctx)
 	fields := logrus.Fields{"acknowledged": a.acknowledged().String()}
 	for _, m := range a.members {
 		fields["server_"+m.ID] = m.describe()
@@ -230,11 +231,31 @@
 	return term + 1
 }
 
-// leader returns the server that says that it leads, nil if none in reach does.
+// demoteReplaced tells primaries of a term before the newest to step down: each was
+// replaced and has not heard of it.
+func (a *attempt) demoteReplaced(ctx context.Context) {
+	newest := a.nextTerm() - 1
+	for _, m := range a.members {
+		if m.conn == nil || !m.status.Primary || m.status.Term >= newest {
+			continue
+		}
+		err := a.command(ctx, m, "step_down", func(conn statement.Conn, wait time.Duration) (statement.ServerStatus, error) {
+			return a.s.cfg.Control.StepDown(conn, newest, wait)
+		})
+		if err != nil || m.status.Primary {
+			// It gets no work as long as it claims an earlier term.
+			a.log.WithFields(logrus.Fields{"backend_server": m.ID, "term": m.status.Term, "newest_term": newest}).Warn("replaced primary did not step down")
+		}
+	}
+}
+
+// leader returns the server that says that it leads the newest term, nil if none in reach
+// does.
 func (a *attempt) leader() *member {
 	var best *member
+	newest := a.nextTerm() - 1
 	for _, m := range a.members {
-		if m.conn != nil && m.status.Primary && (best == nil || m.status.Term > best.status.Term) {
+		if m.conn != nil && m.status.Primary && m.status.Term == newest {
 			best = m
 		}
 	}
--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -33,6 +33,11 @@
 	// listed tells that the server's entry is there; vanished that it was once.
 	listed, vanished bool
 	starts           int
+	// serves tells that the server was replaced and goes on as the primary of its term;
+	// proved is when a commit last proved that it leads.
+	serves bool
+	term   uint64
+	proved boottime.Time
 }
 
 // model is a database group with its platform. Something may happen at each call: commits,
@@ -40,19 +45,25 @@
 // start without one, orders that are carried out late. While a server is out of the
 // stewards' reach, each has had an entry and none starts: nothing outside could know of it.
 type model struct {
-	mu       sync.Mutex
-	rand     *rand.Rand
-	servers  []*modelServer
-	primary  *modelServer
-	term     uint64
-	number   uint64 // of the newest commit
-	acked    uint64
-	seen     uint64 // acknowledged, as far as VMs in touch know
-	token    uint64
-	late     []order
-	calls    int
-	problems []string
-	trace    []string
+	mu      sync.Mutex
+	rand    *rand.Rand
+	servers []*modelServer
+	primary *modelServer
+	term    uint64
+	number  uint64 // of the newest commit
+	acked   uint64
+	seen    uint64 // acknowledged, as far as VMs in touch know
+	token   uint64
+	late    []order
+	calls   int
+	// replacedServe makes a primary that was replaced go on; lead is how long VMs read
+	// from a server after a proof that it leads. ackedTerm is that of the newest
+	// acknowledged commit.
+	replacedServe bool
+	lead          time.Duration
+	ackedTerm     uint64
+	problems      []string
+	trace         []string
 }
 
 // note keeps what happened, for the report of a failure. The mutex is held.
@@ -85,6 +96,7 @@
 			i--
 		}
 	}
+	m.read()
 	m.commit()
 	s := m.servers[m.rand.IntN(len(m.servers))]
 	starts := !m.anyCut()
@@ -132,11 +144,12 @@
 		return
 	}
 	m.number++
-	p.received, p.history = m.number, m.term
+	p.received, p.history, p.term = m.number, m.term, m.term
+	sent := boottime.Now()
 	for _, r := range m.servers {
-		if r != p && r.up && !r.paused && !r.deaf {
+		if r != p && r.up && !r.paused && !r.deaf && !r.serves {
 			r.received, r.history = p.received, p.history
-			m.acked = p.received
+			m.acked, m.ackedTerm, p.proved = p.received, m.term, sent
 		}
 	}
 	if !p.cut {
@@ -144,6 +157,19 @@
 	}
 }
 
+// read lets the VMs read from each server that takes itself for the primary, as long as
+// they may rest on a proof of it.
+func (m *model) read() {
+	for _, s := range m.servers {
+		if s.serves && s.up && boottime.Since(s.proved) < m.lead && m.ackedTerm > s.term {
+			m.problems = append(m.problems, fmt.Sprintf("call %d: a current read ran at %s, of term %d, while a commit of term %d is acknowledged", m.calls, s.id, s.term, m.ackedTerm))
+		}
+		if s.serves && !s.cut && m.rand.IntN(5) == 0 {
+			s.serves = false // it has heard of its successor
+		}
+	}
+}
+
 func (m *model) anyCut() bool {
 	for _, s := range m.servers {
 		if s.cut {
@@ -191,12 +217,16 @@
 		m.problems = append(m.problems, fmt.Sprintf("call %d: %s leads with %d, %d is acknowledged", m.calls, s.id, s.received, m.acked))
 	}
 	m.term++
+	if old := m.primary; old != nil {
+		old.serves = m.replacedServe && old.up
+	}
+	s.serves = false
 	m.primary, m.number = s, s.received
 	for _, r := range m.servers {
 		if m.term >= r.held {
 			r.paused, r.held = false, 0
 		}
-		if r != s && r.up {
+		if r != s && r.up && !r.serves {
 			r.received = min(r.received, s.received)
 		}
 	}
@@ -244,7 +274,11 @@
 	if m.rand.IntN(30) == 0 {
 		return statement.ServerStatus{}, errkind.New(errkind.Unreachable, "model: answer lost")
 	}
-	return statement.ServerStatus{Primary: s == m.primary, Term: m.term, Held: s.held, Received: position.Position{Term: 1, Offset: s.received}}, nil
+	term := m.term
+	if s.serves {
+		term = s.term
+	}
+	return statement.ServerStatus{Primary: s == m.primary || s.serves, Term: term, Held: s.held, Received: position.Position{Term: 1, Offset: s.received}}, nil
 }
 
 func (m *model) Status(c statement.Conn, _ time.Duration) (statement.ServerStatus, error) {
@@ -253,7 +287,7 @@
 
 func (m *model) Pause(c statement.Conn, term uint64, _ time.Duration) (statement.ServerStatus, error) {
 	return m.control(c, func(s *modelServer) error {
-		if term > m.term && s != m.primary {
+		if term > m.term && s != m.primary && !s.serves {
 			s.paused, s.held = true, term
 		}
 		return nil
@@ -269,6 +303,9 @@
 		if s == m.primary && term > m.term {
 			m.primary = nil
 		}
+		if s.serves && term > s.term {
+			s.serves = false
+		}
 		return nil
 	})
 }
@@ -335,7 +372,18 @@
 
 // Whatever happens around them, attempts of several stewards promote no server that
 // lacks an acknowledged commit.
-func TestNoSeriesOfAttemptsLosesACommit(t *testing.T) {
+func TestNoSeriesOfAttemptsLosesACommit(t *testing.T) { playModel(t, func(*model) {}, 0) }
+
+// A replaced primary goes on answering reads, and VMs beside it behind a partition send them
+// as long as they may rest on a proof that it leads (akwaaba-letters trouble-1).
+func TestNoSeriesOfAttemptsLetsAReplacedPrimaryServeReads(t *testing.T) {
+	const lead = 30 * time.Millisecond
+	playModel(t, func(m *model) { m.replacedServe, m.lead = true, lead }, lead)
+}
+
+// playModel runs series of attempts, one for each seed. Stewards wait for leadTime before
+// they replace a primary out of reach.
+func playModel(t *testing.T, prepare func(*model), leadTime time.Duration) {
 	const seeds, attempts = 150, 8
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -343,9 +391,10 @@
 	for seed := range uint64(seeds) {
 		all.Go(func() {
 			m, store := newModel(seed), newFakeStore()
+			prepare(m)
 			for i := range attempts {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+i%3)*time.Second)
-				s := New(Config{VM: fmt.Sprint("vm", i%2), Store: store, Dialer: m, Control: m, Promoter: m, Log: logrus.NewEntry(log)})
+				s := New(Config{VM: fmt.Sprint("vm", i%2), Store: store, Dialer: m, Control: m, Promoter: m, LeadTime: leadTime, Log: logrus.NewEntry(log)})
 				s.seen["g"] = sighting{version: store.version} // long ago
 				task := m.task()
 				err := s.run(ctx, task, s.cfg.Log)
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -106,6 +106,9 @@
 	Dialer   Dialer
 	Control  Control
 	Promoter Promoter
+	// LeadTime is how long VMs may rest on a proof that the old primary leads, 0 if it
+	// refuses by itself once it is replaced.
+	LeadTime time.Duration
 	Log      *logrus.Entry
 }
 
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -38,6 +38,8 @@
 	stop []context.CancelFunc
 	done []chan struct{}
 	next atomic.Int64
+	// stores are the ways of the VMs to the store.
+	stores []*relay
 }
 
 type option func(*world.Options)
@@ -76,7 +78,10 @@
 
 func (f *fleet) startVM(vm int) {
 	f.t.Helper()
-	path, err := f.WriteSettings(f.t.TempDir(), vm, f.Store.Address())
+	for len(f.stores) <= vm {
+		f.stores = append(f.stores, newRelay(f.t, f.Store.Address()))
+	}
+	path, err := f.WriteSettings(f.t.TempDir(), vm, f.stores[vm].address())
 	if err != nil {
 		f.t.Fatal(err)
 	}
