Mesh: a leader gives its cell one sum over all other cells

On the large deployment (295 VMs, 10 cells, 20 groups, 190 customers) the first VM of a cell passed nine digests on to each of its 30 VMs, twice a second: 51 KB a datagram, 3 MB/s from one VM, above the link of 20 Mbit/s that a third of them have, and 102 KB/s into each. With 47 cells (1,500 VMs) a datagram would not have been sent at all: 260 KB, and 60 fit.

Cause: digests were relayed as they came, so that the datagram grew with cells x (customers + groups). The members only use sums: other cells' demand, loads, the newest positions. Now the leader sums them up; cells are named with their size and age, without news. Counts of cells whose source changes begin with what their demand accounts for, as at a VM that hears them directly.

TestWhatALeaderPassesOnDoesNotGrowWithTheCells fails before (encoded size, 47 cells); the size is now that of two digests at any number of cells.

--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -33,10 +33,29 @@
 	}
 }
 
+// takeCell does so for the sum of a cell. Another VM that begins to sum up for the cell
+// counts with what its demand accounts for: its count began long before.
+func (t *tally) takeCell(source string, usage map[string]ratelimit.Usage) {
+	last := t.last[source]
+	if last == nil {
+		last = map[string]uint64{}
+		t.last[source] = last
+	}
+	for customer, u := range usage {
+		if _, known := last[customer]; !known {
+			last[customer] = u.Taken - uint64(u.FirstReport())
+		}
+	}
+	t.take(source, usage)
+}
+
+// forget drops the last counts of a source.
+func (t *tally) forget(source string) { delete(t.last, source) }
+
 // digest sums up the news of the own cell. The mutex is held.
 func (m *Mesh) digest(own News, now boottime.Time) Digest {
 	d := Digest{
-		Cell: m.cells[m.own].name, Source: m.cfg.VM + "/" + strconv.FormatUint(m.incarnation, 36), Members: 1,
+		Cell: m.cells[m.own].name, Source: m.source(), Members: 1,
 		News: News{
 			ConfigVersion: own.ConfigVersion, ConfigAge: own.ConfigAge,
 			Usage: map[string]ratelimit.Usage{}, Groups: map[string]GroupNews{},
@@ -71,7 +90,7 @@
 	for name, g := range o.Groups {
 		sum, known := n.Groups[name]
 		if !known {
-			sum = GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, LedAge: -1, Primary: g.Primary, Loads: map[uint32]float32{}}
+			sum = newSum(g.Primary)
 		}
 		sum.add(g, held)
 		n.Groups[name] = sum
@@ -110,18 +129,55 @@
 	return min(a, b)
 }
 
-// relayed returns the digests of other cells for the own one. The mutex is held.
-func (m *Mesh) relayed(now boottime.Time) []Digest {
+// relayed returns the other cells in touch, without their news, and the sum of these. The
+// sum keeps a datagram to the cell at the size of one digest, however many cells there
+// are. The mutex is held.
+func (m *Mesh) relayed(own News, now boottime.Time) ([]Digest, *Fleet) {
 	var list []Digest
+	fleet := &Fleet{
+		Source: "fleet/" + m.source(),
+		News:   News{ConfigVersion: own.ConfigVersion, ConfigAge: -1, Usage: map[string]ratelimit.Usage{}, Groups: map[string]GroupNews{}},
+	}
+	for name, g := range own.Groups {
+		fleet.News.Groups[name] = newSum(g.Primary)
+	}
 	for _, h := range m.digests {
-		if h.since == 0 {
+		if h.since == 0 || !h.direct {
 			continue
 		}
 		d := h.Digest
 		d.Held = now.Sub(h.since).Milliseconds() + 1
+		fleet.News.addCell(d.News, d.Held)
+		d.News = News{}
 		list = append(list, d)
 	}
-	return list
+	for customer, u := range fleet.News.Usage {
+		u.Taken = m.distant.taken[customer]
+		fleet.News.Usage[customer] = u
+	}
+	return list, fleet
+}
+
+// source names the VM as the source of sums.
+func (m *Mesh) source() string { return m.cfg.VM + "/" + strconv.FormatUint(m.incarnation, 36) }
+
+// addCell takes another cell's news into a sum over cells; they are held milliseconds old.
+func (n *News) addCell(o News, held int64) {
+	if o.ConfigVersion > n.ConfigVersion {
+		// Who has not got it asks for it.
+		n.ConfigVersion, n.ConfigAge = o.ConfigVersion, -1
+	}
+	n.add(o, held)
+	for customer := range o.Usage {
+		sum := n.Usage[customer]
+		sum.Cells++
+		n.Usage[customer] = sum
+	}
+}
+
+// newSum returns a sum about a group whose primary is the server.
+func newSum(primary string) GroupNews {
+	return GroupNews{PositionAge: -1, AnsweredAge: -1, CommittedAge: -1, LedAge: -1, Primary: primary, Loads: map[uint32]float32{}}
 }
 
 // otherLeaders returns the VMs of other cells that take this cell's digest: the
--- /dev/null
+++ b/internal/mesh/fleet_test.go
@@ -0,0 +1,125 @@
+package mesh
+
+import (
+	"fmt"
+	"testing"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/position"
+	"chicoryline/internal/ratelimit"
+)
+
+// newsOf returns news of a VM or a cell that sees the customers and groups.
+func newsOf(customers, groups int) News {
+	n := News{ConfigVersion: 1234, ConfigAge: 900, Usage: map[string]ratelimit.Usage{}, Groups: map[string]GroupNews{}}
+	for i := range customers {
+		n.Usage[fmt.Sprintf("customer%04d", i)] = ratelimit.Usage{Taken: 12345, Demand: 12.5}
+	}
+	for i := range groups {
+		g := newSum("i-d7b7a6673d")
+		g.Position, g.PositionAge, g.AnsweredAge, g.CommittedAge, g.LedAge = position.Position{Term: 2, Offset: 1400}, 120, 300, 800, 100
+		g.Loads = map[uint32]float32{1: 0.1, 2: 0.2, 3: 0.3}
+		n.Groups[fmt.Sprintf("group-%02d", i)] = g
+	}
+	return n
+}
+
+// leaderHearing returns a mesh whose cell hears the others' digests directly.
+func leaderHearing(cells int, news News) *Mesh {
+	m := New(Config{VM: "vm0000"})
+	now := boottime.Now()
+	m.cells = []cell{{name: "d0/0", vms: []string{"vm0000"}}}
+	for i := 1; i < cells; i++ {
+		name := fmt.Sprintf("d%d/0", i)
+		m.cells = append(m.cells, cell{name: name})
+		d := Digest{Cell: name, Source: "vm/" + name, Members: 32, News: news}
+		m.digests[name] = heardDigest{Digest: d, at: now, since: now, direct: true}
+		m.distant.takeCell(d.Source, d.News.Usage)
+	}
+	return m
+}
+
+// A leader passed every other cell's digest on to each VM of its own, twice a second: 51 KB
+// in a fleet of ten cells, and more than a datagram holds in one of 47.
+func TestWhatALeaderPassesOnDoesNotGrowWithTheCells(t *testing.T) {
+	const customers, groups, fleetCells = 190, 20, 47
+	own := newsOf(6, groups)
+	size := func(cells int) int {
+		m := leaderHearing(cells, newsOf(customers, groups))
+		headers, fleet := m.relayed(own, boottime.Now())
+		if len(headers) != cells-1 {
+			t.Fatalf("%d of %d cells are named", len(headers), cells-1)
+		}
+		data, err := encode(envelope{VM: "vm0000", News: &own, Digests: headers, Fleet: fleet})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return len(data)
+	}
+	small, large := size(2), size(fleetCells)
+	if large > 2*small || large > maxDatagram {
+		t.Errorf("%d bytes with 2 cells, %d with %d", small, large, fleetCells)
+	}
+}
+
+// The sum says of the fleet what the digests say of its cells.
+func TestFleetSumsUpCells(t *testing.T) {
+	m := leaderHearing(4, newsOf(2, 1))
+	own := newsOf(0, 1)
+	_, fleet := m.relayed(own, boottime.Now())
+	u := fleet.News.Usage["customer0000"]
+	if u.Demand != 3*12.5 || u.Cells != 3 {
+		t.Errorf("usage %+v, want the demand of 3 cells", u)
+	}
+	g := fleet.News.Groups["group-00"]
+	if g.Loads[2] < 0.59 || g.Loads[2] > 0.61 || g.PositionAge < 120 || g.LedAge < 100 {
+		t.Errorf("group %+v", g)
+	}
+	if fleet.News.ConfigAge < 900 {
+		t.Errorf("proof of the configuration is %d ms old, want 900 or more", fleet.News.ConfigAge)
+	}
+	before := u.Taken
+	d := m.digests["d1/0"]
+	d.News = newsOf(2, 1)
+	d.News.Usage["customer0000"] = ratelimit.Usage{Taken: 12345 + 7, Demand: 12.5}
+	m.distant.takeCell(d.Source, d.News.Usage)
+	// Another VM sums up for the second cell: its count began long before.
+	m.distant.takeCell("vm/other", map[string]ratelimit.Usage{"customer0000": {Taken: 90000, Demand: 2}})
+	_, fleet = m.relayed(own, boottime.Now())
+	if got := fleet.News.Usage["customer0000"].Taken - before; got != 7+4 {
+		t.Errorf("%d operations counted, want 7 and those that a demand of 2 accounts for", got)
+	}
+}
+
+// A newer configuration that another cell has heard of is a reason to ask for it.
+func TestFleetTellsOfANewerConfiguration(t *testing.T) {
+	news := newsOf(0, 0)
+	news.ConfigVersion = 1300
+	_, fleet := leaderHearing(3, news).relayed(newsOf(0, 0), boottime.Now())
+	if fleet.News.ConfigVersion != 1300 {
+		t.Errorf("version %d, want 1300", fleet.News.ConfigVersion)
+	}
+}
+
+// A VM that hears the leader's sum counts no cell twice, and hears the cells itself once it
+// leads.
+func TestSumAndDigestsDoNotCountTogether(t *testing.T) {
+	m := leaderHearing(3, newsOf(1, 1))
+	now := boottime.Now()
+	if lost := m.takeFleet("fleet/vm0001/a", now); len(lost) != 2 {
+		t.Errorf("sources %v no longer count, want those of 2 cells", lost)
+	}
+	for name, d := range m.digests {
+		if d.direct || d.News.Usage != nil {
+			t.Errorf("cell %s still counts by itself", name)
+		}
+	}
+	if lost := m.takeFleet("fleet/vm0002/b", now); len(lost) != 1 || lost[0] != "fleet/vm0001/a" {
+		t.Errorf("sources %v no longer count, want that of the former leader", lost)
+	}
+	direct := envelope{VM: "vm0099", Digests: []Digest{{Cell: "d1/0", Source: "vm/d1", News: newsOf(1, 1)}}}
+	taken, lost := m.takeDigests(direct, true, now, now)
+	if len(taken) != 1 || len(lost) != 1 || lost[0] != "fleet/vm0002/b" {
+		t.Errorf("taken %d, no longer counting %v", len(taken), lost)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -5,8 +5,8 @@
 //
 // Up to singleCell VMs all talk to each other. More are split into cells within
 // failure domains; the first VM in touch of a cell sums up the cell's news for the
-// first VMs of the others, so that a VM's part grows with the size of a cell and a
-// leader's with the number of cells.
+// first VMs of the others, and what it hears from those for its cell. So a VM's part grows
+// with the size of a cell and a leader's with the number of cells.
 //
 // Clocks of VMs are not compared. A datagram returns the stamp of the newest one
 // that its sender had received, so an age in it counts from that stamp on the
@@ -111,8 +111,19 @@
 	EchoIncarnation uint64
 	Echo            boottime.Time
 	// News is nil in datagrams to other cells.
-	News    *News
+	News *News
+	// Digests holds the sender's digest in datagrams to other cells. Inside a cell the
+	// leader's name all cells in touch, without their news.
 	Digests []Digest
+	// Fleet sums up the other cells, from the leader to its cell.
+	Fleet *Fleet
+}
+
+// Fleet is the summed news of all other cells in touch. Its source is the VM that made the
+// sum, with its incarnation.
+type Fleet struct {
+	Source string
+	News   News
 }
 
 // Peer is a VM to exchange news with.
@@ -166,7 +177,13 @@
 	own   int // index of the own cell
 	// digests holds the newest digest of each other cell.
 	digests map[string]heardDigest
+	// fleet is the source of the sum over other cells that the leader gave last, heard
+	// when it came.
+	fleet      string
+	fleetHeard boottime.Time
+	// tally counts the own cell's usage, distant that of the others.
 	tally   tally
+	distant tally
 	round   int
 	// self is this VM's part in its cell as its last news told it.
 	self standing
@@ -181,13 +198,15 @@
 	from  string
 	at    boottime.Time
 	since boottime.Time
+	// direct tells that the digest came from its cell, with its news.
+	direct bool
 }
 
 // New returns a mesh without peers.
 func New(cfg Config) *Mesh {
 	return &Mesh{
 		cfg: cfg, incarnation: rand.Uint64() | 1, peers: map[string]*peerState{},
-		cells: []cell{{}}, digests: map[string]heardDigest{}, tally: newTally(),
+		cells: []cell{{}}, digests: map[string]heardDigest{}, tally: newTally(), distant: newTally(),
 	}
 }
 
@@ -480,23 +499,24 @@
 	}
 	news := m.cfg.Compose()
 	news.Urgent = urgent
-	digest, relayed := m.sumUp(news, leads)
-	m.send(inside, &news, relayed)
-	m.send(outside, nil, []Digest{digest})
+	digest, cells, fleet := m.sumUp(news, leads)
+	m.send(inside, envelope{News: &news, Digests: cells, Fleet: fleet})
+	m.send(outside, envelope{Digests: []Digest{digest}})
 }
 
-// sumUp returns the digest of the own cell and, for a leader, those to pass on
-// into it.
-func (m *Mesh) sumUp(news News, leads bool) (Digest, []Digest) {
+// sumUp returns, for a leader, the digest of the own cell, the cells in touch and the sum
+// over them.
+func (m *Mesh) sumUp(news News, leads bool) (Digest, []Digest, *Fleet) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.self = standing{leaving: news.Leaving, settled: news.Settled}
 	m.tally.take(m.cfg.VM, news.Usage)
 	if !leads {
-		return Digest{}, nil
+		return Digest{}, nil, nil
 	}
 	now := boottime.Now()
-	return m.digest(news, now), m.relayed(now)
+	cells, fleet := m.relayed(news, now)
+	return m.digest(news, now), cells, fleet
 }
 
 // dropSilent forgets what silent VMs and cells said, and returns their names. The
@@ -512,18 +532,23 @@
 	for name, d := range m.digests {
 		if now.Sub(d.at) >= digestTime {
 			delete(m.digests, name)
-			lost = append(lost, d.Source)
+			if d.direct {
+				lost = append(lost, m.leaveOut(d))
+			}
 		}
 	}
+	if m.fleet != "" && now.Sub(m.fleetHeard) >= digestTime {
+		lost = append(lost, m.fleet)
+		m.fleet = ""
+	}
 	return lost
 }
 
-func (m *Mesh) send(targets []target, news *News, digests []Digest) {
+func (m *Mesh) send(targets []target, e envelope) {
+	e.VM, e.Incarnation = m.cfg.VM, m.incarnation
 	for _, t := range targets {
-		data, err := encode(envelope{
-			VM: m.cfg.VM, Incarnation: m.incarnation, Sent: boottime.Now(),
-			EchoIncarnation: t.of, Echo: t.echo, News: news, Digests: digests,
-		})
+		e.Sent, e.EchoIncarnation, e.Echo = boottime.Now(), t.of, t.echo
+		data, err := encode(e)
 		if err != nil {
 			m.cfg.Log.WithError(err).Error("news were not encoded")
 			return
@@ -579,22 +604,17 @@
 		p.news, p.since = e.News, since
 		m.tally.take(e.VM, e.News.Usage)
 	}
-	trusted := !inside || e.VM == m.leader(now)
 	var taken []heardDigest
+	var fleet *Fleet
 	var replaced []string
-	for _, d := range e.Digests {
-		if !trusted || d.Cell == m.cells[m.own].name {
-			continue
-		}
-		h := heardDigest{Digest: d, from: e.VM, at: now}
-		if since != 0 {
-			h.since = since.Add(-time.Duration(d.Held) * time.Millisecond)
-		}
-		if old, ok := m.digests[d.Cell]; ok && old.Source != d.Source {
-			replaced = append(replaced, old.Source)
+	if leader := m.leader(now); !inside || e.VM == leader {
+		// A VM that hears the leader's sum needs no other cell's news beside it.
+		direct := !inside && (leader == m.cfg.VM || m.fleet == "")
+		taken, replaced = m.takeDigests(e, direct, since, now)
+		if inside && e.Fleet != nil {
+			fleet = e.Fleet
+			replaced = append(replaced, m.takeFleet(fleet.Source, now)...)
 		}
-		m.digests[d.Cell] = h
-		taken = append(taken, h)
 	}
 	reply := p.target()
 	m.mu.Unlock()
@@ -607,13 +627,70 @@
 	for _, d := range taken {
 		m.cfg.ReceiveDigest(d.Source, d.News, d.since)
 	}
+	if fleet != nil {
+		m.cfg.ReceiveDigest(fleet.Source, fleet.News, since)
+	}
 	if inside && e.News != nil && e.News.Urgent {
 		// The answer asks for none, or two urgent VMs would go on without end.
 		news := m.cfg.Compose()
-		m.send([]target{reply}, &news, nil)
+		m.send([]target{reply}, envelope{News: &news})
 	}
 }
 
+// takeDigests notes the cells that a datagram tells of. It returns the digests that came
+// with news, and sources whose news no longer count. The mutex is held.
+func (m *Mesh) takeDigests(e envelope, direct bool, since, now boottime.Time) (taken []heardDigest, replaced []string) {
+	for _, d := range e.Digests {
+		if d.Cell == m.cells[m.own].name {
+			continue
+		}
+		h := heardDigest{Digest: d, from: e.VM, at: now, direct: direct}
+		if since != 0 {
+			h.since = since.Add(-time.Duration(d.Held) * time.Millisecond)
+		}
+		if old, known := m.digests[d.Cell]; known && old.direct && (!direct || old.Source != d.Source) {
+			replaced = append(replaced, m.leaveOut(old))
+		}
+		if direct {
+			m.distant.takeCell(d.Source, d.News.Usage)
+			taken = append(taken, h)
+		} else {
+			h.News = News{}
+		}
+		m.digests[d.Cell] = h
+	}
+	if direct && m.fleet != "" {
+		// This VM leads the cell now and hears the others itself.
+		replaced = append(replaced, m.fleet)
+		m.fleet = ""
+	}
+	return taken, replaced
+}
+
+// takeFleet notes the source of the sum over all other cells and returns sources that it
+// replaces. The mutex is held.
+func (m *Mesh) takeFleet(source string, now boottime.Time) (replaced []string) {
+	if m.fleet != "" && m.fleet != source {
+		replaced = append(replaced, m.fleet)
+	}
+	m.fleet, m.fleetHeard = source, now
+	for name, d := range m.digests {
+		if d.direct {
+			replaced = append(replaced, m.leaveOut(d))
+			d.direct, d.News = false, News{}
+			m.digests[name] = d
+		}
+	}
+	return replaced
+}
+
+// leaveOut forgets what a cell's digests have counted so far and returns their source. The
+// mutex is held.
+func (m *Mesh) leaveOut(d heardDigest) string {
+	m.distant.forget(d.Source)
+	return d.Source
+}
+
 // encode writes structures as arrays: names of fields would be half of a datagram.
 func encode(v any) ([]byte, error) {
 	var b bytes.Buffer
--- a/internal/ratelimit/cells.go
+++ b/internal/ratelimit/cells.go
@@ -75,10 +75,13 @@
 	if known := b.atHome.demand; len(known) > 1 {
 		own = max(own, min(known[0], known[1]))
 	}
-	others := floor * float64(max(0, l.cells.inTouch-1-len(b.distant)))
+	others, reporting := 0.0, 0
 	for source, u := range b.distant {
-		others += max(float64(u.Demand), b.atHome.before[source], floor)
+		cells := max(1, int(u.Cells))
+		others += max(float64(u.Demand), b.atHome.before[source], floor*float64(cells))
+		reporting += cells
 	}
+	others += floor * float64(max(0, l.cells.inTouch-1-reporting))
 	if own+others <= 0 {
 		return 1 / float64(l.cells.inTouch)
 	}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -47,6 +47,14 @@
 type Usage struct {
 	Taken  uint64
 	Demand float32 // operations per second, smoothed
+	// Cells is the number of cells that a sum over several covers.
+	Cells uint16
+}
+
+// FirstReport is what counts, of the operations taken, from a source that is heard for the
+// first time: what its present demand accounts for.
+func (u Usage) FirstReport() float64 {
+	return min(float64(u.Taken), float64(u.Demand)*(demandDecay+2*reportInterval).Seconds())
 }
 
 // bucket is one customer's tokens. Own and peers' takings are subtracted.
@@ -289,7 +297,7 @@
 		case reported:
 			taken = float64(u.Taken)
 		default:
-			taken = min(float64(u.Taken), float64(u.Demand)*(demandDecay+2*reportInterval).Seconds())
+			taken = u.FirstReport()
 		}
 		l.fill(b)
 		b.tokens -= taken
