Proofs of the lead hold for 1.5 s

Cause: proofs come by news of the cell, every 500 ms, and their age counts from the news that the sender last had of this VM, up to another 500 ms before. Of 0.6 s hardly anything was left; VMs without own commits to the group asked replicas for nearly every read, over connections of which there are none to spare.

A failover of a primary out of reach takes 0.9 s longer.

--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -19,6 +19,8 @@
 	// leadCheckPause is how long after a check that failed callers are refused without
 	// another one: a server out of reach would cost each of them leadCheckWait.
 	leadCheckPause = 250 * time.Millisecond
+	// renewPart is the part of the time of a proof after which it is renewed.
+	renewPart = 2.0 / 3
 )
 
 // StatusReader asks a server for its status over an idle connection.
@@ -66,7 +68,7 @@
 }
 
 // requireLead returns nil if the primary is proved to lead, after a check if need be. A
-// proof of half its time is renewed beside the statement.
+// proof whose time is nearly over is renewed beside the statement.
 func (g *Group) requireLead(ctx context.Context, s *Server, call *Call) error {
 	if g.cfg.LeadTime == 0 {
 		return nil
@@ -74,7 +76,7 @@
 	now := boottime.Now()
 	g.mu.Lock()
 	age := now.Sub(g.lead.proved)
-	if s != g.leader || age < g.cfg.LeadTime/2 {
+	if s != g.leader || age < time.Duration(renewPart*float64(g.cfg.LeadTime)) {
 		known := s == g.leader
 		g.mu.Unlock()
 		if !known {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -47,6 +47,8 @@
 	StopTime time.Duration
 	// LeaveTime is how long a leaving backend server may still get work.
 	LeaveTime time.Duration
+	// FirstStart tells that the whole system starts for the first time.
+	FirstStart bool
 	// ReplacedServe tells that a primary that was replaced may go on answering reads until
 	// it is told to step down or hears of its successor.
 	ReplacedServe bool
@@ -57,13 +59,16 @@
 	// way of a statement to the backend server.
 	leaseMargin = 400 * time.Millisecond
 	// leadTime is how long a proof holds that a primary has not been replaced, where a
-	// replaced one serves. Commits and news of them, every 500 ms, bring most proofs; a
-	// failover takes this much longer.
-	leadTime = 600 * time.Millisecond
-	// leaderProofAge is the age at which the first VM of a cell asks the store for a
-	// new proof of the configuration. With the way of news to others, and one that is
-	// lost, proofs stay within the lease of 4.6 s.
+	// replaced one serves. Most proofs come by news: a commit at another VM of the cell is
+	// known within an interval of 500 ms and counts from the last news that the sender had
+	// of this VM, up to another interval before. A failover takes this much longer.
+	leadTime = 1500 * time.Millisecond
+	// leaderProofAge is the age at which the first VM asks the store for a new proof of the
+	// configuration. With the way of news to others, and one that is lost, proofs stay
+	// within the lease of 4.6 s. In a fleet of several cells, where news go three ways of
+	// 500 ms, it is fleetProofAge.
 	leaderProofAge = 1200 * time.Millisecond
+	fleetProofAge  = 800 * time.Millisecond
 	// memberProofAge, and up to proofSpread more, is the age at which others ask.
 	memberProofAge = 3000 * time.Millisecond
 	proofSpread    = 600 * time.Millisecond
