One VM of a fleet reads the store, and writes rosters

Load pattern: 295 VMs in 10 cells. The first VM of each cell asked the store for proofs and changes, the first VM of each group and cell wrote its roster, every VM read the rosters and read the list of VMs twice at the first start.

Copies that are handed on twice carry the age of the last contact with the store, so that VMs that take each other for the reader stop. Rosters are a followed table; one VM of the fleet writes a group's. Datagrams are encoded once for all receivers.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -205,6 +205,7 @@
 	if address, ok := f.source(); ok {
 		a, err := f.Relay.Rows(ctx, address, f.Table)
 		if err == nil && f.reset(a) {
+			f.noteRelayed(a)
 			return nil
 		}
 		f.noteRelay(address, err)
@@ -214,7 +215,7 @@
 	if err != nil {
 		return err
 	}
-	f.reset(Answer{rows, version, start})
+	f.reset(Answer{Rows: rows, Version: version, Proved: start})
 	f.noteAnswer(start)
 	return nil
 }
@@ -225,6 +226,9 @@
 	Rows    []Row
 	Version uint64
 	Proved  boottime.Time
+	// Contact is a moment at which the store answered who gave the rows, 0 if none is
+	// known.
+	Contact boottime.Time
 }
 
 // reset takes the whole table unless it is older than what is at hand.
@@ -280,6 +284,13 @@
 	}
 }
 
+// noteRelayed records what another VM's answer says of its contact with the store.
+func (f *Follower) noteRelayed(a Answer) {
+	if f.Copies != nil {
+		f.Copies.noteRelayed(a.Contact)
+	}
+}
+
 // Loaded reports whether the table has been read.
 func (f *Follower) Loaded() bool {
 	f.mu.Lock()
@@ -298,6 +309,7 @@
 		a, err := f.Relay.Watch(call, address, f.Table, after, min(wait, relayWait))
 		cancel()
 		if err == nil || errkind.Is(err, errkind.HistoryGone) {
+			f.noteRelayed(a)
 			return f.update(a), true, err
 		}
 		f.noteRelay(address, err)
@@ -327,7 +339,7 @@
 	if err != nil {
 		return false, err
 	}
-	changed = f.update(Answer{rows, version, start})
+	changed = f.update(Answer{Rows: rows, Version: version, Proved: start})
 	f.noteAnswer(start)
 	return changed, nil
 }
--- a/internal/coord/copy.go
+++ b/internal/coord/copy.go
@@ -15,6 +15,9 @@
 	// contactTime is how long after its last answer of the store a VM hands its copies
 	// on. The VM that others read from asks at least every 1.2 s.
 	contactTime = 3 * time.Second
+	// relayedTime is that of a VM that reads from another one, which tells of its last
+	// answer with each of its own.
+	relayedTime = contactTime + relayWait
 	// maxDeleted bounds the deleted rows that a copy remembers.
 	maxDeleted = 1024
 )
@@ -25,6 +28,8 @@
 	mu      sync.Mutex
 	tables  map[string]*tableCopy
 	contact boottime.Time // when the last answered call of the store was sent
+	// relayed is such a moment of the VM that this one reads from.
+	relayed boottime.Time
 }
 
 // tableCopy is the rows of one table as of the version. Deleted rows stay, so that
@@ -48,6 +53,14 @@
 	c.contact = max(c.contact, at)
 }
 
+// noteRelayed records that the store has answered, by the moment, the VM that this one
+// reads from. The moment is handed on, so that VMs that read from each other stop.
+func (c *Copies) noteRelayed(at boottime.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.relayed = max(c.relayed, at)
+}
+
 // reset takes the whole table as of the version.
 func (c *Copies) reset(table string, rows []Row, version uint64, proved boottime.Time) {
 	c.mu.Lock()
@@ -102,7 +115,7 @@
 
 // table returns the copy if it may be handed on. The mutex is held.
 func (c *Copies) table(name string) (*tableCopy, error) {
-	if age := boottime.Since(c.contact); age > contactTime {
+	if age := boottime.Since(c.contact); age > contactTime && boottime.Since(c.relayed) > relayedTime {
 		return nil, errkind.New(errkind.PlatformUnavailable, "the store answered last %d ms ago", age.Milliseconds())
 	}
 	t := c.tables[name]
@@ -148,11 +161,15 @@
 	Version uint64
 	Dated   bool
 	Proved  time.Duration
+	// Contact is that of Answer, in the same form as Proved.
+	Contact time.Duration
 }
 
-// fill takes the copy's state; the call arrived at the moment.
-func (r *TableReply) fill(t *tableCopy, rows []Row, arrived boottime.Time) {
+// fill takes the copy's state and the last contact with the store; the call arrived at the
+// moment.
+func (r *TableReply) fill(t *tableCopy, rows []Row, contact, arrived boottime.Time) {
 	r.Rows, r.Version, r.Dated, r.Proved = rows, t.version, t.proved != 0, t.proved.Sub(arrived)
+	r.Contact = contact.Sub(arrived)
 }
 
 // CopyService is the net/rpc face of Copies, registered as "Tables".
@@ -170,7 +187,7 @@
 	if err != nil {
 		return peer.Encode(err)
 	}
-	reply.fill(t, t.all(), arrived)
+	reply.fill(t, t.all(), max(s.copies.contact, s.copies.relayed), arrived)
 	return nil
 }
 
@@ -189,7 +206,7 @@
 			s.copies.mu.Unlock()
 			return peer.Encode(err)
 		}
-		reply.fill(t, t.since(args.After, true), arrived)
+		reply.fill(t, t.since(args.After, true), max(s.copies.contact, s.copies.relayed), arrived)
 		changed := t.changed
 		s.copies.mu.Unlock()
 		if len(reply.Rows) > 0 || expired {
@@ -229,5 +246,8 @@
 		// The call arrived no sooner than it was sent.
 		a.Proved = max(sent.Add(reply.Proved), 0)
 	}
+	if err == nil {
+		a.Contact = max(sent.Add(reply.Contact), 0)
+	}
 	return a, err
 }
--- a/internal/coord/copy_test.go
+++ b/internal/coord/copy_test.go
@@ -251,3 +251,31 @@
 		t.Errorf("proof of the member %v after %v, of the leader %v", b.proved, old, a.proved)
 	}
 }
+
+// VMs that take each other for the one that reads the store stop handing on once the store
+// has not answered any of them for a while.
+func TestContactIsHandedOnWithItsAge(t *testing.T) {
+	a := NewCopies()
+	a.reset("t", nil, 1, 0)
+	a.noteContact(boottime.Now().Add(-contactTime / 2))
+	c := &cell{vms: map[string]*vm{"a": {copies: a}}}
+	answer, err := (&Relay{Calls: c}).Rows(context.Background(), "a", "t")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if age := boottime.Since(answer.Contact); age < contactTime/2 {
+		t.Errorf("contact %v ago, want at least %v", age, contactTime/2)
+	}
+	b := NewCopies()
+	b.reset("t", nil, 1, 0)
+	b.noteRelayed(answer.Contact)
+	if _, err := b.table("t"); err != nil {
+		t.Errorf("a VM that reads from another one hands nothing on: %v", err)
+	}
+	a.contact = boottime.Now().Add(-contactTime - time.Millisecond)
+	a.noteRelayed(b.relayed)
+	b.relayed = boottime.Now().Add(-relayedTime - time.Millisecond)
+	if _, err := b.table("t"); err == nil {
+		t.Error("a copy is handed on though the store has not answered for long")
+	}
+}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -47,13 +47,13 @@
 	}
 }
 
-// tableSource returns the address of the VM that acts for the cell. It is false if
-// this VM does, or if there are so few that each reads from the store.
+// tableSource returns the address of the VM that this one reads tables from. It is false
+// if this VM reads from the store, as each does if there are few.
 func (e *Process) tableSource() (address string, ok bool) {
 	if !e.mesh.Large() {
 		return "", false
 	}
-	vm, self := e.mesh.Leader()
+	vm, self := e.mesh.Source()
 	if self {
 		return "", false
 	}
@@ -63,6 +63,13 @@
 	return m.Address, ok
 }
 
+// readsStore reports whether others learn from this VM what the store says; in a small
+// fleet one VM proves the configuration for all.
+func (e *Process) readsStore() bool {
+	_, self := e.mesh.Source()
+	return self
+}
+
 func (e *Process) prove(at boottime.Time) {
 	if c := e.view.Config(); c != nil && !e.view.Outdated() {
 		e.view.Prove(c.Version, at)
@@ -70,8 +77,7 @@
 }
 
 // keepFresh asks the store whether the configuration still is the newest before
-// the proof at hand gets too old. One VM of a cell asks more often than the others,
-// who hear of it and ask only when they do not. While the store does not answer, the
+// the proof at hand gets too old. One VM asks more often than the others, who hear of it and ask only when they do not. While the store does not answer, the
 // pauses grow: those who hear of an answer need none of their own.
 func (e *Process) keepFresh(ctx context.Context, f *coord.Follower) {
 	spread := rand.N(proofSpread)
@@ -79,8 +85,11 @@
 	pause := upkeepInterval
 	every(ctx, upkeepInterval, func() {
 		limit, longest := memberProofAge+spread, lastMemberCheck
-		if e.mesh.Leads() {
+		if e.readsStore() {
 			limit, longest = leaderProofAge, lastLeaderCheck
+			if cells, _ := e.mesh.Cells(); cells > 1 {
+				limit = fleetProofAge
+			}
 		}
 		if e.view.Config() == nil || e.view.Age() < limit && !e.view.Outdated() {
 			next, pause = 0, upkeepInterval
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -47,16 +47,18 @@
 	go e.keepRosters(ctx)
 }
 
-// register reads the list of VMs and writes this VM's row unless it is there. The same
+// register writes this VM's row unless the list of VMs, which it reads, has it. The same
 // row twice does no harm, so an answer that was lost needs no care.
 func (e *Process) register(ctx context.Context) (isNew bool) {
 	own := member{Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)), Domain: e.settings.Domain}
-	e.untilDone(ctx, e.readMembers)
-	e.mu.Lock()
-	known := e.members[e.settings.VM] == own
-	e.mu.Unlock()
-	if known {
-		return false
+	if !e.settings.FirstStart {
+		e.untilDone(ctx, e.readMembers)
+		e.mu.Lock()
+		known := e.members[e.settings.VM] == own
+		e.mu.Unlock()
+		if known {
+			return false
+		}
 	}
 	value, err := json.Marshal(own)
 	if err != nil {
--- a/internal/entry/join_test.go
+++ b/internal/entry/join_test.go
@@ -57,6 +57,16 @@
 	}
 }
 
+// When the whole system starts for the first time no VM is listed: one call less for each.
+func TestFirstStartReadsTheListOnce(t *testing.T) {
+	store := &growingStore{}
+	e := newProcess(store)
+	e.settings.FirstStart = true
+	if isNew := e.register(context.Background()); !isNew || len(e.members) != 2 || store.reads != 1 {
+		t.Errorf("new %t, %d VMs known, %d reads, want 2 VMs after 1 read", isNew, len(e.members), store.reads)
+	}
+}
+
 // A VM that starts again finds its row and writes nothing.
 func TestListedVMRegistersWithOneCall(t *testing.T) {
 	store := &growingStore{rows: []coord.Row{{Table: tableMembers, Key: "vm1", Value: []byte(`{"address":"127.0.0.1:1","domain":"north"}`)}}}
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -67,10 +67,18 @@
 // readRosters takes the rosters that the store holds.
 func (e *Process) readRosters(ctx context.Context) error {
 	rows, _, err := e.platform.Store.Rows(ctx, tableRosters)
-	if err != nil {
-		return err
+	if err == nil {
+		e.takeRosters(rows)
 	}
+	return err
+}
+
+// takeRosters takes rosters, unless newer ones are known.
+func (e *Process) takeRosters(rows []coord.Row) {
 	for _, r := range rows {
+		if r.Deleted {
+			continue
+		}
 		var list []rosterServer
 		if err := json.Unmarshal(r.Value, &list); err != nil {
 			e.log.WithError(err).WithFields(logrus.Fields{"event": "roster", "group": r.Key}).Warn("row was not read")
@@ -84,21 +92,27 @@
 			})
 		}
 		e.mu.Lock()
-		e.rosters[r.Key] = rosterRow{r.Version, list}
+		if r.Version > e.rosters[r.Key].version {
+			e.rosters[r.Key] = rosterRow{r.Version, list}
+		}
 		e.mu.Unlock()
 	}
-	return nil
 }
 
-// keepRosters writes the rosters of the groups for which this VM comes first.
+// keepRosters follows the rosters, and writes those of the groups for which this VM comes
+// first in the fleet.
 func (e *Process) keepRosters(ctx context.Context) {
 	for ctx.Err() == nil && !e.serversLoaded() {
 		time.Sleep(upkeepInterval)
 	}
-	e.untilDone(ctx, e.readRosters)
+	f := e.follower(tableRosters, e.takeRosters, e.takeRosters)
+	go f.Run(ctx)
+	for ctx.Err() == nil && !f.Loaded() {
+		time.Sleep(upkeepInterval)
+	}
 	every(ctx, rosterInterval, func() {
 		for _, g := range e.router.Groups() {
-			if !e.isConfigured(g.Name) || len(g.Servers()) == 0 || e.rank(g.Name) > 0 {
+			if !e.isConfigured(g.Name) || len(g.Servers()) == 0 || !e.mesh.InFirstCell() || e.rank(g.Name) > 0 {
 				continue
 			}
 			if err := e.writeRoster(ctx, g); err != nil && !errkind.Is(err, errkind.Conflict) {
--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -50,7 +50,7 @@
 		if len(headers) != cells-1 {
 			t.Fatalf("%d of %d cells are named", len(headers), cells-1)
 		}
-		data, err := encode(envelope{VM: "vm0000", News: &own, Digests: headers, Fleet: fleet})
+		data, err := encode(payload{News: &own, Digests: headers, Fleet: fleet})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -117,9 +117,56 @@
 	if lost := m.takeFleet("fleet/vm0002/b", now); len(lost) != 1 || lost[0] != "fleet/vm0001/a" {
 		t.Errorf("sources %v no longer count, want that of the former leader", lost)
 	}
-	direct := envelope{VM: "vm0099", Digests: []Digest{{Cell: "d1/0", Source: "vm/d1", News: newsOf(1, 1)}}}
-	taken, lost := m.takeDigests(direct, true, now, now)
+	digests := []Digest{{Cell: "d1/0", Source: "vm/d1", News: newsOf(1, 1)}}
+	taken, lost := m.takeDigests("vm0099", digests, true, now, now)
 	if len(taken) != 1 || len(lost) != 1 || lost[0] != "fleet/vm0002/b" {
 		t.Errorf("taken %d, no longer counting %v", len(taken), lost)
 	}
 }
+
+// Load pattern: 295 VMs in 10 cells. The first VM of each cell asked the store for every
+// proof and change: ten times the calls that the fleet needs.
+func TestOneVMOfAFleetReadsTheStore(t *testing.T) {
+	const cells = 4
+	now := boottime.Now()
+	readers := 0
+	for own := range cells {
+		m := New(Config{VM: fmt.Sprintf("vm%d", own)})
+		m.own = own
+		for i := range cells {
+			name := fmt.Sprintf("d%d/0", i)
+			m.cells = append(m.cells[:i:i], cell{name: name, vms: []string{fmt.Sprintf("vm%d", i)}})
+			if i != own {
+				m.digests[name] = heardDigest{Digest: Digest{Cell: name}, from: fmt.Sprintf("vm%d", i), at: now, since: now, direct: true}
+			}
+		}
+		vm, self := m.Source()
+		if self {
+			readers++
+		}
+		if vm != "vm0" || self != (own == 0) || m.InFirstCell() != (own == 0) {
+			t.Errorf("VM of cell %d reads from %s", own, vm)
+		}
+		// The first cell is out of touch: the next one takes its place, on each side.
+		delete(m.digests, "d0/0")
+		if vm, self := m.Source(); own > 0 && (vm != "vm1" || self != (own == 1) || m.InFirstCell() != (own == 1)) {
+			t.Errorf("without the first cell, the VM of cell %d reads from %s", own, vm)
+		}
+	}
+	if readers != 1 {
+		t.Errorf("%d VMs read the store, want 1", readers)
+	}
+}
+
+// A VM that does not act for its cell reads from the one that does.
+func TestMembersReadFromTheirLeader(t *testing.T) {
+	now := boottime.Now()
+	m := New(Config{VM: "vm0002"})
+	m.cells = []cell{{name: "d0/0"}, {name: "d1/0", vms: []string{"vm0001", "vm0002"}}}
+	m.own = 1
+	m.peers["vm0001"] = &peerState{heard: now, news: &News{}}
+	m.digests["d0/0"] = heardDigest{Digest: Digest{Cell: "d0/0"}, from: "vm0000", at: now, since: now, direct: true}
+	if vm, self := m.Source(); vm != "vm0001" || self {
+		t.Errorf("reads from %s, want the leader of the cell", vm)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -110,6 +110,12 @@
 	Sent            boottime.Time
 	EchoIncarnation uint64
 	Echo            boottime.Time
+	// Payload is an encoded payload: the same for all VMs that a datagram goes to.
+	Payload msgpack.RawMessage
+}
+
+// payload is what a datagram tells.
+type payload struct {
 	// News is nil in datagrams to other cells.
 	News *News
 	// Digests holds the sender's digest in datagrams to other cells. Inside a cell the
@@ -356,6 +362,38 @@
 	return vm, vm == m.cfg.VM
 }
 
+// Source returns the VM that this one learns from what the store says: the one that acts
+// for its cell, and for that one the one that acts for the first cell in touch; self tells
+// that it is this VM. So one VM of a fleet in touch follows the store.
+func (m *Mesh) Source() (vm string, self bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	if leader := m.leader(now); leader != m.cfg.VM {
+		return leader, false
+	}
+	for _, c := range m.cells[:m.own] {
+		if d, ok := m.digests[c.name]; ok && d.direct && now.Sub(d.at) < HeardTime {
+			return d.from, false
+		}
+	}
+	return m.cfg.VM, true
+}
+
+// InFirstCell reports whether the own cell is the first one in touch. One VM of the fleet
+// that is the first of something in its cell is the first in the fleet by it.
+func (m *Mesh) InFirstCell() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	for _, c := range m.cells[:m.own] {
+		if d, ok := m.digests[c.name]; ok && now.Sub(d.at) < digestTime {
+			return false
+		}
+	}
+	return true
+}
+
 // Leads reports whether this VM acts for its cell.
 func (m *Mesh) Leads() bool {
 	m.mu.Lock()
@@ -500,8 +538,8 @@
 	news := m.cfg.Compose()
 	news.Urgent = urgent
 	digest, cells, fleet := m.sumUp(news, leads)
-	m.send(inside, envelope{News: &news, Digests: cells, Fleet: fleet})
-	m.send(outside, envelope{Digests: []Digest{digest}})
+	m.send(inside, payload{News: &news, Digests: cells, Fleet: fleet})
+	m.send(outside, payload{Digests: []Digest{digest}})
 }
 
 // sumUp returns, for a leader, the digest of the own cell, the cells in touch and the sum
@@ -544,8 +582,16 @@
 	return lost
 }
 
-func (m *Mesh) send(targets []target, e envelope) {
-	e.VM, e.Incarnation = m.cfg.VM, m.incarnation
+func (m *Mesh) send(targets []target, p payload) {
+	if len(targets) == 0 {
+		return
+	}
+	body, err := encode(p)
+	if err != nil {
+		m.cfg.Log.WithError(err).Error("news were not encoded")
+		return
+	}
+	e := envelope{VM: m.cfg.VM, Incarnation: m.incarnation, Payload: body}
 	for _, t := range targets {
 		e.Sent, e.EchoIncarnation, e.Echo = boottime.Now(), t.of, t.echo
 		data, err := encode(e)
@@ -576,41 +622,51 @@
 }
 
 func (m *Mesh) receive(data []byte) {
-	var e envelope
-	if err := msgpack.Unmarshal(data, &e); err != nil {
+	var head envelope
+	var e payload
+	err := msgpack.Unmarshal(data, &head)
+	if err == nil {
+		err = msgpack.Unmarshal(head.Payload, &e)
+	}
+	if err != nil {
 		m.cfg.Log.WithError(err).Debug("news were not decoded")
 		return
 	}
+	m.take(head, e)
+}
+
+// take takes a datagram.
+func (m *Mesh) take(head envelope, e payload) {
 	now := boottime.Now()
 	since := boottime.Time(0)
-	if e.EchoIncarnation == m.incarnation {
-		since = e.Echo
+	if head.EchoIncarnation == m.incarnation {
+		since = head.Echo
 	}
 	m.mu.Lock()
-	p := m.peers[e.VM]
-	if p == nil || p.incarnation == e.Incarnation && e.Sent <= p.sent {
+	p := m.peers[head.VM]
+	if p == nil || p.incarnation == head.Incarnation && head.Sent <= p.sent {
 		m.mu.Unlock()
 		if p == nil && m.cfg.Unknown != nil {
-			m.cfg.Unknown(e.VM)
+			m.cfg.Unknown(head.VM)
 		}
 		return
 	}
-	if p.incarnation != e.Incarnation || p.began == 0 {
+	if p.incarnation != head.Incarnation || p.began == 0 {
 		p.began = now
 	}
-	p.incarnation, p.sent, p.heard, p.last = e.Incarnation, e.Sent, now, now
-	inside := m.cells[m.own].has(e.VM)
+	p.incarnation, p.sent, p.heard, p.last = head.Incarnation, head.Sent, now, now
+	inside := m.cells[m.own].has(head.VM)
 	if inside && e.News != nil {
 		p.news, p.since = e.News, since
-		m.tally.take(e.VM, e.News.Usage)
+		m.tally.take(head.VM, e.News.Usage)
 	}
 	var taken []heardDigest
 	var fleet *Fleet
 	var replaced []string
-	if leader := m.leader(now); !inside || e.VM == leader {
+	if leader := m.leader(now); !inside || head.VM == leader {
 		// A VM that hears the leader's sum needs no other cell's news beside it.
 		direct := !inside && (leader == m.cfg.VM || m.fleet == "")
-		taken, replaced = m.takeDigests(e, direct, since, now)
+		taken, replaced = m.takeDigests(head.VM, e.Digests, direct, since, now)
 		if inside && e.Fleet != nil {
 			fleet = e.Fleet
 			replaced = append(replaced, m.takeFleet(fleet.Source, now)...)
@@ -622,7 +678,7 @@
 		m.cfg.Lost(source)
 	}
 	if e.News != nil {
-		m.cfg.Receive(e.VM, *e.News, since)
+		m.cfg.Receive(head.VM, *e.News, since)
 	}
 	for _, d := range taken {
 		m.cfg.ReceiveDigest(d.Source, d.News, d.since)
@@ -633,18 +689,18 @@
 	if inside && e.News != nil && e.News.Urgent {
 		// The answer asks for none, or two urgent VMs would go on without end.
 		news := m.cfg.Compose()
-		m.send([]target{reply}, envelope{News: &news})
+		m.send([]target{reply}, payload{News: &news})
 	}
 }
 
-// takeDigests notes the cells that a datagram tells of. It returns the digests that came
+// takeDigests notes the cells that a datagram of the VM tells of. It returns the digests that came
 // with news, and sources whose news no longer count. The mutex is held.
-func (m *Mesh) takeDigests(e envelope, direct bool, since, now boottime.Time) (taken []heardDigest, replaced []string) {
-	for _, d := range e.Digests {
+func (m *Mesh) takeDigests(from string, digests []Digest, direct bool, since, now boottime.Time) (taken []heardDigest, replaced []string) {
+	for _, d := range digests {
 		if d.Cell == m.cells[m.own].name {
 			continue
 		}
-		h := heardDigest{Digest: d, from: e.VM, at: now, direct: direct}
+		h := heardDigest{Digest: d, from: from, at: now, direct: direct}
 		if since != 0 {
 			h.since = since.Add(-time.Duration(d.Held) * time.Millisecond)
 		}
--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -256,10 +256,7 @@
 func FuzzReceive(f *testing.F) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	data, err := encode(envelope{VM: "vm0001", News: &News{Groups: map[string]GroupNews{"g": {}}}, Digests: []Digest{{Cell: "d1/0"}}})
-	if err != nil {
-		f.Fatal(err)
-	}
+	data := datagram(f, "vm0001", 1, payload{News: &News{Groups: map[string]GroupNews{"g": {}}}, Digests: []Digest{{Cell: "d1/0"}}, Fleet: &Fleet{}})
 	f.Add(data)
 	f.Fuzz(func(t *testing.T, data []byte) {
 		m := New(Config{VM: "vm0000", Log: logrus.NewEntry(log), Lost: func(string) {}, Receive: func(string, News, boottime.Time) {}, ReceiveDigest: func(string, News, boottime.Time) {}, Compose: func() News { return News{} }})
@@ -311,16 +308,26 @@
 
 // Datagrams of a VM that was not in the list were dropped without a word: for as long as
 // the watch of the list was silent, the VM stayed unknown (QUOTA).
+// datagram returns an encoded datagram of the VM.
+func datagram(t testing.TB, vm string, incarnation uint64, p payload) []byte {
+	t.Helper()
+	body, err := encode(p)
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := encode(envelope{VM: vm, Incarnation: incarnation, Sent: 1, Payload: body})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
 func TestNewsOfAnUnknownVMAreToldOf(t *testing.T) {
 	var unknown []string
 	m := New(Config{VM: "vm0000", Unknown: func(vm string) { unknown = append(unknown, vm) }, Receive: func(string, News, boottime.Time) {}})
 	m.SetPeers(peers(2, 1))
 	for _, vm := range []string{"vm0001", "vm0007"} {
-		data, err := encode(envelope{VM: vm, Incarnation: 1, Sent: 1, News: &News{}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.receive(data)
+		m.receive(datagram(t, vm, 1, payload{News: &News{}}))
 	}
 	if diff := cmp.Diff([]string{"vm0007"}, unknown); diff != "" {
 		t.Error(diff)
--- a/internal/mesh/witness_test.go
+++ b/internal/mesh/witness_test.go
@@ -37,11 +37,7 @@
 func TestRestartedVMIsNoWitness(t *testing.T) {
 	m := quiet(t, 0)
 	say := func(incarnation uint64) {
-		data, err := encode(envelope{VM: "vm0001", Incarnation: incarnation, Sent: 1, News: &News{}})
-		if err != nil {
-			t.Fatal(err)
-		}
-		m.receive(data)
+		m.receive(datagram(t, "vm0001", incarnation, payload{News: &News{}}))
 	}
 	m.cfg.Receive = func(string, News, boottime.Time) {}
 	say(1)
