The time of day decides nothing, checked over the sources

Clocks jump on the large deployment. Every lease, age and window on the platform's path is measured with CLOCK_BOOTTIME; the bound on lines of failures was counted in seconds of the time of day, and now is not. TestTimeOfDayDecidesNothing reads the sources of the packages that serve there: the time of day is left to deadlines of sockets, which the runtime counts on its monotonic clock, and to the time line.

--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -117,7 +117,7 @@
 
 // mayLog bounds the lines of failures to a number a second.
 func (o *observer) mayLog() bool {
-	now := time.Now().Unix()
+	now := int64(boottime.Now()) / int64(time.Second)
 	if o.second.Swap(now) != now {
 		o.lines.Store(0)
 	}
