Small customers have one home in the fleet

Load pattern: 190 customers before ten cells, each of which has a part of every limit. Of 30 operations in a window three fall to a cell, to which two or three come on average, and now and then six.

A customer whose window is less than 15 operations for each cell is now admitted at one VM of the fleet, the leader of one cell by rendezvous hashing; the owner of its connections asks it. Without an answer the VM's own small part decides, as before. While that home has just moved it gives half, since what the one before admitted last is on its way.

TestSmallCustomerIsServedAtItsOnlyHome: 0.97 or less at the homes of ten cells, 0.99 or more now. TestFloodStaysWithinTheWindowWhileTheOnlyHomeMoves. TestCustomerWithinItsRateIsServedInCells asks the only home where a customer has one, as callers do; its bound is the same.

Ruled out: more slack for each cell, which ten cells would use up together in a flood.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -161,7 +161,9 @@
 	clock    *timeline.Clock
 	peers    *peer.Client
 	copies   *coord.Copies
-	homes    homes
+	rates    *ratelimit.Homes
+	// homes knows the owners of customers, onlyHomes those of small customers' rates.
+	homes, onlyHomes homes
 	touch    touch
 	servers  atomic.Pointer[coord.Follower]
 	// unknown wakes the follower of the list of VMs.
@@ -210,8 +212,8 @@
 		unknown:  make(chan struct{}, 1),
 	}
 	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
-	homes := ratelimit.NewHomes(e.limiter, e.peers, e.ownerOf, log)
-	e.core = &session.Core{Access: e.view, Limiter: homes, Owners: owner.New(e.peers, e.ownerOf, log), Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
+	e.rates = ratelimit.NewHomes(e.limiter, e.peers, e.rateHomeOf, log)
+	e.core = &session.Core{Access: e.view, Limiter: e.rates, Owners: owner.New(e.peers, e.ownerOf, log), Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
 	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, LeadTime: s.leadTime(), Log: log})
 	e.view.OnChange(e.configure)
 	if !s.FirstStart {
--- a/internal/entry/news.go
+++ b/internal/entry/news.go
@@ -10,6 +10,7 @@
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
 	"chicoryline/internal/mesh"
+	"chicoryline/internal/ratelimit"
 )
 
 // configure takes a new configuration.
@@ -38,7 +39,11 @@
 		if e.mesh.Large() {
 			candidates := e.mesh.Candidates()
 			e.homes.update(candidates)
-			e.limiter.SetCells(inTouch, len(candidates), e.isRateHome)
+			e.onlyHomes.update(e.mesh.CellLeaders())
+			e.limiter.SetCells(ratelimit.Cells{
+				All: cells, InTouch: inTouch, Members: len(candidates), IsHome: e.isRateHome,
+				IsOnlyHome: func(customer string) bool { return e.onlyHomes.find(customer) == e.settings.VM },
+			})
 		}
 	}
 	e.limiter.SetFleet(heard+1, all+1, rounds)
--- a/internal/entry/owners.go
+++ b/internal/entry/owners.go
@@ -20,7 +20,7 @@
 	if err := server.Register("Rate", ratelimit.NewService(e.limiter)); err != nil {
 		return nil, err
 	}
-	if err := server.Register("Owner", owner.NewService(e.limiter, e.router)); err != nil {
+	if err := server.Register("Owner", owner.NewService(e.rates, e.router)); err != nil {
 		return nil, err
 	}
 	if err := server.Register("Tables", coord.NewCopyService(e.copies)); err != nil {
@@ -72,7 +72,11 @@
 	if !e.mesh.Large() {
 		return "", false
 	}
-	vm := e.homes.find(customer)
+	return e.remote(e.homes.find(customer))
+}
+
+// remote returns the address of a VM that is not this one.
+func (e *Process) remote(vm string) (address string, ok bool) {
 	if vm == e.settings.VM || vm == "" {
 		return "", false
 	}
@@ -85,6 +89,15 @@
 	return m.Address, known
 }
 
+// rateHomeOf returns the address of the VM that admits the customer's operations: that of
+// the owner, or the only home of a small customer, which is the leader of one of the cells.
+func (e *Process) rateHomeOf(customer string) (address string, remote bool) {
+	if !e.mesh.Large() || !e.limiter.HasOneHome(customer) {
+		return e.ownerOf(customer)
+	}
+	return e.remote(e.onlyHomes.find(customer))
+}
+
 // isRateHome reports whether this VM admits the customer's operations for its cell.
 func (e *Process) isRateHome(customer string) bool {
 	return e.homes.find(customer) == e.settings.VM
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,6 +20,7 @@
 	"math/rand/v2"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -394,6 +395,26 @@
 	return true
 }
 
+// CellLeaders returns the VMs that act for the cells in touch, the own one included, in the
+// order of cells.
+func (m *Mesh) CellLeaders() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := boottime.Now()
+	var leaders []string
+	for i, c := range m.cells {
+		if i == m.own {
+			leaders = append(leaders, m.leader(now))
+			continue
+		}
+		if d, ok := m.digests[c.name]; ok && now.Sub(d.at) < digestTime {
+			vm, _, _ := strings.Cut(d.Source, "/")
+			leaders = append(leaders, vm)
+		}
+	}
+	return leaders
+}
+
 // Leads reports whether this VM acts for its cell.
 func (m *Mesh) Leads() bool {
 	m.mu.Lock()
--- a/internal/ratelimit/cells.go
+++ b/internal/ratelimit/cells.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"chicoryline/internal/access"
 	"chicoryline/internal/boottime"
 )
 
@@ -20,12 +21,32 @@
 	homeSlack = 15
 )
 
-// cells is how the rates are split in a large fleet: each cell has its part of every
-// limit and admits the customer's operations at one VM, its home.
-type cells struct {
-	inTouch int // cells, this one included
-	members int // VMs of this cell in touch
-	isHome  func(customer string) bool
+// Cells is how the rates are split in a large fleet: each cell has its part of every limit
+// and admits the customer's operations at one VM, its home. A small customer has one home
+// in the fleet.
+type Cells struct {
+	// All counts the cells, InTouch those in touch, this one included; Members counts the
+	// VMs of this cell in touch.
+	All, InTouch, Members int
+	// IsHome reports whether this VM is the customer's home in the cell, IsOnlyHome whether
+	// it would be the only one in the fleet.
+	IsHome, IsOnlyHome func(customer string) bool
+}
+
+// isSmall reports whether the customer's limit is too small to be split.
+//
+// Load pattern: 190 customers before ten cells. Of a window's limit of 30 operations three
+// fall to a cell, to which two or three come on average, and now and then six.
+func (l *Limiter) isSmall(c access.Customer) bool {
+	return l.cells != nil && l.cells.All > 1 && c.Rate*l.window.Seconds()+c.Burst < homeSlack*float64(l.cells.All)
+}
+
+// HasOneHome reports whether the customer's operations are admitted at one VM of the fleet.
+func (l *Limiter) HasOneHome(customer string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	b := l.buckets[customer]
+	return b != nil && l.isSmall(b.customer)
 }
 
 // atHome is what a cell keeps of a customer.
@@ -40,6 +61,8 @@
 	demand []float64
 	// before is the other cells' demand in their reports before the last.
 	before map[string]float64
+	// only is since when this VM is the customer's only home, 0 if it is not.
+	only boottime.Time
 }
 
 // note keeps the cell's demand until all other cells know it.
@@ -54,12 +77,41 @@
 	h.demand = append(h.demand, sum)
 }
 
-// SetCells tells in how many cells in touch each customer has a home, how many VMs of
-// this cell are in touch, and whether this VM is a customer's home.
-func (l *Limiter) SetCells(inTouch, members int, isHome func(customer string) bool) {
+// noteOnly notes whether this VM is the customer's only home.
+func (l *Limiter) noteOnly(b *bucket) {
+	switch {
+	case l.cells == nil || !l.isSmall(b.customer) || !l.cells.IsOnlyHome(b.customer.Name):
+		b.atHome.only = 0
+	case b.atHome.only == 0:
+		b.atHome.only = b.filled
+	}
+}
+
+// cellPart returns this VM's part of the customer's limit, and of homeSlack.
+func (l *Limiter) cellPart(b *bucket) (part, slack float64) {
+	if !l.isSmall(b.customer) {
+		if l.cells.IsHome(b.customer.Name) {
+			return l.cellShare(b), homeSlack / float64(l.cells.InTouch)
+		}
+		return l.cellShare(b) * silentPart / float64(l.cells.Members), 0
+	}
+	l.noteOnly(b)
+	switch {
+	case b.atHome.only == 0:
+		return silentPart / float64(l.cells.InTouch*l.cells.Members), 0
+	case b.filled.Sub(b.atHome.only) < time.Duration(l.rounds)*reportInterval:
+		// What the home before admitted last is not known yet.
+		return silentPart, 0
+	}
+	return 1, homeSlack
+}
+
+// SetCells tells how the rates are split.
+func (l *Limiter) SetCells(c Cells) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.cells = &cells{inTouch: max(inTouch, 1), members: max(members, 1), isHome: isHome}
+	c.All, c.InTouch, c.Members = max(c.All, c.InTouch, 1), max(c.InTouch, 1), max(c.Members, 1)
+	l.cells = &c
 }
 
 // cellShare is this cell's part of the demand that all cells know of.
@@ -70,7 +122,7 @@
 // they may differ by a round, the lower of two own and the higher of others' count.
 // The cell's demand counts, not the VM's own, so that a new home takes over its part.
 func (l *Limiter) cellShare(b *bucket) float64 {
-	floor := demandFloor * b.customer.Rate / float64(l.cells.inTouch)
+	floor := demandFloor * b.customer.Rate / float64(l.cells.InTouch)
 	own := floor
 	if known := b.atHome.demand; len(known) > 1 {
 		own = max(own, min(known[0], known[1]))
@@ -81,9 +133,9 @@
 		others += max(float64(u.Demand), b.atHome.before[source], floor*float64(cells))
 		reporting += cells
 	}
-	others += floor * float64(max(0, l.cells.inTouch-1-reporting))
+	others += floor * float64(max(0, l.cells.InTouch-1-reporting))
 	if own+others <= 0 {
-		return 1 / float64(l.cells.inTouch)
+		return 1 / float64(l.cells.InTouch)
 	}
 	return own / (own + others)
 }
@@ -91,10 +143,7 @@
 // admitForCell takes one operation within this VM's part of the limit. The count of
 // all VMs, late as it is, bounds it as well.
 func (l *Limiter) admitForCell(b *bucket) (time.Duration, bool) {
-	part, slack := l.cellShare(b), homeSlack/float64(l.cells.inTouch)
-	if !l.cells.isHome(b.customer.Name) {
-		part, slack = part*silentPart/float64(l.cells.members), 0
-	}
+	part, slack := l.cellPart(b)
 	limit := part * (b.customer.Rate*l.window.Seconds() + b.customer.Burst) * l.part()
 	perSecond := part * l.pace(b)
 	h := &b.atHome
--- a/internal/ratelimit/home.go
+++ b/internal/ratelimit/home.go
@@ -86,6 +86,21 @@
 	return &Homes{local: local, calls: calls, find: find, log: log, avoided: map[string]boottime.Time{}}
 }
 
+// AdmitName takes one operation of a customer whose connections this VM owns: it asks the
+// only home of a small customer, and is the home of others.
+func (h *Homes) AdmitName(name string) (retryAfter time.Duration, admitted, known bool) {
+	c, known := h.local.customer(name)
+	if !known {
+		return 0, false, false
+	}
+	if h.local.HasOneHome(name) {
+		retryAfter, admitted = h.Admit(c)
+	} else {
+		retryAfter, admitted = h.local.Admit(c)
+	}
+	return retryAfter, admitted, true
+}
+
 // Admit takes one operation, or tells when there is room for one.
 func (h *Homes) Admit(c access.Customer) (time.Duration, bool) {
 	address, remote := h.find(c.Name)
--- a/internal/ratelimit/home_test.go
+++ b/internal/ratelimit/home_test.go
@@ -106,11 +106,14 @@
 	d := &delayed{fleet: newFleet(homes, c), rounds: rounds}
 	for _, l := range d.vms {
 		l.SetFleet(members, members, rounds)
-		l.SetCells(homes, members/homes, func(string) bool { return true })
+		l.SetCells(Cells{All: homes, InTouch: homes, Members: members / homes, IsHome: everyCustomer, IsOnlyHome: noCustomer})
 	}
 	return d
 }
 
+func everyCustomer(string) bool { return true }
+func noCustomer(string) bool    { return false }
+
 // pass lets time pass and exchanges reports that are rounds old.
 func (d *delayed) pass(t time.Duration) {
 	d.now = d.now.Add(t)
@@ -213,7 +216,8 @@
 			t.Run(fmt.Sprintf("usage=%.0f,cells=%d", usage, cells), func(t *testing.T) {
 				random := rand.New(rand.NewPCG(1, uint64(usage)))
 				c := access.Customer{Name: "c", Rate: 1.6 * usage, Burst: 1.6 * usage}
-				d := newDelayed(homes, homes*12, 4, c)
+				d, home := newDelayed(homes, homes*12, 4, c), 0
+				d.withOneHome(12, &home)
 				for range 50 {
 					d.pass(200 * time.Millisecond)
 				}
@@ -225,7 +229,11 @@
 					d.pass(step)
 					for random.Float64() < usage*step.Seconds()/(1+usage*step.Seconds()) {
 						asked++
-						if _, ok := d.vms[random.IntN(cells)].Admit(c); ok {
+						vm := random.IntN(cells)
+						if d.vms[vm].HasOneHome("c") {
+							vm = home // as Homes asks it
+						}
+						if _, ok := d.vms[vm].Admit(c); ok {
 							served++
 						}
 					}
@@ -237,3 +245,88 @@
 		}
 	}
 }
+
+// withOneHome lets the VM with the index in home admit the customer for the fleet.
+func (d *delayed) withOneHome(members int, home *int) {
+	for i, l := range d.vms {
+		l.SetCells(Cells{
+			All: len(d.vms), InTouch: len(d.vms), Members: members, IsHome: everyCustomer,
+			IsOnlyHome: func(string) bool { return *home == i },
+		})
+	}
+}
+
+// Load pattern: 190 customers before ten cells, at five eighths of their rates, in uneven
+// arrivals (kremstal-ballon-large quiet-1: 5.7 % refused).
+func TestSmallCustomerIsServedAtItsOnlyHome(t *testing.T) {
+	const cells, usage, step = 10, 4.0, 10 * time.Millisecond
+	served := func(oneHome bool) float64 {
+		random := rand.New(rand.NewPCG(1, 1))
+		c := access.Customer{Name: "c", Rate: 1.6 * usage, Burst: 1.6 * usage}
+		d, home := newDelayed(cells, cells*30, 4, c), 3
+		if oneHome {
+			d.withOneHome(30, &home)
+		}
+		for range 50 {
+			d.pass(200 * time.Millisecond)
+		}
+		asked, served := 0, 0
+		for range 12000 {
+			d.pass(step)
+			if random.Float64() >= usage*step.Seconds() {
+				continue
+			}
+			asked++
+			vm := home
+			if !oneHome {
+				vm = random.IntN(cells)
+			}
+			if _, ok := d.vms[vm].Admit(c); ok {
+				served++
+			}
+		}
+		return float64(served) / float64(asked)
+	}
+	if got := served(true); got < 0.99 {
+		t.Errorf("%.3f of the operations were served at the only home", got)
+	}
+	if got := served(false); got > 0.97 {
+		t.Errorf("%.3f were served by the homes of ten cells: one home is needless", got)
+	}
+}
+
+// The only home moves in the middle of a flood, and what the one before admitted last is not
+// known to the new one yet. Those who cannot ask a home use their own part.
+func TestFloodStaysWithinTheWindowWhileTheOnlyHomeMoves(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		cells := rapid.IntRange(2, 12).Draw(t, "cells")
+		c := access.Customer{Name: "c"}
+		c.Rate = rapid.Float64Range(0.1, 1).Draw(t, "size") * homeSlack * float64(cells) / (window.Seconds() + 1)
+		c.Burst = c.Rate
+		d, home := newDelayed(cells, cells*30, 4, c), 0
+		d.withOneHome(30, &home)
+		var admitted []boottime.Time
+		for step := range 1200 {
+			d.pass(20 * time.Millisecond)
+			if step == 600 || step == 900 {
+				home = (home + 1) % cells
+			}
+			for _, l := range d.vms {
+				for range 1 + int(c.Rate/10) {
+					if _, ok := l.Admit(c); ok {
+						admitted = append(admitted, d.now)
+					}
+				}
+			}
+		}
+		allowed, first := bound(c), 0
+		for i, at := range admitted {
+			for at.Sub(admitted[first]) > window {
+				first++
+			}
+			if n := float64(i - first + 1); n > allowed {
+				t.Fatalf("%.0f operations in a window, allowed are %.0f", n, allowed)
+			}
+		}
+	})
+}
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -98,7 +98,7 @@
 	resumed boottime.Time
 	// cells is how the rates are split in a large fleet; nil in a small one, where each
 	// VM hears all others.
-	cells *cells
+	cells *Cells
 }
 
 // New returns a limiter over windows of the length. Buckets start empty: what was
@@ -282,6 +282,7 @@
 	for name, b := range l.buckets {
 		l.fill(b)
 		b.atHome.note(b, l.rounds)
+		l.noteOnly(b)
 		l.renew(b, l.now())
 		if b.demand > reportedDemand {
 			report[name] = Usage{Taken: b.taken, Demand: float32(b.demand)}
