--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -77,21 +77,20 @@
 	}
 	now := boottime.Now()
 	g.mu.Lock()
-	age := g.leadAge(now)
-	if s != g.leader || age < renewAge(g.cfg.LeadTime) {
-		known := s == g.leader
-		g.mu.Unlock()
-		if !known {
-			return errkind.New(errkind.NoPrimary, "%s has been replaced", s.Info().ID)
-		}
-		return nil
+	current, proved, age := s == g.leader, g.lead.proved, g.leadAge(now)
+	var check *proof
+	if current && age >= renewAge(g.cfg.LeadTime) {
+		check = g.startCheck(s, call.Customer, now)
 	}
-	check := g.startCheck(s, call.Customer, now)
 	g.mu.Unlock()
-	if age < g.cfg.LeadTime {
+	switch {
+	case !current:
+		return errkind.New(errkind.NoPrimary, "%s has been replaced", s.Info().ID)
+	case age < g.cfg.LeadTime:
 		return nil
 	}
-	err := errkind.New(errkind.NoPrimary, "%s is not proved to lead since %d ms; retry after %d ms", s.Info().ID, age.Milliseconds(), comeBack.Milliseconds())
+	// The age is -1 if nothing has proved it yet.
+	err := errkind.New(errkind.NoPrimary, "%s is not proved to lead since %d ms; retry after %d ms", s.Info().ID, boottime.Age(proved), comeBack.Milliseconds())
 	if check == nil {
 		return err
 	}
