--- a/internal/ratelimit/cells.go
+++ b/internal/ratelimit/cells.go
@@ -19,6 +19,9 @@
 	// together admit beyond its limit: a small customer's operations come unevenly to
 	// the cells. The platform tolerates 20.
 	homeSlack = 15
+	// smallLimit is the number of operations in a window, for each cell, below which a
+	// limit is not split: arrivals are off by a quarter of it as a rule.
+	smallLimit = 15
 )
 
 // Cells is how the rates are split in a large fleet: each cell has its part of every limit
@@ -38,7 +41,7 @@
 // Load pattern: 190 customers before ten cells. Of a window's limit of 30 operations three
 // fall to a cell, to which two or three come on average, and now and then six.
 func (l *Limiter) isSmall(c access.Customer) bool {
-	return l.cells != nil && l.cells.All > 1 && c.Rate*l.window.Seconds()+c.Burst < homeSlack*float64(l.cells.All)
+	return l.cells != nil && l.cells.All > 1 && c.Rate*l.window.Seconds()+c.Burst < smallLimit*float64(l.cells.All)
 }
 
 // HasOneHome reports whether the customer's operations are admitted at one VM of the fleet.
--- a/internal/ratelimit/home_test.go
+++ b/internal/ratelimit/home_test.go
@@ -301,7 +301,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		cells := rapid.IntRange(2, 12).Draw(t, "cells")
 		c := access.Customer{Name: "c"}
-		c.Rate = rapid.Float64Range(0.1, 1).Draw(t, "size") * homeSlack * float64(cells) / (window.Seconds() + 1)
+		c.Rate = rapid.Float64Range(0.1, 1).Draw(t, "size") * smallLimit * float64(cells) / (window.Seconds() + 1)
 		c.Burst = c.Rate
 		d, home := newDelayed(cells, cells*30, 4, c), 0
 		d.withOneHome(30, &home)
