Writes behind a cut with a replaced primary are refused as not run

Load pattern: a failure domain is cut off with a primary. Each write there was sent, waited for its time limit and ended with an unknown outcome, since no replica could receive it. Once one has got no answer, and nothing proves that the server leads, others are refused at once: nothing was sent. Only where a replaced primary goes on.

TestWriteThatCannotBeAnsweredIsNotSent fails before.

--- a/internal/dispatch/lead.go
+++ b/internal/dispatch/lead.go
@@ -105,6 +105,21 @@
 	}
 }
 
+// requireCommits returns nil unless a write is known to get no answer: the last ones got
+// none, and nothing proves that the primary leads.
+//
+// Load pattern: a failure domain is cut off with a primary. Each write there would be sent,
+// wait for its time limit, and end with an unknown outcome.
+func (g *Group) requireCommits(ctx context.Context, s *Server, call *Call) error {
+	g.mu.Lock()
+	stuck := g.health.stuck != 0
+	g.mu.Unlock()
+	if !stuck {
+		return nil
+	}
+	return g.requireLead(ctx, s, call)
+}
+
 // LeadEnds reports whether the proof of the primary is over, or will be soon.
 func (g *Group) LeadEnds() bool {
 	g.mu.Lock()
--- a/internal/dispatch/lead_test.go
+++ b/internal/dispatch/lead_test.go
@@ -195,3 +195,23 @@
 		t.Error("a proof that is nearly over is not renewed")
 	}
 }
+
+// Behind a partition with the old primary each write waited for its time limit and ended
+// with an unknown outcome. Once one has got no answer, and nothing proves the lead, others
+// are refused as not run.
+func TestWriteThatCannotBeAnsweredIsNotSent(t *testing.T) {
+	g := leadGroup(statuses{"a": {Primary: true, Term: 1}}, "a", "b")
+	a, now := g.Leader(), boottime.Now()
+	g.noteLead(a, now.Add(-testLeadTime))
+	if err := g.requireCommits(context.Background(), a, leadCall()); err != nil {
+		t.Errorf("no write is without an answer: %v", err)
+	}
+	g.noteStuck(a, now)
+	if _, err := g.Write(leadCall()); !errkind.Is(err, errkind.NoPrimary) {
+		t.Errorf("error %v, want no_primary", err)
+	}
+	g.noteLead(a, boottime.Now())
+	if err := g.requireCommits(context.Background(), a, leadCall()); err != nil {
+		t.Errorf("the lead is proved: %v", err)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -93,6 +93,10 @@
 			c.Discard()
 			continue
 		}
+		if err := g.requireCommits(ctx, s, call); err != nil {
+			c.Release()
+			return statement.Result{}, err
+		}
 		if _, err := c.Align(call.Needs, g.cfg.Texts, nil, beginWait); err != nil {
 			last = err
 			c.Discard()
