--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -355,14 +355,6 @@
 	return false
 }
 
-// Leader returns the VM that acts for the cell; self tells that it is this one.
-func (m *Mesh) Leader() (vm string, self bool) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	vm = m.leader(boottime.Now())
-	return vm, vm == m.cfg.VM
-}
-
 // Source returns the VM that this one learns from what the store says: the one that acts
 // for its cell, and for that one the one that acts for the first cell in touch; self tells
 // that it is this VM. So one VM of a fleet in touch follows the store.
