--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -86,6 +86,8 @@
 	mu      sync.Mutex
 	version uint64
 	loaded  bool
+	// ignoredOlder reports that the last table that was read was older than the current one.
+	ignoredOlder bool
 	// provedAt is a time up to which all changes have been delivered.
 	provedAt boottime.Time
 	// cancelWatch ends the watch in flight.
@@ -280,8 +282,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.Version < f.version {
+		if !f.ignoredOlder {
+			f.Log.WithFields(logrus.Fields{"event": "store_watch", "table": f.Table, "store_version": a.Version, "known_version": f.version}).Warn("older table ignored")
+		}
+		f.ignoredOlder = true
 		return false
 	}
+	f.ignoredOlder = false
 	f.Reset(f.setChangedAfter(a.Rows))
 	f.version, f.loaded, f.provedAt = a.Version, true, max(f.provedAt, a.Proved)
 	if f.Copies != nil {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -129,7 +129,9 @@
 
 // Platform holds the implementations and names that the platform adapter provides.
 type Platform struct {
-	Store  coord.Store
+	Store coord.Store
+	// Eras tracks the era of the store.
+	Eras   *coord.Eras
 	Dialer connset.Dialer
 	Texts  connset.Texts
 	// Control and Promoter execute primary changes.
@@ -223,6 +225,7 @@
 	e.core = &session.Core{Access: e.view, Limiter: e.rates, Owners: owner.NewForwarder(e.peers, e.ownerOf, log), Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
 	e.steward = steward.New(steward.Config{VM: s.VM, Store: p.Store, Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, LeaderLease: s.leadershipProofLifetime(), Log: log})
 	e.view.OnChange(e.configure)
+	p.Eras.LogTo(log)
 	return e
 }
 
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -28,8 +28,12 @@
 				e.view.MarkOutdated()
 				continue
 			}
+			inForce := e.view.Config()
+			entry := e.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "store_version": r.Version, "routes": len(c.Routes), "customers": len(c.Customers)})
 			if e.view.Apply(c) {
-				e.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "routes": len(c.Routes), "customers": len(c.Customers)}).Info("in force")
+				entry.Info("in force")
+			} else if inForce != nil && c.Version < inForce.Version {
+				entry.WithField("in_force", inForce.Version).Warn("older version read from the store")
 			}
 		}
 	}
