--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -32,6 +33,11 @@
 
 type key struct{ table, key string }
 
+type order struct {
+	group string
+	token uint64
+}
+
 type row struct {
 	Table   string `json:"table"`
 	Part    string `json:"part"`
@@ -56,14 +62,17 @@
 	compactedTo uint64 // versions up to and including this one are no longer in the feed
 	changed     chan struct{}
 	fault       Fault
+	era         uint64
 	// unansweredPromotions is the number of further promotion requests that get no answer
 	// and are executed after promotionDelay.
 	unansweredPromotions int
 	promotionDelay       time.Duration
 	highestTokens        map[string]uint64
-	tokenHolders         map[uint64]string
-	violations           []string
-	calls                int
+	// orders counts the promotion requests with each token, by group and token.
+	orders       map[order]int
+	tokenHolders map[uint64]string
+	violations   []string
+	calls        int
 }
 
 // New starts a store.
@@ -74,7 +83,7 @@
 	}
 	s := &Store{
 		listener: l, promote: promote, rows: map[key]row{}, changed: make(chan struct{}),
-		highestTokens: map[string]uint64{}, tokenHolders: map[uint64]string{},
+		highestTokens: map[string]uint64{}, tokenHolders: map[uint64]string{}, orders: map[order]int{}, era: 1,
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /v1/rows-tx", s.withFault(s.handleTx))
@@ -114,6 +123,30 @@
 	s.compactedTo = s.version
 }
 
+// Copy is the content of a store at some time.
+type Copy struct {
+	rows    map[key]row
+	version uint64
+}
+
+// Copy returns a copy of the store.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{maps.Clone(s.rows), s.version}
+}
+
+// Restore replaces the content of the store with that of the copy and begins a new era. Versions
+// after the copy are assigned again, and a watch from one that does not exist gets 410 Gone.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.compactedTo = min(s.compactedTo, s.version)
+	s.era++
+	s.notifyWatchers()
+}
+
 // Put writes a row on the platform's behalf and returns its version.
 func (s *Store) Put(table, k string, value []byte) uint64 {
 	s.mu.Lock()
@@ -153,6 +186,19 @@
 	return append([]string(nil), s.violations...)
 }
 
+// ReusedTokens returns the tokens that several promotion requests of a group carried.
+func (s *Store) ReusedTokens() []uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var tokens []uint64
+	for o, n := range s.orders {
+		if n > 1 {
+			tokens = append(tokens, o.token)
+		}
+	}
+	return tokens
+}
+
 // Calls returns the number of calls that the store received.
 func (s *Store) Calls() int {
 	s.mu.Lock()
@@ -179,7 +225,9 @@
 		s.mu.Unlock()
 		switch fault {
 		case Busy:
-			w.WriteHeader(http.StatusServiceUnavailable)
+			s.mu.Lock()
+			s.writeStatus(w, http.StatusServiceUnavailable)
+			s.mu.Unlock()
 		case Unresponsive:
 			holdUnanswered(r)
 		case LoseAnswers:
@@ -229,7 +277,7 @@
 			have.Version = 0
 		}
 		if have.Version != p.Version {
-			w.WriteHeader(http.StatusPreconditionFailed)
+			s.writeStatus(w, http.StatusPreconditionFailed)
 			return
 		}
 	}
@@ -245,7 +293,18 @@
 	s.writeRows(w, nil)
 }
 
+// writeStatus answers with a status only. The mutex is held.
+func (s *Store) writeStatus(w http.ResponseWriter, status int) {
+	s.setEra(w)
+	w.WriteHeader(status)
+}
+
+func (s *Store) setEra(w http.ResponseWriter) {
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
+}
+
 func (s *Store) writeRows(w http.ResponseWriter, rows []row) {
+	s.setEra(w)
 	if rows == nil {
 		rows = []row{}
 	}
@@ -278,9 +337,9 @@
 	deadline := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		if after < s.compactedTo {
+		if after < s.compactedTo || after > s.version {
+			s.writeStatus(w, http.StatusGone)
 			s.mu.Unlock()
-			w.WriteHeader(http.StatusGone)
 			return
 		}
 		rows, changed := s.rowsSince(r.FormValue("table"), after, true), s.changed
@@ -314,6 +373,7 @@
 	}
 	holder := r.Header.Get("Lease-Holder")
 	s.mu.Lock()
+	s.orders[order{body.Service, token}]++
 	lose, delay := s.unansweredPromotions > 0, s.promotionDelay
 	if lose {
 		s.unansweredPromotions--
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -73,6 +73,8 @@
 	customers []Customer
 	txIdle    time.Duration
 	hidden    map[*linegroup.Server]bool
+	// sequence counts the entries that servers have written.
+	sequence int
 	// settingsWritten holds the VMs whose settings file was written before; for these a
 	// further write is for a restart, without bootstrap.
 	settingsWritten map[int]bool
@@ -172,6 +174,7 @@
 	if draining {
 		state = "draining"
 	}
+	w.sequence++
 	group, _, _ := strings.Cut(s.ID, "-")
 	address := s.Address
 	if w.Options.ServerAddress != nil {
@@ -179,7 +182,7 @@
 	}
 	value, err := json.Marshal(map[string]any{
 		"service": group, "address": address, "zone": s.Domain, "version": "v1", "slots": 5, "state": state,
-		"cold_left_ms": 0, "db_role": role, "sequence": 1, "born": s.Started,
+		"cold_left_ms": 0, "db_role": role, "sequence": w.sequence, "born": s.Started,
 	})
 	if err != nil {
 		panic(err) // cannot happen: the map holds only strings and numbers
@@ -196,10 +199,29 @@
 	return w.publishConfig()
 }
 
+// Republish writes the configuration and the entries of all servers again, as the operator and
+// the servers do after the store was restored from a copy.
+func (w *World) Republish() {
+	w.mu.Lock()
+	w.writeConfig()
+	w.mu.Unlock()
+	for _, g := range w.Groups {
+		for _, s := range g.Servers() {
+			w.PublishEntry(s)
+		}
+	}
+}
+
 func (w *World) publishConfig() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version += 2
+	w.writeConfig()
+	return w.version
+}
+
+// writeConfig writes the present version of the configuration. The mutex is held.
+func (w *World) writeConfig() {
 	groups := []map[string]any{}
 	for _, g := range w.Groups {
 		groups = append(groups, map[string]any{"name": g.Name(), "max_conns": w.Options.MaxConnections, "sync_replicas": 1})
@@ -212,7 +234,6 @@
 		panic(err) // cannot happen: the structures hold only strings and numbers
 	}
 	w.Store.Put("op", "config", value)
-	return w.version
 }
 
 // Ports that each VM listens on.
--- /dev/null
+++ b/test/platform/restore_test.go
@@ -0,0 +1,162 @@
+package platform_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/rowstore"
+	"chicoryline/internal/standin/world"
+)
+
+// restore replaces the content of the store with that of the copy after a short outage.
+func (f *fleet) restore(c rowstore.Copy) {
+	f.Store.SetFault(rowstore.Busy)
+	time.Sleep(200 * time.Millisecond)
+	f.Store.Restore(c)
+	f.Store.SetFault(rowstore.NoFault)
+}
+
+// awaitConfig waits until all VMs have the newest configuration in force: they know its key.
+func (f *fleet) awaitConfig(key string) {
+	f.t.Helper()
+	for vm := range f.Options.VMs {
+		f.eventually("session with "+key, func() bool { return f.admits(vm, key) })
+	}
+}
+
+// admits reports whether the VM runs a read for the key.
+func (f *fleet) admits(vm int, key string) bool {
+	c, err := lineclient.Dial(f.FrontAddress(vm), "own-0", key, requestTimeout)
+	if err != nil {
+		return false
+	}
+	defer c.Close()
+	a, err := c.Query(f.newID(), "READ x")
+	return err == nil && a.Code == ""
+}
+
+// setKey gives the first customer the key in place of those that it had.
+func (f *fleet) setKey(key string) {
+	f.ChangeConfig(func(_ *[]world.Route, customers *[]world.Customer) { (*customers)[0].Keys = []string{key} })
+}
+
+// maxStoreCallsAfterRestore bounds the calls of a VM in the seconds after a restore: each of five
+// tables is read twice and watched, and outages are probed with growing pauses.
+const maxStoreCallsAfterRestore = 100
+
+// Guards against refusing every table of a restored store as older than the known one: withdrawn
+// keys stayed in use, and the tables were read in a loop.
+func TestKeyWithdrawnAfterRestoreIsRefused(t *testing.T) {
+	f := start(t)
+	copied := f.Store.Copy()
+	for i := range 5 {
+		f.setKey(fmt.Sprintf("key-%d", i))
+	}
+	f.awaitConfig("key-4")
+	f.restore(copied)
+	calls := f.Store.Calls()
+	f.setKey("key-last")
+	f.awaitConfig("key-last")
+	for vm := range f.Options.VMs {
+		f.eventually("refusal of the withdrawn key", func() bool { return !f.admits(vm, "key-4") })
+	}
+	if n := f.Store.Calls() - calls; n > maxStoreCallsAfterRestore*f.Options.VMs {
+		t.Errorf("%d calls of the store after the restore", n)
+	}
+}
+
+// Guards against resuming a watch in an era whose versions are assigned again: a change below the
+// known version was never delivered.
+func TestChangeBelowTheKnownVersionIsDeliveredAfterRestore(t *testing.T) {
+	f := start(t)
+	copied := f.Store.Copy()
+	f.setKey("key-before")
+	f.awaitConfig("key-before")
+	f.Store.SetFault(rowstore.Busy)
+	time.Sleep(200 * time.Millisecond)
+	f.Store.Restore(copied)
+	f.setKey("key-after")
+	for i := range 50 {
+		f.Store.Put("other", fmt.Sprint(i), nil)
+	}
+	f.Store.SetFault(rowstore.NoFault)
+	f.awaitConfig("key-after")
+}
+
+// Guards against taking an answer about the copy for a proof that nothing newer exists: a VM that
+// had no contact when a key was withdrawn went on with it for as long as the operator had not
+// written the change again.
+func TestCopyDoesNotProveTheConfiguration(t *testing.T) {
+	const revocationDelay = 2 * time.Second
+	f := start(t, func(o *world.Options) { o.VMs, o.KeyRevocationDelay = 1, revocationDelay })
+	copied := f.Store.Copy()
+	f.storeRelays[0].SetPartitioned(true)
+	f.setKey("key-new")
+	withdrawn := time.Now()
+	time.Sleep(300 * time.Millisecond)
+	f.Store.Restore(copied)
+	f.storeRelays[0].SetPartitioned(false)
+	c := f.dial(0, "own-0", "key-large")
+	for time.Since(withdrawn) < revocationDelay+500*time.Millisecond {
+		if sent := time.Since(withdrawn); sent < revocationDelay {
+			time.Sleep(10 * time.Millisecond)
+		} else if a, err := c.Query(f.newID(), "READ x"); err == nil && a.Code == "" {
+			t.Fatalf("a read with a withdrawn key ran %v after the withdrawal", sent)
+		}
+	}
+	f.Republish()
+	f.awaitConfig("key-new")
+}
+
+// Guards against losing VMs that have joined since the copy was made: the others did not know
+// them, and they were counted in no limit.
+func TestMembersLostByRestoreAreRegisteredAgain(t *testing.T) {
+	f := start(t)
+	copied := f.Store.Copy()
+	f.Options.VMs++
+	f.startVM(f.Options.VMs - 1)
+	f.eventually("ready", func() bool { return f.isReady(f.Options.VMs - 1) })
+	f.restore(copied)
+	f.Republish()
+	f.eventually("rows of all VMs", func() bool { return len(f.Store.Rows("members")) == f.Options.VMs })
+}
+
+// Guards against using fencing tokens twice: the row with the last one is gone after a restore.
+func TestTokensAreNotReusedAfterRestore(t *testing.T) {
+	f := start(t)
+	copied := f.Store.Copy()
+	first := f.primary()
+	first.Crash()
+	f.PublishEntry(first)
+	f.awaitWritableNewPrimary(first)
+	f.eventually("the end of the change", func() bool { return !f.isPrimaryChanging() })
+	if err := first.Restart(); err != nil {
+		t.Fatal(err)
+	}
+	f.restore(copied)
+	f.Republish()
+	second := f.primary()
+	second.StartDraining()
+	f.PublishEntry(second)
+	f.awaitWritableNewPrimary(second)
+	if reused := f.Store.ReusedTokens(); len(reused) > 0 {
+		t.Errorf("tokens %v were used for several orders", reused)
+	}
+}
+
+// isPrimaryChanging reports whether the store holds the row of an unfinished primary change.
+func (f *fleet) isPrimaryChanging() bool {
+	for group, value := range f.Store.Rows("stewards") {
+		var row struct{ Active bool }
+		if err := json.Unmarshal(value, &row); err != nil {
+			f.t.Fatalf("row of group %s: %v", group, err)
+		}
+		if row.Active {
+			return true
+		}
+	}
+	return false
+}
