Versions of the store carry its era

Callers saw statements run with withdrawn keys and by old routes for seconds after the store was restored, and the store got 10 to 90 times the calls.

Cause: versions were compared as numbers of one history. A table read after the restore counted as older and was dropped, the drop as success, so it was read again at once and each answer was a proof of the old configuration. A watch from a version of the era before missed what the new era wrote below it.

A refused table is an error. A new era ends watches in flight, whichever call found it.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -19,9 +19,12 @@
 	Table   string
 	Key     string
 	Value   []byte
-	Version uint64
+	Version Version
 	// Deleted marks a deleted row in results of Watch.
 	Deleted bool
+	// Restored is set by a Follower if the row was read after the store was restored from a copy:
+	// it may be older than one that was delivered before.
+	Restored bool
 	// After is set by a Follower to a time after which this version of the row was written; 0
 	// if none is known.
 	After boottime.Time
@@ -31,7 +34,7 @@
 type Condition struct {
 	Table   string
 	Key     string
-	Version uint64
+	Version Version
 }
 
 // Change is an atomic change of rows that is made only if all conditions hold.
@@ -46,12 +49,15 @@
 // take effect, even later), errkind.Conflict and errkind.HistoryGone.
 type Store interface {
 	// Rows returns all rows of the table and the version of this snapshot.
-	Rows(ctx context.Context, table string) ([]Row, uint64, error)
+	Rows(ctx context.Context, table string) ([]Row, Version, error)
 	// Watch returns the changes after the version. If there are none it waits for one, for up
-	// to wait.
-	Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error)
-	// Apply makes the change and returns the new version of its rows.
-	Apply(ctx context.Context, c Change) (uint64, error)
+	// to wait. The version has to be of the store's present era, otherwise HistoryGone is
+	// returned.
+	Watch(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error)
+	// Apply makes the change and returns the new version of its rows. A condition on a version
+	// of another era does not hold; if the store began a new era meanwhile, PlatformUnknown is
+	// returned.
+	Apply(ctx context.Context, c Change) (Version, error)
 }
 
 // Follower keeps a VM's copy of one table up to date.
@@ -78,16 +84,16 @@
 	Copies *Copies
 	// Relay, if set, is used instead of the store while it names a VM that answers.
 	Relay *Relay
-	Log   *logrus.Entry
+	// Eras tells when the store was restored from a copy.
+	Eras *Eras
+	Log  *logrus.Entry
 
 	isFailing bool
 
 	// mu guards the fields below it and the order of Reset and Update.
 	mu      sync.Mutex
-	version uint64
+	version Version
 	loaded  bool
-	// ignoredOlder reports that the last table that was read was older than the current one.
-	ignoredOlder bool
 	// provedAt is a time up to which all changes have been delivered.
 	provedAt boottime.Time
 	// cancelWatch ends the watch in flight.
@@ -122,6 +128,7 @@
 	if f.MaxProofAge > 0 {
 		go f.keepProofFresh(ctx)
 	}
+	f.Eras.OnChange(f.cancelWatchOfEarlierEra)
 	pause := minRetryPause
 	for ctx.Err() == nil {
 		err := f.step(ctx)
@@ -135,9 +142,7 @@
 		}
 		f.logHealthChange(err)
 		if errkind.Is(err, errkind.HistoryGone) {
-			f.mu.Lock()
-			f.loaded = false
-			f.mu.Unlock()
+			f.setNotLoaded()
 			pause = minRetryPause
 		}
 		select {
@@ -148,6 +153,28 @@
 	}
 }
 
+// setNotLoaded makes Run read the whole table, even if a watch is in flight.
+func (f *Follower) setNotLoaded() {
+	f.mu.Lock()
+	f.loaded = false
+	cancelWatch := f.cancelWatch
+	f.mu.Unlock()
+	if cancelWatch != nil {
+		cancelWatch()
+	}
+}
+
+// cancelWatchOfEarlierEra ends a watch at the store that is in flight when a new era begins: it
+// delivers nothing more, and may not end by itself.
+func (f *Follower) cancelWatchOfEarlierEra() {
+	f.mu.Lock()
+	outdated := f.cancelWatch != nil && f.version.Era() < f.Eras.Newest()
+	f.mu.Unlock()
+	if outdated {
+		f.setNotLoaded()
+	}
+}
+
 // retryPause returns the pause after a failed call. It is longer for a VM that can read from
 // another one, so that during an outage of the store not all VMs call it repeatedly.
 func (f *Follower) retryPause(pause time.Duration) time.Duration {
@@ -226,11 +253,19 @@
 	if err != nil {
 		return err
 	}
-	f.reset(TableState{Rows: rows, Version: version, Proved: start})
+	if !f.reset(TableState{Rows: rows, Version: version, Proved: f.proofOf(start)}) {
+		return errkind.New(errkind.PlatformUnavailable, "table %s at version %s is older than the known version", f.Table, version)
+	}
 	f.recordStoreContact(start)
 	return nil
 }
 
+// proofOf returns the time up to which an answer to a call sent at start shows all changes, 0 if
+// the store may lack some.
+func (f *Follower) proofOf(start boottime.Time) boottime.Time {
+	return start
+}
+
 // loadRelayed reads the whole table from another VM. It returns false if the table has to be
 // read from the store.
 //
@@ -248,6 +283,7 @@
 		a, err := f.Relay.Rows(call, address, f.Table)
 		cancel()
 		if err == nil && f.reset(a) {
+			f.Eras.Observe(a.Version.Era())
 			f.recordRelayedContact(a)
 			return true
 		}
@@ -269,7 +305,7 @@
 // TableState is rows as of a version.
 type TableState struct {
 	Rows    []Row
-	Version uint64
+	Version Version
 	// Proved is a time up to which all changes are included, 0 if none is known.
 	Proved boottime.Time
 	// Contact is a time at which the store answered the VM that supplied the rows, 0 if none
@@ -282,13 +318,12 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if a.Version < f.version {
-		if !f.ignoredOlder {
-			f.Log.WithFields(logrus.Fields{"event": "store_watch", "table": f.Table, "store_version": a.Version, "known_version": f.version}).Warn("older table ignored")
-		}
-		f.ignoredOlder = true
 		return false
 	}
-	f.ignoredOlder = false
+	restored := f.version != 0 && a.Version.Era() != f.version.Era()
+	for i := range a.Rows {
+		a.Rows[i].Restored = restored
+	}
 	f.Reset(f.setChangedAfter(a.Rows))
 	f.version, f.loaded, f.provedAt = a.Version, true, max(f.provedAt, a.Proved)
 	if f.Copies != nil {
@@ -331,8 +366,8 @@
 	if f.Copies != nil {
 		f.Copies.recordStoreContact(start)
 	}
-	if f.Proof != nil {
-		f.Proof(start)
+	if proof := f.proofOf(start); f.Proof != nil && proof != 0 {
+		f.Proof(proof)
 	}
 }
 
@@ -362,7 +397,8 @@
 		cancel()
 		if err == nil || errkind.Is(err, errkind.HistoryGone) {
 			f.recordRelayedContact(a)
-			return f.update(a), true, err
+			changed, _ := f.update(a)
+			return changed, true, err
 		}
 		f.logStoreFallback(address, err)
 	}
@@ -383,7 +419,7 @@
 	f.cancelWatch = cancel
 }
 
-func (f *Follower) watchStore(ctx context.Context, after uint64, wait time.Duration) (changed bool, err error) {
+func (f *Follower) watchStore(ctx context.Context, after Version, wait time.Duration) (changed bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+f.Timeout)
 	defer cancel()
 	start := boottime.Now()
@@ -391,15 +427,21 @@
 	if err != nil {
 		return false, err
 	}
-	changed = f.update(TableState{Rows: rows, Version: version, Proved: start})
-	f.recordStoreContact(start)
+	changed, ok := f.update(TableState{Rows: rows, Version: version, Proved: f.proofOf(start)})
+	if ok {
+		f.recordStoreContact(start)
+	}
 	return changed, nil
 }
 
-// update delivers those of the given changes that have not been delivered yet.
-func (f *Follower) update(a TableState) (changed bool) {
+// update delivers those of the given changes that have not been delivered yet. ok is false if
+// they are of an earlier era than the current version.
+func (f *Follower) update(a TableState) (changed, ok bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if a.Version.Era() < f.version.Era() {
+		return false, false
+	}
 	rows := slices.DeleteFunc(a.Rows, func(r Row) bool { return r.Version <= f.version })
 	if len(rows) > 0 {
 		f.Update(f.setChangedAfter(rows))
@@ -408,11 +450,12 @@
 	if f.Copies != nil {
 		f.Copies.update(f.Table, rows, f.version, f.provedAt)
 	}
-	return len(rows) > 0
+	return len(rows) > 0, true
 }
 
 // CatchUp delivers the changes that the store has now, without waiting for more. It runs
-// concurrently with the watch of Run, and cancels that watch if it missed changes.
+// concurrently with the watch of Run, and cancels that watch if it missed changes. If it fails with
+// HistoryGone, Run reads the whole table.
 func (f *Follower) CatchUp(ctx context.Context) error {
 	if !f.Loaded() {
 		return errkind.New(errkind.PlatformUnavailable, "table %s is not loaded", f.Table)
@@ -421,7 +464,10 @@
 	after, cancelWatch := f.version, f.cancelWatch
 	f.mu.Unlock()
 	changed, err := f.watchStore(ctx, after, 0)
-	if changed && cancelWatch != nil {
+	switch {
+	case errkind.Is(err, errkind.HistoryGone):
+		f.setNotLoaded()
+	case changed && cancelWatch != nil:
 		cancelWatch()
 	}
 	return err
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -18,8 +18,8 @@
 type fakeStore struct {
 	mu          sync.Mutex
 	rows        []Row // the history, in order
-	version     uint64
-	compactedTo uint64 // Watch fails for versions before this one
+	version     Version
+	compactedTo Version // Watch fails for versions before this one
 	errs        []error
 	calls       int
 }
@@ -41,13 +41,13 @@
 	return err
 }
 
-func (s *fakeStore) Rows(context.Context, string) ([]Row, uint64, error) {
+func (s *fakeStore) Rows(context.Context, string) ([]Row, Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return append([]Row(nil), s.rows...), s.version, s.next()
 }
 
-func (s *fakeStore) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]Row, uint64, error) {
+func (s *fakeStore) Watch(ctx context.Context, _ string, after Version, wait time.Duration) ([]Row, Version, error) {
 	for end := time.Now().Add(wait); ; time.Sleep(time.Millisecond) {
 		s.mu.Lock()
 		if err := s.next(); err != nil {
@@ -72,7 +72,7 @@
 	}
 }
 
-func (s *fakeStore) Apply(context.Context, Change) (uint64, error) { return 0, nil }
+func (s *fakeStore) Apply(context.Context, Change) (Version, error) { return 0, nil }
 
 // recorder records what a follower delivers.
 type recorder struct {
@@ -210,10 +210,10 @@
 // unansweredWatchStore never answers watches that wait. Calls that do not wait are answered.
 type unansweredWatchStore struct {
 	*fakeStore
-	watches chan uint64
+	watches chan Version
 }
 
-func (s *unansweredWatchStore) Watch(ctx context.Context, table string, after uint64, wait time.Duration) ([]Row, uint64, error) {
+func (s *unansweredWatchStore) Watch(ctx context.Context, table string, after Version, wait time.Duration) ([]Row, Version, error) {
 	if wait == 0 {
 		return s.fakeStore.Watch(ctx, table, after, wait)
 	}
@@ -228,7 +228,7 @@
 // A watch sent while the store was down was never answered. For 30 s a VM sent statements to
 // a server that had left (releases-under-cuts, kremstal-ballon, seed 90: DRAIN).
 func TestUnansweredWatchIsReplaced(t *testing.T) {
-	s, r := &unansweredWatchStore{fakeStore: &fakeStore{}, watches: make(chan uint64)}, &recorder{}
+	s, r := &unansweredWatchStore{fakeStore: &fakeStore{}, watches: make(chan Version)}, &recorder{}
 	s.put("a")
 	f := follower(s, r)
 	f.Wait, f.MaxProofAge = time.Hour, time.Millisecond
--- a/internal/coord/copy.go
+++ b/internal/coord/copy.go
@@ -37,7 +37,7 @@
 type tableCopy struct {
 	rows                map[string]Row
 	deleted             int
-	minVersion, version uint64
+	minVersion, version Version
 	// proved is a time up to which all changes are included, 0 if none is known.
 	proved  boottime.Time
 	changed chan struct{}
@@ -63,7 +63,7 @@
 }
 
 // reset replaces the whole table as of the version.
-func (c *Copies) reset(table string, rows []Row, version uint64, proved boottime.Time) {
+func (c *Copies) reset(table string, rows []Row, version Version, proved boottime.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	old := c.tables[table]
@@ -78,7 +78,7 @@
 }
 
 // update applies the changes up to the version.
-func (c *Copies) update(table string, rows []Row, version uint64, proved boottime.Time) {
+func (c *Copies) update(table string, rows []Row, version Version, proved boottime.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t := c.tables[table]
@@ -131,7 +131,7 @@
 func (t *tableCopy) existingRows() []Row { return t.changedSince(0, false) }
 
 // changedSince returns the rows that changed after the version, in the order of versions.
-func (t *tableCopy) changedSince(version uint64, includeDeleted bool) []Row {
+func (t *tableCopy) changedSince(version Version, includeDeleted bool) []Row {
 	var rows []Row
 	for _, r := range t.rows {
 		if r.Version > version && (includeDeleted || !r.Deleted) {
@@ -151,7 +151,7 @@
 // change.
 type TableArgs struct {
 	Table string
-	After uint64
+	After Version
 	Wait  time.Duration
 }
 
@@ -160,7 +160,7 @@
 // Relative times make the reply independent of clock skew.
 type TableReply struct {
 	Rows    []Row
-	Version uint64
+	Version Version
 	Dated   bool
 	Proved  time.Duration
 	// Contact is TableState.Contact, relative to the arrival of the call.
@@ -202,7 +202,7 @@
 		s.copies.mu.Lock()
 		t, err := s.copies.table(args.Table)
 		if err == nil && args.After < t.minVersion {
-			err = errkind.New(errkind.HistoryGone, "copy of %s begins at %d", args.Table, t.minVersion)
+			err = errkind.New(errkind.HistoryGone, "copy of %s begins at %s", args.Table, t.minVersion)
 		}
 		if err != nil {
 			s.copies.mu.Unlock()
@@ -235,7 +235,7 @@
 }
 
 // Watch returns the changes after the version.
-func (r *Relay) Watch(ctx context.Context, address, table string, after uint64, wait time.Duration) (TableState, error) {
+func (r *Relay) Watch(ctx context.Context, address, table string, after Version, wait time.Duration) (TableState, error) {
 	return r.call(ctx, address, "Tables.Watch", &TableArgs{Table: table, After: after, Wait: wait})
 }
 
--- a/internal/coord/copy_test.go
+++ b/internal/coord/copy_test.go
@@ -18,7 +18,7 @@
 // vm is a VM that follows a table and serves its copy to others.
 type vm struct {
 	mu     sync.Mutex
-	state  map[string]uint64 // version by key
+	state  map[string]Version // version by key
 	copies *Copies
 	*Follower
 }
@@ -67,7 +67,7 @@
 func (c *testCell) add(name string, store Store) *vm {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	v := &vm{state: map[string]uint64{}, copies: NewCopies()}
+	v := &vm{state: map[string]Version{}, copies: NewCopies()}
 	apply := func(rows []Row) {
 		v.mu.Lock()
 		defer v.mu.Unlock()
@@ -98,7 +98,7 @@
 	return v
 }
 
-func (v *vm) has(t *testing.T, want map[string]uint64) {
+func (v *vm) has(t *testing.T, want map[string]Version) {
 	t.Helper()
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -136,8 +136,8 @@
 	store.put("y")
 	steps(t, vms["a"], 1)
 	steps(t, vms["b"], 1)
-	vms["b"].has(t, map[string]uint64{"x": 1, "y": 2})
-	vms["c"].has(t, map[string]uint64{"x": 1})
+	vms["b"].has(t, map[string]Version{"x": 1, "y": 2})
+	vms["c"].has(t, map[string]Version{"x": 1})
 	if n := store.calls - calls; n != 1 {
 		t.Errorf("%d calls of the store, want one by the leader", n)
 	}
@@ -150,12 +150,12 @@
 	steps(t, vms["a"], 1)
 	c.lost["a"] = true
 	steps(t, vms["b"], 1)
-	vms["b"].has(t, map[string]uint64{"x": 1})
+	vms["b"].has(t, map[string]Version{"x": 1})
 	c.lost["a"] = false
 	vms["a"].copies.storeContact = boottime.Now().Add(-maxContactAge - time.Second)
 	store.put("y")
 	steps(t, vms["b"], 1)
-	vms["b"].has(t, map[string]uint64{"x": 1, "y": 2})
+	vms["b"].has(t, map[string]Version{"x": 1, "y": 2})
 }
 
 // A member that becomes leader serves the changes that it had received from the former one.
@@ -172,7 +172,7 @@
 	store.put("z")
 	steps(t, vms["b"], 1)
 	steps(t, vms["c"], 1)
-	vms["c"].has(t, map[string]uint64{"x": 1, "y": 2, "z": 3})
+	vms["c"].has(t, map[string]Version{"x": 1, "y": 2, "z": 3})
 }
 
 // A leader that had to read the whole table again does not know which rows were deleted
@@ -190,7 +190,7 @@
 	}
 	vms["b"].loaded = false
 	steps(t, vms["b"], 1)
-	vms["b"].has(t, map[string]uint64{"x": 1, "y": 2})
+	vms["b"].has(t, map[string]Version{"x": 1, "y": 2})
 }
 
 // An answer of another VM counts neither as contact with the store nor as a proof for
@@ -211,7 +211,7 @@
 	c := NewCopies()
 	c.recordStoreContact(boottime.Now())
 	c.reset("t", []Row{{Key: "x", Version: 1}}, 1, 0)
-	for i := range uint64(maxDeletedRows) {
+	for i := range Version(maxDeletedRows) {
 		c.update("t", []Row{{Key: fmt.Sprint(i), Version: 2 + i, Deleted: true}}, 2+i, 0)
 	}
 	service := NewCopyService(c)
@@ -298,7 +298,7 @@
 	if err := <-done; err != nil {
 		t.Fatal(err)
 	}
-	vms["b"].has(t, map[string]uint64{"x": 1})
+	vms["b"].has(t, map[string]Version{"x": 1})
 	if store.calls != 1 {
 		t.Errorf("%d calls of the store, want one by the leader", store.calls)
 	}
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -48,7 +48,7 @@
 func (e *Process) follower(table string, reset, update func([]coord.Row)) *coord.Follower {
 	return &coord.Follower{
 		Store: e.platform.Store, Table: table, Wait: tableWatchWait, Timeout: storeTimeout, Reset: reset, Update: update,
-		Copies: e.copies, Relay: &coord.Relay{Calls: e.peers, Source: e.tableSource}, Log: e.log,
+		Copies: e.copies, Relay: &coord.Relay{Calls: e.peers, Source: e.tableSource}, Eras: e.platform.Eras, Log: e.log,
 	}
 }
 
@@ -129,7 +129,7 @@
 			e.router.MarkMissing(r.Key)
 			continue
 		}
-		info.Version, info.ChangedAfter = r.Version, r.After
+		info.Version, info.ChangedAfter = uint64(r.Version), r.After
 		e.router.Update(info)
 	}
 }
--- a/internal/entry/join_test.go
+++ b/internal/entry/join_test.go
@@ -21,19 +21,19 @@
 	reads int
 }
 
-func (s *growingStore) Rows(context.Context, string) ([]coord.Row, uint64, error) {
+func (s *growingStore) Rows(context.Context, string) ([]coord.Row, coord.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.reads++
-	return append([]coord.Row(nil), s.rows...), uint64(len(s.rows)), nil
+	return append([]coord.Row(nil), s.rows...), coord.Version(len(s.rows)), nil
 }
 
-func (s *growingStore) Apply(_ context.Context, c coord.Change) (uint64, error) {
+func (s *growingStore) Apply(_ context.Context, c coord.Change) (coord.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.rows = append(s.rows, c.Put...)
 	s.rows = append(s.rows, coord.Row{Table: tableMembers, Key: "vm2", Value: []byte(`{"address":"127.0.0.2:1","domain":"south"}`)})
-	return uint64(len(s.rows)), nil
+	return coord.Version(len(s.rows)), nil
 }
 
 func newProcess(store coord.Store) *Process {
@@ -105,7 +105,7 @@
 // unresponsiveStore does not answer watch requests that wait.
 type unresponsiveStore struct{ growingStore }
 
-func (s *unresponsiveStore) Watch(ctx context.Context, _ string, _ uint64, wait time.Duration) ([]coord.Row, uint64, error) {
+func (s *unresponsiveStore) Watch(ctx context.Context, _ string, _ coord.Version, wait time.Duration) ([]coord.Row, coord.Version, error) {
 	if wait > 0 {
 		<-ctx.Done()
 		return nil, 0, ctx.Err()
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -39,7 +39,7 @@
 
 // rosterRow is the last known content of a group's row.
 type rosterRow struct {
-	version uint64
+	version coord.Version
 	servers []rosterServer
 }
 
--- a/internal/entry/roster_test.go
+++ b/internal/entry/roster_test.go
@@ -18,10 +18,10 @@
 type rowStore struct {
 	mu      sync.Mutex
 	rows    map[string]coord.Row
-	version uint64
+	version coord.Version
 }
 
-func (s *rowStore) Rows(context.Context, string) ([]coord.Row, uint64, error) {
+func (s *rowStore) Rows(context.Context, string) ([]coord.Row, coord.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var list []coord.Row
@@ -31,11 +31,11 @@
 	return list, s.version, nil
 }
 
-func (s *rowStore) Watch(context.Context, string, uint64, time.Duration) ([]coord.Row, uint64, error) {
+func (s *rowStore) Watch(context.Context, string, coord.Version, time.Duration) ([]coord.Row, coord.Version, error) {
 	return nil, 0, errkind.New(errkind.PlatformUnavailable, "fake")
 }
 
-func (s *rowStore) Apply(_ context.Context, c coord.Change) (uint64, error) {
+func (s *rowStore) Apply(_ context.Context, c coord.Change) (coord.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range c.If {
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -157,7 +157,7 @@
 
 // rowObservation is the newest version of a group's row and when it was first observed.
 type rowObservation struct {
-	version uint64
+	version coord.Version
 	holder  string
 	at      boottime.Time
 	// active reports that the primary change is not finished.
@@ -284,7 +284,7 @@
 type lease struct {
 	group          string
 	record         record
-	version        uint64
+	version        coord.Version
 	previousHolder string
 	// writtenAt is when the last successful write of the row was sent.
 	writtenAt boottime.Time
@@ -311,7 +311,7 @@
 }
 
 // observeRow records a version of a group's row and returns how long ago it was first observed.
-func (s *Steward) observeRow(group string, r record, version uint64) time.Duration {
+func (s *Steward) observeRow(group string, r record, version coord.Version) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.observations[group].version != version {
@@ -351,7 +351,7 @@
 	return 0
 }
 
-func (s *Steward) readRow(ctx context.Context, group string) (record, uint64, error) {
+func (s *Steward) readRow(ctx context.Context, group string) (record, coord.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	var r record
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -24,13 +24,13 @@
 type fakeStore struct {
 	mu          sync.Mutex
 	rows        map[string]coord.Row
-	version     uint64
+	version     coord.Version
 	lostAnswers int
 }
 
 func newFakeStore() *fakeStore { return &fakeStore{rows: map[string]coord.Row{}} }
 
-func (s *fakeStore) Rows(context.Context, string) ([]coord.Row, uint64, error) {
+func (s *fakeStore) Rows(context.Context, string) ([]coord.Row, coord.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var rows []coord.Row
@@ -40,11 +40,11 @@
 	return rows, s.version, nil
 }
 
-func (s *fakeStore) Watch(context.Context, string, uint64, time.Duration) ([]coord.Row, uint64, error) {
+func (s *fakeStore) Watch(context.Context, string, coord.Version, time.Duration) ([]coord.Row, coord.Version, error) {
 	return nil, 0, nil
 }
 
-func (s *fakeStore) Apply(_ context.Context, c coord.Change) (uint64, error) {
+func (s *fakeStore) Apply(_ context.Context, c coord.Change) (coord.Version, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, x := range c.If {
