Stewards do not reuse tokens, or forget unfinished changes, after a restore

The row also told of orders that may still be executed and of paused replicas, and who holds the lease.

Tokens begin at era x 2^32, so those of a later era are higher than all used before. Of the records known to a VM the one with the highest token counts, not the one that the restored table holds; a VM also remembers its own writes. A lease ends with the era in which it was taken, and in a new era the first one is taken leaseDuration after the era was first observed, when a holder that does not know of it has noticed the loss.

What remains: a change that only VMs knew of that have ended is forgotten.

--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -182,7 +182,7 @@
 	if diff := cmp.Diff([]string{"pause b at 3", "pause c at 3", "promote a", "resume b", "resume c"}, g.history()[:5]); diff != "" {
 		t.Error(diff)
 	}
-	if r, _, err := s.readRow(context.Background(), "g"); err != nil || r.Active || r.Token <= 5 {
+	if r, _, _, err := s.readRow(context.Background(), "g"); err != nil || r.Active || r.Token <= 5 {
 		t.Errorf("row %+v, %v", r, err)
 	}
 }
@@ -227,7 +227,7 @@
 	if err == nil {
 		t.Fatal("an order without an answer counts as done")
 	}
-	r, _, err := s.readRow(context.Background(), "g")
+	r, _, _, err := s.readRow(context.Background(), "g")
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -112,7 +112,9 @@
 	// LeaderLease is how long VMs may read from a primary after its leadership was last
 	// confirmed; 0 if a replaced primary refuses statements by itself.
 	LeaderLease time.Duration
-	Log         *logrus.Entry
+	// Eras tracks the era of the store.
+	Eras *coord.Eras
+	Log  *logrus.Entry
 }
 
 // Steward is a VM's failover coordinator for the database groups. For each group, one VM
@@ -158,10 +160,9 @@
 // rowObservation is the newest version of a group's row and when it was first observed.
 type rowObservation struct {
 	version coord.Version
-	holder  string
 	at      boottime.Time
-	// active reports that the primary change is not finished.
-	active bool
+	// record has the highest token observed. The row may lack it after the store was restored.
+	record record
 }
 
 // New returns a steward.
@@ -233,7 +234,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.observations[t.Group]
-	held := last.holder != "" && last.holder != s.cfg.VM && boottime.Since(last.at) < leaseDuration
+	held := last.record.Holder != "" && last.record.Holder != s.cfg.VM && boottime.Since(last.at) < leaseDuration
 	if s.inProgress[t.Group] || held || boottime.Since(s.lastAttempt[t.Group]) < minAttemptInterval || boottime.Now() < s.storeBackoff.until {
 		return
 	}
@@ -282,9 +283,11 @@
 
 // lease is this VM's exclusive right to change a group's primary, based on the group's row.
 type lease struct {
-	group          string
-	record         record
+	group  string
+	record record
+	// version is that of the row, 0 if it does not exist; era is that of the store.
 	version        coord.Version
+	era            uint64
 	previousHolder string
 	// writtenAt is when the last successful write of the row was sent.
 	writtenAt boottime.Time
@@ -295,29 +298,48 @@
 	pendingTargets []string
 }
 
-// acquireLease takes over the group's row and advances its token.
+// acquireLease takes over the group's row and advances its token. A row that is older than the
+// newest record known to this VM was restored from a copy; that record counts then.
 func (s *Steward) acquireLease(ctx context.Context, group string) (*lease, error) {
-	old, version, err := s.readRow(ctx, group)
+	row, version, era, err := s.readRow(ctx, group)
 	if err != nil {
 		return nil, err
 	}
-	if age := s.observeRow(group, old, version); old.Holder != s.cfg.VM && old.Holder != "" && age < leaseDuration {
+	if !s.cfg.Eras.IsOlderThan(leaseDuration, boottime.Now()) {
+		return nil, errkind.New(errkind.Conflict, "another VM may hold a lease that the store has lost: era %d has just begun", era)
+	}
+	old, age := s.observeRow(group, row, version)
+	if old.Holder != s.cfg.VM && old.Holder != "" && age < leaseDuration {
 		return nil, errkind.New(errkind.Conflict, "%s holds the lease, first observed %d ms ago", old.Holder, age.Milliseconds())
 	}
-	l := &lease{group: group, version: version, previousHolder: old.Holder, unfinished: old.Active}
+	l := &lease{group: group, version: version, era: era, previousHolder: old.Holder, unfinished: old.Active}
 	l.pendingTargets = old.unansweredTargets()
-	l.record = record{Holder: s.cfg.VM, Token: old.Token, Active: true, Earlier: l.pendingTargets}
+	l.record = record{Holder: s.cfg.VM, Token: max(old.Token, firstToken(era)), Active: true, Earlier: l.pendingTargets}
 	return l, s.writeNextToken(ctx, l, "")
 }
 
-// observeRow records a version of a group's row and returns how long ago it was first observed.
-func (s *Steward) observeRow(group string, r record, version coord.Version) time.Duration {
+// tokenEraBits is the number of bits of a token below its era. A restored row may lack the last
+// tokens; those of a new era are higher than all that were used before.
+const tokenEraBits = 32
+
+// firstToken returns a token that is lower than all other tokens of the era.
+func firstToken(era uint64) uint64 { return era << tokenEraBits }
+
+// observeRow records a version of a group's row. It returns the newest record known of the group,
+// and how long ago this version was first observed.
+func (s *Steward) observeRow(group string, r record, version coord.Version) (record, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.observations[group].version != version {
-		s.observations[group] = rowObservation{version, r.Holder, boottime.Now(), r.Active}
+	last, known := s.observations[group]
+	if !known || last.version != version {
+		restored := known && version.Era() != last.version.Era()
+		if r.Token < last.record.Token || restored && r.Token == last.record.Token {
+			r = last.record
+		}
+		last = rowObservation{version, boottime.Now(), r}
+		s.observations[group] = last
 	}
-	return boottime.Since(s.observations[group].at)
+	return last.record, boottime.Since(last.at)
 }
 
 // Change is the state of a group's last primary change, as stored in its row.
@@ -336,7 +358,7 @@
 	if err := json.Unmarshal(row.Value, &r); err != nil {
 		return Change{}, err
 	}
-	s.observeRow(row.Key, r, row.Version)
+	r, _ = s.observeRow(row.Key, r, row.Version)
 	return Change{Group: row.Key, Primary: r.Target, InProgress: r.Active && !r.Ordered}, nil
 }
 
@@ -345,26 +367,26 @@
 func (s *Steward) UnfinishedSince(group string) boottime.Time {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if last := s.observations[group]; last.active && !s.inProgress[group] {
+	if last := s.observations[group]; last.record.Active && !s.inProgress[group] {
 		return last.at
 	}
 	return 0
 }
 
-func (s *Steward) readRow(ctx context.Context, group string) (record, coord.Version, error) {
+// readRow returns the row of the group, its version (0 if it does not exist) and the store's era.
+func (s *Steward) readRow(ctx context.Context, group string) (r record, version coord.Version, era uint64, err error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	var r record
-	rows, _, err := s.cfg.Store.Rows(ctx, Table)
+	rows, at, err := s.cfg.Store.Rows(ctx, Table)
 	if err != nil {
-		return r, 0, err
+		return r, 0, 0, err
 	}
 	for _, row := range rows {
 		if row.Key == group {
-			return r, row.Version, json.Unmarshal(row.Value, &r)
+			return r, row.Version, at.Era(), json.Unmarshal(row.Value, &r)
 		}
 	}
-	return r, 0, nil
+	return r, 0, at.Era(), nil
 }
 
 // writeNextToken stores the next token together with the server that its order will name.
@@ -402,15 +424,19 @@
 		// The write may have been executed, or may be executed later if its condition
 		// still holds. Reading the row back confirms only the first case; otherwise the
 		// call fails and the lease is lost.
-		found, at, readErr := s.readRow(ctx, l.group)
-		if readErr == nil && at != l.version && found.equal(next) {
+		found, at, era, readErr := s.readRow(ctx, l.group)
+		if readErr == nil && era == l.era && at != l.version && found.equal(next) {
 			version, err = at, nil
 		}
 	}
+	if err == nil && version.Era() != l.era {
+		err = errkind.New(errkind.Conflict, "lease of era %d was lost, the store is in era %d", l.era, version.Era())
+	}
 	if err != nil {
 		return err
 	}
 	l.record, l.version, l.writtenAt = next, version, sent
+	s.observeRow(l.group, next, version)
 	return nil
 }
 
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -329,7 +329,7 @@
 	if _, err := runChange(s); err == nil {
 		t.Fatal("no error although a replica is unreachable")
 	}
-	r, _, err := s.readRow(context.Background(), "g")
+	r, _, _, err := s.readRow(context.Background(), "g")
 	if err != nil || !r.Active || !slices.Equal(r.Earlier, []string{"b"}) || r.Token != 5 {
 		t.Errorf("row %+v, %v", r, err)
 	}
--- a/internal/steward/unfinished_test.go
+++ b/internal/steward/unfinished_test.go
@@ -32,7 +32,7 @@
 	g := &fakeGroup{received: map[string]uint64{"a": 9, "b": 7, "c": 9}, primary: "a", down: map[string]bool{"b": true}}
 	s := newSteward("vm1", store, g)
 	_, err := runAttempt(s, Unfinished, 9, serversWithIDs("a", "b", "c")...)
-	r, _, readErr := s.readRow(context.Background(), "g")
+	r, _, _, readErr := s.readRow(context.Background(), "g")
 	if readErr != nil || !r.Active {
 		t.Errorf("row %+v (%v), attempt %v: b may still be paused", r, readErr, err)
 	}
