VMs register again when the store has lost their rows

A VM that had joined since the copy was made vanished from the list of VMs for good: the others stopped exchanging state with it and divided rates and connections among too few. Each VM wrote its row once, at its start.

A VM that does not find its row in the table now writes it again, and the others keep VMs that the whole table lacks: rows are never deleted.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -174,6 +174,8 @@
 	homes, onlyHomes homes
 	reachability     domainReachability
 	servers          atomic.Pointer[coord.Follower]
+	// listed reports that the list of VMs contains the row of this VM, as last read or written.
+	listed atomic.Bool
 	// unknownMember triggers a read of the list of VMs.
 	unknownMember chan struct{}
 	started       boottime.Time
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -202,7 +202,7 @@
 }
 
 func (e *Process) followMembers(ctx context.Context) {
-	f := e.follower(tableMembers, func(rows []coord.Row) { e.updateMembers(rows, true) }, func(rows []coord.Row) { e.updateMembers(rows, false) })
+	f := e.follower(tableMembers, e.resetMembers, e.updateMembers)
 	f.ChangePause = memberBatchDelay
 	go e.refreshUnknownMembers(ctx, f)
 	f.Run(ctx)
@@ -237,11 +237,16 @@
 	}
 }
 
-func (e *Process) updateMembers(rows []coord.Row, all bool) {
+// resetMembers applies the whole table. VMs whose rows it lacks stay in the list: rows are never
+// deleted, so the store was restored from a copy without them.
+func (e *Process) resetMembers(rows []coord.Row) {
+	e.listed.Store(false)
+	e.updateMembers(rows)
+}
+
+// updateMembers applies rows of VMs.
+func (e *Process) updateMembers(rows []coord.Row) {
 	e.mu.Lock()
-	if all {
-		clear(e.members)
-	}
 	for _, r := range rows {
 		var m member
 		if r.Deleted {
@@ -250,6 +255,9 @@
 			e.log.WithError(err).WithFields(logrus.Fields{"event": "member", "member": r.Key}).Warn("row of a VM could not be decoded")
 		} else {
 			e.members[r.Key] = m
+			if own := e.ownMember(); r.Key == e.settings.VM && m.Address == own.Address && m.Domain == own.Domain {
+				e.listed.Store(true)
+			}
 		}
 	}
 	peers := make([]mesh.Peer, 0, len(e.members))
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -10,6 +10,7 @@
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/coord"
+	"chicoryline/internal/errkind"
 )
 
 const (
@@ -21,6 +22,8 @@
 	// others may not know yet.
 	leaderWait          = 250 * time.Millisecond
 	newMemberLeaderWait = 1200 * time.Millisecond
+	// registerInterval is the time between two checks of this VM's row.
+	registerInterval = time.Second
 	// leaderPollInterval is the time between two checks for the leader.
 	leaderPollInterval = 25 * time.Millisecond
 	// minRegisterBackoff and maxRegisterBackoff bound the pause after a failed call.
@@ -43,6 +46,7 @@
 	go e.followConfig(ctx)
 	go e.followServers(ctx)
 	go e.followMembers(ctx)
+	go e.keepRegistered(ctx)
 	go e.followStewards(ctx)
 	go e.keepRosters(ctx)
 }
@@ -50,26 +54,13 @@
 // register writes this VM's row unless the list of VMs, which it reads, already contains it.
 // The write is idempotent, so it can be repeated after a lost answer.
 func (e *Process) register(ctx context.Context) (isNew bool) {
-	own := member{Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)), Domain: e.settings.Domain}
 	if !e.settings.FirstStart {
 		e.retry(ctx, e.readMembers)
-		e.mu.Lock()
-		known := e.members[e.settings.VM] == own
-		e.mu.Unlock()
-		if known {
+		if e.listed.Load() {
 			return false
 		}
 	}
-	value, err := json.Marshal(own)
-	if err != nil {
-		e.log.WithError(err).Error("row of this VM could not be encoded")
-		return false
-	}
-	change := coord.Change{Put: []coord.Row{{Table: tableMembers, Key: e.settings.VM, Value: value}}}
-	go e.retry(ctx, func(call context.Context) error {
-		_, err := e.platform.Store.Apply(call, change)
-		return err
-	})
+	go e.retry(ctx, e.writeOwnRow)
 	select {
 	case <-ctx.Done():
 	case <-time.After(memberRereadDelay):
@@ -81,11 +72,43 @@
 func (e *Process) readMembers(ctx context.Context) error {
 	rows, _, err := e.platform.Store.Rows(ctx, tableMembers)
 	if err == nil {
-		e.updateMembers(rows, true)
+		e.resetMembers(rows)
+	}
+	return err
+}
+
+// ownMember returns the row of this VM.
+func (e *Process) ownMember() member {
+	return member{Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)), Domain: e.settings.Domain}
+}
+
+// writeOwnRow writes the row of this VM. It is idempotent.
+func (e *Process) writeOwnRow(ctx context.Context) error {
+	value, err := json.Marshal(e.ownMember())
+	if err != nil {
+		return errkind.New(errkind.Internal, "row of this VM: %v", err)
+	}
+	_, err = e.platform.Store.Apply(ctx, coord.Change{Put: []coord.Row{{Table: tableMembers, Key: e.settings.VM, Value: value}}})
+	if err == nil {
+		e.listed.Store(true)
 	}
 	return err
 }
 
+// keepRegistered writes the row of this VM again if the store has lost it.
+func (e *Process) keepRegistered(ctx context.Context) {
+	every(ctx, registerInterval, func() {
+		if e.listed.Load() {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, storeTimeout)
+		defer cancel()
+		if err := e.writeOwnRow(call); err != nil {
+			e.log.WithError(err).WithField("event", "member").Warn("row of this VM could not be written")
+		}
+	})
+}
+
 // retry repeats a call of the store with growing pauses until it succeeds.
 func (e *Process) retry(ctx context.Context, do func(context.Context) error) {
 	for pause := minRegisterBackoff; ctx.Err() == nil; pause = min(2*pause, maxRegisterBackoff) {
