An answer about a copy proves nothing until lost rows are written again

A VM without contact when a key was withdrawn read the copy, which does not know of that, and took the answer for a proof that nothing newer exists: it went on with the key (2.003 s after the withdrawal where 2 s are allowed, until the operator wrote again). A VM that started then served by the copy alike (2.2 s). In the same way a server counted as known to stay by an entry from the copy.

Answers in an era prove something from 2 s after it was first observed, the time in which entries return; and the configuration in force only if the store holds that version. A VM that starts cannot know how old the era is: rows of VMs say which era is settled, written once an era by the VM that reads the store.

Price: 2 s more without proofs after a restore; where the store was away for 2.6 s or more, keyed requests are refused until then.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -197,7 +197,7 @@
 		case <-time.After(pause):
 		}
 		f.mu.Lock()
-		due := f.loaded && boottime.Since(f.provedAt) >= f.MaxProofAge
+		due := f.loaded && boottime.Since(f.provedAt) >= f.MaxProofAge && f.Eras.IsSettled(boottime.Now())
 		f.mu.Unlock()
 		if _, relayed := f.relaySource(); relayed || !due {
 			pause = proofPollInterval
@@ -263,6 +263,9 @@
 // proofOf returns the time up to which an answer to a call sent at start shows all changes, 0 if
 // the store may lack some.
 func (f *Follower) proofOf(start boottime.Time) boottime.Time {
+	if !f.Eras.IsSettled(start) {
+		return 0
+	}
 	return start
 }
 
--- a/internal/coord/restore_test.go
+++ b/internal/coord/restore_test.go
@@ -145,6 +145,32 @@
 	}
 }
 
+// Guards against dating rows by answers about the copy: a server that had announced its end before
+// the restore got work as if it had announced it after it.
+func TestUnsettledEraProvesNothing(t *testing.T) {
+	s, r := newRestorableStore(), &recorder{}
+	f := follower(s, r)
+	f.Eras = s.eras
+	if err := f.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	proved, proofs := f.provedAt, len(r.proofs)
+	s.restore(2, 3)
+	if err := f.load(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.CatchUp(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if f.provedAt != proved || len(r.proofs) != proofs {
+		t.Errorf("%d proofs while lost rows may not have been written again", len(r.proofs)-proofs)
+	}
+	s.eras.MarkSettled(2)
+	if err := f.CatchUp(context.Background()); err != nil || len(r.proofs) != proofs+1 {
+		t.Errorf("%d proofs of a settled era, %v", len(r.proofs)-proofs, err)
+	}
+}
+
 func TestRowsReadAfterARestoreAreMarked(t *testing.T) {
 	s := newRestorableStore()
 	f := follower(s, &recorder{})
@@ -167,3 +193,29 @@
 		t.Errorf("%s, %s", old, restored)
 	}
 }
+
+func TestEraSettles(t *testing.T) {
+	e := NewEras()
+	if e.IsSettled(boottime.Now()) {
+		t.Error("settled before the first answer")
+	}
+	e.Observe(3)
+	now := boottime.Now()
+	if e.IsSettled(now) || !e.IsSettled(now.Add(rewriteTime)) {
+		t.Error("an era settles rewriteTime after it was first observed")
+	}
+	e.MarkSettled(2) // of another era
+	if e.IsSettled(now) {
+		t.Error("settled because an earlier era was")
+	}
+	e.MarkSettled(3)
+	e.Observe(2) // a late answer
+	if !e.IsSettled(now) || e.Newest() != 3 {
+		t.Errorf("era %d", e.Newest())
+	}
+	var none *Eras
+	none.Observe(4)
+	if !none.IsSettled(now) || none.Newest() != 0 {
+		t.Error("a store without eras is settled")
+	}
+}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -178,7 +178,9 @@
 	listed atomic.Bool
 	// unknownMember triggers a read of the list of VMs.
 	unknownMember chan struct{}
-	started       boottime.Time
+	// storedConfig is the version of the configuration that the store holds, as last read.
+	storedConfig atomic.Int64
+	started      boottime.Time
 	// joined is closed when this VM knows whether to read tables from the store or from its
 	// cell leader, or has waited for the leader for long enough.
 	joined  chan struct{}
@@ -205,6 +207,8 @@
 type member struct {
 	Address string `json:"address"`
 	Domain  string `json:"domain"`
+	// SettledEra is the newest era of the store that the VM has found settled, 0 if none.
+	SettledEra uint64 `json:"settled_era,omitempty"`
 }
 
 // New assembles a process.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -28,6 +28,7 @@
 				e.view.MarkOutdated()
 				continue
 			}
+			e.storedConfig.Store(c.Version)
 			inForce := e.view.Config()
 			entry := e.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "store_version": r.Version, "routes": len(c.Routes), "customers": len(c.Customers)})
 			if e.view.Apply(c) {
@@ -75,9 +76,10 @@
 	return self
 }
 
-// proveConfig records that the configuration was the newest version at the given time.
+// proveConfig records that the configuration in force was the newest version at the given time, if
+// the store holds it: a restored store may hold an older one.
 func (e *Process) proveConfig(at boottime.Time) {
-	if c := e.view.Config(); c != nil && !e.view.IsOutdated() {
+	if c := e.view.Config(); c != nil && !e.view.IsOutdated() && c.Version == e.storedConfig.Load() {
 		e.view.ConfirmNewest(c.Version, at)
 	}
 }
@@ -102,7 +104,7 @@
 			next, pause = 0, maintenanceInterval
 			return
 		}
-		if boottime.Now() < next {
+		if now := boottime.Now(); now < next || !e.platform.Eras.IsSettled(now) && !e.view.IsOutdated() {
 			return
 		}
 		err := f.CatchUp(ctx)
@@ -255,6 +257,7 @@
 			e.log.WithError(err).WithFields(logrus.Fields{"event": "member", "member": r.Key}).Warn("row of a VM could not be decoded")
 		} else {
 			e.members[r.Key] = m
+			e.platform.Eras.MarkSettled(m.SettledEra)
 			if own := e.ownMember(); r.Key == e.settings.VM && m.Address == own.Address && m.Domain == own.Domain {
 				e.listed.Store(true)
 			}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -22,6 +22,9 @@
 	// others may not know yet.
 	leaderWait          = 250 * time.Millisecond
 	newMemberLeaderWait = 1200 * time.Millisecond
+	// settledEraAge is the age of the store's era from which rows of VMs call it settled: by then
+	// lost rows have been written again, and leases of stewards of the era before have ended.
+	settledEraAge = 4 * time.Second
 	// registerInterval is the time between two checks of this VM's row.
 	registerInterval = time.Second
 	// leaderPollInterval is the time between two checks for the leader.
@@ -66,6 +69,9 @@
 	case <-time.After(memberRereadDelay):
 	}
 	e.retry(ctx, e.readMembers)
+	if e.settings.FirstStart {
+		e.platform.Eras.MarkSettled(e.platform.Eras.Newest())
+	}
 	return true
 }
 
@@ -77,14 +83,18 @@
 	return err
 }
 
-// ownMember returns the row of this VM.
+// ownMember returns the row of this VM, without an era.
 func (e *Process) ownMember() member {
 	return member{Address: net.JoinHostPort(e.settings.IP, strconv.Itoa(e.settings.PeerPort)), Domain: e.settings.Domain}
 }
 
 // writeOwnRow writes the row of this VM. It is idempotent.
 func (e *Process) writeOwnRow(ctx context.Context) error {
-	value, err := json.Marshal(e.ownMember())
+	own := e.ownMember()
+	if e.platform.Eras.IsOlderThan(settledEraAge, boottime.Now()) {
+		own.SettledEra = e.platform.Eras.Newest()
+	}
+	value, err := json.Marshal(own)
 	if err != nil {
 		return errkind.New(errkind.Internal, "row of this VM: %v", err)
 	}
@@ -95,10 +105,12 @@
 	return err
 }
 
-// keepRegistered writes the row of this VM again if the store has lost it.
+// keepRegistered writes the row of this VM again if the store has lost it. The VM that reads the
+// store for others also records there that the era is settled, so that VMs that start do not
+// wait for that.
 func (e *Process) keepRegistered(ctx context.Context) {
 	every(ctx, registerInterval, func() {
-		if e.listed.Load() {
+		if e.listed.Load() && !(e.readsStore() && e.isSettledEraUnrecorded()) {
 			return
 		}
 		call, cancel := context.WithTimeout(ctx, storeTimeout)
@@ -109,6 +121,22 @@
 	})
 }
 
+// isSettledEraUnrecorded reports whether the store's era is settled and no row of a VM says so.
+func (e *Process) isSettledEraUnrecorded() bool {
+	if !e.platform.Eras.IsOlderThan(settledEraAge, boottime.Now()) {
+		return false
+	}
+	era := e.platform.Eras.Newest()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for _, m := range e.members {
+		if m.SettledEra >= era {
+			return false
+		}
+	}
+	return true
+}
+
 // retry repeats a call of the store with growing pauses until it succeeds.
 func (e *Process) retry(ctx context.Context, do func(context.Context) error) {
 	for pause := minRegisterBackoff; ctx.Err() == nil; pause = min(2*pause, maxRegisterBackoff) {
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 
+	"chicoryline/internal/access"
+	"chicoryline/internal/boottime"
 	"chicoryline/internal/coord"
 )
 
@@ -23,3 +25,32 @@
 		t.Error("this VM is not listed after its row is back")
 	}
 }
+
+// Guards against waiting at every start: the rows of VMs tell that the era is settled.
+func TestRowsOfVMsTellThatTheEraIsSettled(t *testing.T) {
+	e := newProcess(&growingStore{})
+	e.platform.Eras = coord.NewEras()
+	e.platform.Eras.Observe(2)
+	if e.resetMembers([]coord.Row{{Key: "vm2", Value: []byte(`{"address":"127.0.0.2:1","settled_era":1}`)}}); e.platform.Eras.IsSettled(boottime.Now()) {
+		t.Error("settled by the row of an earlier era")
+	}
+	e.updateMembers([]coord.Row{{Key: "vm2", Value: []byte(`{"address":"127.0.0.2:1","settled_era":2}`)}})
+	if !e.platform.Eras.IsSettled(boottime.Now()) || e.isSettledEraUnrecorded() {
+		t.Error("not settled although a VM says so")
+	}
+}
+
+// Guards against proving a configuration by a store that holds an older one.
+func TestStoreWithAnOlderConfigurationProvesNothing(t *testing.T) {
+	e := newProcess(&growingStore{})
+	e.view = access.NewView(leadershipProofLifetime)
+	e.view.Apply(&access.Config{Version: 5})
+	e.storedConfig.Store(3)
+	if e.proveConfig(boottime.Now()); e.view.IsFresh() {
+		t.Error("an answer about version 3 proves version 5")
+	}
+	e.storedConfig.Store(5)
+	if e.proveConfig(boottime.Now()); !e.view.IsFresh() {
+		t.Error("an answer about the version in force proves nothing")
+	}
+}
--- a/test/platform/restore_test.go
+++ b/test/platform/restore_test.go
@@ -111,6 +111,26 @@
 	f.awaitConfig("key-new")
 }
 
+// Guards against serving by the copy after a restart: the VM knows nothing newer.
+func TestVMThatStartsAfterARestoreDoesNotServeByTheCopy(t *testing.T) {
+	const revocationDelay = 2 * time.Second
+	f := start(t, func(o *world.Options) { o.VMs, o.KeyRevocationDelay = 1, revocationDelay })
+	copied := f.Store.Copy()
+	f.setKey("key-new")
+	withdrawn := time.Now()
+	f.stop[0]()
+	<-f.done[0]
+	f.Store.Restore(copied)
+	f.startVM(0)
+	for begin := time.Now(); time.Since(begin) < 1500*time.Millisecond; time.Sleep(10 * time.Millisecond) {
+		if sent := time.Since(withdrawn); sent > revocationDelay && f.admits(0, "key-large") {
+			t.Fatalf("a read with a withdrawn key ran %v after the withdrawal", sent)
+		}
+	}
+	f.Republish()
+	f.awaitConfig("key-new")
+}
+
 // Guards against losing VMs that have joined since the copy was made: the others did not know
 // them, and they were counted in no limit.
 func TestMembersLostByRestoreAreRegisteredAgain(t *testing.T) {
