A roster that the store has lost is written again

VMs that all restarted later did not know of servers without an entry, for which the roster exists (LOST). Whole reads of the table now drop rows that it lacks.

TestLostRosterIsWrittenAgain failed before.

--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"testing"
 
 	"chicoryline/internal/access"
@@ -8,6 +9,25 @@
 	"chicoryline/internal/coord"
 )
 
+// Guards against a lost roster: its writer took the last content that it had written for stored.
+func TestLostRosterIsWrittenAgain(t *testing.T) {
+	store, ctx := &rowStore{rows: map[string]coord.Row{}}, context.Background()
+	e := newProcess(store)
+	g := e.router.Group("g")
+	e.router.Update(serverInfo("s1", "127.0.0.1:1"))
+	if err := e.writeRoster(ctx, g); err != nil {
+		t.Fatal(err)
+	}
+	clear(store.rows)
+	store.version = coord.NewVersion(2, 1)
+	if err := e.readRosters(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if err := e.writeRoster(ctx, g); err != nil || len(store.rows) != 1 {
+		t.Errorf("%d rows, %v", len(store.rows), err)
+	}
+}
+
 // Guards against forgetting VMs whose rows are lost: limits were divided among too few.
 func TestMembersThatTheStoreHasLostStayKnown(t *testing.T) {
 	e := newProcess(&growingStore{})
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"time"
 
@@ -68,11 +69,24 @@
 func (e *Process) readRosters(ctx context.Context) error {
 	rows, _, err := e.platform.Store.Rows(ctx, tableRosters)
 	if err == nil {
-		e.applyRosters(rows)
+		e.resetRosters(rows)
 	}
 	return err
 }
 
+// resetRosters applies the whole table. Rows that it lacks do not exist: the store was restored
+// from a copy without them.
+func (e *Process) resetRosters(rows []coord.Row) {
+	present := map[string]bool{}
+	for _, r := range rows {
+		present[r.Key] = true
+	}
+	e.mu.Lock()
+	maps.DeleteFunc(e.rosters, func(group string, _ rosterRow) bool { return !present[group] })
+	e.mu.Unlock()
+	e.applyRosters(rows)
+}
+
 // applyRosters adds the servers of the rosters to their groups, and records the rows unless
 // newer ones are known.
 func (e *Process) applyRosters(rows []coord.Row) {
@@ -106,7 +120,7 @@
 	for ctx.Err() == nil && !e.serversLoaded() {
 		time.Sleep(maintenanceInterval)
 	}
-	f := e.follower(tableRosters, e.applyRosters, e.applyRosters)
+	f := e.follower(tableRosters, e.resetRosters, e.applyRosters)
 	go f.Run(ctx)
 	for ctx.Err() == nil && !f.Loaded() {
 		time.Sleep(maintenanceInterval)
