Restored entries do not replace what is known of a backend server

Entries in a restored store may be older than the known ones: a server that had announced its end seemed to stay, and when it announced it again its time began anew; one that had left, or a claim to lead that its server had denied, counted again. A server numbers its entries, so a restored one that is older than the known one of its server, a former one too, is ignored; the same one changes nothing.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -200,6 +200,9 @@
 func (g *Group) update(info ServerInfo) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if info.Restored && g.isKnownEntry(info) {
+		return
+	}
 	for _, f := range g.former.replace(info) {
 		g.formerServerLog(f).WithField("replaced_by", info.ID).Warn("replaced")
 	}
@@ -234,6 +237,27 @@
 	g.electPrimary()
 }
 
+// isKnownEntry reports whether a restored entry is the known one of its server, or an older one.
+// The last entry of a server that is missing may be there because it was written again. The mutex
+// is held.
+func (g *Group) isKnownEntry(info ServerInfo) bool {
+	if s := g.servers[info.ID]; s != nil {
+		known := s.Info()
+		if known.isNewerThan(info) {
+			g.serverLog(s).WithField("restored_started", info.Started).Info("older entry ignored")
+			return true
+		}
+		return !info.isNewerThan(known) && !s.isMissing()
+	}
+	for _, f := range g.former {
+		if f.ID == info.ID && f.isNewerThan(info) {
+			g.formerServerLog(f).Info("older entry ignored")
+			return true
+		}
+	}
+	return false
+}
+
 func (g *Group) markMissing(id string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -24,12 +24,25 @@
 	Primary bool
 	// Started identifies the incarnation of the server: its start time in Unix milliseconds.
 	Started int64
+	// Sequence increases with each entry that the incarnation writes, 0 if unknown.
+	Sequence uint64
 	// Version increases with each change of the entry.
 	Version uint64
+	// Restored reports that the entry was read after the store was restored from a copy: it may
+	// be older than the known one.
+	Restored bool
 	// ChangedAfter is a time before the last change of the entry, 0 if none is known.
 	ChangedAfter boottime.Time
 }
 
+// isNewerThan reports whether the server wrote this entry after the other one.
+func (i ServerInfo) isNewerThan(o ServerInfo) bool {
+	if i.Started != o.Started {
+		return i.Started > o.Started
+	}
+	return i.Sequence > o.Sequence
+}
+
 const (
 	// minBackoff and maxBackoff bound how long a server is avoided after a failure. The first
 	// is a few round trips, the second half the duration of a planned restart.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -131,7 +131,7 @@
 			e.router.MarkMissing(r.Key)
 			continue
 		}
-		info.Version, info.ChangedAfter = uint64(r.Version), r.After
+		info.Version, info.ChangedAfter, info.Restored = uint64(r.Version), r.After, r.Restored
 		e.router.Update(info)
 	}
 }
