--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -301,13 +301,16 @@
 // acquireLease takes over the group's row and advances its token. A row that is older than the
 // newest record known to this VM was restored from a copy; that record counts then.
 func (s *Steward) acquireLease(ctx context.Context, group string) (*lease, error) {
+	if err := s.checkEraAge(); err != nil {
+		return nil, err
+	}
 	row, version, era, err := s.readRow(ctx, group)
+	if err == nil {
+		err = s.checkEraAge() // the answer may be the first one of an era
+	}
 	if err != nil {
 		return nil, err
 	}
-	if !s.cfg.Eras.IsOlderThan(leaseDuration, boottime.Now()) {
-		return nil, errkind.New(errkind.Conflict, "another VM may hold a lease that the store has lost: era %d has just begun", era)
-	}
 	old, age := s.observeRow(group, row, version)
 	if old.Holder != s.cfg.VM && old.Holder != "" && age < leaseDuration {
 		return nil, errkind.New(errkind.Conflict, "%s holds the lease, first observed %d ms ago", old.Holder, age.Milliseconds())
@@ -318,6 +321,14 @@
 	return l, s.writeNextToken(ctx, l, "")
 }
 
+// checkEraAge returns an error while another VM may hold a lease that the store has lost.
+func (s *Steward) checkEraAge() error {
+	if s.cfg.Eras.IsOlderThan(leaseDuration, boottime.Now()) {
+		return nil
+	}
+	return errkind.New(errkind.Conflict, "era %d of the store has just begun, a lease of the era before may be held", s.cfg.Eras.Newest())
+}
+
 // tokenEraBits is the number of bits of a token below its era. A restored row may lack the last
 // tokens; those of a new era are higher than all that were used before.
 const tokenEraBits = 32
