Soak restores the store from backups; backup is the word for what it is restored from

"Copy" already names a VM's copy of a table: comments, messages and the stand-in say backup. TestCopyDoesNotProveTheConfiguration is now TestBackupDoesNotProveTheConfiguration, and TestVMThatStarts... ends with ByTheBackup; nothing else in them changed.

--- a/internal/coord/coord.go
+++ b/internal/coord/coord.go
@@ -22,7 +22,7 @@
 	Version Version
 	// Deleted marks a deleted row in results of Watch.
 	Deleted bool
-	// Restored is set by a Follower if the row was read after the store was restored from a copy:
+	// Restored is set by a Follower if the row was read after the store was restored from a backup:
 	// it may be older than one that was delivered before.
 	Restored bool
 	// After is set by a Follower to a time after which this version of the row was written; 0
@@ -84,7 +84,7 @@
 	Copies *Copies
 	// Relay, if set, is used instead of the store while it names a VM that answers.
 	Relay *Relay
-	// Eras tells when the store was restored from a copy.
+	// Eras tells when the store was restored from a backup.
 	Eras *Eras
 	Log  *logrus.Entry
 
--- a/internal/coord/eras.go
+++ b/internal/coord/eras.go
@@ -70,7 +70,7 @@
 	if e.log != nil {
 		entry := e.log.WithFields(logrus.Fields{"event": "store_era", "era": era})
 		if e.known {
-			entry.WithFields(logrus.Fields{"previous": e.newest, "previous_ms": boottime.AgeMillis(e.since)}).Warn("store was restored from a copy")
+			entry.WithFields(logrus.Fields{"previous": e.newest, "previous_ms": boottime.AgeMillis(e.since)}).Warn("store was restored from a backup")
 		} else {
 			entry.Info("first answer")
 		}
--- a/internal/coord/restore_test.go
+++ b/internal/coord/restore_test.go
@@ -11,7 +11,7 @@
 	"chicoryline/internal/errkind"
 )
 
-// restorableStore checks the era of versions as a store does that was restored from a copy.
+// restorableStore checks the era of versions as a store does that was restored from a backup.
 type restorableStore struct {
 	*fakeStore
 	eras *Eras
@@ -145,7 +145,7 @@
 	}
 }
 
-// Guards against dating rows by answers about the copy: a server that had announced its end before
+// Guards against dating rows by answers about the backup: a server that had announced its end before
 // the restore got work as if it had announced it after it.
 func TestUnsettledEraProvesNothing(t *testing.T) {
 	s, r := newRestorableStore(), &recorder{}
--- a/internal/coord/version.go
+++ b/internal/coord/version.go
@@ -9,7 +9,7 @@
 )
 
 // Version identifies a state of the store. Within an era, numbers increase with each change. An
-// era begins when the store is restored from a copy: changes made since the copy are lost, and
+// era begins when the store is restored from a backup: changes made since the backup are lost, and
 // their numbers are assigned again. Versions of a later era compare as higher. 0 means none.
 type Version uint64
 
--- a/internal/dispatch/restore_test.go
+++ b/internal/dispatch/restore_test.go
@@ -2,7 +2,7 @@
 
 import "testing"
 
-// restoredEntry returns an entry read after the store was restored from a copy.
+// restoredEntry returns an entry read after the store was restored from a backup.
 func restoredEntry(id string, primary bool, sequence, version uint64) ServerInfo {
 	info := entryOf(id, primary, version)
 	info.Started, info.Sequence, info.Restored = 5, sequence, true
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -28,7 +28,7 @@
 	Sequence uint64
 	// Version increases with each change of the entry.
 	Version uint64
-	// Restored reports that the entry was read after the store was restored from a copy: it may
+	// Restored reports that the entry was read after the store was restored from a backup: it may
 	// be older than the known one.
 	Restored bool
 	// ChangedAfter is a time before the last change of the entry, 0 if none is known.
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -240,7 +240,7 @@
 }
 
 // resetMembers applies the whole table. VMs whose rows it lacks stay in the list: rows are never
-// deleted, so the store was restored from a copy without them.
+// deleted, so the store was restored from a backup without them.
 func (e *Process) resetMembers(rows []coord.Row) {
 	e.listed.Store(false)
 	e.updateMembers(rows)
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -75,7 +75,7 @@
 }
 
 // resetRosters applies the whole table. Rows that it lacks do not exist: the store was restored
-// from a copy without them.
+// from a backup without them.
 func (e *Process) resetRosters(rows []coord.Row) {
 	present := map[string]bool{}
 	for _, r := range rows {
--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -123,25 +123,25 @@
 	s.compactedTo = s.version
 }
 
-// Copy is the content of a store at some time.
-type Copy struct {
+// Backup is the content of a store at some time.
+type Backup struct {
 	rows    map[key]row
 	version uint64
 }
 
-// Copy returns a copy of the store.
-func (s *Store) Copy() Copy {
+// Backup returns a backup of the store.
+func (s *Store) Backup() Backup {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return Copy{maps.Clone(s.rows), s.version}
+	return Backup{maps.Clone(s.rows), s.version}
 }
 
-// Restore replaces the content of the store with that of the copy and begins a new era. Versions
-// after the copy are assigned again, and a watch from one that does not exist gets 410 Gone.
-func (s *Store) Restore(c Copy) {
+// Restore replaces the content of the store with that of the backup and begins a new era. Versions
+// after the backup are assigned again, and a watch from one that does not exist gets 410 Gone.
+func (s *Store) Restore(b Backup) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rows, s.version = maps.Clone(c.rows), c.version
+	s.rows, s.version = maps.Clone(b.rows), b.version
 	s.compactedTo = min(s.compactedTo, s.version)
 	s.era++
 	s.notifyWatchers()
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -200,7 +200,7 @@
 }
 
 // Republish writes the configuration and the entries of all servers again, as the operator and
-// the servers do after the store was restored from a copy.
+// the servers do after the store was restored from a backup.
 func (w *World) Republish() {
 	w.mu.Lock()
 	w.writeConfig()
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -299,7 +299,7 @@
 }
 
 // acquireLease takes over the group's row and advances its token. A row that is older than the
-// newest record known to this VM was restored from a copy; that record counts then.
+// newest record known to this VM was restored from a backup; that record counts then.
 func (s *Steward) acquireLease(ctx context.Context, group string) (*lease, error) {
 	if err := s.checkEraAge(); err != nil {
 		return nil, err
--- a/soak/run.go
+++ b/soak/run.go
@@ -180,6 +180,9 @@
 	r.started = time.Now()
 	end := r.started.Add(o.Length)
 	watch := r.watch()
+	if o.Restores {
+		r.wg.Go(func() { r.restores(end) })
+	}
 	if o.Series {
 		for i := range groups * burstWritersPerGroup {
 			c := &caller{run: r, number: o.Callers + i, group: i % groups, rand: rand.New(rand.NewPCG(seed, uint64(o.Callers+i))), ids: &ids}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -30,6 +30,12 @@
 	902: "a VM in the same network partition as the former primary kept reading from it",
 }
 
+// restoreRegressions are seeds of series with restores of the store that failed in the past, with
+// the cause.
+var restoreRegressions = map[uint64]string{
+	1002: "two VMs gave out the same token, because the row with the last one was lost",
+}
+
 const shortLength = 8 * time.Second
 
 // buildProgram builds the program under test and returns its path.
@@ -73,6 +79,10 @@
 	runSeries(t, options{Program: buildProgram(t), VMs: 5, Callers: 16, Series: true, Replaced: true}, replacedRegressions)
 }
 
+func TestRestoredStoreLosesNoAcknowledgedCommit(t *testing.T) {
+	runSeries(t, options{Program: buildProgram(t), VMs: 5, Callers: 16, Series: true, Restores: true}, restoreRegressions)
+}
+
 func runSeries(t *testing.T, o options, seeds map[uint64]string) {
 	for seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
--- a/test/platform/restore_test.go
+++ b/test/platform/restore_test.go
@@ -11,11 +11,11 @@
 	"chicoryline/internal/standin/world"
 )
 
-// restore replaces the content of the store with that of the copy after a short outage.
-func (f *fleet) restore(c rowstore.Copy) {
+// restore replaces the content of the store with that of the backup after a short outage.
+func (f *fleet) restore(b rowstore.Backup) {
 	f.Store.SetFault(rowstore.Busy)
 	time.Sleep(200 * time.Millisecond)
-	f.Store.Restore(c)
+	f.Store.Restore(b)
 	f.Store.SetFault(rowstore.NoFault)
 }
 
@@ -51,12 +51,12 @@
 // keys stayed in use, and the tables were read in a loop.
 func TestKeyWithdrawnAfterRestoreIsRefused(t *testing.T) {
 	f := start(t)
-	copied := f.Store.Copy()
+	backup := f.Store.Backup()
 	for i := range 5 {
 		f.setKey(fmt.Sprintf("key-%d", i))
 	}
 	f.awaitConfig("key-4")
-	f.restore(copied)
+	f.restore(backup)
 	calls := f.Store.Calls()
 	f.setKey("key-last")
 	f.awaitConfig("key-last")
@@ -72,12 +72,12 @@
 // known version was never delivered.
 func TestChangeBelowTheKnownVersionIsDeliveredAfterRestore(t *testing.T) {
 	f := start(t)
-	copied := f.Store.Copy()
+	backup := f.Store.Backup()
 	f.setKey("key-before")
 	f.awaitConfig("key-before")
 	f.Store.SetFault(rowstore.Busy)
 	time.Sleep(200 * time.Millisecond)
-	f.Store.Restore(copied)
+	f.Store.Restore(backup)
 	f.setKey("key-after")
 	for i := range 50 {
 		f.Store.Put("other", fmt.Sprint(i), nil)
@@ -86,18 +86,18 @@
 	f.awaitConfig("key-after")
 }
 
-// Guards against taking an answer about the copy for a proof that nothing newer exists: a VM that
+// Guards against taking an answer about the backup for a proof that nothing newer exists: a VM that
 // had no contact when a key was withdrawn went on with it for as long as the operator had not
 // written the change again.
-func TestCopyDoesNotProveTheConfiguration(t *testing.T) {
+func TestBackupDoesNotProveTheConfiguration(t *testing.T) {
 	const revocationDelay = 2 * time.Second
 	f := start(t, func(o *world.Options) { o.VMs, o.KeyRevocationDelay = 1, revocationDelay })
-	copied := f.Store.Copy()
+	backup := f.Store.Backup()
 	f.storeRelays[0].SetPartitioned(true)
 	f.setKey("key-new")
 	withdrawn := time.Now()
 	time.Sleep(300 * time.Millisecond)
-	f.Store.Restore(copied)
+	f.Store.Restore(backup)
 	f.storeRelays[0].SetPartitioned(false)
 	c := f.dial(0, "own-0", "key-large")
 	for time.Since(withdrawn) < revocationDelay+500*time.Millisecond {
@@ -111,16 +111,16 @@
 	f.awaitConfig("key-new")
 }
 
-// Guards against serving by the copy after a restart: the VM knows nothing newer.
-func TestVMThatStartsAfterARestoreDoesNotServeByTheCopy(t *testing.T) {
+// Guards against serving by the backup after a restart: the VM knows nothing newer.
+func TestVMThatStartsAfterARestoreDoesNotServeByTheBackup(t *testing.T) {
 	const revocationDelay = 2 * time.Second
 	f := start(t, func(o *world.Options) { o.VMs, o.KeyRevocationDelay = 1, revocationDelay })
-	copied := f.Store.Copy()
+	backup := f.Store.Backup()
 	f.setKey("key-new")
 	withdrawn := time.Now()
 	f.stop[0]()
 	<-f.done[0]
-	f.Store.Restore(copied)
+	f.Store.Restore(backup)
 	f.startVM(0)
 	for begin := time.Now(); time.Since(begin) < 1500*time.Millisecond; time.Sleep(10 * time.Millisecond) {
 		if sent := time.Since(withdrawn); sent > revocationDelay && f.admits(0, "key-large") {
@@ -131,15 +131,15 @@
 	f.awaitConfig("key-new")
 }
 
-// Guards against losing VMs that have joined since the copy was made: the others did not know
+// Guards against losing VMs that have joined since the backup was made: the others did not know
 // them, and they were counted in no limit.
 func TestMembersLostByRestoreAreRegisteredAgain(t *testing.T) {
 	f := start(t)
-	copied := f.Store.Copy()
+	backup := f.Store.Backup()
 	f.Options.VMs++
 	f.startVM(f.Options.VMs - 1)
 	f.eventually("ready", func() bool { return f.isReady(f.Options.VMs - 1) })
-	f.restore(copied)
+	f.restore(backup)
 	f.Republish()
 	f.eventually("rows of all VMs", func() bool { return len(f.Store.Rows("members")) == f.Options.VMs })
 }
@@ -147,7 +147,7 @@
 // Guards against using fencing tokens twice: the row with the last one is gone after a restore.
 func TestTokensAreNotReusedAfterRestore(t *testing.T) {
 	f := start(t)
-	copied := f.Store.Copy()
+	backup := f.Store.Backup()
 	first := f.primary()
 	first.Crash()
 	f.PublishEntry(first)
@@ -156,7 +156,7 @@
 	if err := first.Restart(); err != nil {
 		t.Fatal(err)
 	}
-	f.restore(copied)
+	f.restore(backup)
 	f.Republish()
 	second := f.primary()
 	second.StartDraining()
