A store without any configuration proves none; registration is spread

Read-through: if the restored table has no row of the configuration, the version that it held before still counted as stored. A fleet whose rows are all lost wrote them within 0.3 s, twice what a part of the store takes in a second. A reset of the list could make a VM write its row needlessly.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -38,7 +39,11 @@
 			}
 		}
 	}
-	f := e.follower(e.platform.ConfigTable, apply, apply)
+	reset := func(rows []coord.Row) {
+		e.storedConfig.Store(0) // the store may have lost the configuration
+		apply(rows)
+	}
+	f := e.follower(e.platform.ConfigTable, reset, apply)
 	f.Proof = e.proveConfig
 	go e.keepConfigFresh(ctx, f)
 	f.Run(ctx)
@@ -242,8 +247,18 @@
 // resetMembers applies the whole table. VMs whose rows it lacks stay in the list: rows are never
 // deleted, so the store was restored from a backup without them.
 func (e *Process) resetMembers(rows []coord.Row) {
-	e.listed.Store(false)
 	e.updateMembers(rows)
+	e.listed.Store(slices.ContainsFunc(rows, e.isOwnRow))
+}
+
+// isOwnRow reports whether the row lists this VM as it runs now.
+func (e *Process) isOwnRow(r coord.Row) bool {
+	var m member
+	if r.Deleted || r.Key != e.settings.VM || json.Unmarshal(r.Value, &m) != nil {
+		return false // updateMembers logs what cannot be decoded
+	}
+	m.SettledEra = 0
+	return m == e.ownMember()
 }
 
 // updateMembers applies rows of VMs.
@@ -258,7 +273,7 @@
 		} else {
 			e.members[r.Key] = m
 			e.platform.Eras.MarkSettled(m.SettledEra)
-			if own := e.ownMember(); r.Key == e.settings.VM && m.Address == own.Address && m.Domain == own.Domain {
+			if e.isOwnRow(r) {
 				e.listed.Store(true)
 			}
 		}
--- a/internal/entry/join.go
+++ b/internal/entry/join.go
@@ -25,8 +25,10 @@
 	// settledEraAge is the age of the store's era from which rows of VMs call it settled: by then
 	// lost rows have been written again, and leases of stewards of the era before have ended.
 	settledEraAge = 4 * time.Second
-	// registerInterval is the time between two checks of this VM's row.
+	// registerInterval, plus up to registerJitter, is the time between two checks of this VM's
+	// row. The store may have lost the rows of a whole fleet, which it takes in at a limited rate.
 	registerInterval = time.Second
+	registerJitter   = time.Second
 	// leaderPollInterval is the time between two checks for the leader.
 	leaderPollInterval = 25 * time.Millisecond
 	// minRegisterBackoff and maxRegisterBackoff bound the pause after a failed call.
@@ -109,7 +111,7 @@
 // store for others also records there that the era is settled, so that VMs that start do not
 // wait for that.
 func (e *Process) keepRegistered(ctx context.Context) {
-	every(ctx, registerInterval, func() {
+	every(ctx, registerInterval+rand.N(registerJitter), func() {
 		if e.listed.Load() && !(e.readsStore() && e.isSettledEraUnrecorded()) {
 			return
 		}
