--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -244,7 +244,7 @@
 	if s := g.servers[info.ID]; s != nil {
 		known := s.Info()
 		if known.isNewerThan(info) {
-			g.serverLog(s).WithField("restored_started", info.Started).Info("older entry ignored")
+			g.serverLog(s).Info("older entry ignored")
 			return true
 		}
 		return !info.isNewerThan(known) && !s.isMissing()
