--- a/review/3/main.go
+++ b/review/3/main.go
@@ -1,126 +1,149 @@
-// Case 3: after a restart of all processes, groups whose primary is gone never get a new one.
+// Case 3: a planned stop cuts off statements of open transactions that it has accepted.
 package main
 
 import (
 	"fmt"
+	"sync"
 	"syscall"
 	"time"
 
-	"chicoryline/internal/standin/rowstore"
+	"chicoryline/internal/standin/lineclient"
 	"chicoryline/internal/standin/world"
 	"chicoryline/review/harness"
 )
 
 const (
-	groups = 3
-	vms    = 3
-	key    = "key-0"
-	// clientsPerRoute is the number of sessions on each route; each sends one request per
-	// requestInterval.
-	clientsPerRoute = 2
-	requestInterval = 200 * time.Millisecond
-	// calm is the traffic before the first disruption.
-	calm = 10 * time.Second
-	// storeDown is the length of the store's outage, entryLifetime that of the entry of a server
-	// without heartbeats: three intervals of 1,200 ms.
-	storeDown     = 5600 * time.Millisecond
-	entryLifetime = 3600 * time.Millisecond
-	// crashAfter and killAfter are the times from the begin of the outage to the loss of the
-	// primaries and to the final fault.
-	crashAfter = 300 * time.Millisecond
-	killAfter  = 4 * time.Second
-	// down is the time until killed processes start again.
-	down = 600 * time.Millisecond
-	// recovery is recovery_s; requests are counted for watched after it.
-	recovery = 12 * time.Second
-	watched  = 30 * time.Second
-	// minServed is the share of the requests that the rule requires to be served.
-	minServed = 0.25
+	clients = 12
+	// statementTime is within the site's work of lookups (mean 55 ms, at most 410 ms).
+	statementTime = 300 * time.Millisecond
+	// A transaction has at most 12 statements, BEGIN and COMMIT included, with pauses between them.
+	statements = 10
+	pause      = 320 * time.Millisecond
+	// stagger is the time between the starts of two clients.
+	stagger = 45 * time.Millisecond
+	// grace is grace_s. The rule excuses only requests that were sent no later than excusedSent
+	// after the SIGTERM.
+	grace       = 6 * time.Second
+	excusedSent = 3 * time.Second
+	answerLimit = 5 * time.Second
+	database    = "bounded-0"
+	key         = "key-0"
 )
 
+// client runs one read-only transaction and reports the statements that got no answer.
+type client struct {
+	number int
+	fleet  *harness.Fleet
+	taps   *harness.Taps
+
+	mu    *sync.Mutex
+	term  *time.Time
+	lost  *int
+	fails *int
+}
+
 func main() { harness.Main(run) }
 
 func run(record *harness.Record, trouble bool) (bool, error) {
+	taps := harness.NewTaps(record)
+	defer taps.Close()
 	fleet, err := harness.NewFleet(world.Options{
-		Groups: groups, Domains: []string{"north", "south", "east"}, VMs: vms, MaxConnections: 34,
-		Lag: 60 * time.Millisecond, StatementTime: 11 * time.Millisecond, PromotionDelay: 600 * time.Millisecond,
+		ServerAddress: taps.Address,
+		Groups:        1, Domains: []string{"north", "south", "east"}, VMs: 3, MaxConnections: 34,
+		Lag: 60 * time.Millisecond, StatementTime: statementTime, PromotionDelay: 600 * time.Millisecond,
 		KeyRevocationDelay: 5 * time.Second,
-		Customers:          []world.Customer{{Name: "customer0", Keys: []string{key}, Rate: 300, Burst: 300}},
+		Customers:          []world.Customer{{Name: "customer0", Keys: []string{key}, Rate: 121, Burst: 121}},
 	}, harness.Program(), record)
 	if err != nil {
 		return false, err
 	}
 	defer fleet.Close()
-	for vm := range vms {
+	for vm := range 3 {
 		if err := fleet.Start(vm); err != nil {
 			return false, err
 		}
 	}
-	for vm := range vms {
-		for g := range groups {
-			if err := fleet.AwaitReads(vm, fmt.Sprintf("current-%d", g), key); err != nil {
-				return false, err
-			}
+	for vm := range 3 {
+		if err := fleet.AwaitReads(vm, database, key); err != nil {
+			return false, err
 		}
 	}
-	t := &harness.Traffic{VMs: []int{0, 1, 2}, Key: key, Interval: requestInterval}
-	fleet.StartTraffic(t, clientsPerRoute)
-	started := time.Now()
-	time.Sleep(calm)
-	begin := time.Now()
-	if harness.IsOn(trouble, "store") {
-		record.Addf("store: answers 503 for %v", storeDown)
-		fleet.World.Store.SetFault(rowstore.Busy)
+	time.Sleep(5 * time.Second) // stable_window_ms, and the first window of the rate limit
+
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	var term time.Time
+	lost, fails := 0, 0
+	for i := range clients {
+		c := &client{number: i, fleet: fleet, taps: taps, mu: &mu, term: &term, lost: &lost, fails: &fails}
+		wg.Go(c.transaction)
+		time.Sleep(stagger)
 	}
-	time.Sleep(crashAfter)
-	if harness.IsOn(trouble, "primaries") {
-		for _, g := range fleet.World.Groups {
-			p := g.Primary()
-			record.Addf("%s: primary %s is gone for good", g.Name(), p.ID)
-			p.Crash()
-			time.AfterFunc(entryLifetime, func() {
-				record.Addf("entry of %s expires", p.ID)
-				fleet.World.PublishEntry(p)
-			})
+	if trouble {
+		mu.Lock()
+		term = time.Now()
+		mu.Unlock()
+		fleet.Signal(0, syscall.SIGTERM)
+		ended := make(chan struct{})
+		go func() { fleet.Wait(0); close(ended) }()
+		select {
+		case <-ended:
+		case <-time.After(grace):
+			fleet.Signal(0, syscall.SIGKILL)
+			<-ended
 		}
 	}
-	time.Sleep(time.Until(begin.Add(killAfter)))
-	final := time.Now()
-	if harness.IsOn(trouble, "kill") {
-		for vm := range vms {
-			fleet.Signal(vm, syscall.SIGKILL)
-		}
-		for vm := range vms {
-			fleet.Wait(vm)
-		}
-		time.Sleep(down)
-		for vm := range vms {
-			if err := fleet.Start(vm); err != nil {
-				return false, err
-			}
+	wg.Wait()
+	record.Addf("statements accepted and cut off without an answer: %d; other failures: %d", lost, fails)
+	return lost > 0, nil
+}
+
+// transaction runs the statements of one transaction.
+func (c *client) transaction() {
+	session, err := lineclient.Dial(c.fleet.World.FrontAddress(0), database, key, answerLimit)
+	if err != nil {
+		c.fleet.Record.Addf("client %d: no session: %v", c.number, err)
+		return
+	}
+	defer session.Close()
+	if !c.statement(session, 0, "BEGIN READ") {
+		return
+	}
+	for i := range statements {
+		if !c.statement(session, i+1, fmt.Sprintf("READ item%d", i)) {
+			return
 		}
+		time.Sleep(pause)
 	}
-	time.Sleep(time.Until(begin.Add(storeDown)))
-	fleet.World.Store.SetFault(rowstore.NoFault)
-	back := time.Now()
-	record.Addf("store answers, all processes run")
-	time.Sleep(time.Until(back.Add(recovery + watched)))
-	t.Stop()
+	c.statement(session, statements+1, "COMMIT")
+}
 
-	before, beforeAll := t.Served(started, final)
-	after, afterAll := t.Served(back.Add(recovery), back.Add(recovery+watched))
-	record.Addf("before the final fault: %d of %d requests served", before, beforeAll)
-	record.Addf("later than %v after the machines and the store are back: %d of %d requests served", recovery, after, afterAll)
-	for _, g := range fleet.World.Groups {
-		primary := "none"
-		if p := g.Primary(); p != nil {
-			running, _, _ := p.State()
-			primary = fmt.Sprintf("%s, running: %t", p.ID, running)
-		}
-		record.Addf("%s: primary %s, promoted during the run: %v", g.Name(), primary, g.Promoted())
+// statement sends one statement and reports whether it succeeded.
+func (c *client) statement(session *lineclient.Client, n int, text string) bool {
+	id := fmt.Sprintf("c%ds%d", c.number, n)
+	sent := time.Now()
+	a, err := session.Query(id, text)
+	took := time.Since(sent)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err == nil && a.Code == "" {
+		c.fleet.Record.Addf("%s %q: answered after %d ms, %s", id, text, took.Milliseconds(), a.Signature)
+		return true
+	}
+	*c.fails++
+	if err == nil {
+		c.fleet.Record.Addf("%s %q: refused: %s %s", id, text, a.Code, a.Text)
+		return false
+	}
+	if c.term.IsZero() {
+		c.fleet.Record.Addf("%s %q: %v after %d ms, before any SIGTERM", id, text, err, took.Milliseconds())
+		return false
 	}
-	if beforeAll == 0 || afterAll == 0 || float64(before) < minServed*float64(beforeAll) {
-		return false, fmt.Errorf("too little was served before the final fault: %d of %d", before, beforeAll)
+	after := sent.Sub(*c.term)
+	c.fleet.Record.Addf("%s %q: sent %d ms after SIGTERM, no answer after %d ms: %v", id, text, after.Milliseconds(), took.Milliseconds(), err)
+	if after > excusedSent && c.taps.Passed(id) {
+		c.fleet.Record.Addf("%s was passed on to a backend server and is not excused", id)
+		*c.lost++
 	}
-	return float64(after) < minServed*float64(afterAll), nil
+	return false
 }
--- a/review/harness/tap.go
+++ b/review/harness/tap.go
@@ -6,6 +6,7 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 
 	"chicoryline/internal/standin/linegroup"
 )
@@ -21,6 +22,9 @@
 	targets   map[string]*linegroup.Server
 	listeners []net.Listener
 	passed    map[string]bool
+	// cutOff reports whether a server is out of reach for the connections of a customer; control
+	// connections have the customer "-". It is nil while no server is.
+	cutOff func(server, customer string) bool
 }
 
 // NewTaps returns taps that write to the record.
@@ -36,7 +40,7 @@
 	if a, ok := t.addresses[s.ID]; ok {
 		return a
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	l, err := Listen()
 	if err != nil {
 		panic(err) // no free port on loopback
 	}
@@ -63,6 +67,31 @@
 	return t.passed[id]
 }
 
+// CutOff puts servers out of reach for the connections for which the function is true: they stay
+// open without delivering anything. nil ends that; what was held up is then dropped with its
+// connection.
+func (t *Taps) CutOff(f func(server, customer string) bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.cutOff = f
+}
+
+// awaitReach waits while the server is out of reach, and reports whether it was.
+func (t *Taps) awaitReach(server, customer string) (was bool) {
+	for ; ; was = true {
+		t.mu.Lock()
+		cut := t.cutOff != nil && t.cutOff(server, customer)
+		t.mu.Unlock()
+		if !cut {
+			return was
+		}
+		time.Sleep(reachInterval)
+	}
+}
+
+// reachInterval is the time between two checks whether a server is within reach again.
+const reachInterval = 5 * time.Millisecond
+
 // Close stops accepting connections.
 func (t *Taps) Close() {
 	t.mu.Lock()
@@ -86,26 +115,31 @@
 			client.Close()
 			continue
 		}
-		go func() {
-			defer client.Close()
-			defer server.Close()
-			_, _ = io.Copy(client, server)
-		}()
 		go t.forward(client, server, s.ID)
 	}
 }
 
-// forward copies the requests of a connection, line by line.
+// forward copies the requests of a connection line by line and, once the customer is known, the
+// answers.
 func (t *Taps) forward(client, server net.Conn, id string) {
 	defer client.Close()
 	defer server.Close()
 	r := bufio.NewReader(client)
-	for {
+	customer := ""
+	for first := true; ; first = false {
 		line, err := r.ReadString('\n')
 		if err != nil {
 			return
 		}
-		if f := strings.Fields(line); len(f) > 2 && f[0] == "QUERY" && f[1] != "-" {
+		f := strings.Fields(line)
+		if first && len(f) > 2 {
+			customer = f[2]
+			go t.answer(client, server, id, customer)
+		}
+		if t.awaitReach(id, customer) {
+			return
+		}
+		if len(f) > 2 && f[0] == "QUERY" && f[1] != "-" {
 			t.record.Addf("%s: runs %s", id, strings.Join(f[1:], " "))
 			t.mu.Lock()
 			t.passed[f[1]] = true
@@ -116,3 +150,22 @@
 		}
 	}
 }
+
+// answer copies the answers of a connection.
+func (t *Taps) answer(client, server net.Conn, id, customer string) {
+	defer client.Close()
+	defer server.Close()
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := server.Read(buffer)
+		if err != nil || t.awaitReach(id, customer) {
+			return
+		}
+		if _, err := client.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// Listen listens on a free port of loopback.
+func Listen() (net.Listener, error) { return net.Listen("tcp4", "127.0.0.1:0") }
