A server whose address is used again may have held acknowledged commits

Cause: a server at whose address another group answers has ended. The steward does not count it as unreachable, and asked only servers that it had counted whether they may have held commits that the target lacks. After a restart of all processes nothing else refuses the target.

Ruled out: checkHoldsAcknowledged (acknowledged=0/0 after the restart); the roster (it lists the server); a wrong answer of the address (the log says replaced).

Change: failOver asks this of every server that has ended. The primary that is being replaced is passed over: every commit was acknowledged by two servers.

The test failed before in three of its five rows ("b" promoted, want none). TestPrimaryWhoseAddressIsReusedIsReplaced holds before and after.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -223,7 +223,8 @@
 
 // failOver returns the successor of an unreachable primary. It fails if another server is
 // unreachable too: that server may be the only one with an acknowledged commit, or may
-// receive further commits.
+// receive further commits. A server that has ended receives none, but held those that it had
+// acknowledged together with the primary.
 func (a *attempt) failOver(ctx context.Context) (*member, error) {
 	if n := a.countUnreachable(ctx); n > 0 {
 		return nil, errkind.New(errkind.NoPrimary, "%d servers besides the primary are unreachable", n)
@@ -238,7 +239,7 @@
 	}
 	for _, m := range a.members {
 		covered := m.ConfirmedGone && target.status.Received.AtLeast(m.Position)
-		if m.gone && !covered && !a.isAcknowledgedComplete(target.status.Received.Term) {
+		if m.ID != a.t.Primary && m.hasEnded() && !covered && !a.isAcknowledgedComplete(target.status.Received.Term) {
 			return nil, errkind.New(errkind.NoPrimary, "server %s is gone and may have held commits that %s lacks", m.ID, target.ID)
 		}
 	}
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -155,6 +155,40 @@
 	}
 }
 
+// A server that is gone held the only other copy of acknowledged commits, and a server of another
+// group used its address: a replica without the commits was promoted (review/1).
+func TestServerWhoseAddressIsReusedMayHaveHeldAcknowledgedCommits(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		acknowledged uint64
+		gone         Server
+		want         string
+	}{
+		{"position unknown", 0, Server{ID: "c", Missing: time.Minute}, ""},
+		{"listed, position unknown", 0, Server{ID: "c"}, ""},
+		{"position beyond the replica's", 0, Server{ID: "c", Missing: time.Minute, ConfirmedGone: true, Position: position.Position{Term: 1, Offset: 8}}, ""},
+		{"position held by the replica", 0, Server{ID: "c", Missing: time.Minute, ConfirmedGone: true, Position: position.Position{Term: 1, Offset: 7}}, "b"},
+		{"acknowledged position complete", 7, Server{ID: "c", Missing: time.Minute}, "b"},
+	} {
+		c.gone.Address = "reused:1"
+		g := &fakeGroup{received: map[string]uint64{"b": 7}, down: map[string]bool{"a": true}, reused: map[string]bool{"reused:1": true}}
+		done, err := runAttempt(newSteward("vm1", newFakeStore(), g), Silent, c.acknowledged, Server{ID: "a"}, Server{ID: "b"}, c.gone)
+		if done != c.want || (err == nil) != (c.want != "") {
+			t.Errorf("%s: %q, %v, want %q", c.name, done, err, c.want)
+		}
+	}
+}
+
+// The primary's own address may be reused as well: one lost server takes no acknowledged commit
+// along.
+func TestPrimaryWhoseAddressIsReusedIsReplaced(t *testing.T) {
+	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 7}, reused: map[string]bool{"reused:1": true}}
+	done, err := runAttempt(newSteward("vm1", newFakeStore(), g), Silent, 0, Server{ID: "a", Address: "reused:1"}, Server{ID: "b"}, Server{ID: "c"})
+	if err != nil || done == "" {
+		t.Errorf("%q, %v", done, err)
+	}
+}
+
 // The primary known to the steward's VM may have been replaced already.
 func TestNewerPrimaryIsNotReplaced(t *testing.T) {
 	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "b"}
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -63,6 +63,9 @@
 // isAnswering reports whether the server itself accepted or refused the last connection.
 func (m *member) isAnswering() bool { return m.addressAnswers && !m.unlisted && !m.replaced }
 
+// hasEnded reports whether the server counts as no longer running. Its log is lost.
+func (m *member) hasEnded() bool { return m.gone || m.replaced }
+
 func (m *member) closeConn() {
 	if m.conn != nil {
 		m.conn.Close()
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -77,6 +77,8 @@
 	down     map[string]bool
 	// catchUp makes a resumed replica receive the whole log of the primary.
 	catchUp bool
+	// reused holds addresses at which a server of another group answers.
+	reused map[string]bool
 }
 
 // fakeConn is a connection to a server of the group.
@@ -114,7 +116,10 @@
 	g.primary = ""
 }
 
-func (g *fakeGroup) Dial(_ context.Context, _, _, server, _ string) (statement.Conn, error) {
+func (g *fakeGroup) Dial(_ context.Context, address, _, server, _ string) (statement.Conn, error) {
+	if g.reused[address] {
+		return nil, errkind.New(errkind.WrongServer, "fake")
+	}
 	if g.down[server] {
 		return nil, errkind.New(errkind.Unreachable, "fake")
 	}
