Groups whose primary no VM has seen get one

Cause: a VM asks for a primary when it loses one; one that never saw a primary waited. And without a known primary, a steward counted the lost one among the other servers that may hold the only copy of a commit.

Ruled out: the reason Unfinished (refused without a leader, and no change was open); the roster (it lists the lost server); the store (it answered).

Change: a group lacks a primary from its first known server on; a VM that has seen none waits for 2.5 s, as entries return within 2 s of an outage. With no known primary, the only unreachable server is presumed to be it.

Tried and dropped: presuming it also where the known primary answers as a replica. TestNothingIsOrderedWithoutAllReplicas and TestUnfinishedOrderKeepsTheOthersPaused forbid it.

TestUnreachableServerIsPresumedPrimaryIfNoneIsKnown (3 of 6 rows) and TestGroupWithoutAPrimarySinceTheStartLacksOne failed before.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -70,8 +70,9 @@
 	health health
 	// primaryExpectedAt is when a new primary is expected to take over.
 	primaryExpectedAt boottime.Time
-	// primaryLostAt is when the group lost its primary, primaryLeavingSince when the present
-	// primary was first known to be leaving.
+	// primaryLostAt is when the group lost its primary or, if it has had none yet, when its first
+	// server was known. primaryLeavingSince is when the present primary was first known to be
+	// leaving.
 	primaryLostAt, primaryLeavingSince boottime.Time
 	// lastPrimary is the ID of the primary before the group lost it.
 	lastPrimary  string
@@ -315,6 +316,9 @@
 	if best != g.leader {
 		g.setPrimary(best, how, bestVersion)
 	}
+	if best == nil && g.primaryLostAt == 0 {
+		g.primaryLostAt = boottime.Now()
+	}
 	switch {
 	case best == nil || !best.Info().Leaving:
 		g.primaryLeavingSince = 0
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -78,12 +78,14 @@
 
 // Health describes the primary for the steward, which decides whether to replace it.
 type Health struct {
-	// Primary is empty if no primary is known; LastPrimary is then the previous one.
+	// Primary is empty if no primary is known; LastPrimary is then the previous one, empty if
+	// there was none.
 	Primary, LastPrimary string
 	Leaving              bool
 	// PromotionPending reports whether a promotion was ordered recently.
 	PromotionPending bool
-	// Since is when the group lost its primary or the primary began to leave.
+	// Since is when the group lost its primary, or has had servers without one, or when the
+	// primary began to leave.
 	Since                    boottime.Time
 	LastAnswer, FailingSince boottime.Time
 	LastCommit, StuckSince   boottime.Time
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -1,6 +1,10 @@
 package dispatch
 
-import "testing"
+import (
+	"testing"
+
+	"chicoryline/internal/boottime"
+)
 
 // A write sent before the last acknowledged commit, and abandoned after it, shows nothing
 // about the time since. Guards against such a write hiding the first newer failure, so that
@@ -28,6 +32,32 @@
 	}
 }
 
+// A VM that started after the primary had been lost never asked for one (review/4).
+func TestGroupWithoutAPrimarySinceTheStartLacksOne(t *testing.T) {
+	g := newGroup("a", "b")
+	if h := g.Health(); h.Since != 0 {
+		t.Errorf("a group with a primary lacks one since %d", h.Since)
+	}
+	g = newGroup()
+	if h := g.Health(); h.Since != 0 {
+		t.Errorf("a group without servers lacks a primary since %d", h.Since)
+	}
+	before := boottime.Now()
+	g.update(entryOf("a", false, 1))
+	since := g.Health().Since
+	if h := g.Health(); since < before || h.Primary != "" || h.LastPrimary != "" {
+		t.Errorf("%+v: the group lacks a primary since %d", h, before)
+	}
+	g.update(entryOf("b", false, 2))
+	if h := g.Health(); h.Since != since {
+		t.Errorf("a second replica moves the time from %d to %d", since, h.Since)
+	}
+	g.update(entryOf("c", true, 3))
+	if h := g.Health(); h.Since != 0 || h.Primary != "c" {
+		t.Errorf("%+v: the group has a primary", h)
+	}
+}
+
 func TestHealthOfAnotherPrimaryIsNotTaken(t *testing.T) {
 	g := newGroup("a", "b")
 	now := g.Health().Since
--- a/internal/entry/supervise.go
+++ b/internal/entry/supervise.go
@@ -88,7 +88,7 @@
 		return steward.Task{}, false
 	}
 	observed := steward.Observation{
-		Now: boottime.Now(), Changing: h.PromotionPending, Known: h.Primary != "", Leaving: h.Leaving, UnknownSince: h.Since,
+		Now: boottime.Now(), Changing: h.PromotionPending, Known: h.Primary != "", Unseen: h.LastPrimary == "", Leaving: h.Leaving, UnknownSince: h.Since,
 		Answered: h.LastAnswer, FailingSince: h.FailingSince, Committed: h.LastCommit, StuckSince: h.StuckSince,
 		UnfinishedSince: e.steward.UnfinishedSince(g.Name),
 	}
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -44,6 +44,9 @@
 // execute changes the primary, or completes an earlier unfinished change.
 func (a *attempt) execute(ctx context.Context) error {
 	leader := a.currentPrimary()
+	if leader == nil {
+		a.presumePrimary()
+	}
 	if p := a.member(a.t.Primary); p != nil && p.isAnswering() && (a.t.Reason == Silent || p.conn == nil) {
 		return a.abort(a.primaryAnsweredError())
 	}
--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -189,6 +189,38 @@
 	}
 }
 
+// All VMs restarted after the primary had been lost: none knew it, and the group never got a
+// primary again (review/4).
+func TestUnreachableServerIsPresumedPrimaryIfNoneIsKnown(t *testing.T) {
+	covered := position.Position{Term: 1, Offset: 7}
+	for _, c := range []struct {
+		name    string
+		down    map[string]bool
+		servers []Server
+		want    string
+	}{
+		{"one lost", map[string]bool{"a": true}, serversWithIDs("a", "b", "c"), "c"},
+		{"one lost without an entry", map[string]bool{"a": true}, []Server{{ID: "a", Missing: time.Millisecond}, {ID: "b"}, {ID: "c"}}, "c"},
+		{"two lost", map[string]bool{"a": true, "b": true}, serversWithIDs("a", "b", "c"), ""},
+		{"two lost, both without an entry", map[string]bool{"a": true, "b": true}, []Server{{ID: "a", Missing: time.Minute}, {ID: "b", Missing: time.Minute}, {ID: "c"}}, ""},
+		{"two lost, one found gone before", map[string]bool{"a": true, "b": true}, []Server{{ID: "a"}, {ID: "b", Missing: time.Minute, ConfirmedGone: true, Position: covered}, {ID: "c"}}, "c"},
+		{"two lost, one gone with more", map[string]bool{"a": true, "b": true}, []Server{{ID: "a"}, {ID: "b", Missing: time.Minute, ConfirmedGone: true, Position: position.Position{Term: 1, Offset: 8}}, {ID: "c"}}, ""},
+	} {
+		g := &fakeGroup{received: map[string]uint64{"b": 5, "c": 7}, down: c.down, catchUp: true}
+		done := ""
+		s := newSteward("vm1", newFakeStore(), g)
+		err := s.runTask(context.Background(), Task{
+			Group: "g", Servers: c.servers, Reason: Missing,
+			IsDomainReachable: func(Server, boottime.Time) bool { return true },
+			OnPrimaryAnswered: func() {},
+			OnPromoted:        func(server string) { done = server },
+		}, s.cfg.Log)
+		if done != c.want || (err == nil) != (c.want != "") {
+			t.Errorf("%s: %q, %v, want %q", c.name, done, err, c.want)
+		}
+	}
+}
+
 // The primary known to the steward's VM may have been replaced already.
 func TestNewerPrimaryIsNotReplaced(t *testing.T) {
 	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "b"}
--- a/internal/steward/decide.go
+++ b/internal/steward/decide.go
@@ -21,6 +21,10 @@
 	// MissingTimeout is how long a group may have no known primary before a server is
 	// promoted.
 	MissingTimeout = 700 * time.Millisecond
+	// UnseenTimeout replaces MissingTimeout at a VM that has not seen a primary of the group
+	// since it started. It cannot tell a lost primary from one whose entry expired while the
+	// store was unavailable. Such entries are back within 2 s of the store's return.
+	UnseenTimeout = GoneTimeout
 	// StuckCommitTimeout is how long commits have to stay unanswered while the primary
 	// answers other statements: it may have lost its replicas. Statements run up to 400 ms.
 	StuckCommitTimeout = 1200 * time.Millisecond
@@ -36,8 +40,10 @@
 	Changing bool
 	// Known reports that the group has a known primary, Leaving that it will stop.
 	Known, Leaving bool
-	// UnknownSince is when the group lost its primary or, if Leaving, when the primary began
-	// to leave.
+	// Unseen reports that no primary of the group has been known since this VM started.
+	Unseen bool
+	// UnknownSince is when the group lost its primary, when a server of an Unseen one was first
+	// known or, if Leaving, when the primary began to leave.
 	UnknownSince boottime.Time
 	// Answered is when the primary last answered any reachable VM. FailingSince is when it
 	// first failed to answer this VM after that.
@@ -65,12 +71,16 @@
 // Decide returns the reason to replace the primary now, or None.
 func Decide(o Observation) Reason {
 	wait := time.Duration(o.Rank) * RankDelay
+	missingTimeout := MissingTimeout
+	if o.Unseen {
+		missingTimeout = UnseenTimeout
+	}
 	switch {
 	case o.Changing:
 		return None
 	case o.Known && o.Leaving && o.Now.Sub(o.UnknownSince) >= wait:
 		return Leaving
-	case !o.Known && o.UnknownSince != 0 && o.Now.Sub(o.UnknownSince) >= MissingTimeout+wait:
+	case !o.Known && o.UnknownSince != 0 && o.Now.Sub(o.UnknownSince) >= missingTimeout+wait:
 		return Missing
 	case o.Known && o.FailingSince > o.Answered && o.Now.Sub(max(o.Answered, o.FailingSince)) >= SuspectTimeout+wait:
 		return Silent
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -267,6 +267,29 @@
 	return best
 }
 
+// presumePrimary takes the only unreachable server for the primary if none is known, as on VMs
+// that all restarted after it was lost. No acknowledged commit is lost with that server, as
+// another one holds each, and it acknowledges nothing while the others are paused.
+func (a *attempt) presumePrimary() {
+	if a.t.Primary != "" {
+		return
+	}
+	var presumed *member
+	for _, m := range a.members {
+		switch {
+		case m.conn != nil, m.ConfirmedGone:
+		case presumed != nil:
+			return
+		default:
+			presumed = m
+		}
+	}
+	if presumed != nil {
+		a.log.WithField("backend_server", presumed.ID).Info("unreachable server presumed to be primary")
+		a.t.Primary = presumed.ID
+	}
+}
+
 // replicas returns the reachable servers without the given one.
 func (a *attempt) replicas(except *member) []Replica {
 	var list []Replica
--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -362,6 +362,12 @@
 			t.Servers = append(t.Servers, Server{ID: s.id, Missing: time.Minute})
 		}
 	}
+	if m.wereAllListed() && m.rand.IntN(5) == 0 {
+		// All VMs have restarted: they know the roster, but no primary and no acknowledged commit.
+		m.observedAcked = 0
+		m.tracef("all VMs restart")
+		return t
+	}
 	if m.primary != nil {
 		t.Primary = m.primary.id
 		t.Reason = []Reason{Leaving, CommitStuck, Unfinished}[m.rand.IntN(3)]
