A VM that was never heard is silent since it was listed

Cause: HasObservedAllSince was false for as long as any listed VM had never been heard by this process. Rows of VMs are never deleted. Between cells a digest covered one VM less than listed, for good, with the same effect at every process.

Ruled out: the probe of the lost server (it finds that it does not answer), the reach of its failure domain.

Change: a VM that was never heard counts as silent from its listing plus PeerTimeout. Digests say since when their source has observed its whole cell, and how many VMs it lists; the fields are appended, so that older builds skip them.

TestVMRemovedBeforeTheStartIsNotAwaitedForever failed before (row "later"); TestVMRemovedFromAnotherCellIsNotAwaitedForever needs the new fields.

--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -57,6 +57,7 @@
 func (m *Mesh) buildDigest(own StateUpdate, now boottime.Time) Digest {
 	d := Digest{
 		Cell: m.cells[m.ownCell].name, Source: m.sourceID(), Members: 1,
+		Listed: len(m.cells[m.ownCell].vms), ObservedAge: max(now.Sub(m.cellObservedFrom(now)).Milliseconds(), 0),
 		News: StateUpdate{
 			ConfigVersion: own.ConfigVersion, ConfigAge: own.ConfigAge,
 			Usage: map[string]ratelimit.Usage{}, Groups: map[string]GroupState{},
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -103,6 +103,11 @@
 	// Held is the age of the digest in milliseconds.
 	Held int64
 	News StateUpdate
+	// Listed is the number of VMs of the cell that the source knows, reachable or not, and
+	// ObservedAge the time in milliseconds since when it has observed all of them; see
+	// HasObservedAllSince. Listed is 0 in digests of VMs that do not report it.
+	Listed      int
+	ObservedAge int64
 }
 
 // envelope is a datagram. Sent and Echo are timestamps on the clocks of the sender and of the
@@ -149,10 +154,10 @@
 	// incarnation and sent are those of the newest datagram from the peer.
 	incarnation uint64
 	sent        boottime.Time
-	// receivedAt is when the newest datagram came, 0 while the peer is unreachable;
-	// lastReceivedAt is kept then. startedAt is when the current incarnation was first
-	// observed.
-	receivedAt, lastReceivedAt, startedAt boottime.Time
+	// listedAt is when the peer was first listed at its address. receivedAt is when the newest
+	// datagram came, 0 while the peer is unreachable; lastReceivedAt is kept then. startedAt is
+	// when the current incarnation was first observed.
+	listedAt, receivedAt, lastReceivedAt, startedAt boottime.Time
 	// update, only kept for VMs of the own cell, was valid at since or later.
 	update *StateUpdate
 	since  boottime.Time
@@ -239,7 +244,7 @@
 		}
 		wanted[p.VM] = true
 		if old := m.peers[p.VM]; old == nil || old.address.String() != address.String() {
-			m.peers[p.VM] = &peerState{address: address}
+			m.peers[p.VM] = &peerState{address: address, listedAt: boottime.Now()}
 		}
 		m.peers[p.VM].domain = p.Domain
 	}
@@ -277,7 +282,11 @@
 
 func (m *Mesh) isReachable(vm string, now boottime.Time) bool {
 	p := m.peers[vm]
-	return p != nil && p.receivedAt != 0 && now.Sub(p.receivedAt) < PeerTimeout
+	return p != nil && p.isReachable(now)
+}
+
+func (p *peerState) isReachable(now boottime.Time) bool {
+	return p.receivedAt != 0 && now.Sub(p.receivedAt) < PeerTimeout
 }
 
 // IsReachable reports whether datagrams of the VM arrive.
@@ -312,37 +321,56 @@
 // HasObservedAllSince reports whether the knowledge of the reachable VMs covers the time up to
 // at: each other VM is reachable and was running before at, or had already been silent for one
 // interval then. A VM that became silent later may not have reported its last commits. In a
-// fleet of several cells, a digest that covers a whole cell stands for its VMs; restarts within
-// that cell are not detected.
+// fleet of several cells, a digest states since when its source has observed its whole cell.
 func (m *Mesh) HasObservedAllSince(at boottime.Time) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
-	for _, vm := range m.cells[m.ownCell].vms {
-		p := m.peers[vm]
-		switch {
-		case vm == m.cfg.VM:
-		case p == nil || p.lastReceivedAt == 0:
-			return false
-		case m.isReachable(vm, now):
-			if p.startedAt > at {
-				return false
-			}
-		case p.lastReceivedAt.Add(GossipInterval) >= at:
-			return false
-		}
+	if m.cellObservedFrom(now) > at {
+		return false
 	}
 	for i, c := range m.cells {
 		if i == m.ownCell {
 			continue
 		}
-		if d, ok := m.digests[c.name]; !ok || now.Sub(d.receivedAt) >= digestTimeout || d.Members < len(c.vms) {
+		if d, ok := m.digests[c.name]; !ok || now.Sub(d.receivedAt) >= digestTimeout || d.Listed < len(c.vms) || d.observedFrom() > at {
 			return false
 		}
 	}
 	return true
 }
 
+// cellObservedFrom returns the earliest time for which the knowledge of the reachable VMs of the
+// own cell is complete. The mutex is held.
+func (m *Mesh) cellObservedFrom(now boottime.Time) boottime.Time {
+	var from boottime.Time
+	for _, vm := range m.cells[m.ownCell].vms {
+		if p := m.peers[vm]; p != nil {
+			from = max(from, p.observedFrom(now))
+		}
+	}
+	return from
+}
+
+// observedFrom returns the earliest time for which the VM can hide nothing: its start or, if it
+// is silent, one interval after its last datagram. A VM that was removed for good stays in the
+// list and never sends any; it counts as silent once it had time to be heard.
+func (p *peerState) observedFrom(now boottime.Time) boottime.Time {
+	switch {
+	case p.lastReceivedAt == 0:
+		return p.listedAt.Add(PeerTimeout + 1)
+	case p.isReachable(now):
+		return p.startedAt
+	}
+	return p.lastReceivedAt.Add(GossipInterval + 1)
+}
+
+// observedFrom returns the earliest time for which the VMs of the digest's cell can hide nothing.
+// The digest was built before it was received, so the result is not too early.
+func (d receivedDigest) observedFrom() boottime.Time {
+	return d.receivedAt.Add(-time.Duration(d.ObservedAge) * time.Millisecond)
+}
+
 // IsDomainObservedSince reports whether a datagram of a VM of the failure domain has arrived
 // after since. In a fleet of several cells, a digest of the domain that was built after since
 // counts as well.
--- a/internal/mesh/observed_test.go
+++ b/internal/mesh/observed_test.go
@@ -86,3 +86,78 @@
 		t.Error("all VMs count as observed although one is missing from a digest and one cell has none")
 	}
 }
+
+// The row of a VM that was removed for good stays listed. Processes that started later never
+// heard of it, and for them no knowledge was ever complete (review/5).
+func TestVMRemovedBeforeTheStartIsNotAwaitedForever(t *testing.T) {
+	listedAt := boottime.Now()
+	for _, c := range []struct {
+		name string
+		at   time.Duration // after the VM was listed
+		want bool
+	}{
+		{"before it was listed", -time.Second, false},
+		{"before it could be heard", PeerTimeout, false},
+		{"later", PeerTimeout + time.Millisecond, true},
+	} {
+		m := newMeshWithPeer(t, 0)
+		m.peers["vm0001"].listedAt = listedAt
+		if got := m.HasObservedAllSince(listedAt.Add(c.at)); got != c.want {
+			t.Errorf("%s: observed %t, want %t", c.name, got, c.want)
+		}
+	}
+}
+
+// A VM of another cell was removed for good. Its cell's digest covered one VM less than listed,
+// and the knowledge of the fleet never counted as complete.
+func TestVMRemovedFromAnotherCellIsNotAwaitedForever(t *testing.T) {
+	const removed = "vm0001" // of d1/0
+	start := boottime.Now().Add(-10 * time.Second)
+	source := newMeshOfCell(t, "vm0005", start)
+	other := newMeshOfCell(t, "vm0000", start)
+	for _, m := range []*Mesh{source, other} {
+		for vm, p := range m.peers {
+			p.receivedAt, p.lastReceivedAt, p.startedAt = boottime.Now(), boottime.Now(), start
+			if vm == removed {
+				p.receivedAt, p.lastReceivedAt = 0, 0
+			}
+		}
+	}
+	for _, name := range []string{"d2/0", "d3/0"} {
+		other.digests[name] = receivedDigest{Digest: Digest{Cell: name, Members: 10, Listed: 10, ObservedAge: 10_000}, receivedAt: boottime.Now()}
+	}
+	observed := func(change func(*Digest)) bool {
+		d := source.buildDigest(StateUpdate{}, boottime.Now())
+		change(&d)
+		other.digests["d1/0"] = receivedDigest{Digest: d, receivedAt: boottime.Now()}
+		return other.HasObservedAllSince(boottime.Now().Add(-2 * time.Second))
+	}
+	if !observed(func(*Digest) {}) {
+		t.Error("a VM that was never heard keeps the knowledge of its cell from being complete")
+	}
+	if observed(func(d *Digest) { d.Listed = 9 }) {
+		t.Error("a digest covers a VM that its source does not know")
+	}
+	if observed(func(d *Digest) { d.Listed, d.ObservedAge = 0, 0 }) {
+		t.Error("a digest without the observed age counts")
+	}
+	source.peers["vm0009"].receivedAt, source.peers["vm0009"].lastReceivedAt = 0, boottime.Now()
+	if observed(func(*Digest) {}) {
+		t.Error("a VM of another cell that has just become silent counts as observed")
+	}
+	source.peers["vm0009"].receivedAt, source.peers["vm0009"].startedAt = boottime.Now(), boottime.Now()
+	if observed(func(*Digest) {}) {
+		t.Error("a VM of another cell that has just restarted counts as observed")
+	}
+}
+
+// newMeshOfCell returns the mesh of one of 40 VMs in four cells, all listed at the given time.
+func newMeshOfCell(t *testing.T, vm string, listedAt boottime.Time) *Mesh {
+	t.Helper()
+	m := New(Config{VM: vm})
+	m.SetPeers(peers(40, 4))
+	for _, p := range m.peers {
+		p.listedAt = listedAt
+	}
+	return m
+}
