A lost server is recorded as gone by the end of the primary's log

What callers saw: nothing yet.

Cause: the proof that a lost server held nothing more rested on the knowledge of all VMs and on a commit since their start.

Change: the VM that stands in for the group asks the primary for the end of its log after it has found that the server does not run (the empty transaction that reads of a stated age use, which a replaced primary refuses or which needs a leader lease). It covers all that the server took part in.

Price: one transaction for each lost server, only if the VMs' knowledge is not complete.

TestLostServerIsRecordedWithoutAWrite failed before (timed out waiting for the record).

--- a/internal/dispatch/former.go
+++ b/internal/dispatch/former.go
@@ -19,9 +19,10 @@
 	ServerInfo
 	// Since is when the entry vanished.
 	Since boottime.Time
-	// Gone reports that the server was found not to be running, at a time when all VMs could
-	// report the acknowledged positions they had observed. Position is the end of the group's
-	// log at that time: the server took part in acknowledging nothing beyond it.
+	// Gone reports that the server was found not to be running, and that the primary then stated
+	// the end of its log, or all VMs could report the acknowledged positions they had observed.
+	// Position is the end of the group's log at that time: the server took part in acknowledging
+	// nothing beyond it.
 	Gone     bool
 	Position position.Position
 }
--- a/internal/entry/former.go
+++ b/internal/entry/former.go
@@ -5,6 +5,8 @@
 	"maps"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/dispatch"
 	"chicoryline/internal/errkind"
@@ -17,6 +19,9 @@
 	// probeRecordLifetime is how long a probe is remembered. Servers that are still probed
 	// renew it at every interval.
 	probeRecordLifetime = time.Minute
+	// logEndTimeout bounds asking the primary for the end of its log: a connection, and an answer
+	// that may wait for a slot.
+	logEndTimeout = time.Second
 	// formerDialTimeout bounds opening a connection to a former server: several handshakes and
 	// a busy slot.
 	formerDialTimeout = 300 * time.Millisecond
@@ -54,13 +59,28 @@
 			observed := f.Domain == e.settings.Domain || e.mesh.IsDomainObservedSince(f.Domain, last)
 			// The server was probed before a state update from its domain, and does not
 			// respond after it. In the domain of this VM no update is needed.
-			if !responding && probed && observed && e.isAcknowledgedComplete(g) {
+			if !responding && probed && observed && (e.isAcknowledgedComplete(g) || e.refreshLogEnd(ctx, g)) {
 				g.MarkFormerServerGone(f.ID)
 			}
 		}()
 	}
 }
 
+// refreshLogEnd reports whether the primary stated a position that covers every commit
+// acknowledged before the call. Unlike isAcknowledgedComplete it needs no other VM, and no commit
+// since the VMs started.
+func (e *Process) refreshLogEnd(ctx context.Context, g *dispatch.Group) bool {
+	ctx, cancel := context.WithTimeout(ctx, logEndTimeout)
+	defer cancel()
+	now := boottime.Now()
+	deadline := now.Add(logEndTimeout)
+	if err := g.RefreshPosition(ctx, &dispatch.Call{Arrived: now, Deadline: deadline, LatencyDeadline: deadline}); err != nil {
+		e.log.WithError(err).WithFields(logrus.Fields{"event": "roster", "group": g.Name}).Info("end of the primary's log is unknown")
+		return false
+	}
+	return g.History.Newest().At >= now
+}
+
 // isResponding reports whether the former server, or another one of the group at its address,
 // answers. Errors other than Unreachable and WrongServer count as an answer.
 func (e *Process) isResponding(ctx context.Context, group string, f dispatch.FormerServer) bool {
--- a/test/platform/lost_test.go
+++ b/test/platform/lost_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"bytes"
 	"testing"
 	"time"
 
@@ -162,3 +163,19 @@
 		f.awaitWrite(0)
 	})
 }
+
+// A replica was lost before anything was written since the VMs had started. It was never recorded
+// as gone, and the next loss of a primary left the group without one for good (beside review/5).
+func TestLostServerIsRecordedWithoutAWrite(t *testing.T) {
+	f := start(t)
+	primary, lost, left := f.primary(), f.Groups[0].Servers()[1], f.Groups[0].Servers()[2]
+	f.Hide(lost)
+	lost.Crash()
+	f.eventually("lost server is recorded as gone", func() bool {
+		roster := f.Store.Rows("rosters")[f.Groups[0].Name()]
+		return bytes.Contains(roster, []byte(lost.ID)) && bytes.Contains(roster, []byte(`"gone":true`))
+	})
+	primary.Crash()
+	f.PublishEntry(primary)
+	f.eventually("promotion of the server that is left", func() bool { return f.primary() == left })
+}
