The reply of a relayed call that failed is not read

Callers saw nothing.

Cause: net/rpc decodes a late answer into the reply of a call whose caller has timed out. Relay.call built its result from the reply before it looked at the error.

Change: the error returns first. TestLateAnswerOfARelayIsNotUsed failed before. The other users of peer calls (owner, ratelimit) look at the error first.

--- a/internal/coord/copy.go
+++ b/internal/coord/copy.go
@@ -242,14 +242,13 @@
 func (r *Relay) call(ctx context.Context, address, method string, args *TableArgs) (TableState, error) {
 	var reply TableReply
 	sent := boottime.Now()
-	err := r.Calls.Call(ctx, address, method, args, &reply)
-	a := TableState{Rows: reply.Rows, Version: reply.Version}
+	if err := r.Calls.Call(ctx, address, method, args, &reply); err != nil {
+		return TableState{}, err // a late answer may still be written to the reply
+	}
+	a := TableState{Rows: reply.Rows, Version: reply.Version, Contact: max(sent.Add(reply.Contact), 0)}
 	if reply.Dated {
 		// The call arrived no earlier than it was sent, so this time is a lower bound.
 		a.Proved = max(sent.Add(reply.Proved), 0)
 	}
-	if err == nil {
-		a.Contact = max(sent.Add(reply.Contact), 0)
-	}
-	return a, err
+	return a, nil
 }
--- a/internal/coord/copy_test.go
+++ b/internal/coord/copy_test.go
@@ -253,6 +253,23 @@
 	}
 }
 
+// lateAnswer is a caller whose calls end without an answer, which is then still being decoded.
+type lateAnswer struct{}
+
+func (lateAnswer) Call(_ context.Context, _, _ string, _, reply any) error {
+	*reply.(*TableReply) = TableReply{Rows: []Row{{Key: "k"}}, Version: 7, Dated: true}
+	return errkind.New(errkind.OutcomeUnknown, "fake")
+}
+
+// The answer to a call that had ended was read while it was being decoded (race detector, once in
+// TestPlannedStopOfOwners).
+func TestLateAnswerOfARelayIsNotUsed(t *testing.T) {
+	state, err := (&Relay{Calls: lateAnswer{}}).Watch(context.Background(), "a", "t", 0, time.Second)
+	if d := cmp.Diff(TableState{}, state); err == nil || d != "" {
+		t.Errorf("%v, state (-want +got):\n%s", err, d)
+	}
+}
+
 // VMs that read from each other in a loop stop serving their copies once the last contact of
 // each with the store is older than maxContactAge, and the relayed one older than
 // maxRelayedContactAge.
