A process returns after its mesh has freed the port

Not seen with processes of their own, whose ports the kernel frees.

Cause: Run returned while the goroutine of the mesh had not yet closed its socket.

Change: Run waits for it.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -269,7 +269,12 @@
 	go e.serveReady(readiness, readyListener)
 	defer readiness.Close()
 	go e.serveMetrics(work)
-	go e.mesh.Run(work)
+	meshEnded := make(chan struct{})
+	go func() { defer close(meshEnded); e.mesh.Run(work) }()
+	defer func() {
+		stop()
+		<-meshEnded // frees the port
+	}()
 	go e.follow(work)
 	go e.maintain(work)
 	go e.supervise(work)
