--- a/internal/tcp/tcp.go
+++ b/internal/tcp/tcp.go
@@ -3,8 +3,11 @@
 
 import (
 	"net"
+	"net/netip"
 	"syscall"
 	"time"
+
+	"github.com/juju/errors"
 )
 
 // Timeouts for detecting an unresponsive peer. Peers answer within tens of milliseconds, so a
@@ -21,6 +24,19 @@
 // KeepAlive configures the keep-alive probes of idle connections.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
 
+// CheckAddress returns an error unless the text is the IPv4 address of a host and a port that can
+// be connected to. Names are not resolved.
+func CheckAddress(text string) error {
+	a, err := netip.ParseAddrPort(text)
+	if err != nil {
+		return errors.Annotatef(err, "address %.60q", text)
+	}
+	if ip := a.Addr(); a.Port() == 0 || !ip.Is4() || ip.IsUnspecified() || ip.IsMulticast() {
+		return errors.Errorf("address %.60q is not that of a host and a port", text)
+	}
+	return nil
+}
+
 // Dialer returns a dialer with keep-alive probes and UserTimeout. The timeout bounds the
 // connection setup; 0 means no limit.
 func Dialer(timeout time.Duration) *net.Dialer {
