Odd rows of VMs are not used; a VM's own row is written again

What callers saw: nothing yet; found while trying odd rows in each followed table. A VM whose own row another writer had overwritten or deleted did not write it again, and VMs that started later did not know it.

Cause: rows of our own were trusted to be as written.

Change: rows without a valid address are not listed, and cells hold peers only. The own row counts as listed only as long as it is as written. Names are not resolved any more.

TestRowsOfVMsWithoutAnAddressAreNotUsed and TestOwnRowIsWrittenAgainIfOverwritten failed before.

--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -14,6 +14,7 @@
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/mesh"
 	"chicoryline/internal/steward"
+	"chicoryline/internal/tcp"
 )
 
 // followConfig applies new configurations and keeps the present one validated.
@@ -251,31 +252,39 @@
 	e.listed.Store(slices.ContainsFunc(rows, e.isOwnRow))
 }
 
+// decodeMember decodes the row of a VM. A VM without a valid address is not used: it could not be
+// heard, and the knowledge of all VMs would never be complete.
+func decodeMember(value []byte) (m member, err error) {
+	if err := json.Unmarshal(value, &m); err != nil {
+		return member{}, err
+	}
+	return m, tcp.CheckAddress(m.Address)
+}
+
 // isOwnRow reports whether the row lists this VM as it runs now.
 func (e *Process) isOwnRow(r coord.Row) bool {
-	var m member
-	if r.Deleted || r.Key != e.settings.VM || json.Unmarshal(r.Value, &m) != nil {
-		return false // updateMembers logs what cannot be decoded
+	if r.Deleted || r.Key != e.settings.VM {
+		return false
 	}
+	m, err := decodeMember(r.Value)
 	m.SettledEra = 0
-	return m == e.ownMember()
+	return err == nil && m == e.ownMember() // updateMembers logs the error
 }
 
 // updateMembers applies rows of VMs.
 func (e *Process) updateMembers(rows []coord.Row) {
 	e.mu.Lock()
 	for _, r := range rows {
-		var m member
+		if r.Key == e.settings.VM {
+			e.listed.Store(e.isOwnRow(r))
+		}
 		if r.Deleted {
 			delete(e.members, r.Key)
-		} else if err := json.Unmarshal(r.Value, &m); err != nil {
+		} else if m, err := decodeMember(r.Value); err != nil {
 			e.log.WithError(err).WithFields(logrus.Fields{"event": "member", "member": r.Key}).Warn("row of a VM could not be decoded")
 		} else {
 			e.members[r.Key] = m
 			e.platform.Eras.MarkSettled(m.SettledEra)
-			if e.isOwnRow(r) {
-				e.listed.Store(true)
-			}
 		}
 	}
 	peers := make([]mesh.Peer, 0, len(e.members))
--- a/internal/entry/restore_test.go
+++ b/internal/entry/restore_test.go
@@ -74,3 +74,32 @@
 		t.Error("an answer about the version in force proves nothing")
 	}
 }
+
+// The row of a VM without a valid address was listed: the VM was never heard, and the knowledge of
+// all VMs never counted as complete.
+func TestRowsOfVMsWithoutAnAddressAreNotUsed(t *testing.T) {
+	e := newProcess(&growingStore{})
+	for _, value := range []string{`{"address":"127.0.0.2:70000"}`, `{"address":"127.0.0.2:0"}`, `{"address":"vm2:1"}`, `{"domain":"south"}`, `[`, `7`} {
+		e.updateMembers([]coord.Row{{Key: "vm2", Value: []byte(value)}})
+		if len(e.members) != 0 {
+			t.Errorf("%s is listed: %+v", value, e.members)
+		}
+	}
+}
+
+// A row of this VM that another writer overwrote, or deleted, stayed as it was, and new VMs did not
+// know this one.
+func TestOwnRowIsWrittenAgainIfOverwritten(t *testing.T) {
+	e := newProcess(&growingStore{})
+	own := coord.Row{Key: "vm1", Value: []byte(`{"address":"127.0.0.1:1","domain":"north"}`)}
+	for _, odd := range []coord.Row{{Key: "vm1", Value: []byte(`[`)}, {Key: "vm1", Value: []byte(`{"address":"127.0.0.1:2","domain":"north"}`)}, {Key: "vm1", Deleted: true}} {
+		e.updateMembers([]coord.Row{own})
+		if !e.listed.Load() {
+			t.Fatal("this VM is not listed")
+		}
+		e.updateMembers([]coord.Row{odd})
+		if e.listed.Load() {
+			t.Errorf("this VM counts as listed by the row %s, deleted %t", odd.Value, odd.Deleted)
+		}
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -233,12 +233,14 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	wanted := map[string]bool{}
+	var valid []Peer
 	for _, p := range list {
 		address, err := net.ResolveUDPAddr("udp4", p.Address)
 		if err != nil {
 			m.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "member", "member": p.VM}).Warn("invalid address of a VM")
 			continue
 		}
+		valid = append(valid, p)
 		if p.VM == m.cfg.VM {
 			continue
 		}
@@ -253,7 +255,7 @@
 			delete(m.peers, vm)
 		}
 	}
-	m.cells = splitIntoCells(list)
+	m.cells = splitIntoCells(valid)
 	m.ownCell = 0
 	for i, c := range m.cells {
 		if c.has(m.cfg.VM) {
