A roster that cannot be decoded is written again

What callers saw: nothing yet. The row was skipped together with its version, so that each write of the roster ended in a conflict, for good: VMs that all restart do not know of servers without an entry.

Change: it counts as an empty roster of its version; servers without a valid address are left out.

--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -15,6 +15,7 @@
 	"chicoryline/internal/dispatch"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
+	"chicoryline/internal/tcp"
 )
 
 // tableRosters holds one row for each database group, its roster: the servers that may hold
@@ -96,11 +97,16 @@
 		}
 		var list []rosterServer
 		if err := json.Unmarshal(r.Value, &list); err != nil {
+			// It counts as empty, so that it is written again.
 			e.log.WithError(err).WithFields(logrus.Fields{"event": "roster", "group": r.Key}).Warn("roster could not be decoded")
-			continue
+			list = nil
 		}
 		g := e.router.Group(r.Key)
 		for _, s := range list {
+			if err := tcp.CheckAddress(s.Address); err != nil {
+				e.log.WithError(err).WithFields(logrus.Fields{"event": "roster", "group": r.Key, "backend_server": s.ID}).Warn("server of a roster is not used")
+				continue
+			}
 			g.MergeFormerServer(dispatch.FormerServer{
 				ServerInfo: dispatch.ServerInfo{ID: s.ID, Group: r.Key, Address: s.Address, Domain: s.Domain, Started: s.Started, Slots: 1},
 				Since:      boottime.Now(), Gone: s.Gone, Position: s.Position,
--- a/internal/entry/roster_test.go
+++ b/internal/entry/roster_test.go
@@ -102,3 +102,22 @@
 		t.Errorf("%d former servers known, want 3", n)
 	}
 }
+
+// A roster that could not be decoded was never written again, as its version was not known.
+func TestUndecodableRosterIsWrittenAgain(t *testing.T) {
+	for _, value := range []string{`[`, `{"id":1}`, `[{"id":"odd","address":"127.0.0.1:0"}]`} {
+		store := &rowStore{rows: map[string]coord.Row{"g": {Key: "g", Value: []byte(value), Version: 7}}, version: 7}
+		e := newProcess(store)
+		e.router.Update(serverInfo("a", "127.0.0.1:1"))
+		if err := e.readRosters(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		g := e.router.Group("g")
+		if former := g.FormerServers(); len(former) != 0 {
+			t.Errorf("%s: former servers %+v", value, former)
+		}
+		if err := e.writeRoster(context.Background(), g); err != nil || store.version != 8 {
+			t.Errorf("%s: not written again: %v", value, err)
+		}
+	}
+}
