A steward's row that cannot be decoded does not keep a primary from being replaced

What callers saw: nothing yet. With an undecodable row of its group no steward could take the lease, and the primary was never replaced.

Change: such a row, or one with a token of a later era than its own, counts as that of an unfinished change and is written again. A VM that has followed the table uses the last record that it knows, as after a restore.

--- a/internal/steward/attempt_test.go
+++ b/internal/steward/attempt_test.go
@@ -221,6 +221,20 @@
 	}
 }
 
+// A row that could not be decoded, or that left no higher token for an order, kept each steward
+// from replacing the primary.
+func TestOddRowOfAnotherWriterDoesNotKeepAPrimaryFromBeingReplaced(t *testing.T) {
+	for _, value := range []string{`[`, `7`, `{"token":18446744073709551615}`, `{"token":-1}`, `{"holder":"odd","token":1e400}`} {
+		store := newFakeStore()
+		store.version = 1
+		store.rows["g"] = coord.Row{Key: "g", Version: 1, Value: []byte(value)}
+		g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 7}, down: map[string]bool{"a": true}}
+		if done, err := runChangeFor(newSteward("vm1", store, g), Silent); err != nil || done == "" {
+			t.Errorf("%s: %q, %v", value, done, err)
+		}
+	}
+}
+
 // The primary known to the steward's VM may have been replaced already.
 func TestNewerPrimaryIsNotReplaced(t *testing.T) {
 	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "b"}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -365,8 +365,8 @@
 
 // Observe processes a row of Table that was read from the store.
 func (s *Steward) Observe(row coord.Row) (Change, error) {
-	var r record
-	if err := json.Unmarshal(row.Value, &r); err != nil {
+	r, err := decodeRecord(row)
+	if err != nil {
 		return Change{}, err
 	}
 	r, _ = s.observeRow(row.Key, r, row.Version)
@@ -394,12 +394,28 @@
 	}
 	for _, row := range rows {
 		if row.Key == group {
-			return r, row.Version, at.Era(), json.Unmarshal(row.Value, &r)
+			if r, err = decodeRecord(row); err != nil {
+				s.cfg.Log.WithError(err).WithFields(logrus.Fields{"event": "failover", "group": group}).Warn("steward row is written again")
+				r = record{Active: true} // a change may be unfinished
+			}
+			return r, row.Version, at.Era(), nil
 		}
 	}
 	return r, 0, at.Era(), nil
 }
 
+// decodeRecord decodes the row of a group. A token of a later era than the row's cannot have been
+// written by a steward: no higher one would be left for the next order.
+func decodeRecord(row coord.Row) (r record, err error) {
+	if err := json.Unmarshal(row.Value, &r); err != nil {
+		return record{}, err
+	}
+	if era := r.Token >> tokenEraBits; era > row.Version.Era() {
+		return record{}, errkind.New(errkind.Internal, "token %d of era %d in a row of era %d", r.Token, era, row.Version.Era())
+	}
+	return r, nil
+}
+
 // writeNextToken stores the next token together with the server that its order will name.
 // A token is used for a single order, and only after its row is known to be written.
 func (s *Steward) writeNextToken(ctx context.Context, l *lease, target string) error {
