A time read before a lock does not end the process

A process that is frozen, or whose write blocks, between reading the time and asking for a server's expected response time ends by "negative shift amount" if another answer came more than a second later than that time.

Change: the count of halvings is not negative. Looked at every other shift, random range, ticker and index by time in the packages that serve: none can be negative.

TestResponseTimeMeasuredAfterTheCallersTime panicked before. Not shown on a running process.

--- a/internal/dispatch/group_test.go
+++ b/internal/dispatch/group_test.go
@@ -219,6 +219,17 @@
 
 // One failure domain has one VM, the others three: the single VM gets connections for its
 // share of the load, and the others keep enough to start.
+// A caller read the time, waited for a lock, and the server answered others meanwhile: a shift by a
+// negative count ended the process.
+func TestResponseTimeMeasuredAfterTheCallersTime(t *testing.T) {
+	s := newGroup("a").Leader()
+	before := boottime.Now().Add(-5 * responseHalfLife)
+	s.noteSuccess(800*time.Millisecond, position.Position{})
+	if got, want := s.expectedResponseTime(before), s.expectedResponseTime(boottime.Now()); got != want {
+		t.Errorf("%v, want %v", got, want)
+	}
+}
+
 func TestBudgetFollowsTheLoad(t *testing.T) {
 	const limit, members = 36, 8
 	loads := []float64{0.8, 0.8, 0.8, 0.9, 0.9, 0.9, 2, 2.9}
--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -238,10 +238,10 @@
 }
 
 // expectedResponseTime returns the smoothed response time, halved for each responseHalfLife
-// since its last update.
+// since its last update. That may be later than now, which callers read before they wait for locks.
 func (s *Server) expectedResponseTime(now boottime.Time) time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	halvings := now.Sub(s.responseMeasuredAt) / responseHalfLife
-	return s.responseTime >> min(halvings, 16)
+	return s.responseTime >> min(max(halvings, 0), 16)
 }
