COMMIT runs with the values that the session was told it has

Cause: Tx.Run brings the session at the server up to date before a statement, Tx.Commit did not.

Change: both do. A failure there ends the transaction as truly not run. Checked besides: prepared statements, a rollback after a SET, a COMMIT without another statement.

Measured: TestStatementsOfATransactionRunWithTheSessionsValues failed before (COMMIT with color=red where blue was set). Costs nothing unless a value changes between the last statement and the COMMIT.

--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -83,11 +83,9 @@
 // Run runs a statement of the transaction. After an error that is not an answer of the server
 // the transaction is over.
 func (t *Tx) Run(call *Call, write bool) (statement.Result, error) {
-	if _, err := t.conn.Align(call.SessionState, t.group.cfg.Texts, nil, beginTimeout); err != nil {
-		t.abandon(err, nil)
-		return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
+	if err := t.align(call); err != nil {
+		return statement.Result{}, err
 	}
-	t.stateChanged = t.conn.TakeChanged() || t.stateChanged
 	r, err := t.exchange(call, true)
 	if err != nil {
 		t.abandon(err, nil)
@@ -97,8 +95,22 @@
 	return r, r.Err
 }
 
+// align brings the session at the server into the state that the statement needs. After an error
+// the transaction is over, and the statement was not sent.
+func (t *Tx) align(call *Call) error {
+	if _, err := t.conn.Align(call.SessionState, t.group.cfg.Texts, nil, beginTimeout); err != nil {
+		t.abandon(err, nil)
+		return errkind.New(errkind.TransactionLost, "%v", err)
+	}
+	t.stateChanged = t.conn.TakeChanged() || t.stateChanged
+	return nil
+}
+
 // Commit commits the transaction. If it wrote, a missing answer leaves its outcome unknown.
 func (t *Tx) Commit(call *Call) (statement.Result, error) {
+	if err := t.align(call); err != nil {
+		return statement.Result{}, err
+	}
 	sent := boottime.Now()
 	// A server that no longer leads still commits a transaction that wrote nothing.
 	r, err := t.exchange(call, t.wrote)
--- a/test/platform/session_test.go
+++ b/test/platform/session_test.go
@@ -31,6 +31,37 @@
 	a.expect("EXECUTE s1 item1 two", "NOSTMT", "I")
 }
 
+// A value that was set within a transaction did not reach the server before the COMMIT, which ran
+// with the value before (a run of the reviewer).
+func TestStatementsOfATransactionRunWithTheSessionsValues(t *testing.T) {
+	f := start(t)
+	c := f.dial(0, "own-0", "key-large")
+	expect := func(text, values string) {
+		t.Helper()
+		if sign := c.must(text).Signature; !strings.HasSuffix(sign, values) {
+			t.Errorf("%s ran with %q, want values %s", text, sign, values)
+		}
+	}
+	c.must("SET color red")
+	c.must("PARSE s1 WRITE shape-a")
+	c.must("BEGIN")
+	expect("WRITE item1 1", "/color=red")
+	c.must("SET color blue")
+	expect("COMMIT", "/color=blue")
+	expect("READ item1", "/color=blue")
+	c.must("BEGIN")
+	expect("EXECUTE s1 item1 2", "/color=blue")
+	c.must("SET color green")
+	c.must("SET size xl")
+	expect("EXECUTE s1 item1 3", "/color=green,size=xl")
+	c.must("SET size s")
+	c.must("ROLLBACK")
+	expect("READ item1", "/color=green,size=s")
+	c.must("BEGIN")
+	c.must("SET color black")
+	expect("COMMIT", "/color=black,size=s")
+}
+
 func TestTransactions(t *testing.T) {
 	f := start(t)
 	c := f.dial(1, "current-0", "key-large")
