--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -316,7 +316,7 @@
 	if best != g.leader {
 		g.setPrimary(best, how, bestVersion)
 	}
-	if best == nil && g.primaryLostAt == 0 {
+	if best == nil && g.primaryLostAt == 0 && len(g.servers) > 0 {
 		g.primaryLostAt = boottime.Now()
 	}
 	switch {
