--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -16,13 +16,13 @@
 // Events lists every event that processes on the platform log.
 var Events = []Event{
 	{"start", "failure_domain", "the process serves callers"},
-	{"stop", "", "a planned stop began, or the process ended"},
+	{"stop", "id", "a planned stop began, or the process ended; the answer to a request came after its connection had been interrupted at the end of the stop, or could not be sent then"},
 	{"reload", "changed", "the settings file was read again after SIGHUP; changed tells whether it differs from the running settings"},
 	{"ready", "ready, config_age_ms", "the result of the readiness check changed"},
 	{"config", "version, store_version, in_force, routes, customers", "a configuration came into force, or could not be decoded; or the store holds an older one than the one in force"},
 	{"store_watch", "table, store_version, cause, address", "the watch of a table failed or recovered, or the VM at the address did not relay the changes of the table, so that they were read from the store; a table that is older than the known one is a failure"},
 	{"store_era", "era, previous, previous_ms", "the store answered for the first time, or for the first time after it was restored from a backup; previous_ms: how long ago the previous era was first observed"},
-	{"roster", "group", "the row with a group's known servers could not be decoded or written"},
+	{"roster", "group, backend_server", "the row with a group's known servers could not be decoded or written, or names a server without a valid address; the end of the primary's log, up to which a lost server may have held commits, is unknown"},
 	{"member", "member, silent_ms", "a VM or cell became unreachable, or the row of a VM could not be decoded, read or written"},
 	{"members", "count", "the list of VMs changed"},
 	{"rate_home", "address, member", "the VM that admits a customer's operations did not answer, or is not in the list of VMs"},
@@ -30,7 +30,7 @@
 	{"backend_server", "group, backend_server, failure_domain, address, primary, leaving, started, new_started, entry_version, known_ms, missing_ms, replaced_by", "a backend server was discovered, began to leave or restarted (started, new_started: Unix ms); its entry disappeared, came back, or could not be decoded; the server counts as gone after its entry was missing for missing_ms, and stays known as a former server until another one at its address or its own new entry replaces it, or it is evicted in favor of others"},
 	{"primary", "group, backend_server, previous, entry_version, how, acknowledged, acknowledged_age_ms, successor, term", "the primary of the group changed; how: claimed by the entry of the new primary, or promoted; `replaced`: the server no longer counts as the primary even if its entry says so, because a promotion named the successor or a replica has a later term; acknowledged: the highest position known to be acknowledged"},
 	{"primary_health", "group, backend_server, since_ms, answered_age_ms, committed_age_ms, peer_answered_age_ms, peer_committed_age_ms, acknowledged, acknowledged_age_ms", "the primary stopped answering statements or commits, the first of which was sent since_ms ago, or answers again; the ages of its last answers as known to this VM and to reachable VMs (-1: none); `not proved to lead`: a check of its leadership failed with the error"},
-	{"failover", "group, primary, reason, token, previous_holder, pending, acknowledged, server_ID, command, backend_server, received, term, received_ID, newest_term, leads, successor", "a step of a failover or planned switchover: the status that each server reported, and the commands and promotions with their results"},
+	{"failover", "group, primary, reason, token, previous_holder, pending, acknowledged, server_ID, command, backend_server, received, term, received_ID, newest_term, leads, successor", "a step of a failover or planned switchover: the status that each server reported, and the commands and promotions with their results; `unreachable server presumed to be primary`: no VM knows the primary, and backend_server alone does not answer; `steward row is written again`: it could not be decoded"},
 	{"statement", "id, customer, database, group, took_ms, config_version, config_age_ms, kind, cause", "a statement was rejected or failed, with the cause; also one of every 256 served statements"},
 	{"log_lines_dropped", "count", "log lines were dropped because the queue was full"},
 }
