--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -470,7 +470,7 @@
 		c.Discard()
 		return
 	}
-	if err := c.Conn.Send(statement.Command{Text: texts.Rollback()}); err != nil {
+	if err := c.Conn.Send(statement.Command{Text: texts.Rollback(), State: statement.Idle}); err != nil {
 		c.Discard()
 		return
 	}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -321,7 +321,7 @@
 			continue
 		}
 		sent := boottime.Now()
-		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(false)}, min(beginTimeout, call.remaining()))
+		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(false), State: statement.InTx}, min(beginTimeout, call.remaining()))
 		if err != nil {
 			lastErr = err
 			c.Discard()
@@ -374,7 +374,7 @@
 			return statement.Result{}, err
 		}
 		sent := boottime.Now()
-		err = c.Start(call.Command, statement.Command{Text: g.cfg.Texts.Rollback()})
+		err = c.Start(call.Command, statement.Command{Text: g.cfg.Texts.Rollback(), State: statement.Idle})
 		var r statement.Result
 		if err == nil {
 			r, err = receive(c, call.remaining())
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -73,7 +73,7 @@
 			lastErr = err
 			continue
 		}
-		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(true), After: need}, min(beginTimeout, call.remaining()))
+		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(true), After: need, State: statement.InTx}, min(beginTimeout, call.remaining()))
 		if err != nil {
 			lastErr = err
 			c.Discard()
--- a/internal/eventlog/events_test.go
+++ b/internal/eventlog/events_test.go
@@ -26,7 +26,7 @@
 		listed[e.Name] = true
 	}
 	pattern := regexp.MustCompile(`"event"(?::|,) "([a-z_]+)"|event=([a-z_]+) `)
-	for _, folder := range []string{"entry", "owner", "ratelimit", "dispatch", "mesh", "steward", "coord", "session", "connset", "membudget", "eventlog", "../cmd/chicoryline", "../platform"} {
+	for _, folder := range []string{"answers", "entry", "owner", "ratelimit", "dispatch", "mesh", "steward", "coord", "session", "connset", "membudget", "eventlog", "../cmd/chicoryline", "../platform"} {
 		files, err := filepath.Glob(filepath.Join("..", folder, "*.go"))
 		if err != nil || len(files) == 0 {
 			t.Fatalf("%s: %v", folder, err)
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -66,10 +66,17 @@
 
 // Command is one message to a backend server.
 type Command struct {
+	// ID is the caller's ID of the statement. Commands of the proxy itself have none; their
+	// successes are not signed.
 	ID   string
 	Text string
 	// After is the position that the server must have applied; zero for none.
 	After position.Position
+	// State is the transaction state after a success of a command without an ID, 0 if the command
+	// does not change it.
+	State Status
+	// Rows reports that a success of a command without an ID has rows.
+	Rows bool
 }
 
 // Conn is a connection to a backend server on behalf of one customer. It must not be used
