Stand-in: backend servers that answer a statement twice or refuse it

RepeatAnswers writes selected answers once more after a delay, HoldRepeats when a chosen later statement arrives on the same connection. RefuseStatements answers BUSY without a run. A repeat is the same bytes; a mutex per connection keeps messages whole.

--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -7,6 +7,7 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -25,6 +26,10 @@
 	// ignored means that the connection gets no answers: it was opened while the server
 	// ignored new connections.
 	ignored bool
+	// writing keeps the messages of answers and of their repeats apart.
+	writing sync.Mutex
+	// held are repeated answers that wait for a later statement.
+	held []string
 }
 
 // answer is the result of one statement.
@@ -68,11 +73,14 @@
 			return
 		}
 		id, text := splitWord(rest)
+		c.releaseHeld(id, text)
 		a := c.execute(id, text)
 		if c.isUnresponsive() || a.code == "LOST" {
 			continue
 		}
-		c.sendAnswer(a)
+		message := c.encodeAnswer(a)
+		c.send(message)
+		c.repeat(id, text, message)
 	}
 }
 
@@ -104,7 +112,7 @@
 	return p
 }
 
-func (c *conn) sendAnswer(a answer) {
+func (c *conn) encodeAnswer(a answer) string {
 	var b strings.Builder
 	for _, r := range a.rows {
 		b.WriteString("DATAROW " + r + "\r\n")
@@ -122,7 +130,13 @@
 		at = c.position()
 	}
 	b.WriteString("READY " + string(rune(c.state)) + " " + at + "\r\n")
-	_, _ = c.net.Write([]byte(b.String()))
+	return b.String()
+}
+
+func (c *conn) send(message string) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	_, _ = c.net.Write([]byte(message))
 }
 
 // execute runs one statement. A leading AFTER makes it fail with LAGGING unless the server has
@@ -137,6 +151,9 @@
 	if c.state == 'E' && command != "ROLLBACK" && command != "COMMIT" {
 		return answer{code: "MALFORMED"}
 	}
+	if c.isRefused(id, text) {
+		return answer{code: "BUSY"}
+	}
 	if after != "" && !c.hasReached(after) {
 		return answer{code: "LAGGING"}
 	}
@@ -174,6 +191,12 @@
 	return answer{}
 }
 
+func (c *conn) isRefused(id, text string) bool {
+	var refuses func(id, text string) bool
+	c.server.withLock(func() { refuses = c.server.refuses })
+	return refuses != nil && refuses(id, text)
+}
+
 func (c *conn) hasReached(after string) bool {
 	want, have := parsePosition(after), parsePosition(c.position())
 	return have[0] > want[0] || have[0] == want[0] && have[1] >= want[1]
--- a/internal/standin/linegroup/server.go
+++ b/internal/standin/linegroup/server.go
@@ -37,6 +37,9 @@
 	draining    bool
 	// barredAt is the time from which statements are violations; see SetBarredAt.
 	barredAt time.Time
+	repeats  repeats
+	// refuses selects statements that are refused as by a full server.
+	refuses func(id, text string) bool
 }
 
 func (s *Server) accept(l net.Listener) {
@@ -134,6 +137,12 @@
 // LoseAnswers runs the next n statements without an answer.
 func (s *Server) LoseAnswers(n int) { s.withLock(func() { s.loseAnswers = n }) }
 
+// RefuseStatements makes the server answer BUSY to each statement that pick selects, without
+// running it. A nil pick ends that.
+func (s *Server) RefuseStatements(pick func(id, text string) bool) {
+	s.withLock(func() { s.refuses = pick })
+}
+
 // StartDraining marks the server as about to stop.
 func (s *Server) StartDraining() { s.withLock(func() { s.draining = true }) }
 
