Match successes with statements by their signatures

A signed answer where a command's is due cannot be matched: the connection is unusable, and the callers' errors are those of a broken connection. Repeated answers do not prolong a wait. A connection on which an answer did not match is closed after its present use, and one is not handed out while input waits although nothing is due. No statement costs a round trip or a slot more.

--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -1,19 +1,24 @@
 // Package answers tells which statement an answer of a backend server belongs to. Answers carry
-// no ID, and a server may write one twice, the second time late.
+// no ID, and a server may write one twice, the second time late. See
+// docs/design/answer-matching.md.
 package answers
 
 import (
 	"context"
+	"os"
 	"sync/atomic"
 	"time"
 
+	"github.com/juju/errors"
 	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
 	"chicoryline/internal/statement"
 )
 
-// Dialer opens connections whose answers are compared with their statements.
+// Dialer opens connections whose answers are matched with their statements.
 type Dialer struct {
 	Dialer interface {
 		Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error)
@@ -31,18 +36,21 @@
 	return New(c, Report{Log: d.Log.WithFields(logrus.Fields{"group": group, "backend_server": server}), Registry: d.Registry}), nil
 }
 
-// Conn compares the answers on a connection with the statements sent.
+// Conn matches the answers on a connection with the statements sent. It drops repeated answers,
+// and fails where an answer cannot be matched.
 type Conn struct {
 	raw    statement.Conn
 	report Report
 
 	due        []due
 	signatures signatures
-	// state is the transaction state after the last answer, 0 if it is not known.
+	// state is the transaction state after the last matched answer.
 	state statement.Status
-	// answered counts the answers, timeLimits the waits that ended without one.
-	answered, timeLimits int64
-	mismatches           int64
+	// answered counts the answers, timeLimits the waits that ended without one, mismatches the
+	// answers that did not belong to the statement that was due.
+	answered, timeLimits, mismatches int64
+	// failed is the reason why the connection is unusable, nil if it is not.
+	failed error
 	// calls is the number of calls in progress.
 	calls atomic.Int32
 }
@@ -71,7 +79,7 @@
 	return "set-up"
 }
 
-// New returns a connection that compares the answers on the raw one.
+// New returns a connection that matches the answers on the raw one, whose session is idle.
 func New(raw statement.Conn, report Report) *Conn {
 	return &Conn{raw: raw, report: report, state: statement.Idle}
 }
@@ -99,54 +107,102 @@
 	return c.raw.Send(commands...)
 }
 
-// Receive implements statement.Conn.
+// Receive implements statement.Conn. Answers that belong to no outstanding statement are dropped
+// within the wait.
 func (c *Conn) Receive(wait time.Duration) (statement.Result, error) {
 	c.enter()
 	defer c.leave()
-	r, err := c.raw.Receive(wait)
-	if err != nil {
-		if statement.IsTimeout(err) {
-			c.timeLimits++
+	if c.failed == nil && len(c.due) == 0 {
+		c.failed = errors.New("no answer is due")
+	}
+	deadline := boottime.Now().Add(wait)
+	for c.failed == nil {
+		r, err := c.read(deadline)
+		if err != nil {
+			return r, err
+		}
+		if c.match(c.due[0], r) {
+			c.due, c.state = c.due[1:], r.Status
+			return r, nil
 		}
-		return r, err
-	}
-	c.answered++
-	if len(c.due) == 0 {
-		c.mismatch(Unsolicited, "nothing", describe(r), -1)
-		return r, nil
-	}
-	d := c.due[0]
-	c.due = c.due[1:]
-	c.compare(d, r)
-	c.state = r.Status
-	return r, nil
+	}
+	return statement.Result{}, c.failed
 }
 
-// compare reports an answer that does not belong to the statement that is due.
-func (c *Conn) compare(d due, r statement.Result) {
-	ago, same := -1, false
+// read returns the next answer.
+func (c *Conn) read(deadline boottime.Time) (statement.Result, error) {
+	wait := deadline.Sub(boottime.Now())
+	if wait <= 0 && c.mismatches > 0 {
+		// Repeated answers do not prolong the wait.
+		c.timeLimits++
+		return statement.Result{}, os.ErrDeadlineExceeded
+	}
+	r, err := c.raw.Receive(wait)
+	switch {
+	case err == nil:
+		c.answered++
+	case statement.IsTimeout(err):
+		c.timeLimits++
+	}
+	return r, err
+}
+
+// match reports whether the answer is the one that is due. Otherwise it is dropped or, if no
+// statement can be told for it, the connection becomes unusable.
+func (c *Conn) match(d due, r statement.Result) bool {
 	if r.Signature != "" {
-		ago, same = c.signatures.find(r.Signature, d.id)
+		return c.matchSignature(d, r)
+	}
+	if r.Err != nil {
+		return true
 	}
 	state := d.state
 	if state == 0 {
 		state = c.state
 	}
 	switch {
-	case ago >= 0 && !same:
-		c.mismatch(Repeated, d.String(), describe(r), ago)
-	case d.signed() && r.Signature != "":
-		c.signatures.add(r.Signature, d.id)
-	case r.Signature != "":
-		c.mismatch(UnknownSignature, d.String(), describe(r), -1)
-	case r.Err != nil:
 	case d.signed():
-		c.mismatch(Unsigned, d.String(), describe(r), -1)
+		c.mismatch(Unsigned, d, r, -1)
 	case r.Status != state:
-		c.mismatch(WrongState, d.String(), describe(r), -1)
+		c.mismatch(WrongState, d, r, -1)
 	case d.rows != (len(r.Rows) > 0):
-		c.mismatch(WrongRows, d.String(), describe(r), -1)
+		c.mismatch(WrongRows, d, r, -1)
+	default:
+		return true
+	}
+	return false
+}
+
+// matchSignature matches a signed answer. A signature proves one run, so a new one belongs to the
+// oldest outstanding statement.
+func (c *Conn) matchSignature(d due, r statement.Result) bool {
+	ago, same := c.signatures.find(r.Signature, d.id)
+	switch {
+	case ago >= 0 && !same:
+		c.mismatch(Repeated, d, r, ago)
+		return false
+	case !d.signed():
+		c.mismatch(UnknownSignature, d, r, -1)
+		c.failed = errkind.New(errkind.ProtocolViolation, "answer of an unknown statement")
+		return false
+	}
+	if ago < 0 {
+		c.signatures.add(r.Signature, d.id)
+	}
+	return true
+}
+
+// Repeated reports whether an answer came that did not belong to the statement that was due. The
+// server may repeat more, so the connection is to be closed after its present use.
+func (c *Conn) Repeated() bool { return c.mismatches > 0 || c.failed != nil }
+
+// Reusable reports whether the idle connection may be used again: no answer came that did not
+// belong to a statement, and none waits although nothing is due.
+func (c *Conn) Reusable() bool {
+	if raw, ok := c.raw.(interface{ HasInput() bool }); ok && len(c.due) == 0 && raw.HasInput() {
+		c.count(Unsolicited, "nothing", "input", -1)
 	}
+	return !c.Repeated()
 }
 
 // Alive implements statement.Conn.
--- a/internal/answers/report.go
+++ b/internal/answers/report.go
@@ -34,8 +34,13 @@
 	Registry gometrics.Registry
 }
 
-// mismatch counts an answer that does not match. The first one of a connection is logged.
-func (c *Conn) mismatch(reason Reason, due, came string, ago int) {
+// mismatch records an answer that does not belong to the statement that is due.
+func (c *Conn) mismatch(reason Reason, d due, r statement.Result, ago int) {
+	c.count(reason, d.String(), describe(r), ago)
+}
+
+// count counts a mismatch. The first one of a connection is logged.
+func (c *Conn) count(reason Reason, due, came string, ago int) {
 	gometrics.GetOrRegisterCounter("answers."+string(reason), c.report.Registry).Inc(1)
 	c.mismatches++
 	if c.mismatches > 1 {
--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -71,6 +71,19 @@
 	replaceable bool
 }
 
+// matched is implemented by connections that match answers with statements.
+type matched interface {
+	// Repeated reports whether the connection is to be closed after its present use.
+	Repeated() bool
+	// Reusable reports whether the idle connection may be used again.
+	Reusable() bool
+}
+
+func (c *Conn) hasRepeated() bool {
+	m, ok := c.Conn.(matched)
+	return ok && m.Repeated()
+}
+
 // Request asks for a connection.
 type Request struct {
 	Customer string
@@ -331,11 +344,17 @@
 
 func (s *Set) limitError() error { return errkind.New(errkind.ConnectionLimit, "%s", s.server) }
 
-// takeIdle returns the customer's most recently used idle connection.
+// takeIdle returns the customer's most recently used idle connection. It closes those whose answers
+// may no longer match their statements.
 func (s *Set) takeIdle(customer string) *Conn {
 	for i := len(s.idle) - 1; i >= 0; i-- {
 		if c := s.idle[i]; c.Customer == customer {
 			s.idle = append(s.idle[:i], s.idle[i+1:]...)
+			if m, ok := c.Conn.(matched); ok && !m.Reusable() {
+				s.open--
+				c.Conn.Close()
+				continue
+			}
 			s.inUse[customer]++
 			c.acquiredAt = boottime.Now()
 			return c
@@ -411,11 +430,12 @@
 	s.countBusy(boottime.Now())
 	s.endUse(c.Customer, c.replaceable)
 	c.endAwaiting()
-	if s.closed || s.retired || s.open > s.limit {
+	repeated := c.hasRepeated()
+	if s.closed || s.retired || s.open > s.limit || repeated {
 		s.open--
 		c.Conn.Close()
-		if s.retired {
-			s.serveWaiters() // status requests
+		if s.retired || repeated {
+			s.serveWaiters() // status requests, or one that may open a connection in its place
 		}
 		return
 	}
@@ -463,10 +483,10 @@
 }
 
 // RollbackAndRelease ends a transaction, if one may be open, and releases the connection. The
-// next user reads the answer to the rollback. If the server gets no more work, the connection is
-// closed instead.
+// next user reads the answer to the rollback. If the server gets no more work, or has repeated an
+// answer, the connection is closed instead.
 func (c *Conn) RollbackAndRelease(texts Texts) {
-	if !c.mayRollBack() {
+	if c.hasRepeated() || !c.mayRollBack() {
 		c.Discard()
 		return
 	}
