Tell a refusal from the repeat of an earlier one

Errors are not signed. The first one on a connection is no repeat; each later one, and each after a dropped answer, is now followed by a probe: a PARSE of a name of the proxy's own, or ROLLBACK if the transaction has failed, which take no slot. The last answer before the probe's is the statement's; a new signature before it proves that the statement ran, and the refusal is dropped. ROLLBACK sent behind a statement serves as the probe. If the probe is not answered within the wait, the outcome is that of a missing answer: unknown for a write or commit, never a promise. Where a probe has ended the transaction of a statement that succeeded after all, the connection is unusable and the transaction lost.

--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -23,6 +23,7 @@
 	Dialer interface {
 		Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error)
 	}
+	Texts    Texts
 	Log      *logrus.Entry
 	Registry gometrics.Registry
 }
@@ -33,13 +34,14 @@
 	if err != nil {
 		return nil, err
 	}
-	return New(c, Report{Log: d.Log.WithFields(logrus.Fields{"group": group, "backend_server": server}), Registry: d.Registry}), nil
+	return New(c, d.Texts, Report{Log: d.Log.WithFields(logrus.Fields{"group": group, "backend_server": server}), Registry: d.Registry}), nil
 }
 
 // Conn matches the answers on a connection with the statements sent. It drops repeated answers,
 // and fails where an answer cannot be matched.
 type Conn struct {
 	raw    statement.Conn
+	texts  Texts
 	report Report
 
 	due        []due
@@ -49,18 +51,31 @@
 	// answered counts the answers, timeLimits the waits that ended without one, mismatches the
 	// answers that did not belong to the statement that was due.
 	answered, timeLimits, mismatches int64
+	// refused reports that an error was received: another one may be its repeat.
+	refused bool
+	// doubt is set while an error that may be a repeat is the last answer to the statement that is
+	// due.
+	doubt *doubt
 	// failed is the reason why the connection is unusable, nil if it is not.
 	failed error
 	// calls is the number of calls in progress.
 	calls atomic.Int32
 }
 
+// Texts builds the commands of probes.
+type Texts interface {
+	Rollback() string
+	Prepare(name, shape string, readOnly bool) string
+}
+
 // due is an outstanding answer. The answer to a statement with an ID is signed.
 type due struct {
 	id string
 	// state is the transaction state after a success, 0 if it stays as it is.
 	state statement.Status
 	rows  bool
+	// early is the answer, if it has already come.
+	early *statement.Result
 }
 
 func (d due) signed() bool { return d.id != "" }
@@ -80,8 +95,8 @@
 }
 
 // New returns a connection that matches the answers on the raw one, whose session is idle.
-func New(raw statement.Conn, report Report) *Conn {
-	return &Conn{raw: raw, report: report, state: statement.Idle}
+func New(raw statement.Conn, texts Texts, report Report) *Conn {
+	return &Conn{raw: raw, texts: texts, report: report, state: statement.Idle}
 }
 
 // Unwrap returns the raw connection.
@@ -117,18 +132,33 @@
 	}
 	deadline := boottime.Now().Add(wait)
 	for c.failed == nil {
+		if early := c.due[0].early; early != nil {
+			return c.take(*early), nil
+		}
 		r, err := c.read(deadline)
 		if err != nil {
 			return r, err
 		}
 		if c.match(c.due[0], r) {
-			c.due, c.state = c.due[1:], r.Status
-			return r, nil
+			return c.take(r), nil
+		}
+		if c.doubt != nil && c.doubt.settled {
+			answer, after := c.doubt.answer, c.doubt.after
+			c.doubt = nil
+			c.take(answer)
+			c.state = after
+			return answer, nil
 		}
 	}
 	return statement.Result{}, c.failed
 }
 
+// take ends the wait for the answer that is due.
+func (c *Conn) take(r statement.Result) statement.Result {
+	c.due, c.state = c.due[1:], r.Status
+	return r
+}
+
 // read returns the next answer.
 func (c *Conn) read(deadline boottime.Time) (statement.Result, error) {
 	wait := deadline.Sub(boottime.Now())
@@ -150,11 +180,14 @@
 // match reports whether the answer is the one that is due. Otherwise it is dropped or, if no
 // statement can be told for it, the connection becomes unusable.
 func (c *Conn) match(d due, r statement.Result) bool {
-	if r.Signature != "" {
-		return c.matchSignature(d, r)
-	}
-	if r.Err != nil {
-		return true
+	switch {
+	case r.Signature != "":
+		return c.matchSignature(d, r) && c.dispelDoubt(r)
+	case r.Err != nil:
+		return c.matchError(d, r)
+	case c.doubt != nil:
+		c.settleDoubt(d, r)
+		return false
 	}
 	state := d.state
 	if state == 0 {
--- /dev/null
+++ b/internal/answers/doubt.go
@@ -0,0 +1,108 @@
+package answers
+
+import (
+	"chicoryline/internal/errkind"
+	"chicoryline/internal/statement"
+)
+
+// probeName is the name of the statement that probes prepare. No caller's statement has it.
+const probeName = "probe"
+
+// doubt is the state of a statement after an error that may be the repeat of an earlier one. It is
+// settled by the answer of a command that was sent after the statement: the last answer before
+// that one is the statement's.
+type doubt struct {
+	// answer is the last answer that may be the statement's, after the transaction state that
+	// follows from the command that settles the doubt.
+	answer statement.Result
+	after  statement.Status
+	// probed and ended report that a probe was sent that prepares a statement, or ends the
+	// transaction.
+	probed, ended bool
+	settled       bool
+}
+
+// matchError reports whether the error is the answer that is due. The first error on a connection
+// is. A later one for a statement may be a repeat, and would tell the caller that the statement
+// did not run while it does.
+func (c *Conn) matchError(d due, r statement.Result) bool {
+	first := !c.refused && c.mismatches == 0
+	c.refused = true
+	if !d.signed() {
+		if d.state == statement.Idle && r.Status != statement.Idle {
+			c.mismatch(WrongState, d, r, -1)
+			return false
+		}
+		return true
+	}
+	if first {
+		return true
+	}
+	if c.doubt == nil {
+		c.doubt = &doubt{}
+	} else if !c.doubt.probed || c.doubt.ended || r.Status != statement.Failed {
+		// Otherwise it may be that of the probe in a failed transaction.
+		c.mismatch(Refusal, d, r, -1)
+	}
+	c.doubt.answer = r
+	c.probe()
+	return false
+}
+
+// probe sends a command whose answer settles the doubt, unless one was sent behind the statement.
+// It occupies no slot of the server. A failed transaction accepts only its end.
+func (c *Conn) probe() {
+	p := c.doubt
+	switch {
+	case len(c.due) > 1 && c.due[1].signed():
+		c.failed = errkind.New(errkind.OutcomeUnknown, "error of one of two statements")
+		return
+	case len(c.due) > 1 || p.ended || p.probed && p.answer.Status != statement.Failed:
+		return
+	}
+	command := statement.Command{Text: c.texts.Prepare(probeName, probeName, true)}
+	if p.ended = p.answer.Status == statement.Failed; p.ended {
+		command.Text = c.texts.Rollback()
+	}
+	p.probed = true
+	if err := c.raw.Send(command); err != nil {
+		c.failed = errkind.New(errkind.OutcomeUnknown, "%v", err)
+	}
+}
+
+// settleDoubt settles the doubt if the unsigned answer is the probe's, or that of the command
+// behind the statement.
+func (c *Conn) settleDoubt(d due, r statement.Result) {
+	p, behind := c.doubt, len(c.due) > 1
+	state := p.answer.Status
+	switch {
+	case behind && c.due[1].state != 0:
+		state = c.due[1].state
+	case p.ended:
+		state = statement.Idle
+	}
+	switch {
+	case r.Status != state || len(r.Rows) > 0:
+		c.mismatch(Unsigned, d, r, -1)
+		return
+	case behind:
+		c.due[1].early = &r
+	}
+	p.settled, p.after = true, r.Status
+}
+
+// dispelDoubt ends the doubt with the signed answer of the statement, and reports whether it may be
+// given out: a probe may have ended the transaction in which the statement ran.
+func (c *Conn) dispelDoubt(r statement.Result) bool {
+	p := c.doubt
+	if p == nil {
+		return true
+	}
+	c.doubt = nil
+	c.mismatch(Refusal, c.due[0], p.answer, -1)
+	if p.ended && r.Status != statement.Idle {
+		c.failed = errkind.New(errkind.TransactionLost, "rolled back after a repeated error")
+		return false
+	}
+	return true
+}
--- a/internal/answers/observe_test.go
+++ b/internal/answers/observe_test.go
@@ -63,11 +63,17 @@
 
 func of(id string) statement.Command { return statement.Command{ID: id, Text: "statement " + id} }
 
+// probes are the texts of probes.
+type probes struct{}
+
+func (probes) Rollback() string                    { return "rollback" }
+func (probes) Prepare(string, string, bool) string { return "probe" }
+
 // newConn returns a connection on the script, and its report.
 func newConn(raw statement.Conn) (*Conn, *logtest.Hook, gometrics.Registry) {
 	log, hook := logtest.NewNullLogger()
 	registry := gometrics.NewRegistry()
-	return New(raw, Report{Log: logrus.NewEntry(log), Registry: registry}), hook, registry
+	return New(raw, probes{}, Report{Log: logrus.NewEntry(log), Registry: registry}), hook, registry
 }
 
 func count(r gometrics.Registry, reason Reason) int64 {
--- a/internal/answers/report.go
+++ b/internal/answers/report.go
@@ -16,6 +16,8 @@
 	Repeated Reason = "repeated"
 	// Unsigned is a success without a signature where a statement's is due.
 	Unsigned Reason = "unsigned"
+	// Refusal is an error where a statement's answer is due that is followed by another answer.
+	Refusal Reason = "refusal"
 	// UnknownSignature is a success with a new signature where a command's is due.
 	UnknownSignature Reason = "unknown_signature"
 	// WrongState is a success whose transaction state does not follow from the command.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -249,7 +249,7 @@
 		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]sourceLoads{}, rosters: map[string]rosterRow{}, probes: map[probeKey]boottime.Time{},
 		view:          access.NewView(s.KeyLifetime - keyLeaseMargin),
 		limiter:       ratelimit.New(boottime.Now, s.RateWindow),
-		router:        dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, LeaderLeaseTime: s.leadershipProofLifetime(), Dialer: answers.Dialer{Dialer: p.Dialer, Log: log, Registry: observer.registry}, Texts: p.Texts, Statuses: p.Control, ReadSeed: rand.Uint64(), Log: log}),
+		router:        dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, LeaderLeaseTime: s.leadershipProofLifetime(), Dialer: answers.Dialer{Dialer: p.Dialer, Texts: p.Texts, Log: log, Registry: observer.registry}, Texts: p.Texts, Statuses: p.Control, ReadSeed: rand.Uint64(), Log: log}),
 		observer:      observer,
 		clock:         timeline.NewClock(time.Now),
 		started:       boottime.Now(),
