Prove the start of a transaction and a status on a connection that has had one

If the answer to an earlier BEGIN came again, a BEGIN that the server refused seemed to have opened a transaction: the statements after it ran by themselves, each write committed on its own (UNASKED) and reads ran on a replica that lacked the commits asked for (STALE). A status that came again passed for the present one and extended the leader lease of a replaced primary.

From the second one on, a BEGIN or STATUS on a pooled connection is sent between three probes in the same write, one or two of them in front in turn, and its answer is taken when the answers around it fit: in state I before a BEGIN, in state T from it on, or an error and state I. Repeats between them are skipped for BEGIN; for a status they make the connection unusable. The position of a BEGIN is the highest seen with it, as a repeat is from before. No round trip and no slot more.

--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"os"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -53,6 +54,8 @@
 	answered, timeLimits, mismatches int64
 	// refused reports that an error was received: another one may be its repeat.
 	refused bool
+	// begun and asked count the transactions that were to be opened, and the status requests.
+	begun, asked int
 	// doubt is set while an error that may be a repeat is the last answer to the statement that is
 	// due.
 	doubt *doubt
@@ -74,6 +77,9 @@
 	// state is the transaction state after a success, 0 if it stays as it is.
 	state statement.Status
 	rows  bool
+	// proof is set if probes were sent around the command, because the success of an earlier one may
+	// come again.
+	proof *proof
 	// early is the answer, if it has already come.
 	early *statement.Result
 }
@@ -116,10 +122,19 @@
 func (c *Conn) Send(commands ...statement.Command) error {
 	c.enter()
 	defer c.leave()
+	sent := make([]statement.Command, 0, len(commands)+probes)
 	for _, m := range commands {
-		c.due = append(c.due, due{id: m.ID, state: m.State, rows: m.Rows})
+		d := due{id: m.ID, state: m.State, rows: m.Rows}
+		d.proof = c.newProof(d)
+		c.due = append(c.due, d)
+		if d.proof == nil {
+			sent = append(sent, m)
+			continue
+		}
+		around := slices.Repeat([]statement.Command{c.probeCommand()}, probes)
+		sent = append(append(append(sent, around[:d.proof.before]...), m), around[d.proof.before:]...)
 	}
-	return c.raw.Send(commands...)
+	return c.raw.Send(sent...)
 }
 
 // Receive implements statement.Conn. Answers that belong to no outstanding statement are dropped
@@ -142,9 +157,7 @@
 		if c.match(c.due[0], r) {
 			return c.take(r), nil
 		}
-		if c.doubt != nil && c.doubt.settled {
-			answer, after := c.doubt.answer, c.doubt.after
-			c.doubt = nil
+		if answer, after, ok := c.settled(); ok {
 			c.take(answer)
 			c.state = after
 			return answer, nil
@@ -183,6 +196,10 @@
 	switch {
 	case r.Signature != "":
 		return c.matchSignature(d, r) && c.dispelDoubt(r)
+	case d.proof != nil:
+		c.refused = c.refused || r.Err != nil
+		c.prove(d, r)
+		return false
 	case r.Err != nil:
 		return c.matchError(d, r)
 	case c.doubt != nil:
@@ -239,7 +256,7 @@
 }
 
 // Alive implements statement.Conn.
-func (c *Conn) Alive() bool { return c.raw.Alive() }
+func (c *Conn) Alive() bool { return c.failed == nil && c.raw.Alive() }
 
 // Close implements statement.Conn.
 func (c *Conn) Close() { c.raw.Close() }
--- a/internal/answers/doubt.go
+++ b/internal/answers/doubt.go
@@ -60,7 +60,7 @@
 	case len(c.due) > 1 || p.ended || p.probed && p.answer.Status != statement.Failed:
 		return
 	}
-	command := statement.Command{Text: c.texts.Prepare(probeName, probeName, true)}
+	command := c.probeCommand()
 	if p.ended = p.answer.Status == statement.Failed; p.ended {
 		command.Text = c.texts.Rollback()
 	}
@@ -70,6 +70,24 @@
 	}
 }
 
+// probeCommand returns a command that takes no slot and does not change the transaction state.
+func (c *Conn) probeCommand() statement.Command {
+	return statement.Command{Text: c.texts.Prepare(probeName, probeName, true)}
+}
+
+// settled returns the answer that is due and the transaction state after it, if an open doubt or
+// proof has been settled.
+func (c *Conn) settled() (answer statement.Result, after statement.Status, ok bool) {
+	if p := c.doubt; p != nil && p.settled {
+		c.doubt = nil
+		return p.answer, p.after, true
+	}
+	if p := c.due[0].proof; p != nil && p.answer != nil {
+		return *p.answer, p.answer.Status, true
+	}
+	return answer, 0, false
+}
+
 // settleDoubt settles the doubt if the unsigned answer is the probe's, or that of the command
 // behind the statement.
 func (c *Conn) settleDoubt(d due, r statement.Result) {
--- a/internal/answers/observe_test.go
+++ b/internal/answers/observe_test.go
@@ -63,17 +63,17 @@
 
 func of(id string) statement.Command { return statement.Command{ID: id, Text: "statement " + id} }
 
-// probes are the texts of probes.
-type probes struct{}
+// probeTexts are the texts of probes.
+type probeTexts struct{}
 
-func (probes) Rollback() string                    { return "rollback" }
-func (probes) Prepare(string, string, bool) string { return "probe" }
+func (probeTexts) Rollback() string                    { return "rollback" }
+func (probeTexts) Prepare(string, string, bool) string { return "probe" }
 
 // newConn returns a connection on the script, and its report.
 func newConn(raw statement.Conn) (*Conn, *logtest.Hook, gometrics.Registry) {
 	log, hook := logtest.NewNullLogger()
 	registry := gometrics.NewRegistry()
-	return New(raw, probes{}, Report{Log: logrus.NewEntry(log), Registry: registry}), hook, registry
+	return New(raw, probeTexts{}, Report{Log: logrus.NewEntry(log), Registry: registry}), hook, registry
 }
 
 func count(r gometrics.Registry, reason Reason) int64 {
@@ -103,7 +103,7 @@
 		"a wait without an answer":   {commands: []statement.Command{of("1")}, answers: []*statement.Result{nil, signed("a", idle)}},
 		"set-up in a transaction":    {commands: []statement.Command{begin, set, of("1")}, answers: []*statement.Result{plain(inTx), plain(inTx), signed("a", inTx)}},
 		"status of an idle session":  {commands: []statement.Command{status}, answers: []*statement.Result{plain(idle, "row")}},
-		"begin refused, then opened": {commands: []statement.Command{begin, begin}, answers: []*statement.Result{refused(errkind.ReadOnly, idle), plain(inTx)}},
+		"begin refused, then opened": {commands: []statement.Command{begin, begin}, answers: []*statement.Result{refused(errkind.ReadOnly, idle), plain(idle), plain(inTx), plain(inTx), plain(inTx)}},
 	} {
 		t.Run(name, func(t *testing.T) {
 			conn, hook, registry := newConn(&script{answers: slices.Clone(c.answers)})
