Take the position of a primary from answers that cannot be repeats

A read on a replica missed commits acknowledged before it (STALE) when the answer to an earlier BEGIN came again and its position was recorded as covering everything acknowledged until the present one was sent.

Current reads and transactions record the positions of the signed answers to their statements alone. Refreshing the position sends BEGIN and ROLLBACK in one write, reads both answers, and records the position only if no answer has been repeated by then; otherwise it starts over on another connection. That is one round trip, as before.

TestRepeatedBeginDoesNotRefreshThePosition gets position 2 instead of 11 without the check for repeats. Its fixture answers commands in the transaction state that follows from them; the old one answered ROLLBACK with an open transaction, which no server does.

--- a/internal/connset/align.go
+++ b/internal/connset/align.go
@@ -104,9 +104,9 @@
 }
 
 // Align brings the session at the server into the required state and, if begin is set, sends
-// it as the last command and returns its answer. After an error the connection has to be
-// discarded; none of the caller's statements has run.
-func (c *Conn) Align(n SessionState, texts Texts, begin *statement.Command, wait time.Duration) (statement.Result, error) {
+// it and returns its answer. The next user reads the answers to the trailing commands. After an
+// error the connection has to be discarded; none of the caller's statements has run.
+func (c *Conn) Align(n SessionState, texts Texts, begin *statement.Command, wait time.Duration, trailing ...statement.Command) (statement.Result, error) {
 	if err := c.Drain(wait); err != nil {
 		return statement.Result{}, err
 	}
@@ -116,12 +116,14 @@
 	if begin != nil {
 		commands = append(commands, *begin)
 	}
+	commands = append(commands, trailing...)
 	if len(commands) == 0 {
 		return statement.Result{}, nil
 	}
 	if err := c.Conn.Send(commands...); err != nil {
 		return statement.Result{}, errkind.New(errkind.Unreachable, "%v", err)
 	}
+	c.unread += len(trailing)
 	for i := range setups {
 		r, err := c.Conn.Receive(wait)
 		if err != nil {
--- a/internal/connset/connset.go
+++ b/internal/connset/connset.go
@@ -79,7 +79,8 @@
 	Reusable() bool
 }
 
-func (c *Conn) hasRepeated() bool {
+// HasRepeated reports whether the server has repeated an answer on the connection.
+func (c *Conn) HasRepeated() bool {
 	m, ok := c.Conn.(matched)
 	return ok && m.Repeated()
 }
@@ -430,7 +431,7 @@
 	s.countBusy(boottime.Now())
 	s.endUse(c.Customer, c.replaceable)
 	c.endAwaiting()
-	repeated := c.hasRepeated()
+	repeated := c.HasRepeated()
 	if s.closed || s.retired || s.open > s.limit || repeated {
 		s.open--
 		c.Conn.Close()
@@ -486,7 +487,7 @@
 // next user reads the answer to the rollback. If the server gets no more work, or has repeated an
 // answer, the connection is closed instead.
 func (c *Conn) RollbackAndRelease(texts Texts) {
-	if c.hasRepeated() || !c.mayRollBack() {
+	if c.HasRepeated() || !c.mayRollBack() {
 		c.Discard()
 		return
 	}
--- a/internal/dispatch/read.go
+++ b/internal/dispatch/read.go
@@ -59,10 +59,7 @@
 }
 
 func (g *Group) refreshPosition(ctx context.Context, p *sharedRefresh) error {
-	_, c, err := g.beginOnPrimary(ctx, g.positionCall(p.call))
-	if err == nil {
-		c.RollbackAndRelease(g.cfg.Texts)
-	}
+	err := g.runEmptyTransaction(ctx, g.positionCall(p.call))
 	g.mu.Lock()
 	p.err, g.positionRefresh = err, nil
 	g.mu.Unlock()
@@ -70,6 +67,33 @@
 	return err
 }
 
+// runEmptyTransaction opens and ends a transaction at the primary and records its position. The
+// answer to BEGIN is not signed: the position counts only if no answer has been repeated by the end
+// of the transaction.
+func (g *Group) runEmptyTransaction(ctx context.Context, call *Call) error {
+	var lastErr error
+	for call.remaining() > 0 {
+		s, c, opened, err := g.beginOnPrimary(ctx, call, statement.Command{Text: g.cfg.Texts.Rollback(), State: statement.Idle})
+		if err != nil {
+			return err
+		}
+		if lastErr = c.Drain(min(beginTimeout, call.remaining())); lastErr != nil {
+			s.noteFailure()
+			c.Discard()
+			continue
+		}
+		if c.HasRepeated() {
+			lastErr = errkind.New(errkind.Unreachable, "%s repeats answers", s.Info().ID)
+			c.Discard()
+			continue
+		}
+		g.recordPosition(s, opened.sent, opened.position)
+		c.Release()
+		return nil
+	}
+	return call.timeoutError(lastErr)
+}
+
 // mayOutlast reports whether the call may succeed where the other one failed, because it is more
 // urgent or has noticeably more time.
 func (c *Call) mayOutlast(o *Call) bool {
--- a/internal/dispatch/refresh_test.go
+++ b/internal/dispatch/refresh_test.go
@@ -1,9 +1,14 @@
 package dispatch
 
 import (
+	"os"
+	"slices"
 	"testing"
 	"time"
 
+	gometrics "github.com/rcrowley/go-metrics"
+
+	"chicoryline/internal/answers"
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/connset"
 	"chicoryline/internal/errkind"
@@ -11,11 +16,38 @@
 	"chicoryline/internal/statement"
 )
 
+// txConn answers each command in the transaction state that follows from it.
+type txConn struct {
+	answeringConn
+	pending []statement.Status
+}
+
+func (c *txConn) Send(commands ...statement.Command) error {
+	for _, m := range commands {
+		if m.State != 0 {
+			c.status = m.State
+		}
+		c.pending = append(c.pending, c.status)
+	}
+	return nil
+}
+
+func (c *txConn) Receive(time.Duration) (statement.Result, error) {
+	if len(c.pending) == 0 {
+		return statement.Result{}, os.ErrDeadlineExceeded
+	}
+	r := statement.Result{Position: c.at, Status: c.pending[0]}
+	c.pending = c.pending[1:]
+	return r, nil
+}
+
 // refreshGroup returns a group of one server, whose connections are all in use.
 func refreshGroup(t *testing.T) (g *Group, release func()) {
 	g = newGroup()
 	g.cfg.Texts = scriptedTexts{}
-	g.cfg.Dialer = dialFunc(func() (statement.Conn, error) { return &answeringConn{status: statement.InTx}, nil })
+	g.cfg.Dialer = dialFunc(func() (statement.Conn, error) {
+		return &txConn{answeringConn: answeringConn{status: statement.Idle}}, nil
+	})
 	g.update(entryOf("a", true, 1))
 	var held []*connset.Conn
 	for range 4 {
@@ -86,3 +118,84 @@
 		t.Error("the promise to the caller was redeemed")
 	}
 }
+
+// stutteringConn is a txConn whose third answers have those to the second commands between them.
+type stutteringConn struct {
+	txConn
+	sends          int
+	written, ready []statement.Result
+}
+
+func (c *stutteringConn) Send(commands ...statement.Command) error {
+	c.at.Offset++
+	c.sends++
+	if err := c.txConn.Send(commands...); err != nil {
+		return err
+	}
+	var answers []statement.Result
+	for len(c.pending) > 0 {
+		r, err := c.txConn.Receive(0)
+		if err != nil {
+			return err
+		}
+		answers = append(answers, r)
+	}
+	if c.sends == 3 {
+		c.ready = slices.Insert(answers, 1, c.written...)
+		return nil
+	}
+	c.ready, c.written = slices.Clone(answers), answers
+	return nil
+}
+
+func (c *stutteringConn) Receive(time.Duration) (statement.Result, error) {
+	if len(c.ready) == 0 {
+		return statement.Result{}, os.ErrDeadlineExceeded
+	}
+	r := c.ready[0]
+	c.ready = c.ready[1:]
+	return r, nil
+}
+
+// Guards against a stale read: the answers to an earlier transaction came again, and the position in
+// them was taken to cover commits that were acknowledged since.
+func TestRepeatedBeginDoesNotRefreshThePosition(t *testing.T) {
+	g := newGroup()
+	g.cfg.Texts = scriptedTexts{}
+	var conns []*stutteringConn
+	g.cfg.Dialer = dialFunc(func() (statement.Conn, error) {
+		c := &stutteringConn{txConn: txConn{answeringConn: answeringConn{status: statement.Idle, at: position.Position{Term: 1, Offset: uint64(10 * len(conns))}}}}
+		conns = append(conns, c)
+		return answers.New(c, scriptedTexts{}, answers.Report{Log: g.cfg.Log, Registry: gometrics.NewRegistry()}), nil
+	})
+	g.update(entryOf("a", true, 1))
+	for i, want := range []uint64{1, 2, 11} {
+		if err := g.RefreshPosition(t.Context(), callFor(time.Second)); err != nil {
+			t.Fatal(err)
+		}
+		if got := g.History.Newest().Position.Offset; got != want {
+			t.Errorf("refresh %d: position %d, want %d", i, got, want)
+		}
+	}
+	if len(conns) != 2 {
+		t.Errorf("%d connections opened, want 2: the one that repeats answers is closed", len(conns))
+	}
+}
+
+// The answer to BEGIN may be an earlier one that came again; a signed answer is not.
+func TestPositionOfAReadIsThatOfItsSignedAnswer(t *testing.T) {
+	g := scriptedGroup(&scriptedServer{})
+	if _, err := g.Begin(scriptedCall("")); err != nil {
+		t.Fatal(err)
+	}
+	if got := g.History.Newest().Position; !got.IsZero() {
+		t.Errorf("position %v after BEGIN", got)
+	}
+	g = scriptedGroup(&scriptedServer{})
+	if _, err := g.ReadCurrent(scriptedCall("read")); err != nil {
+		t.Fatal(err)
+	}
+	if got := g.History.Newest().Position.Offset; got != 2 {
+		t.Errorf("position %d after BEGIN and a read, want 2", got)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -304,24 +304,31 @@
 	}
 }
 
-// beginOnPrimary opens a transaction at the primary, which confirms that the server leads.
-func (g *Group) beginOnPrimary(ctx context.Context, call *Call) (*Server, *connset.Conn, error) {
+// opening is the answer to the start of a transaction that was sent at the given time.
+type opening struct {
+	sent     boottime.Time
+	position position.Position
+}
+
+// beginOnPrimary opens a transaction at the primary, which confirms that the server leads. The
+// caller reads the answers to the trailing commands.
+func (g *Group) beginOnPrimary(ctx context.Context, call *Call, trailing ...statement.Command) (*Server, *connset.Conn, opening, error) {
 	var lastErr error
 	for call.remaining() > 0 {
 		s, c, err := g.acquirePrimary(ctx, call)
 		if err != nil {
-			return nil, nil, err
+			return nil, nil, opening{}, err
 		}
 		if err := g.requireLeaderLease(ctx, s, call); err != nil {
 			c.Release()
-			return nil, nil, err
+			return nil, nil, opening{}, err
 		}
 		if lastErr = g.checkSend(s, call); lastErr != nil {
 			c.Release()
 			continue
 		}
 		sent := boottime.Now()
-		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(false), State: statement.InTx}, min(beginTimeout, call.remaining()))
+		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(false), State: statement.InTx}, min(beginTimeout, call.remaining()), trailing...)
 		if err != nil {
 			lastErr = err
 			c.Discard()
@@ -334,12 +341,11 @@
 			c.TakeChanged()
 			s.noteReached()
 			g.noteAnswered(s)
-			g.recordPosition(s, sent, r.Position)
 			if !call.canFinish(s) {
 				c.RollbackAndRelease(g.cfg.Texts)
-				return nil, nil, errTooLate(s)
+				return nil, nil, opening{}, errTooLate(s)
 			}
-			return s, c, nil
+			return s, c, opening{sent, r.Position}, nil
 		}
 		c.RollbackAndRelease(g.cfg.Texts)
 		if errkind.Is(r.Err, errkind.ReadOnly) {
@@ -348,10 +354,10 @@
 		}
 		lastErr = r.Err
 		if !g.retry(ctx, call, r.Err) {
-			return nil, nil, r.Err
+			return nil, nil, opening{}, r.Err
 		}
 	}
-	return nil, nil, call.timeoutError(lastErr)
+	return nil, nil, opening{}, call.timeoutError(lastErr)
 }
 
 // ReadCurrent runs a read that observes every commit acknowledged before it. The transaction
@@ -361,7 +367,7 @@
 	defer cancel()
 	var lastErr error
 	for call.remaining() > 0 {
-		s, c, err := g.beginOnPrimary(ctx, call)
+		s, c, _, err := g.beginOnPrimary(ctx, call)
 		if err != nil {
 			return statement.Result{}, err
 		}
@@ -394,6 +400,7 @@
 		c.Release()
 		if r.Err == nil {
 			s.noteSuccess(boottime.Since(sent), position.Position{})
+			g.recordPosition(s, sent, r.Position)
 			return r, nil
 		}
 		if errkind.Is(r.Err, errkind.ReadOnly) {
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -29,7 +29,7 @@
 func (g *Group) Begin(call *Call) (*Tx, error) {
 	ctx, cancel := call.context()
 	defer cancel()
-	s, c, err := g.beginOnPrimary(ctx, call)
+	s, c, _, err := g.beginOnPrimary(ctx, call)
 	if err != nil {
 		return nil, g.tellRetryTime(call, true, err)
 	}
