Tests of answers that are repeated, and of statements that nobody asked for

linegroup.Outstanding compares each statement that a server runs with those that callers have sent, and each answer of a caller with its statement. The platform tests use it for all sessions.

--- a/internal/standin/lineclient/lineclient.go
+++ b/internal/standin/lineclient/lineclient.go
@@ -17,6 +17,17 @@
 	r    *bufio.Reader
 	// Timeout is the deadline for each request and its answer.
 	Timeout time.Duration
+	// Observer, if set, is told of each Query and its answer.
+	Observer Observer
+	inTx     bool
+}
+
+// Observer is told which statements a caller has sent and which answers it has received. It
+// may be used by several callers at the same time.
+type Observer interface {
+	// Sent is called before the session sends a statement.
+	Sent(session *Client, id, text string)
+	Answered(id string, a Answer)
 }
 
 // Answer is the response to one request. Code is empty on success.
@@ -62,12 +73,25 @@
 
 // Query sends one statement and reads its answer.
 func (c *Client) Query(id, text string) (Answer, error) {
-	return c.exchange("QUERY " + id + " " + text)
+	if c.Observer == nil {
+		return c.exchange("QUERY " + id + " " + text)
+	}
+	c.Observer.Sent(c, id, text)
+	a, err := c.exchange("QUERY " + id + " " + text)
+	if err == nil {
+		c.Observer.Answered(id, a)
+		c.inTx = a.State != "I"
+	}
+	return a, err
 }
 
 // Raw sends a line unchanged and reads an answer.
 func (c *Client) Raw(line string) (Answer, error) { return c.exchange(line) }
 
+// InTx reports whether the session was in a transaction after its last answer. It works only
+// with an Observer.
+func (c *Client) InTx() bool { return c.inTx }
+
 // Close ends the session.
 func (c *Client) Close() { c.conn.Close() }
 
--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -9,6 +9,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"chicoryline/internal/standin/lineclient"
 )
 
 // conn is one client connection, used only by the goroutine that serves it.
@@ -23,6 +25,8 @@
 	writes   []Write
 	// txStarted is when the open transaction began.
 	txStarted time.Time
+	// txSession is the session whose statements run in the transaction, nil before the first.
+	txSession *lineclient.Client
 	// ignored means that the connection gets no answers: it was opened while the server
 	// ignored new connections.
 	ignored bool
@@ -164,7 +168,7 @@
 		c.endTransaction()
 		return answer{}
 	case "COMMIT":
-		return c.commit(id)
+		return c.commit(id, text)
 	case "SET":
 		name, value := splitWord(rest)
 		c.values[name] = value
@@ -180,9 +184,9 @@
 		if !ok {
 			return answer{code: "NOSTMT"}
 		}
-		return c.executeReadOrWrite(id, strings.HasPrefix(shape, "WRITE"), args, shape)
+		return c.executeReadOrWrite(id, text, strings.HasPrefix(shape, "WRITE"), args)
 	case "READ", "WRITE":
-		return c.executeReadOrWrite(id, command == "WRITE", rest, command)
+		return c.executeReadOrWrite(id, text, command == "WRITE", rest)
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return c.control(command, rest)
 	default:
@@ -222,14 +226,14 @@
 	if !readOnly && !c.isPrimary() {
 		return answer{code: "READONLY"}
 	}
-	c.state, c.readOnly, c.txStarted = 'T', readOnly, time.Now()
+	c.state, c.readOnly, c.txStarted, c.txSession = 'T', readOnly, time.Now(), nil
 	return answer{}
 }
 
 func (c *conn) endTransaction() { c.state, c.readOnly, c.writes = 'I', false, nil }
 
 // executeReadOrWrite runs one read or write while occupying a statement slot.
-func (c *conn) executeReadOrWrite(id string, write bool, args, shape string) answer {
+func (c *conn) executeReadOrWrite(id, text string, write bool, args string) answer {
 	inTx := c.state == 'T'
 	if write && (c.readOnly || !c.isPrimary()) || inTx && !c.readOnly && !c.isPrimary() {
 		if inTx {
@@ -238,6 +242,7 @@
 		return answer{code: "READONLY"}
 	}
 	c.occupySlot()
+	c.server.group.checkRun(c, id, text, inTx, write && !inTx)
 	item, data := splitWord(args)
 	sig := signature(id, c.values)
 	if !write {
@@ -263,7 +268,7 @@
 	return c.commitWrites([]Write{w}, sig)
 }
 
-func (c *conn) commit(id string) answer {
+func (c *conn) commit(id, text string) answer {
 	if c.state != 'T' {
 		c.endTransaction()
 		return answer{code: "ABORTED"}
@@ -271,9 +276,11 @@
 	writes := c.writes
 	c.endTransaction()
 	if len(writes) == 0 {
+		c.server.group.checkRun(c, id, text, true, false)
 		return c.applyLostAnswer(answer{signature: signature(id, c.values)})
 	}
 	c.occupySlot()
+	c.server.group.checkRun(c, id, text, true, true)
 	return c.commitWrites(writes, signature(id, c.values))
 }
 
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -30,6 +30,8 @@
 	// FormerPrimaryServes lets a replaced primary keep acting as primary, without replicas,
 	// until it receives STEPDOWN or formerDemotionDelay after it can reach its successor.
 	FormerPrimaryServes bool
+	// Outstanding, if set, is what the statements that servers run are compared with.
+	Outstanding *Outstanding
 }
 
 // entry is one commit in the log.
@@ -260,6 +262,17 @@
 	}
 }
 
+// checkRun records a violation if no caller has asked for the statement that runs on the
+// connection.
+func (g *Group) checkRun(c *conn, id, text string, inTx, committing bool) {
+	if g.options.Outstanding == nil {
+		return
+	}
+	if problem := g.options.Outstanding.checkRun(c, id, text, inTx, committing); problem != "" {
+		g.withLock(func() { g.violations = append(g.violations, problem) })
+	}
+}
+
 // replicateTo copies the primary's log to the server and reports whether it did; a fault,
 // a PAUSE or a crash prevents it. Entries that the primary lacks are rolled back. The caller
 // holds the mutex.
--- a/internal/standin/world/world.go
+++ b/internal/standin/world/world.go
@@ -39,6 +39,8 @@
 	KeyRevocationDelay time.Duration
 	// EvacuateTime is the time that the settings grant for an evacuation; 0 leaves it out.
 	EvacuateTime time.Duration
+	// Outstanding, if set, is passed to linegroup.Options.
+	Outstanding *linegroup.Outstanding
 }
 
 // Customer is a customer with its API keys and rate limit.
@@ -95,6 +97,7 @@
 		g, err := linegroup.New(linegroup.Options{
 			Name: fmt.Sprintf("group%d", i), Servers: 3, Domains: o.Domains, MaxConnections: o.MaxConnections,
 			Slots: 5, StatementTime: o.StatementTime, Lag: o.Lag, PromotionDelay: o.PromotionDelay, FormerPrimaryServes: o.FormerPrimaryServes,
+			Outstanding: o.Outstanding,
 		})
 		if err != nil {
 			w.Close()
--- a/test/platform/faults_test.go
+++ b/test/platform/faults_test.go
@@ -26,7 +26,7 @@
 func (f *fleet) write(vm, n int, stop *atomic.Bool) *writer {
 	w := &writer{}
 	for i := 0; !stop.Load(); i++ {
-		c, err := lineclient.Dial(f.FrontAddress(vm), "own-0", "key-large", requestTimeout)
+		c, err := f.open(vm, "own-0", "key-large")
 		if err != nil {
 			time.Sleep(20 * time.Millisecond)
 			continue
@@ -246,7 +246,7 @@
 	})
 	f.Store.Compact()
 	f.eventually("session with the new key", func() bool {
-		c, err := lineclient.Dial(f.FrontAddress(2), "own-0", "key-late", requestTimeout)
+		c, err := f.open(2, "own-0", "key-late")
 		if err == nil {
 			c.Close()
 		}
@@ -264,7 +264,7 @@
 	var wg sync.WaitGroup
 	for i := range 6 {
 		wg.Go(func() {
-			c, err := lineclient.Dial(f.FrontAddress(i%3), "bounded-0", "key-limited", requestTimeout)
+			c, err := f.open(i%3, "bounded-0", "key-limited")
 			if err != nil {
 				t.Error(err)
 				return
@@ -338,7 +338,7 @@
 	var wg sync.WaitGroup
 	for range 4 {
 		wg.Go(func() {
-			c, err := lineclient.Dial(f.FrontAddress(1), "bounded-0", "key-small", requestTimeout)
+			c, err := f.open(1, "bounded-0", "key-small")
 			if err != nil {
 				return
 			}
@@ -388,7 +388,7 @@
 	var served atomic.Int64
 	for i := range 24 {
 		wg.Go(func() {
-			c, err := lineclient.Dial(f.FrontAddress(i%3), "own-0", fmt.Sprint("key-", i%12), requestTimeout)
+			c, err := f.open(i%3, "own-0", fmt.Sprint("key-", i%12))
 			if err != nil {
 				t.Error(err)
 				return
--- a/test/platform/harness_test.go
+++ b/test/platform/harness_test.go
@@ -42,6 +42,8 @@
 	lastID atomic.Int64
 	// storeRelays holds one relay per VM, between the VM and the platform's store.
 	storeRelays []*relay
+	// outstanding compares the statements of callers with those that servers run.
+	outstanding *linegroup.Outstanding
 }
 
 type option func(*world.Options)
@@ -52,7 +54,7 @@
 		Groups: 1, Domains: []string{"north", "south", "east"}, VMs: 3,
 		Network: fmt.Sprintf("%d.%d", 1, lastNetwork.Add(1)), MaxConnections: 34,
 		Lag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, PromotionDelay: 100 * time.Millisecond,
-		KeyRevocationDelay: 5 * time.Second,
+		KeyRevocationDelay: 5 * time.Second, Outstanding: linegroup.NewOutstanding(),
 		Customers: []world.Customer{
 			{Name: "large", Keys: []string{"key-large"}, Rate: 500, Burst: 500},
 			{Name: "small", Keys: []string{"key-small"}, Rate: 500, Burst: 500},
@@ -65,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	f := &fleet{World: w, t: t}
+	f := &fleet{World: w, t: t, outstanding: o.Outstanding}
 	t.Cleanup(f.close)
 	for vm := range o.VMs {
 		f.startVM(vm)
@@ -135,16 +137,26 @@
 		<-done
 	}
 	for _, g := range f.Groups {
-		for _, p := range g.Violations() {
-			f.t.Errorf("group %s: %s", g.Name(), p)
-		}
-	}
-	for _, p := range f.Store.Violations() {
-		f.t.Errorf("platform: %s", p)
+		f.report("group "+g.Name(), g.Violations())
 	}
+	f.report("callers", f.outstanding.Violations())
+	f.report("platform", f.Store.Violations())
 	f.World.Close()
 }
 
+// maxShown bounds how many violations of one observer a failed test prints.
+const maxShown = 8
+
+// report fails the test if the observer saw violations.
+func (f *fleet) report(observer string, violations []string) {
+	for _, p := range violations[:min(maxShown, len(violations))] {
+		f.t.Errorf("%s: %s", observer, p)
+	}
+	if more := len(violations) - maxShown; more > 0 {
+		f.t.Errorf("%s: %d more violations", observer, more)
+	}
+}
+
 func (f *fleet) isReady(vm int) bool {
 	r, err := http.Get("http://" + f.ReadyAddress(vm) + "/v1/ready")
 	if err != nil {
@@ -172,9 +184,18 @@
 	f *fleet
 }
 
+// open opens a session whose statements are compared with those that the servers run.
+func (f *fleet) open(vm int, database, key string) (*lineclient.Client, error) {
+	c, err := lineclient.Dial(f.FrontAddress(vm), database, key, requestTimeout)
+	if err == nil {
+		c.Observer = f.outstanding
+	}
+	return c, err
+}
+
 func (f *fleet) dial(vm int, database, key string) *caller {
 	f.t.Helper()
-	c, err := lineclient.Dial(f.FrontAddress(vm), database, key, requestTimeout)
+	c, err := f.open(vm, database, key)
 	if err != nil {
 		f.t.Fatalf("session on %s: %v", database, err)
 	}
--- a/test/platform/lost_test.go
+++ b/test/platform/lost_test.go
@@ -33,7 +33,7 @@
 func (f *fleet) awaitWrite(vm int) {
 	f.t.Helper()
 	f.eventually("acknowledged write", func() bool {
-		c, err := lineclient.Dial(f.FrontAddress(vm), "own-0", "key-small", requestTimeout)
+		c, err := f.open(vm, "own-0", "key-small")
 		if err != nil {
 			return false
 		}
--- a/test/platform/replaced_test.go
+++ b/test/platform/replaced_test.go
@@ -7,7 +7,6 @@
 	"testing"
 	"time"
 
-	"chicoryline/internal/standin/lineclient"
 	"chicoryline/internal/standin/world"
 )
 
@@ -19,7 +18,7 @@
 // served. It reconnects after errors.
 func (f *fleet) read(vm int, stop *atomic.Bool) (served int) {
 	for !stop.Load() {
-		c, err := lineclient.Dial(f.FrontAddress(vm), "current-0", "key-small", requestTimeout)
+		c, err := f.open(vm, "current-0", "key-small")
 		if err != nil {
 			time.Sleep(20 * time.Millisecond)
 			continue
--- a/test/platform/restore_test.go
+++ b/test/platform/restore_test.go
@@ -6,7 +6,6 @@
 	"testing"
 	"time"
 
-	"chicoryline/internal/standin/lineclient"
 	"chicoryline/internal/standin/rowstore"
 	"chicoryline/internal/standin/world"
 )
@@ -29,7 +28,7 @@
 
 // admits reports whether the VM runs a read for the key.
 func (f *fleet) admits(vm int, key string) bool {
-	c, err := lineclient.Dial(f.FrontAddress(vm), "own-0", key, requestTimeout)
+	c, err := f.open(vm, "own-0", key)
 	if err != nil {
 		return false
 	}
