--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -29,7 +29,7 @@
 func (g *Group) Begin(call *Call) (*Tx, error) {
 	ctx, cancel := call.context()
 	defer cancel()
-	s, c, err := g.beginOnPrimary(ctx, call)
+	s, c, _, err := g.beginOnPrimary(ctx, call)
 	if err != nil {
 		return nil, g.tellRetryTime(call, true, err)
 	}
@@ -73,7 +73,7 @@
 			lastErr = err
 			continue
 		}
-		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(true), After: need}, min(beginTimeout, call.remaining()))
+		r, err := c.Align(call.SessionState, g.cfg.Texts, &statement.Command{Text: g.cfg.Texts.Begin(true), After: need, State: statement.InTx}, min(beginTimeout, call.remaining()))
 		if err != nil {
 			lastErr = err
 			c.Discard()
--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -7,7 +7,10 @@
 	"sort"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
+
+	"chicoryline/internal/standin/lineclient"
 )
 
 // conn is one client connection, used only by the goroutine that serves it.
@@ -22,9 +25,15 @@
 	writes   []Write
 	// txStarted is when the open transaction began.
 	txStarted time.Time
+	// txSession is the session whose statements run in the transaction, nil before the first.
+	txSession *lineclient.Client
 	// ignored means that the connection gets no answers: it was opened while the server
 	// ignored new connections.
 	ignored bool
+	// writing keeps the messages of answers and of their repeats apart.
+	writing sync.Mutex
+	// held are repeated answers that wait for a later statement.
+	held []string
 }
 
 // answer is the result of one statement.
@@ -68,11 +77,14 @@
 			return
 		}
 		id, text := splitWord(rest)
+		c.releaseHeld(id, text)
 		a := c.execute(id, text)
 		if c.isUnresponsive() || a.code == "LOST" {
 			continue
 		}
-		c.sendAnswer(a)
+		message := c.encodeAnswer(a)
+		c.send(message)
+		c.repeat(id, text, message)
 	}
 }
 
@@ -104,7 +116,7 @@
 	return p
 }
 
-func (c *conn) sendAnswer(a answer) {
+func (c *conn) encodeAnswer(a answer) string {
 	var b strings.Builder
 	for _, r := range a.rows {
 		b.WriteString("DATAROW " + r + "\r\n")
@@ -122,7 +134,13 @@
 		at = c.position()
 	}
 	b.WriteString("READY " + string(rune(c.state)) + " " + at + "\r\n")
-	_, _ = c.net.Write([]byte(b.String()))
+	return b.String()
+}
+
+func (c *conn) send(message string) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	_, _ = c.net.Write([]byte(message))
 }
 
 // execute runs one statement. A leading AFTER makes it fail with LAGGING unless the server has
@@ -137,6 +155,9 @@
 	if c.state == 'E' && command != "ROLLBACK" && command != "COMMIT" {
 		return answer{code: "MALFORMED"}
 	}
+	if c.isRefused(id, text) {
+		return answer{code: "BUSY"}
+	}
 	if after != "" && !c.hasReached(after) {
 		return answer{code: "LAGGING"}
 	}
@@ -147,7 +168,7 @@
 		c.endTransaction()
 		return answer{}
 	case "COMMIT":
-		return c.commit(id)
+		return c.commit(id, text)
 	case "SET":
 		name, value := splitWord(rest)
 		c.values[name] = value
@@ -163,9 +184,9 @@
 		if !ok {
 			return answer{code: "NOSTMT"}
 		}
-		return c.executeReadOrWrite(id, strings.HasPrefix(shape, "WRITE"), args, shape)
+		return c.executeReadOrWrite(id, text, strings.HasPrefix(shape, "WRITE"), args)
 	case "READ", "WRITE":
-		return c.executeReadOrWrite(id, command == "WRITE", rest, command)
+		return c.executeReadOrWrite(id, text, command == "WRITE", rest)
 	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
 		return c.control(command, rest)
 	default:
@@ -174,6 +195,12 @@
 	return answer{}
 }
 
+func (c *conn) isRefused(id, text string) bool {
+	var refuses func(id, text string) bool
+	c.server.withLock(func() { refuses = c.server.refuses })
+	return refuses != nil && refuses(id, text)
+}
+
 func (c *conn) hasReached(after string) bool {
 	want, have := parsePosition(after), parsePosition(c.position())
 	return have[0] > want[0] || have[0] == want[0] && have[1] >= want[1]
@@ -199,14 +226,14 @@
 	if !readOnly && !c.isPrimary() {
 		return answer{code: "READONLY"}
 	}
-	c.state, c.readOnly, c.txStarted = 'T', readOnly, time.Now()
+	c.state, c.readOnly, c.txStarted, c.txSession = 'T', readOnly, time.Now(), nil
 	return answer{}
 }
 
 func (c *conn) endTransaction() { c.state, c.readOnly, c.writes = 'I', false, nil }
 
 // executeReadOrWrite runs one read or write while occupying a statement slot.
-func (c *conn) executeReadOrWrite(id string, write bool, args, shape string) answer {
+func (c *conn) executeReadOrWrite(id, text string, write bool, args string) answer {
 	inTx := c.state == 'T'
 	if write && (c.readOnly || !c.isPrimary()) || inTx && !c.readOnly && !c.isPrimary() {
 		if inTx {
@@ -215,6 +242,7 @@
 		return answer{code: "READONLY"}
 	}
 	c.occupySlot()
+	c.server.group.checkRun(c, id, text, inTx, write && !inTx)
 	item, data := splitWord(args)
 	sig := signature(id, c.values)
 	if !write {
@@ -240,7 +268,7 @@
 	return c.commitWrites([]Write{w}, sig)
 }
 
-func (c *conn) commit(id string) answer {
+func (c *conn) commit(id, text string) answer {
 	if c.state != 'T' {
 		c.endTransaction()
 		return answer{code: "ABORTED"}
@@ -248,9 +276,11 @@
 	writes := c.writes
 	c.endTransaction()
 	if len(writes) == 0 {
+		c.server.group.checkRun(c, id, text, true, false)
 		return c.applyLostAnswer(answer{signature: signature(id, c.values)})
 	}
 	c.occupySlot()
+	c.server.group.checkRun(c, id, text, true, true)
 	return c.commitWrites(writes, signature(id, c.values))
 }
 
