--- a/internal/steward/late_order_test.go
+++ b/internal/steward/late_order_test.go
@@ -80,10 +80,13 @@
 	dialer platform.BackendDialer
 	ids    sync.Map // server IDs by connection
 	// status and pause are called with the server before the statement, which is not run if
-	// they fail. resumed is called after a resume, promote before an order.
+	// they fail. paused is called after a pause, resumed after a resume, promote before an
+	// order. order is called instead of the promoter.
 	status, pause func(server string) error
+	paused        func(server string)
 	resumed       func()
 	promote       func(server string)
+	order         func(server, holder string, token uint64) error
 }
 
 func (h *hooks) Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error) {
@@ -113,7 +116,12 @@
 	if err := h.runHook(h.pause, c); err != nil {
 		return statement.ServerStatus{}, err
 	}
-	return h.Control.Pause(c, term, wait)
+	status, err := h.Control.Pause(c, term, wait)
+	if h.paused != nil && err == nil {
+		id, _ := h.ids.Load(c)
+		h.paused(id.(string))
+	}
+	return status, err
 }
 
 func (h *hooks) Resume(c statement.Conn, wait time.Duration) (statement.ServerStatus, error) {
@@ -128,6 +136,9 @@
 	if h.promote != nil {
 		h.promote(server)
 	}
+	if h.order != nil {
+		return h.order(server, holder, token)
+	}
 	return h.Promoter.Promote(ctx, group, server, holder, token)
 }
 
