Believe only the first answer on a steward's connection

A steward sent STATUS, PAUSE, RESUME and STEPDOWN one after the other on one connection to each server. Answers carry no ID, and a server may send one twice, the second time late: it was taken for the answer to the next command. A repeated STATUS made a PAUSE or STEPDOWN that had taken effect seem refused, and the primary was not replaced.

Each answer that decides something is now the first one on a new connection. Polls use the connection that is open, but what they find counts only after a new connection has confirmed it. The old connection is closed before the new one is opened, so a steward still holds one to each server. The connection is opened before the lease is renewed, as before. A pause counts while the server reports it and the connection that it was sent on did not break before the next one is opened.

One more connection before the order is what a failover waits for.

Demote has always used one connection for each command.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -189,7 +189,7 @@
 		n++
 		go func() {
 			defer func() { done <- struct{}{} }()
-			if err := a.runControl(ctx, m, a.s.cfg.Control.Status); err != nil {
+			if _, err := a.pollStatus(ctx, m, m.isNews); err != nil {
 				a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
 			}
 		}()
@@ -360,7 +360,7 @@
 		if IsSafeTarget(a.replicas(except), target.ID) {
 			break
 		}
-		if err := a.runControl(ctx, target, a.s.cfg.Control.Status); err != nil {
+		if _, err := a.pollStatus(ctx, target, target.isNews); err != nil {
 			return nil, err
 		}
 	}
@@ -492,8 +492,9 @@
 // awaitPrimary waits until the target is primary. Until then the old primary may continue,
 // and a resumed replica could let it acknowledge commits that the target lacks.
 func (a *attempt) awaitPrimary(ctx context.Context, target *member) bool {
+	isPrimary := func(status statement.ServerStatus) bool { return status.Primary }
 	for ctx.Err() == nil {
-		if a.runControl(ctx, target, a.s.cfg.Control.Status) == nil && target.status.Primary {
+		if renewed, _ := a.pollStatus(ctx, target, isPrimary); renewed && target.status.Primary {
 			return true
 		}
 		time.Sleep(pollInterval)
--- a/internal/steward/late_order_test.go
+++ b/internal/steward/late_order_test.go
@@ -37,9 +37,15 @@
 }
 
 func newTestbed(t *testing.T, network string) *testbed {
+	t.Helper()
+	return newTestbedWithDelay(t, network, 50*time.Millisecond)
+}
+
+// newTestbedWithDelay is newTestbed with the time from an order to its effect.
+func newTestbedWithDelay(t *testing.T, network string, promotionDelay time.Duration) *testbed {
 	t.Helper()
 	w, err := world.New(world.Options{
-		Groups: 1, Domains: []string{"north"}, Network: network, MaxConnections: 34, PromotionDelay: 50 * time.Millisecond,
+		Groups: 1, Domains: []string{"north"}, Network: network, MaxConnections: 34, PromotionDelay: promotionDelay,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -87,6 +93,7 @@
 	resumed       func()
 	promote       func(server string)
 	order         func(server, holder string, token uint64) error
+	leaderLease   time.Duration
 }
 
 func (h *hooks) Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error) {
@@ -147,7 +154,7 @@
 	log.SetOutput(io.Discard)
 	h.Control, h.Promoter = platform.BackendTexts{}, platform.NewPromotionClient(s.Store.Address())
 	return steward.New(steward.Config{
-		VM: vm, Store: platform.NewStore(s.Store.Address()), Dialer: h, Control: h, Promoter: h, Log: logrus.NewEntry(log),
+		VM: vm, Store: platform.NewStore(s.Store.Address()), Dialer: h, Control: h, Promoter: h, LeaderLease: h.leaderLease, Log: logrus.NewEntry(log),
 	})
 }
 
--- a/internal/steward/leader_lease.go
+++ b/internal/steward/leader_lease.go
@@ -21,7 +21,7 @@
 		if err := a.runControl(ctx, m, a.s.cfg.Control.Status); err != nil {
 			return err
 		}
-		if m.status.PausedTerm < term {
+		if !m.paused || m.status.PausedTerm < term {
 			return errkind.New(errkind.NoPrimary, "%s is no longer paused", m.ID)
 		}
 	}
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -15,7 +15,8 @@
 // member is a server of the group and its state as observed by the steward.
 type member struct {
 	Server
-	// conn is nil while the server is unreachable. The status is valid only with a conn.
+	// conn is nil while the server is unreachable. The status is valid only with a conn, and is
+	// the first answer on its connection.
 	conn   statement.Conn
 	status statement.ServerStatus
 	// unlisted reports that another server of the group, not listed in discovery yet,
@@ -25,9 +26,10 @@
 	addressAnswers bool
 	// replaced reports that a server of another group answers at the address.
 	replaced bool
-	// paused reports that the server receives nothing from the primary. A restart ends both
-	// the pause and the connection.
-	paused bool
+	// paused reports that the server receives nothing from the primary, after a pause for
+	// pausedTerm. A restart ends both the pause and the connection.
+	paused     bool
+	pausedTerm uint64
 	// pauseSent reports that this steward tried to pause the server, which may have taken
 	// effect, and that no resume succeeded since.
 	pauseSent bool
@@ -128,39 +130,79 @@
 	}
 }
 
-// runControl runs a control statement at a server and opens a connection if there is none.
-// A failure closes the connection: a late answer would be taken for the answer to the next
-// statement.
-func (a *attempt) runControl(ctx context.Context, m *member, run func(statement.Conn, time.Duration) (statement.ServerStatus, error)) (err error) {
-	defer func() {
-		if errkind.Is(err, errkind.Internal) {
-			m.closeConn()
-		}
-	}()
-	defer recoverPanic(a.log, &err)
-	if m.conn == nil {
-		conn, err := a.dial(ctx, m, m.ID)
-		if m.unlisted = errkind.Is(err, errkind.WrongServer); m.unlisted {
-			conn, err = a.dial(ctx, m, "")
-			m.replaced = errkind.Is(err, errkind.WrongServer)
-		}
-		// A refused connection counts as an answer.
-		m.addressAnswers = !errkind.Is(err, errkind.Unreachable)
-		if err != nil {
-			m.failedAt = boottime.Now()
-			return err
-		}
-		m.conn, m.gone = conn, false
+// runControl runs a control statement at a server over a new connection.
+func (a *attempt) runControl(ctx context.Context, m *member, run controlStatement) (err error) {
+	defer a.closeAfterPanic(m, &err)
+	if err := a.connect(ctx, m); err != nil {
+		return err
 	}
+	return m.run(run)
+}
+
+// controlStatement runs a control statement over a connection.
+type controlStatement func(statement.Conn, time.Duration) (statement.ServerStatus, error)
+
+// closeAfterPanic returns a panic as an error and closes the connection. It is deferred.
+func (a *attempt) closeAfterPanic(m *member, err *error) {
+	if p := recover(); p != nil {
+		*err = panicError(a.log, p)
+		m.closeConn()
+	}
+}
+
+// connect replaces the connection to the server by a new one. Answers carry no ID, and a server
+// may send one twice, the second time after later ones. So only the first answer on a connection
+// is known to belong to its statement.
+func (a *attempt) connect(ctx context.Context, m *member) error {
+	paused := m.paused && m.conn.Alive()
+	m.closeConn()
+	conn, err := a.dial(ctx, m, m.ID)
+	if m.unlisted = errkind.Is(err, errkind.WrongServer); m.unlisted {
+		conn, err = a.dial(ctx, m, "")
+		m.replaced = errkind.Is(err, errkind.WrongServer)
+	}
+	// A refused connection counts as an answer.
+	m.addressAnswers = !errkind.Is(err, errkind.Unreachable)
+	if err != nil {
+		m.failedAt = boottime.Now()
+		return err
+	}
+	m.conn, m.gone, m.paused = conn, false, paused
+	return nil
+}
+
+// run runs the first statement on a new connection. A failure closes the connection.
+func (m *member) run(run controlStatement) error {
 	status, err := run(m.conn, controlTimeout)
 	if err != nil {
 		m.closeConn()
 		return err
 	}
 	m.status = status
+	m.paused = m.paused && status.PausedTerm >= m.pausedTerm
 	return nil
 }
 
+// pollStatus requests the status over the open connection, and again over a new one if the status is
+// news: it may be a repeated earlier one. It reports whether the member's status was renewed.
+func (a *attempt) pollStatus(ctx context.Context, m *member, isNews func(statement.ServerStatus) bool) (renewed bool, err error) {
+	defer a.closeAfterPanic(m, &err)
+	if m.conn != nil {
+		switch status, err := a.s.cfg.Control.Status(m.conn, controlTimeout); {
+		case errkind.Is(err, errkind.Unreachable):
+			m.closeConn()
+			return false, err
+		case err == nil && !isNews(status):
+			return false, nil
+		}
+	}
+	err = a.runControl(ctx, m, a.s.cfg.Control.Status)
+	return err == nil, err
+}
+
+// isNews reports whether the status differs from the known one.
+func (m *member) isNews(status statement.ServerStatus) bool { return status != m.status }
+
 // isSilentPrimary reports whether the server is the primary and did not answer.
 func (a *attempt) isSilentPrimary(m *member) bool {
 	return m.ID == a.t.Primary && (a.t.Reason == Silent || a.t.Reason == Missing)
@@ -180,17 +222,8 @@
 }
 
 // command runs a control statement that changes a server's state, under the lease.
-func (a *attempt) command(ctx context.Context, m *member, name string, run func(statement.Conn, time.Duration) (statement.ServerStatus, error)) error {
-	var err error
-	if m.conn == nil {
-		err = a.runControl(ctx, m, a.s.cfg.Control.Status)
-	}
-	if err == nil {
-		err = a.s.renewLease(ctx, a.lease)
-	}
-	if err == nil {
-		err = a.runControl(ctx, m, run)
-	}
+func (a *attempt) command(ctx context.Context, m *member, name string, run controlStatement) error {
+	err := a.runUnderLease(ctx, m, run)
 	log := a.log.WithFields(logrus.Fields{"backend_server": m.ID, "command": name})
 	if err != nil {
 		log.WithError(err).Warn("command failed")
@@ -200,6 +233,20 @@
 	return nil
 }
 
+// runUnderLease runs a control statement over a new connection, which is opened before the lease
+// is renewed: opening takes up to controlTimeout as well.
+func (a *attempt) runUnderLease(ctx context.Context, m *member, run controlStatement) (err error) {
+	defer a.closeAfterPanic(m, &err)
+	if err := a.connect(ctx, m); err != nil {
+		return err
+	}
+	if err := a.s.renewLease(ctx, a.lease); err != nil {
+		m.closeConn()
+		return err
+	}
+	return m.run(run)
+}
+
 // pause stops a server from receiving until the next promotion. If an earlier order may
 // still cause a promotion, the pause lasts beyond that one.
 func (a *attempt) pause(ctx context.Context, m *member) error {
@@ -214,7 +261,7 @@
 	if err == nil && m.status.PausedTerm < pauseTerm {
 		err = errkind.New(errkind.Fenced, "server %s at term %d did not pause at term %d", m.ID, m.status.Term, pauseTerm)
 	}
-	m.paused = err == nil
+	m.paused, m.pausedTerm = err == nil, pauseTerm
 	return err
 }
 
--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -244,12 +244,19 @@
 // modelConn is a connection to a server that a restart of the server breaks.
 type modelConn struct {
 	statement.Conn
+	model  *model
 	server *modelServer
 	start  int
 }
 
 func (modelConn) Close() {}
 
+func (c modelConn) Alive() bool {
+	c.model.mu.Lock()
+	defer c.model.mu.Unlock()
+	return c.server.up && c.server.startCount == c.start
+}
+
 func (m *model) Dial(_ context.Context, _, _, id, _ string) (statement.Conn, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -258,7 +265,7 @@
 	if !s.up || s.unreachable {
 		return nil, errkind.New(errkind.Unreachable, "model")
 	}
-	return modelConn{server: s, start: s.startCount}, nil
+	return modelConn{model: m, server: s, start: s.startCount}, nil
 }
 
 // control runs a control statement unless the server is unreachable or has restarted since
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -89,6 +89,8 @@
 
 func (fakeConn) Close() {}
 
+func (fakeConn) Alive() bool { return true }
+
 func (g *fakeGroup) recordEvent(format string, args ...any) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
