--- a/internal/standin/rowstore/rowstore.go
+++ b/internal/standin/rowstore/rowstore.go
@@ -63,6 +63,7 @@
 	mu          sync.Mutex
 	rows        map[key]row
 	version     uint64
+	clock       int64  // milliseconds, in the newest answer
 	compactedTo uint64 // versions up to and including this one are no longer in the feed
 	changed     chan struct{}
 	fault       Fault
@@ -292,7 +293,7 @@
 			have.Version = 0
 		}
 		if have.Version != p.Version {
-			s.writeStatus(w, http.StatusPreconditionFailed)
+			s.writePreconditionFailed(w, body.Precondition)
 			return
 		}
 	}
@@ -308,6 +309,19 @@
 	s.writeRows(w, nil)
 }
 
+// writePreconditionFailed answers with the present rows of the precondition. The mutex is held.
+func (s *Store) writePreconditionFailed(w http.ResponseWriter, precondition []row) {
+	var present []row
+	for _, p := range precondition {
+		if r, ok := s.rows[key{p.Table, p.Key}]; ok && !r.Deleted {
+			present = append(present, r)
+		}
+	}
+	s.setEra(w)
+	w.WriteHeader(http.StatusPreconditionFailed)
+	s.writeRows(w, present)
+}
+
 // writeStatus answers with a status only. The mutex is held.
 func (s *Store) writeStatus(w http.ResponseWriter, status int) {
 	s.setEra(w)
@@ -323,7 +337,9 @@
 	if rows == nil {
 		rows = []row{}
 	}
-	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "has_more": false, "ver": s.version, "now_ms": time.Now().UnixMilli()})
+	// Answers of the platform's store take milliseconds, so that those on one connection differ.
+	s.clock = max(s.clock+1, time.Now().UnixMilli())
+	_ = json.NewEncoder(w).Encode(map[string]any{"rows": rows, "has_more": false, "ver": s.version, "now_ms": s.clock})
 }
 
 func (s *Store) handleGet(w http.ResponseWriter, r *http.Request) {
