Number the control commands of instances

Answers of PostgreSQL's protocol are matched with commands by their order. If an instance sent the answer to a control command twice, the second copy was taken for the answer to the next command on the connection, and so on until the connection was closed: an old status passed for the present one (in views, proofs and confirmations of commits), a fence or promotion that was refused for one that was executed.

Each command is now sent behind a setting of its number on the connection and a SHOW of it, in the same message. An answer with another number, also an error, closes the connection; the outcome is unknown, and an idempotent command is sent again on a new connection as before. No round trip more, and no slot, as SET and SHOW take none.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"strconv"
 	"strings"
 	"time"
 
@@ -105,6 +106,8 @@
 	cfg  ClientConfig
 	sem  chan struct{}
 	conn *pgconn.PgConn
+	// commands is the number of commands sent.
+	commands uint64
 
 	// ctx is canceled when the client is closed.
 	ctx  context.Context
@@ -153,11 +156,36 @@
 	if err := c.open(ctx); err != nil {
 		return Status{}, errkind.New(errkind.Unreachable, "instance %s: %v", c.cfg.ID, err)
 	}
-	results, err := c.conn.Exec(ctx, command).ReadAll()
+	c.commands++
+	number := strconv.FormatUint(c.commands, 10)
+	results, err := c.conn.Exec(ctx, numbered(number, command)).ReadAll()
+	var refusal *pgconn.PgError
+	if (err == nil || errors.As(err, &refusal)) && !hasNumber(results, number) {
+		c.discard()
+		return Status{}, errkind.New(errkind.OutcomeUnknown, "instance %s: answer to another command", c.cfg.ID)
+	}
 	if err != nil {
 		return Status{}, c.commandError(err)
 	}
-	return c.parse(results)
+	return c.parse(results[numberResults:])
+}
+
+// settingNumber is a setting that holds the number of the command on its connection, and
+// numberResults the number of results in front of the command's own.
+const (
+	settingNumber = "chicoryline.command"
+	numberResults = 2
+)
+
+// numbered returns the command with statements in front that return its number. Answers of the
+// protocol carry no ID, and a server may send one twice: the second one has another number.
+func numbered(number, command string) string {
+	return fmt.Sprintf("SET %s = %s; SHOW %s; %s", settingNumber, quote(number), settingNumber, command)
+}
+
+// hasNumber reports whether the results belong to the command with the number.
+func hasNumber(results []*pgconn.Result, number string) bool {
+	return len(results) >= numberResults && len(results[1].Rows) == 1 && len(results[1].Rows[0]) == 1 && string(results[1].Rows[0][0]) == number
 }
 
 // open opens the connection unless it is already open. The caller holds sem.
