--- a/internal/pool/fixture_test.go
+++ b/internal/pool/fixture_test.go
@@ -70,6 +70,7 @@
 	watcher       *fakeWatcher
 	manager       *Manager
 	owner         *Owner
+	dial          func(context.Context, string, string) (net.Conn, error)
 	sessionNumber atomic.Uint64
 }
 
@@ -85,13 +86,18 @@
 }
 
 func buildFixture(slots int) (*fixture, error) {
+	return buildFixtureWithDial(slots, (&net.Dialer{}).DialContext)
+}
+
+// buildFixtureWithDial is buildFixture with the function that opens the owner's connections.
+func buildFixtureWithDial(slots int, dial func(context.Context, string, string) (net.Conn, error)) (*fixture, error) {
 	server, err := dbinstance.Start(dbinstance.Config{ID: "db1", Group: "g", Listen: "127.0.0.1:0", InitialPrimary: true, User: "u", Password: "p"})
 	if err != nil {
 		return nil, err
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f := &fixture{server: server, watcher: &fakeWatcher{}}
+	f := &fixture{server: server, watcher: &fakeWatcher{}, dial: dial}
 	f.watcher.setPrimary("db1")
 	f.manager = NewManager(logrus.NewEntry(log), noopObserver{})
 	f.owner = f.newOwner(slots, 0)
@@ -111,7 +117,7 @@
 	return NewOwner(OwnerConfig{
 		Instance: services.Instance{ID: "db1", Address: f.server.Addr()}, Group: services.Group{Name: "g", Slots: slots},
 		Watcher: f.watcher, Credentials: Credentials{User: "u", Password: "p", Database: "d", Application: "chicoryline/vm/domain1"},
-		Dial: (&net.Dialer{}).DialContext, Log: f.manager.log, IdleTransactionTimeout: idle,
+		Dial: f.dial, Log: f.manager.log, IdleTransactionTimeout: idle,
 	}, slots)
 }
 
