--- a/internal/mesh/mesh_test.go
+++ b/internal/mesh/mesh_test.go
@@ -246,6 +246,30 @@
 	}
 }
 
+// Guards against a datagram that arrives twice, the second time after a newer one, and brings an old
+// state back.
+func TestRepeatedDatagramIsIgnored(t *testing.T) {
+	applied := 0
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m := New(Config{VM: "vm0000", Log: logrus.NewEntry(log), OnLost: func(string) {}, OnUpdate: func(string, StateUpdate, boottime.Time) { applied++ }, OnDigest: func(string, StateUpdate, boottime.Time) {}, Compose: func() StateUpdate { return StateUpdate{} }})
+	m.SetPeers(peers(3, 1))
+	body, err := encode(payload{News: &StateUpdate{}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, sent := range []boottime.Time{1, 2, 1, 2} {
+		data, err := encode(envelope{VM: "vm0001", Incarnation: 1, Sent: sent, Payload: body})
+		if err != nil {
+			t.Fatal(err)
+		}
+		m.receive(data)
+	}
+	if applied != 2 {
+		t.Errorf("%d updates, want 2", applied)
+	}
+}
+
 func TestMalformedDatagramIsIgnored(t *testing.T) {
 	nodes := startFleet(t, 1, 1)
 	for _, data := range []string{"", "\x00", "garbage", "\xdf\xff\xff\xff\xff", "\x97\xa1a"} {
