--- a/internal/steward/late_order_test.go
+++ b/internal/steward/late_order_test.go
@@ -37,9 +37,15 @@
 }
 
 func newTestbed(t *testing.T, network string) *testbed {
+	t.Helper()
+	return newTestbedWithDelay(t, network, 50*time.Millisecond)
+}
+
+// newTestbedWithDelay is newTestbed with the time from an order to its effect.
+func newTestbedWithDelay(t *testing.T, network string, promotionDelay time.Duration) *testbed {
 	t.Helper()
 	w, err := world.New(world.Options{
-		Groups: 1, Domains: []string{"north"}, Network: network, MaxConnections: 34, PromotionDelay: 50 * time.Millisecond,
+		Groups: 1, Domains: []string{"north"}, Network: network, MaxConnections: 34, PromotionDelay: promotionDelay,
 	})
 	if err != nil {
 		t.Fatal(err)
@@ -80,10 +86,14 @@
 	dialer platform.BackendDialer
 	ids    sync.Map // server IDs by connection
 	// status and pause are called with the server before the statement, which is not run if
-	// they fail. resumed is called after a resume, promote before an order.
+	// they fail. paused is called after a pause, resumed after a resume, promote before an
+	// order. order is called instead of the promoter.
 	status, pause func(server string) error
+	paused        func(server string)
 	resumed       func()
 	promote       func(server string)
+	order         func(server, holder string, token uint64) error
+	leaderLease   time.Duration
 }
 
 func (h *hooks) Dial(ctx context.Context, address, group, server, customer string) (statement.Conn, error) {
@@ -113,7 +123,12 @@
 	if err := h.runHook(h.pause, c); err != nil {
 		return statement.ServerStatus{}, err
 	}
-	return h.Control.Pause(c, term, wait)
+	status, err := h.Control.Pause(c, term, wait)
+	if h.paused != nil && err == nil {
+		id, _ := h.ids.Load(c)
+		h.paused(id.(string))
+	}
+	return status, err
 }
 
 func (h *hooks) Resume(c statement.Conn, wait time.Duration) (statement.ServerStatus, error) {
@@ -128,6 +143,9 @@
 	if h.promote != nil {
 		h.promote(server)
 	}
+	if h.order != nil {
+		return h.order(server, holder, token)
+	}
 	return h.Promoter.Promote(ctx, group, server, holder, token)
 }
 
@@ -136,7 +154,7 @@
 	log.SetOutput(io.Discard)
 	h.Control, h.Promoter = platform.BackendTexts{}, platform.NewPromotionClient(s.Store.Address())
 	return steward.New(steward.Config{
-		VM: vm, Store: platform.NewStore(s.Store.Address()), Dialer: h, Control: h, Promoter: h, Log: logrus.NewEntry(log),
+		VM: vm, Store: platform.NewStore(s.Store.Address()), Dialer: h, Control: h, Promoter: h, LeaderLease: h.leaderLease, Log: logrus.NewEntry(log),
 	})
 }
 
