Check the target again before each promotion order

Callers lost acknowledged commits: a server joined, or a paused replica restarted, between the choice of a target and its promotion; the unreachable primary acknowledged commits with it, and the target lacked them. What a steward had secured at one moment was taken to hold until an order took effect, although an order without an answer was repeated for up to 15 s.

The steward reads the servers again before the first order and before each repetition, asks all replicas whether they are still paused, pauses those that joined or restarted, and orders the server that holds every commit. Its token fences the orders before it. Pauses outlast an order that may still be executed. With a leader lease, the check before the first order was there.

The double of the steward's tests reported no pause in its status; it does now.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -104,7 +104,7 @@
 			}
 		}
 	}
-	if err := a.orderPromotion(ctx, leader.ID); err != nil {
+	if _, err := a.orderPromotion(ctx, leader, nil); err != nil {
 		return err
 	}
 	time.Sleep(ExpectedPromotionTime)
@@ -180,23 +180,7 @@
 
 // pollReplicas refreshes the status of all reachable replicas concurrently.
 func (a *attempt) pollReplicas(ctx context.Context, except *member) {
-	done := make(chan struct{}, len(a.members))
-	n := 0
-	for _, m := range a.members {
-		if m.conn == nil || m == except {
-			continue
-		}
-		n++
-		go func() {
-			defer func() { done <- struct{}{} }()
-			if err := a.runControl(ctx, m, a.s.cfg.Control.Status); err != nil {
-				a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
-			}
-		}()
-	}
-	for range n {
-		<-done
-	}
+	a.poll(ctx, func(m *member) bool { return m.conn != nil && m != except })
 }
 
 // switchOver makes a primary that answers step down and returns its successor. A primary
@@ -407,13 +391,22 @@
 	}
 	ctx, cancel := a.settleContext()
 	defer cancel()
-	err := a.orderPromotion(ctx, target.ID)
+	var recheck func(context.Context, *member) (*member, error)
+	if steppedDown == nil {
+		recheck = a.recheckTarget
+		if a.s.cfg.LeaderLease == 0 { // awaitLeaderLeaseExpiry has checked it otherwise
+			var err error
+			if target, err = a.recheckTarget(ctx, target); err != nil {
+				return a.abort(err)
+			}
+		}
+	}
+	target, err := a.orderPromotion(ctx, target, recheck)
 	if errkind.Is(err, errkind.Fenced) && steppedDown != nil && !a.isEvacuated(steppedDown) && a.s.writeRow(ctx, a.lease, a.lease.record) == nil {
 		// No other steward holds the lease, so the order was refused because the target
 		// does not run.
 		a.log.WithField("backend_server", target.ID).Warn("order refused; promoting the former primary again")
-		target = steppedDown
-		err = a.orderPromotion(ctx, target.ID)
+		target, err = a.orderPromotion(ctx, steppedDown, nil)
 	}
 	if err != nil {
 		// The order may still be executed: the other replicas stay paused, and the row
@@ -460,32 +453,43 @@
 }
 
 // orderPromotion repeats the order until it is answered, each time with a higher token: an
-// order without an answer may be executed late, until a newer one has been executed.
-func (a *attempt) orderPromotion(ctx context.Context, target string) error {
+// order without an answer may be executed late, until a newer one has been executed. Before
+// each repetition it calls recheck, unless that is nil, which may choose another target. It
+// returns the target of the last order.
+func (a *attempt) orderPromotion(ctx context.Context, target *member, recheck func(context.Context, *member) (*member, error)) (*member, error) {
 	for {
-		if err := a.s.writeNextToken(ctx, a.lease, target); err != nil {
-			return err
+		if err := a.s.writeNextToken(ctx, a.lease, target.ID); err != nil {
+			return target, err
 		}
-		log := a.log.WithFields(logrus.Fields{"backend_server": target, "token": a.lease.record.Token})
+		log := a.log.WithFields(logrus.Fields{"backend_server": target.ID, "token": a.lease.record.Token})
 		if err := a.s.renewLease(ctx, a.lease); err != nil {
-			return err
+			return target, err
 		}
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
-		err := a.s.cfg.Promoter.Promote(call, a.t.Group, target, a.s.cfg.VM, a.lease.record.Token)
+		err := a.s.cfg.Promoter.Promote(call, a.t.Group, target.ID, a.s.cfg.VM, a.lease.record.Token)
 		cancel()
 		switch {
 		case err == nil:
 			log.Info("order answered")
-			return nil
+			return target, nil
 		case errkind.Is(err, errkind.Fenced):
-			return err
+			return target, err
 		}
 		log.WithError(err).Warn("promotion order failed")
 		select {
 		case <-ctx.Done():
-			return err
+			return target, err
 		case <-time.After(pollInterval):
 		}
+		if recheck == nil {
+			continue
+		}
+		if next, err := recheck(ctx, target); err == nil {
+			target = next
+		} else {
+			// The order may take effect anyway; repeating it settles sooner whether it does.
+			log.WithError(err).Warn("no better target than that of the unanswered order is known")
+		}
 	}
 }
 
--- /dev/null
+++ b/internal/steward/recheck.go
@@ -0,0 +1,94 @@
+package steward
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+)
+
+// recheckTimeout bounds one check of a target: reading the servers, and connections to those
+// that have joined or restarted.
+const recheckTimeout = 1200 * time.Millisecond
+
+// recheckTarget returns the server whose promotion may be ordered now. Since the target was
+// chosen, a server may have joined, or restarted, which ends its pause, and the old primary may
+// have acknowledged commits with it. Such servers are paused, and the target is chosen again if it
+// lacks what one of them has received.
+func (a *attempt) recheckTarget(ctx context.Context, target *member) (*member, error) {
+	ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
+	defer cancel()
+	joined, err := a.addJoinedServers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	counts := func(m *member) bool {
+		return !m.replaced && (m.conn != nil || m.pauseSent || m == target || slices.Contains(joined, m))
+	}
+	a.poll(ctx, counts)
+	// A restart has broken the connection, and the first request finds that out.
+	a.poll(ctx, func(m *member) bool { return m.conn == nil && counts(m) })
+	term := a.nextTerm()
+	for _, m := range a.members {
+		switch {
+		case m.conn != nil && m.status.Primary && m.status.Term == term-1:
+			return m, nil // an earlier order has been executed; ordering it again fences the others
+		case m.conn == nil && counts(m):
+			return nil, errkind.New(errkind.NoPrimary, "%s is unreachable before the order", m.ID)
+		}
+	}
+	for _, m := range a.members {
+		m.paused = m.paused && m.status.PausedTerm >= term
+	}
+	if IsSafeTarget(a.replicas(nil), target.ID) && !target.unlisted {
+		return target, a.checkHoldsAcknowledged(target)
+	}
+	// An order for the present target may still be executed. The pauses have to outlast it.
+	a.lease.pendingTargets = a.lease.record.unansweredTargets()
+	if target, err = a.secureTarget(ctx, nil); err != nil {
+		return nil, err
+	}
+	return target, a.checkHoldsAcknowledged(target)
+}
+
+// addJoinedServers reads the servers again and returns those that are new to the attempt.
+func (a *attempt) addJoinedServers(ctx context.Context) (joined []*member, err error) {
+	if a.t.RefreshServers == nil {
+		return nil, nil
+	}
+	servers, err := a.t.RefreshServers(ctx)
+	if err != nil {
+		return nil, err
+	}
+	for _, s := range servers {
+		if a.member(s.ID) == nil {
+			m := &member{Server: s, failedAt: boottime.Now()}
+			a.members, joined = append(a.members, m), append(joined, m)
+			a.log.WithField("backend_server", s.ID).Info("server has joined during the change")
+		}
+	}
+	return joined, nil
+}
+
+// poll refreshes the status of servers concurrently.
+func (a *attempt) poll(ctx context.Context, which func(*member) bool) {
+	done := make(chan struct{}, len(a.members))
+	n := 0
+	for _, m := range a.members {
+		if !which(m) {
+			continue
+		}
+		n++
+		go func() {
+			defer func() { done <- struct{}{} }()
+			if err := a.runControl(ctx, m, a.s.cfg.Control.Status); err != nil {
+				a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
+			}
+		}()
+	}
+	for range n {
+		<-done
+	}
+}
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -79,6 +79,8 @@
 	catchUp bool
 	// reused holds addresses at which a server of another group answers.
 	reused map[string]bool
+	// held holds the terms of the pauses.
+	held map[string]uint64
 }
 
 // fakeConn is a connection to a server of the group.
@@ -130,7 +132,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	id := c.(fakeConn).server
-	return statement.ServerStatus{Primary: g.primary == id, Term: 1, Received: position.Position{Term: 1, Offset: g.received[id]}}
+	return statement.ServerStatus{Primary: g.primary == id, Term: 1, PausedTerm: g.held[id], Received: position.Position{Term: 1, Offset: g.received[id]}}
 }
 
 func (g *fakeGroup) Status(c statement.Conn, _ time.Duration) (statement.ServerStatus, error) {
@@ -138,15 +140,26 @@
 }
 
 func (g *fakeGroup) Pause(c statement.Conn, term uint64, _ time.Duration) (statement.ServerStatus, error) {
-	g.recordEvent("pause %s at %d", c.(fakeConn).server, term)
-	status := g.status(c)
-	status.PausedTerm = term
-	return status, nil
+	id := c.(fakeConn).server
+	g.recordEvent("pause %s at %d", id, term)
+	g.hold(id, term)
+	return g.status(c), nil
+}
+
+// hold sets the term of the server's pause.
+func (g *fakeGroup) hold(id string, term uint64) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.held == nil {
+		g.held = map[string]uint64{}
+	}
+	g.held[id] = term
 }
 
 func (g *fakeGroup) Resume(c statement.Conn, _ time.Duration) (statement.ServerStatus, error) {
 	id := c.(fakeConn).server
 	g.recordEvent("resume %s", id)
+	g.hold(id, 0)
 	if g.catchUp {
 		g.mu.Lock()
 		g.received[id] = max(g.received[id], g.received[g.primary])
@@ -179,6 +192,7 @@
 		g.mu.Lock()
 		defer g.mu.Unlock()
 		g.primary = server
+		delete(g.held, server)
 		g.events = append(g.events, server+" leads")
 	})
 	return nil
