Withhold the acknowledgement of a commit by a primary that is being replaced

Callers lost acknowledged commits when an order without an answer took effect seconds late: its steward was stopped, the row was lost with the store's history, and the old primary, reachable again, acknowledged commits with a replica that had joined. Nothing told the VMs that these commits might be missing at the promoted server.

Each VM follows the rows of the stewards. From them it knows which promotions may still take effect: an order without an answer for 13 s, or until an answered one fences it; an answered one until the target leads. Meanwhile writes at another server wait, a COMMIT becomes a rollback, and an acknowledgement that arrives is reported as an unknown outcome. A planned change makes the primary step down first, which ends its acknowledgements anyway.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -107,6 +107,9 @@
 	// LeaderLeaseTime is how long confirmed leadership remains valid; 0 where a replaced
 	// primary rejects reads by itself.
 	LeaderLeaseTime time.Duration
+	// OutstandingTargets returns the servers of a group whose promotion was ordered and may take
+	// effect from now on. A nil function stands for none.
+	OutstandingTargets func(group string) []string
 	// ReadSeed is random, so that the same customers prefer different servers at each VM.
 	ReadSeed uint64
 	Log      *logrus.Entry
--- /dev/null
+++ b/internal/dispatch/replacing.go
@@ -0,0 +1,32 @@
+package dispatch
+
+import (
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/errkind"
+)
+
+// checkNotBeingReplaced returns an error if the promotion of another server may take effect from
+// now on. The server may still acknowledge commits then, with replicas that joined or restarted
+// after the steward had compared the logs, and the promoted server lacks those commits.
+func (g *Group) checkNotBeingReplaced(s *Server) error {
+	if g.cfg.OutstandingTargets == nil {
+		return nil
+	}
+	id := s.Info().ID
+	for _, target := range g.cfg.OutstandingTargets(g.Name) {
+		if target != id {
+			return errkind.New(errkind.NoPrimary, "%s is being replaced by %s", id, target)
+		}
+	}
+	return nil
+}
+
+// withhold returns the error that replaces the acknowledgement of a commit by a server that is
+// being replaced. The commit does not raise the acknowledged position, which a promoted server
+// must have: its caller does not rely on it.
+func (g *Group) withhold(s *Server, cause error) error {
+	g.noteCommitted(s)
+	g.cfg.Log.WithFields(logrus.Fields{"event": "failover", "group": g.Name, "backend_server": s.Info().ID}).WithError(cause).Warn("acknowledgement withheld")
+	return errkind.New(errkind.OutcomeUnknown, "%v", cause)
+}
--- /dev/null
+++ b/internal/dispatch/replacing_test.go
@@ -0,0 +1,77 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/errkind"
+)
+
+// replacedDuring returns a group whose primary is being replaced from the call with the number on.
+func replacedDuring(s *scriptedServer, call int) *Group {
+	g, calls := scriptedGroup(s), 0
+	g.cfg.OutstandingTargets = func(string) []string {
+		if calls++; calls >= call {
+			return []string{"b"}
+		}
+		return nil
+	}
+	return g
+}
+
+// An order without an answer was executed seconds late. Until then VMs reported commits of the
+// old primary as successful that the promoted server lacked (soak seed 9004: LOST).
+func TestAcknowledgementsOfAServerThatIsBeingReplacedAreWithheld(t *testing.T) {
+	g := replacedDuring(&scriptedServer{}, 2)
+	if _, err := g.Write(scriptedCall("write")); !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("write: %v, want an unknown outcome", err)
+	}
+	g.wantAcknowledged(t, "a withheld write", 0)
+
+	g = replacedDuring(&scriptedServer{}, 2)
+	tx, err := g.Begin(scriptedCall(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Run(scriptedCall("statement"), true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Commit(scriptedCall("commit")); !errkind.Is(err, errkind.OutcomeUnknown) {
+		t.Errorf("commit: %v, want an unknown outcome", err)
+	}
+	if !tx.IsOver() {
+		t.Error("the transaction is still open")
+	}
+	g.wantAcknowledged(t, "a withheld commit", 0)
+}
+
+// Nothing is written at a server that is being replaced, so that callers may retry.
+func TestNothingIsCommittedAtAServerThatIsBeingReplaced(t *testing.T) {
+	s := &scriptedServer{}
+	g := replacedDuring(s, 1)
+	call := scriptedCall("write")
+	call.Deadline = boottime.Now().Add(100 * time.Millisecond)
+	if _, err := g.Write(call); err == nil || errkind.Is(err, errkind.OutcomeUnknown) || s.end > 0 {
+		t.Errorf("write: %v after %d answers", err, s.end)
+	}
+	tx, err := g.Begin(scriptedCall(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Run(scriptedCall("statement"), true); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Commit(scriptedCall("commit")); !errkind.Is(err, errkind.TransactionLost) {
+		t.Errorf("commit: %v", err)
+	}
+}
+
+// A server that is promoted by an order without an answer leads and commits.
+func TestTargetOfAnOrderCommits(t *testing.T) {
+	g := scriptedGroup(&scriptedServer{})
+	g.cfg.OutstandingTargets = func(string) []string { return []string{"a"} }
+	if _, err := g.Write(scriptedCall("write")); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -124,6 +124,11 @@
 			c.Release()
 			return statement.Result{}, err
 		}
+		if lastErr = g.checkNotBeingReplaced(s); lastErr != nil {
+			c.Release()
+			time.Sleep(min(primaryPollInterval, max(call.remaining(), 0)))
+			continue
+		}
 		if _, err := c.Align(call.SessionState, g.cfg.Texts, nil, beginTimeout); err != nil {
 			lastErr = err
 			c.Discard()
@@ -173,6 +178,9 @@
 		call.noteAnswer(r.Err)
 		return r, r.Err
 	}
+	if err := g.checkNotBeingReplaced(s); err != nil {
+		return statement.Result{}, g.withhold(s, err)
+	}
 	s.noteSuccess(boottime.Since(sent), r.Position)
 	g.History.Add(sent, r.Position)
 	g.ObserveAcknowledged(r.Position)
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -141,6 +141,12 @@
 	if err := t.prepareSend(call, t.wrote); err != nil {
 		return statement.Result{}, err
 	}
+	if t.onPrimary && t.wrote {
+		if err := t.group.checkNotBeingReplaced(t.server); err != nil {
+			t.Rollback()
+			return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
+		}
+	}
 	sent := boottime.Now()
 	// A server that no longer leads still commits a transaction that wrote nothing.
 	r, err := t.exchange(call, t.wrote)
@@ -158,6 +164,10 @@
 		return r, r.Err
 	}
 	if t.onPrimary && t.wrote {
+		if err := t.group.checkNotBeingReplaced(t.server); err != nil {
+			t.release(r.Status)
+			return statement.Result{}, t.group.withhold(t.server, err)
+		}
 		t.group.ObserveAcknowledged(r.Position)
 		t.group.noteCommitted(t.server)
 		t.group.confirmLeadership(t.server, sent)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -248,7 +248,6 @@
 		settings: s, platform: p, log: log, members: map[string]member{}, loads: map[string]sourceLoads{}, rosters: map[string]rosterRow{}, probes: map[probeKey]boottime.Time{},
 		view:          access.NewView(s.KeyLifetime - keyLeaseMargin),
 		limiter:       ratelimit.New(boottime.Now, s.RateWindow),
-		router:        dispatch.NewRouter(dispatch.Config{Domain: s.Domain, LeaveTime: s.LeaveTime, LeaderLeaseTime: s.leadershipProofLifetime(), Dialer: p.Dialer, Texts: p.Texts, Statuses: p.Control, ReadSeed: rand.Uint64(), Log: log}),
 		observer:      observer,
 		clock:         timeline.NewClock(time.Now),
 		started:       boottime.Now(),
@@ -256,6 +255,10 @@
 		joined:        make(chan struct{}),
 		unknownMember: make(chan struct{}, 1),
 	}
+	e.router = dispatch.NewRouter(dispatch.Config{
+		Domain: s.Domain, LeaveTime: s.LeaveTime, LeaderLeaseTime: s.leadershipProofLifetime(), Dialer: p.Dialer, Texts: p.Texts, Statuses: p.Control, ReadSeed: rand.Uint64(), Log: log,
+		OutstandingTargets: func(group string) []string { return e.steward.OutstandingTargets(group) },
+	})
 	e.access = coord.NewAccess(p.Store, storeTimeout, e.storePauses, log)
 	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
 	e.rates = ratelimit.NewHomes(e.limiter, e.peers, e.rateHomeOf, log)
--- /dev/null
+++ b/internal/steward/orders.go
@@ -0,0 +1,58 @@
+package steward
+
+import (
+	"slices"
+	"time"
+
+	"chicoryline/internal/boottime"
+	"chicoryline/internal/coord"
+)
+
+const (
+	// maxOrderDelay is how long after it was sent an order without an answer may take effect.
+	maxOrderDelay = 13 * time.Second
+	// maxEffectDelay is how long after its answer an order may take effect.
+	maxEffectDelay = 2 * ExpectedPromotionTime
+)
+
+// outstandingOrders are the orders of a group that may still take effect, as known from its row.
+type outstandingOrders struct {
+	targets []string
+	// token is that of the newest order, era that of the row from which the orders are known.
+	token, era uint64
+	// answered reports that the newest order was answered, which fences the others.
+	answered bool
+	until    boottime.Time
+}
+
+// next returns the outstanding orders after a version of the row was observed.
+func (o outstandingOrders) next(r record, version coord.Version, now boottime.Time) outstandingOrders {
+	targets := r.unansweredTargets()
+	switch {
+	case len(targets) > 0 && r.Target == "" && len(o.targets) > 0:
+		return o // the lease was taken over; nothing was ordered since
+	case len(targets) > 0 && (o.answered || o.token != r.Token || len(o.targets) == 0):
+		return outstandingOrders{targets, r.Token, version.Era(), false, now.Add(maxOrderDelay)}
+	case len(targets) > 0:
+		return o // the same order
+	case r.Target == "" && len(o.targets) > 0 && version.Era() != o.era:
+		return o // a steward that cannot know of the orders; its row was lost
+	case r.Target == "":
+		return outstandingOrders{}
+	case o.answered && slices.Equal(o.targets, []string{r.Target}):
+		return o
+	}
+	return outstandingOrders{[]string{r.Target}, r.Token, version.Era(), true, now.Add(maxEffectDelay)}
+}
+
+// OutstandingTargets returns the servers of the group whose promotion was ordered and may take
+// effect from now on. A commit that another server acknowledges meanwhile may be missing there.
+func (s *Steward) OutstandingTargets(group string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := s.observations[group].orders
+	if boottime.Now() >= o.until {
+		return nil
+	}
+	return slices.Clone(o.targets)
+}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -166,6 +166,7 @@
 	at      boottime.Time
 	// record has the highest token observed. The row may lack it after the store was restored.
 	record record
+	orders outstandingOrders
 }
 
 // New returns a steward.
@@ -356,7 +357,8 @@
 		if r.Token < last.record.Token || restored && r.Token == last.record.Token {
 			r = last.record
 		}
-		last = rowObservation{version, boottime.Now(), r}
+		now := boottime.Now()
+		last = rowObservation{version, now, r, last.orders.next(r, version, now)}
 		s.observations[group] = last
 	}
 	return last.record, boottime.Since(last.at)
