Withhold commits that only one side of a network partition may know of

Callers lost acknowledged commits (LOST): a failure domain was cut off with the primary, a server joined there and let the primary acknowledge the commits that had waited; the steward on the other side, which cannot know of that server, promoted a replica without them.

Cause: an acknowledgement of the primary was taken to mean that a steward will find the commit. That holds only as long as the VM that saw it can tell others. A VM now reports a commit at once only if its updates have recently reached a majority of the failure domains and no commit was slow; otherwise it waits until a majority has received the position, and reports an unknown outcome if that does not happen in time. Commits that waited for a server to join are slow, as are those sent beside them.

The acknowledged position is raised all the same, so that a steward which hears of it asks for it.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -61,8 +61,9 @@
 	successorSince  boottime.Time
 	positionRefresh *sharedRefresh
 	connLimit       int
-	// health tracks the answers of the primary.
-	health health
+	// health tracks the answers of the primary, commits those that are in flight.
+	health  health
+	commits commitWatch
 	// primaryExpectedAt is when a new primary is expected to take over.
 	primaryExpectedAt boottime.Time
 	// primaryLostAt is when the group lost its primary or, if it has had none yet, when its first
@@ -110,6 +111,8 @@
 	// OutstandingTargets returns the servers of a group whose promotion was ordered and may take
 	// effect from now on. A nil function stands for none.
 	OutstandingTargets func(group string) []string
+	// Contact is nil if nobody else has to know of acknowledged commits.
+	Contact Contact
 	// ReadSeed is random, so that the same customers prefer different servers at each VM.
 	ReadSeed uint64
 	Log      *logrus.Entry
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -85,6 +85,8 @@
 	Since                    boottime.Time
 	LastAnswer, FailingSince boottime.Time
 	LastCommit, StuckSince   boottime.Time
+	// Unconfirmed reports that callers wait until other failure domains know of their commits.
+	Unconfirmed bool
 	// OwnLastAnswer and OwnLastCommit are the times observed by this VM itself, which it
 	// reports to other VMs.
 	OwnLastAnswer, OwnLastCommit boottime.Time
@@ -101,6 +103,7 @@
 		LastPrimary: g.lastPrimary, Since: g.primaryLostAt, PromotionPending: g.isPromotionPending(),
 		LastAnswer: max(g.health.lastAnswer, g.health.peerLastAnswer), FailingSince: g.health.failingSince,
 		LastCommit: max(g.health.lastCommit, g.health.peerLastCommit), StuckSince: g.health.stuckSince,
+		Unconfirmed:   g.commits.unconfirmed > 0,
 		OwnLastAnswer: g.health.lastAnswer, OwnLastCommit: g.health.lastCommit, LeadershipConfirmedAt: g.leadership.confirmedAt, OwnLeadershipConfirmedAt: g.leadership.ownConfirmedAt,
 	}
 	if g.leader != nil {
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -155,6 +155,8 @@
 		return statement.Result{}, err
 	}
 	sent := boottime.Now()
+	number := g.startCommit(sent)
+	defer g.endCommit(number)
 	if err := c.Start(call.Command); err != nil {
 		c.Discard()
 		s.noteFailure()
@@ -183,9 +185,9 @@
 	}
 	s.noteSuccess(boottime.Since(sent), r.Position)
 	g.History.Add(sent, r.Position)
-	g.ObserveAcknowledged(r.Position)
-	g.noteCommitted(s)
-	g.confirmLeadership(s, sent)
+	if err := g.acknowledgeCommit(s, number, sent, call.Deadline, r.Position); err != nil {
+		return statement.Result{}, err
+	}
 	return r, nil
 }
 
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -148,6 +148,11 @@
 		}
 	}
 	sent := boottime.Now()
+	var number uint64
+	if t.onPrimary && t.wrote {
+		number = t.group.startCommit(sent)
+		defer t.group.endCommit(number)
+	}
 	// A server that no longer leads still commits a transaction that wrote nothing.
 	r, err := t.exchange(call, t.wrote)
 	if err != nil {
@@ -168,11 +173,14 @@
 			t.release(r.Status)
 			return statement.Result{}, t.group.withhold(t.server, err)
 		}
-		t.group.ObserveAcknowledged(r.Position)
-		t.group.noteCommitted(t.server)
-		t.group.confirmLeadership(t.server, sent)
 	}
+	server := t.server
 	t.release(r.Status)
+	if t.onPrimary && t.wrote {
+		if err := t.group.acknowledgeCommit(server, number, sent, call.Deadline, r.Position); err != nil {
+			return statement.Result{}, err
+		}
+	}
 	return r, nil
 }
 
--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -191,13 +191,16 @@
 const urgentPeriod = 2 * time.Second
 
 // isUrgent reports whether this VM has just started and heard of no validation, has lost or regained
-// the store, or a primary has recently stopped answering it.
+// the store, a caller waits until others know of its commit, or a primary has recently stopped answering it.
 func (e *Process) isUrgent() bool {
 	if !e.hasJoined() || e.isUnproven() || e.access.ChangedWithin(accessUrgentTime) {
 		return true
 	}
 	for _, g := range e.router.Groups() {
 		h := g.Health()
+		if h.Unconfirmed {
+			return true
+		}
 		if first := max(h.FailingSince, h.StuckSince); first != 0 && boottime.Since(first) < urgentPeriod {
 			return true
 		}
--- a/internal/entry/touch.go
+++ b/internal/entry/touch.go
@@ -42,3 +42,12 @@
 	first, ok := t.since[domain]
 	return ok && t.updatedAt.Sub(first) >= domainSettleTime
 }
+
+// meshContact implements dispatch.Contact. The mesh starts after the router.
+type meshContact struct{ e *Process }
+
+func (c meshContact) IsInTouch() bool { return c.e.mesh.IsInTouch() }
+
+func (c meshContact) HasReachedMajoritySince(since boottime.Time) bool {
+	return c.e.mesh.HasReachedMajoritySince(since)
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -165,6 +165,8 @@
 	// datagram came, 0 while the peer is unreachable; lastReceivedAt is kept then. startedAt is
 	// when the current incarnation was first observed.
 	listedAt, receivedAt, lastReceivedAt, startedAt boottime.Time
+	// reachedAt is when the newest datagram was sent to the peer that it is known to have received.
+	reachedAt boottime.Time
 	// update, only kept for VMs of the own cell, was valid at since or later.
 	update *StateUpdate
 	since  boottime.Time
@@ -206,6 +208,8 @@
 	peers   map[string]*peerState
 	cells   []cell
 	ownCell int // index of the own cell
+	// ownDomain is the failure domain of this VM, empty while it is not listed.
+	ownDomain string
 	// digests holds the newest digest of each other cell.
 	digests map[string]receivedDigest
 	// fleetSource identifies the aggregate over other cells that the leader sent last,
@@ -256,6 +260,7 @@
 		}
 		valid = append(valid, p)
 		if p.VM == m.cfg.VM {
+			m.ownDomain = p.Domain
 			continue
 		}
 		wanted[p.VM] = true
@@ -738,6 +743,7 @@
 		p.startedAt = now
 	}
 	p.incarnation, p.sent, p.receivedAt, p.lastReceivedAt = datagram.Incarnation, datagram.Sent, now, now
+	p.reachedAt = max(p.reachedAt, since)
 	inside := m.cells[m.ownCell].has(datagram.VM)
 	if inside && content.News != nil {
 		p.update, p.since = content.News, since
