Read promotion orders again once contact returns after a partition

Callers lost an acknowledged commit (LOST): the partition ended while an order was in flight. The VM on the primary's side had contact again, so that its acknowledgement counted as known, but had not heard of the order yet, whose steward had compared the logs before.

A VM that was out of touch reads the row of the stewards from the store before it reports a commit that waited for contact. Without an answer the outcome is unknown.

TestOrdersAreReadAgainAfterAPartition fails without it.

--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"time"
 
 	"chicoryline/internal/boottime"
@@ -83,24 +84,44 @@
 // acknowledges commits if a server joins on its side, which the steward on the other side cannot
 // know of. Two signs are looked at: no recent contact with a majority of the failure domains, and
 // slow commits, as those are that were sent before the server joined.
+//
+// Once contact returns after a partition, what this VM knows of promotion orders may be old.
 func (g *Group) awaitConfirmation(slow bool, acknowledged, deadline boottime.Time) error {
-	if g.cfg.Contact == nil || !slow && g.cfg.Contact.IsInTouch() {
+	if g.cfg.Contact == nil {
+		return nil
+	}
+	inTouch := g.cfg.Contact.IsInTouch()
+	if inTouch && !slow {
 		return nil
 	}
 	g.addUnconfirmed(1)
 	defer g.addUnconfirmed(-1)
 	for !g.cfg.Contact.HasReachedMajoritySince(acknowledged) {
+		inTouch = inTouch && g.cfg.Contact.IsInTouch()
 		if boottime.Now() >= deadline {
 			return errkind.New(errkind.OutcomeUnknown, "commit of %s is not known to a majority of the failure domains", g.Name)
 		}
 		time.Sleep(confirmPollInterval)
 	}
+	g.endSlow(acknowledged)
+	if inTouch || g.cfg.RefreshOrders == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(boottime.Now()))
+	defer cancel()
+	if err := g.cfg.RefreshOrders(ctx, g.Name); err != nil {
+		return errkind.New(errkind.OutcomeUnknown, "promotion orders of %s are not known: %v", g.Name, err)
+	}
+	return nil
+}
+
+// endSlow records that other failure domains know of all commits acknowledged up to the given time.
+func (g *Group) endSlow(acknowledged boottime.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.commits.slowAt <= acknowledged {
 		g.commits.slowAt = 0
 	}
-	return nil
 }
 
 // isSlow reports whether a commit in flight is slow or got no answer in time, or one was slow that
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -101,3 +102,23 @@
 		t.Error("updates stay urgent")
 	}
 }
+
+// Contact returned, but this VM had not heard yet of the order that replaced the primary meanwhile.
+func TestOrdersAreReadAgainAfterAPartition(t *testing.T) {
+	for _, unreadable := range []bool{false, true} {
+		g, c := groupWithContact()
+		c.inTouch.Store(false)
+		var targets []string
+		g.cfg.OutstandingTargets = func(string) []string { return targets }
+		g.cfg.RefreshOrders = func(context.Context, string) error {
+			if unreadable {
+				return errkind.New(errkind.PlatformUnavailable, "store is down")
+			}
+			targets = []string{"b"}
+			return nil
+		}
+		if _, err := g.Write(shortCall()); !errkind.Is(err, errkind.OutcomeUnknown) {
+			t.Errorf("write after a partition, store down %t: %v, want an unknown outcome", unreadable, err)
+		}
+	}
+}
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -111,6 +111,8 @@
 	// OutstandingTargets returns the servers of a group whose promotion was ordered and may take
 	// effect from now on. A nil function stands for none.
 	OutstandingTargets func(group string) []string
+	// RefreshOrders reads from the store what OutstandingTargets rests on.
+	RefreshOrders func(ctx context.Context, group string) error
 	// Contact is nil if nobody else has to know of acknowledged commits.
 	Contact Contact
 	// ReadSeed is random, so that the same customers prefer different servers at each VM.
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -258,6 +258,7 @@
 	e.router = dispatch.NewRouter(dispatch.Config{
 		Domain: s.Domain, LeaveTime: s.LeaveTime, LeaderLeaseTime: s.leadershipProofLifetime(), Dialer: p.Dialer, Texts: p.Texts, Statuses: p.Control, ReadSeed: rand.Uint64(), Log: log,
 		OutstandingTargets: func(group string) []string { return e.steward.OutstandingTargets(group) },
+		RefreshOrders:      func(ctx context.Context, group string) error { return e.steward.RefreshOrders(ctx, group) },
 		Contact:            meshContact{e},
 	})
 	e.access = coord.NewAccess(p.Store, storeTimeout, e.storePauses, log)
--- a/internal/mesh/contact.go
+++ b/internal/mesh/contact.go
@@ -2,6 +2,10 @@
 
 import "chicoryline/internal/boottime"
 
+// contactTimeout is how long a VM counts as in touch after it sent a datagram that was received: the
+// answer is sent one interval later at most.
+const contactTimeout = 2 * GossipInterval
+
 // HasReachedMajoritySince reports whether more than half of the failure domains, the own one
 // included, have received what this VM sent at since or later. In a fleet of several cells that is
 // known of other cells by the answers that the leaders of cells relay.
@@ -17,7 +21,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	now := boottime.Now()
-	return m.hasReachedMajority(now.Add(-PeerTimeout), now.Add(-domainTimeout))
+	return m.hasReachedMajority(now.Add(-contactTimeout), now.Add(-domainTimeout))
 }
 
 // hasReachedMajority is HasReachedMajoritySince with different times for datagrams and for digests.
--- a/internal/mesh/contact_test.go
+++ b/internal/mesh/contact_test.go
@@ -21,7 +21,7 @@
 		m := New(Config{VM: "vm0000"})
 		m.SetPeers(peers(8, c.domains))
 		for _, p := range m.peers {
-			p.receivedAt, p.lastReceivedAt, p.reachedAt = now, now, now.Add(-2*PeerTimeout)
+			p.receivedAt, p.lastReceivedAt, p.reachedAt = now, now, now.Add(-contactTimeout-1)
 		}
 		for _, vm := range c.reached {
 			m.peers[vm].reachedAt = now
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -1,6 +1,7 @@
 package steward
 
 import (
+	"context"
 	"slices"
 	"time"
 
@@ -56,3 +57,12 @@
 	}
 	return slices.Clone(o.targets)
 }
+
+// RefreshOrders reads the row of the group, for OutstandingTargets.
+func (s *Steward) RefreshOrders(ctx context.Context, group string) error {
+	r, version, _, err := s.readRow(ctx, group)
+	if err == nil {
+		s.observeRow(group, r, version)
+	}
+	return err
+}
