--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -61,8 +61,9 @@
 	successorSince  boottime.Time
 	positionRefresh *sharedRefresh
 	connLimit       int
-	// health tracks the answers of the primary.
-	health health
+	// health tracks the answers of the primary, commits those that are in flight.
+	health  health
+	commits commitWatch
 	// primaryExpectedAt is when a new primary is expected to take over.
 	primaryExpectedAt boottime.Time
 	// primaryLostAt is when the group lost its primary or, if it has had none yet, when its first
@@ -107,6 +108,13 @@
 	// LeaderLeaseTime is how long confirmed leadership remains valid; 0 where a replaced
 	// primary rejects reads by itself.
 	LeaderLeaseTime time.Duration
+	// OutstandingTargets returns the servers of a group whose promotion was ordered and may take
+	// effect from now on. A nil function stands for none.
+	OutstandingTargets func(group string) []string
+	// RefreshOrders reads from the store what OutstandingTargets rests on.
+	RefreshOrders func(ctx context.Context, group string) error
+	// Contact is nil if nobody else has to know of acknowledged commits.
+	Contact Contact
 	// ReadSeed is random, so that the same customers prefer different servers at each VM.
 	ReadSeed uint64
 	Log      *logrus.Entry
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -141,7 +141,18 @@
 	if err := t.prepareSend(call, t.wrote); err != nil {
 		return statement.Result{}, err
 	}
+	if t.onPrimary && t.wrote {
+		if err := t.group.checkNotBeingReplaced(t.server); err != nil {
+			t.Rollback()
+			return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
+		}
+	}
 	sent := boottime.Now()
+	var number uint64
+	if t.onPrimary && t.wrote {
+		number = t.group.startCommit(sent)
+		defer t.group.endCommit(number)
+	}
 	// A server that no longer leads still commits a transaction that wrote nothing.
 	r, err := t.exchange(call, t.wrote)
 	if err != nil {
@@ -158,11 +169,18 @@
 		return r, r.Err
 	}
 	if t.onPrimary && t.wrote {
-		t.group.ObserveAcknowledged(r.Position)
-		t.group.noteCommitted(t.server)
-		t.group.confirmLeadership(t.server, sent)
+		if err := t.group.checkNotBeingReplaced(t.server); err != nil {
+			t.release(r.Status)
+			return statement.Result{}, t.group.withhold(t.server, err)
+		}
 	}
+	server := t.server
 	t.release(r.Status)
+	if t.onPrimary && t.wrote {
+		if err := t.group.acknowledgeCommit(server, number, sent, call.Deadline, r.Position); err != nil {
+			return statement.Result{}, err
+		}
+	}
 	return r, nil
 }
 
