Send writes to a server whose replacement was ordered and answered

After a planned change they were to wait until the order no longer counts as outstanding. The refusal of the server that has stepped down makes a VM use the successor sooner than its entry does. An acknowledgement that arrives is withheld all the same.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -108,8 +108,8 @@
 	// primary rejects reads by itself.
 	LeaderLeaseTime time.Duration
 	// OutstandingTargets returns the servers of a group whose promotion was ordered and may take
-	// effect from now on. A nil function stands for none.
-	OutstandingTargets func(group string) []string
+	// effect from now on, and whether the order was answered. A nil function stands for none.
+	OutstandingTargets func(group string) (targets []string, answered bool)
 	// ReadSeed is random, so that the same customers prefer different servers at each VM.
 	ReadSeed uint64
 	Log      *logrus.Entry
--- a/internal/dispatch/replacing.go
+++ b/internal/dispatch/replacing.go
@@ -9,17 +9,19 @@
 // checkNotBeingReplaced returns an error if the promotion of another server may take effect from
 // now on. The server may still acknowledge commits then, with replicas that joined or restarted
 // after the steward had compared the logs, and the promoted server lacks those commits.
-func (g *Group) checkNotBeingReplaced(s *Server) error {
+// answered reports that the order of the promotion was answered.
+func (g *Group) checkNotBeingReplaced(s *Server) (answered bool, err error) {
 	if g.cfg.OutstandingTargets == nil {
-		return nil
+		return false, nil
 	}
 	id := s.Info().ID
-	for _, target := range g.cfg.OutstandingTargets(g.Name) {
+	targets, answered := g.cfg.OutstandingTargets(g.Name)
+	for _, target := range targets {
 		if target != id {
-			return errkind.New(errkind.NoPrimary, "%s is being replaced by %s", id, target)
+			return answered, errkind.New(errkind.NoPrimary, "%s is being replaced by %s", id, target)
 		}
 	}
-	return nil
+	return answered, nil
 }
 
 // withhold returns the error that replaces the acknowledgement of a commit by a server that is
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -124,7 +124,8 @@
 			c.Release()
 			return statement.Result{}, err
 		}
-		if lastErr = g.checkNotBeingReplaced(s); lastErr != nil {
+		if answered, err := g.checkNotBeingReplaced(s); err != nil && !answered {
+			lastErr = err
 			c.Release()
 			time.Sleep(min(primaryPollInterval, max(call.remaining(), 0)))
 			continue
@@ -178,7 +179,7 @@
 		call.noteAnswer(r.Err)
 		return r, r.Err
 	}
-	if err := g.checkNotBeingReplaced(s); err != nil {
+	if _, err := g.checkNotBeingReplaced(s); err != nil {
 		return statement.Result{}, g.withhold(s, err)
 	}
 	s.noteSuccess(boottime.Since(sent), r.Position)
--- a/internal/dispatch/tx.go
+++ b/internal/dispatch/tx.go
@@ -142,7 +142,7 @@
 		return statement.Result{}, err
 	}
 	if t.onPrimary && t.wrote {
-		if err := t.group.checkNotBeingReplaced(t.server); err != nil {
+		if _, err := t.group.checkNotBeingReplaced(t.server); err != nil {
 			t.Rollback()
 			return statement.Result{}, errkind.New(errkind.TransactionLost, "%v", err)
 		}
@@ -164,7 +164,7 @@
 		return r, r.Err
 	}
 	if t.onPrimary && t.wrote {
-		if err := t.group.checkNotBeingReplaced(t.server); err != nil {
+		if _, err := t.group.checkNotBeingReplaced(t.server); err != nil {
 			t.release(r.Status)
 			return statement.Result{}, t.group.withhold(t.server, err)
 		}
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -257,7 +257,7 @@
 	}
 	e.router = dispatch.NewRouter(dispatch.Config{
 		Domain: s.Domain, LeaveTime: s.LeaveTime, LeaderLeaseTime: s.leadershipProofLifetime(), Dialer: p.Dialer, Texts: p.Texts, Statuses: p.Control, ReadSeed: rand.Uint64(), Log: log,
-		OutstandingTargets: func(group string) []string { return e.steward.OutstandingTargets(group) },
+		OutstandingTargets: func(group string) ([]string, bool) { return e.steward.OutstandingTargets(group) },
 	})
 	e.access = coord.NewAccess(p.Store, storeTimeout, e.storePauses, log)
 	e.peers = peer.NewClient(e.clock, tcp.Dialer(peer.DialTimeout).DialContext, nil)
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -47,12 +47,13 @@
 
 // OutstandingTargets returns the servers of the group whose promotion was ordered and may take
 // effect from now on. A commit that another server acknowledges meanwhile may be missing there.
-func (s *Steward) OutstandingTargets(group string) []string {
+// answered reports that the order was answered, so that there is one, which takes effect soon.
+func (s *Steward) OutstandingTargets(group string) (targets []string, answered bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.observations[group].orders
 	if boottime.Now() >= o.until {
-		return nil
+		return nil, false
 	}
-	return slices.Clone(o.targets)
+	return slices.Clone(o.targets), o.answered
 }
