--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -70,7 +70,7 @@
 	if err := g.awaitConfirmation(slow, acknowledged, deadline); err != nil {
 		return g.withhold(s, err)
 	}
-	if err := g.checkNotBeingReplaced(s); err != nil {
+	if _, err := g.checkNotBeingReplaced(s); err != nil {
 		return g.withhold(s, err)
 	}
 	return nil
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -109,7 +109,7 @@
 		g, c := groupWithContact()
 		c.inTouch.Store(false)
 		var targets []string
-		g.cfg.OutstandingTargets = func(string) []string { return targets }
+		g.cfg.OutstandingTargets = func(string) ([]string, bool) { return targets, false }
 		g.cfg.RefreshOrders = func(context.Context, string) error {
 			if unreadable {
 				return errkind.New(errkind.PlatformUnavailable, "store is down")
