--- a/internal/entry/gossip.go
+++ b/internal/entry/gossip.go
@@ -241,9 +241,6 @@
 // receiveUpdate applies an update of another VM of the cell.
 func (e *Process) receiveUpdate(source string, n mesh.StateUpdate, since boottime.Time) {
 	e.limiter.ObserveReport(source, n.Usage)
-	if n.Settled && since != 0 { // it has heard of this VM, so it was not sent before a restart of all
-		e.limiter.ObserveSettled()
-	}
 	e.applyUpdate(source, n, since)
 }
 
--- a/internal/ratelimit/ratelimit.go
+++ b/internal/ratelimit/ratelimit.go
@@ -41,10 +41,6 @@
 	// reachable VMs have the configuration, so none rejects what another one admits. It is
 	// within the 3 s in which a configuration has to be in force.
 	limitReductionDelay = 2500 * time.Millisecond
-	// ignoredUnreported is the number of operations that other VMs may have admitted and not yet
-	// reported that are ignored. A small customer rarely uses all VMs at once, and has no tokens to
-	// spare.
-	ignoredUnreported = 10
 )
 
 // Usage is what one VM has taken and requested of one customer's tokens. Taken counts from the
@@ -81,9 +77,6 @@
 	allowance    float64       // own operations until the next renewal
 	returns      admission.Spread
 	renewedAt    boottime.Time
-	// Since the last renewal, all VMs could admit distributed operations together and this one
-	// granted of them; it admitted used.
-	distributed, granted, used float64
 	// peers holds the reports of the other VMs of the cell, otherCells those of the other
 	// cells.
 	peers, otherCells map[string]Usage
@@ -106,8 +99,6 @@
 	// cells is set in a large fleet; it is nil in a small one, where each VM gets the reports
 	// of all others.
 	cells *CellLayout
-	// settled is set when another VM knew at the start of this one what had been admitted before.
-	settled bool
 }
 
 // New returns a limiter with windows of the given length. Buckets start empty because
@@ -173,12 +164,11 @@
 		b.recent = windowCounter{}
 	}
 	b.recent.advance(now, l.window)
-	gain := l.gain(b, now)
+	passed := now.Sub(b.filledAt).Seconds()
 	b.filledAt = now
+	gain := passed * l.tokenRate(b)
 	b.tokens = min(b.tokens+gain, bucketCapacityBursts*b.customer.Burst*l.reachableFraction())
-	share := l.demandShare(b)
-	b.allowance += gain * share
-	b.distributed, b.granted = b.distributed+gain, b.granted+gain*share
+	b.allowance += gain * l.demandShare(b)
 	if age := now.Sub(b.demandAt); age >= reportInterval {
 		b.updateDemand(age, l.cells != nil)
 		b.requested, b.demandAt = 0, now
@@ -199,60 +189,14 @@
 	b.demand += (b.requested/age.Seconds() - b.demand) * age.Seconds() / b.averagedOver.Seconds()
 }
 
-// startPace returns the pace at which tokens are added until the given time, as a fraction of the
-// full one; afterwards it is 1.
-//
-// Before a restart of all VMs, a customer may have taken a full bucket beyond the even pace of its
-// limit. Until that is made up for, only a reserve that the platform tolerates is added, so the
-// limit holds for a window that spans the restart. Small customers, whose buckets are within the
-// reserve, are not slowed, and no customer is at a VM that starts beside others.
-func (l *Limiter) startPace(b *bucket) (pace float64, until boottime.Time) {
-	limit := b.windowLimit(l.window)
-	taken := min(bucketCapacityBursts*b.customer.Burst, limit)
-	reserve := tokenReserve*limit + homeSlackOperations
-	if l.settled || reserve >= taken {
-		return 1, l.started
-	}
-	return reserve / taken, l.started.Add(seconds(taken / limit * l.window.Seconds()))
-}
-
-// ObserveSettled records that another VM has run for a window, so that not all have restarted.
-func (l *Limiter) ObserveSettled() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.settled = true
-}
-
-// windowLimit is the number of operations that the platform allows in a window.
-func (b *bucket) windowLimit(window time.Duration) float64 {
-	return b.customer.Rate*window.Seconds() + b.customer.Burst
-}
-
-// gain is the number of tokens added since the bucket was filled last.
-func (l *Limiter) gain(b *bucket, now boottime.Time) float64 {
-	pace, until := l.startPace(b)
-	passed := now.Sub(b.filledAt)
-	slowed := max(0, min(passed, until.Sub(b.filledAt)))
-	return (passed - slowed + time.Duration(pace*float64(slowed))).Seconds() * l.fullTokenRate(b)
-}
-
-// fullTokenRate is the number of tokens added per second: the limit of a window, spread evenly.
-func (l *Limiter) fullTokenRate(b *bucket) float64 {
-	return b.windowLimit(l.window) / l.window.Seconds() * l.reachableFraction()
-}
-
-// tokenRate is the number of tokens added per second at present.
+// tokenRate is the number of tokens added per second: the limit of a window, spread evenly.
 func (l *Limiter) tokenRate(b *bucket) float64 {
-	pace, until := l.startPace(b)
-	if b.filledAt >= until {
-		pace = 1
-	}
-	return pace * l.fullTokenRate(b)
+	return (b.customer.Rate + b.customer.Burst/l.window.Seconds()) * l.reachableFraction()
 }
 
 // windowRemaining is the number of operations that the window still allows.
 func (l *Limiter) windowRemaining(b *bucket) float64 {
-	limit := b.windowLimit(l.window) * l.reachableFraction()
+	limit := (b.customer.Rate*l.window.Seconds() + b.customer.Burst) * l.reachableFraction()
 	return limit*(1-reservePerRound*float64(max(0, l.rounds-2))) - b.recent.sum
 }
 
@@ -281,20 +225,8 @@
 		return
 	}
 	b.renewedAt = now
-	free := max(0, min(b.tokens-b.unreported(), l.windowRemaining(b)/float64(l.rounds)))
-	granted := l.demandShare(b) * free
-	b.allowance = min(b.allowance, 1) + granted
-	b.distributed, b.granted, b.used = free, granted, 0
-}
-
-// unreported estimates the operations that the other VMs have admitted since their last reports:
-// they are assumed to have used the same fraction of their parts as this VM. Otherwise the tokens
-// that a flood has used at all VMs would be distributed a second time.
-func (b *bucket) unreported() float64 {
-	if b.granted <= 0 {
-		return 0
-	}
-	return max(0, (b.distributed-b.granted)*min(1, b.used/b.granted)-ignoredUnreported)
+	free := max(0, min(b.tokens, l.windowRemaining(b)/float64(l.rounds)))
+	b.allowance = min(b.allowance, 1) + l.demandShare(b)*free
 }
 
 // Admit admits one operation, or returns when to retry.
@@ -341,7 +273,6 @@
 	}
 	b.tokens--
 	b.allowance--
-	b.used++
 	b.taken++
 	b.recent.add(1)
 	return true
