Announce the target in the row before it is checked and ordered

VMs withhold acknowledgements of the old primary from the row that names the target on. The check of the target came before that row, so that a server which joined in between was not seen by it, and commits with it were reported as successful. Now the row comes first, then the check, then the order.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -104,7 +104,7 @@
 			}
 		}
 	}
-	if _, err := a.orderPromotion(ctx, leader, nil); err != nil {
+	if _, _, err := a.orderPromotion(ctx, leader, false); err != nil {
 		return err
 	}
 	time.Sleep(ExpectedPromotionTime)
@@ -391,22 +391,15 @@
 	}
 	ctx, cancel := a.settleContext()
 	defer cancel()
-	var recheck func(context.Context, *member) (*member, error)
-	if steppedDown == nil {
-		recheck = a.recheckTarget
-		if a.s.cfg.LeaderLease == 0 { // awaitLeaderLeaseExpiry has checked it otherwise
-			var err error
-			if target, err = a.recheckTarget(ctx, target); err != nil {
-				return a.abort(err)
-			}
-		}
+	target, ordered, err := a.orderPromotion(ctx, target, steppedDown == nil)
+	if err != nil && !ordered {
+		return a.abort(err)
 	}
-	target, err := a.orderPromotion(ctx, target, recheck)
 	if errkind.Is(err, errkind.Fenced) && steppedDown != nil && !a.isEvacuated(steppedDown) && a.s.writeRow(ctx, a.lease, a.lease.record) == nil {
 		// No other steward holds the lease, so the order was refused because the target
 		// does not run.
 		a.log.WithField("backend_server", target.ID).Warn("order refused; promoting the former primary again")
-		target, err = a.orderPromotion(ctx, steppedDown, nil)
+		target, _, err = a.orderPromotion(ctx, steppedDown, false)
 	}
 	if err != nil {
 		// The order may still be executed: the other replicas stay paused, and the row
@@ -453,43 +446,51 @@
 }
 
 // orderPromotion repeats the order until it is answered, each time with a higher token: an
-// order without an answer may be executed late, until a newer one has been executed. Before
-// each repetition it calls recheck, unless that is nil, which may choose another target. It
-// returns the target of the last order.
-func (a *attempt) orderPromotion(ctx context.Context, target *member, recheck func(context.Context, *member) (*member, error)) (*member, error) {
+// order without an answer may be executed late, until a newer one has been executed. With
+// recheck, it checks the target before each order and may choose another one; VMs withhold
+// acknowledgements of the old primary from the row that names the target. It returns the target
+// of the last order. ordered is false if nothing was ordered, as the check failed.
+func (a *attempt) orderPromotion(ctx context.Context, target *member, recheck bool) (last *member, ordered bool, err error) {
+	sent := false
 	for {
 		if err := a.s.writeNextToken(ctx, a.lease, target.ID); err != nil {
-			return target, err
+			return target, true, err
+		}
+		// Before the first order, awaitLeaderLeaseExpiry has checked the target.
+		if recheck && (sent || a.s.cfg.LeaderLease == 0) {
+			next, err := a.recheckTarget(ctx, target, sent)
+			switch {
+			case err != nil && !sent:
+				return target, false, err
+			case err != nil:
+				// The order may take effect anyway; repeating it settles sooner whether it does.
+				a.log.WithError(err).Warn("no better target than that of the unanswered order is known")
+			case next != target:
+				target = next
+				continue
+			}
 		}
 		log := a.log.WithFields(logrus.Fields{"backend_server": target.ID, "token": a.lease.record.Token})
 		if err := a.s.renewLease(ctx, a.lease); err != nil {
-			return target, err
+			return target, true, err
 		}
+		sent = true
 		call, cancel := context.WithTimeout(ctx, orderTimeout)
 		err := a.s.cfg.Promoter.Promote(call, a.t.Group, target.ID, a.s.cfg.VM, a.lease.record.Token)
 		cancel()
 		switch {
 		case err == nil:
 			log.Info("order answered")
-			return target, nil
+			return target, true, nil
 		case errkind.Is(err, errkind.Fenced):
-			return target, err
+			return target, true, err
 		}
 		log.WithError(err).Warn("promotion order failed")
 		select {
 		case <-ctx.Done():
-			return target, err
+			return target, true, err
 		case <-time.After(pollInterval):
 		}
-		if recheck == nil {
-			continue
-		}
-		if next, err := recheck(ctx, target); err == nil {
-			target = next
-		} else {
-			// The order may take effect anyway; repeating it settles sooner whether it does.
-			log.WithError(err).Warn("no better target than that of the unanswered order is known")
-		}
 	}
 }
 
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -16,8 +16,9 @@
 // recheckTarget returns the server whose promotion may be ordered now. Since the target was
 // chosen, a server may have joined, or restarted, which ends its pause, and the old primary may
 // have acknowledged commits with it. Such servers are paused, and the target is chosen again if it
-// lacks what one of them has received.
-func (a *attempt) recheckTarget(ctx context.Context, target *member) (*member, error) {
+// lacks what one of them has received. sent reports whether an order of this attempt may be
+// executed.
+func (a *attempt) recheckTarget(ctx context.Context, target *member, sent bool) (*member, error) {
 	ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
 	defer cancel()
 	joined, err := a.addJoinedServers(ctx)
@@ -45,8 +46,10 @@
 	if IsSafeTarget(a.replicas(nil), target.ID) && !target.unlisted {
 		return target, a.checkHoldsAcknowledged(target)
 	}
-	// An order for the present target may still be executed. The pauses have to outlast it.
-	a.lease.pendingTargets = a.lease.record.unansweredTargets()
+	if sent {
+		// The order for the present target may still be executed. The pauses have to outlast it.
+		a.lease.pendingTargets = a.lease.record.unansweredTargets()
+	}
 	if target, err = a.secureTarget(ctx, nil); err != nil {
 		return nil, err
 	}
