--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -68,8 +69,13 @@
 	formerServes bool
 	leaderLease  time.Duration
 	ackedTerm    uint64
-	problems     []string
-	trace        []string
+	// outstanding returns the servers whose promotion may take effect, as VMs know them; they
+	// withhold acknowledgements of other servers. Servers join and restart at any time then. nil
+	// stands for VMs that do not withhold any, and servers that do not start while one is
+	// unreachable.
+	outstanding func() []string
+	problems    []string
+	trace       []string
 }
 
 // tracef adds an event to the trace that is printed on failure. The mutex is held.
@@ -106,7 +112,7 @@
 	m.read()
 	m.commit()
 	s := m.servers[m.rand.IntN(len(m.servers))]
-	starts := !m.hasUnreachable()
+	starts := !m.hasUnreachable() || m.outstanding != nil
 	switch m.rand.IntN(40) {
 	case 0, 1:
 		s.notReceiving = !s.notReceiving
@@ -138,6 +144,7 @@
 			if m.primary != nil {
 				fresh.received, fresh.lastLogTerm = m.primary.received, m.primary.lastLogTerm
 			}
+			fresh.listed = m.outstanding != nil
 			m.servers = append(m.servers, fresh)
 			m.tracef("%s starts without an entry", fresh.id)
 		}
@@ -153,9 +160,13 @@
 	m.number++
 	p.received, p.lastLogTerm, p.term = m.number, m.term, m.term
 	sent := boottime.Now()
+	withheld := m.isWithheld(p)
 	for _, r := range m.servers {
 		if r != p && r.up && !r.paused && !r.notReceiving && !r.servesAsFormer {
 			r.received, r.lastLogTerm, r.term = p.received, p.lastLogTerm, m.term
+			if withheld {
+				continue
+			}
 			m.acked, m.ackedTerm, p.provedAt = p.received, m.term, sent
 		}
 	}
@@ -164,6 +175,11 @@
 	}
 }
 
+// isWithheld reports whether VMs withhold acknowledgements of the server.
+func (m *model) isWithheld(s *modelServer) bool {
+	return m.outstanding != nil && slices.ContainsFunc(m.outstanding(), func(target string) bool { return target != s.id })
+}
+
 // read lets the VMs read from each replaced server that still acts as primary, as long as
 // their leader lease holds.
 func (m *model) read() {
@@ -385,12 +401,13 @@
 		defer m.mu.Unlock()
 		return !m.server(s.ID).unreachable
 	}
-	for _, s := range m.servers {
-		switch {
-		case s.listed:
-			t.Servers = append(t.Servers, Server{ID: s.id})
-		case s.wasListed:
-			t.Servers = append(t.Servers, Server{ID: s.id, Missing: time.Minute})
+	t.Servers = m.knownServers()
+	if m.outstanding != nil {
+		t.RefreshServers = func(context.Context) ([]Server, error) {
+			m.mu.Lock()
+			defer m.mu.Unlock()
+			m.step()
+			return m.knownServers(), nil
 		}
 	}
 	if m.wereAllListed() && m.rand.IntN(5) == 0 {
@@ -409,6 +426,40 @@
 	return t
 }
 
+// knownServers returns the servers that have, or had, an entry. The mutex is held.
+func (m *model) knownServers() (list []Server) {
+	for _, s := range m.servers {
+		switch {
+		case s.listed:
+			list = append(list, Server{ID: s.id})
+		case s.wasListed:
+			list = append(list, Server{ID: s.id, Missing: time.Minute})
+		}
+	}
+	return list
+}
+
+// Servers join and restart while orders have no answer, and the old primary goes on. What it
+// acknowledges then is lost, unless VMs withhold it.
+func TestNoSeriesOfAttemptsWithServersThatJoinLosesACommit(t *testing.T) {
+	runModelWith(t, func(m *model, store *fakeStore) {
+		vm := newSteward("vm9", store, &fakeGroup{})
+		m.outstanding = func() []string {
+			rows, _, err := store.Rows(context.Background(), Table)
+			if err != nil {
+				t.Error(err)
+			}
+			for _, r := range rows {
+				if _, err := vm.Observe(r); err != nil {
+					t.Error(err)
+				}
+			}
+			targets, _ := vm.OutstandingTargets("g")
+			return targets
+		}
+	}, 0)
+}
+
 // Attempts of several stewards under random faults promote no server that lacks an
 // acknowledged commit.
 func TestNoSeriesOfAttemptsLosesACommit(t *testing.T) { runModel(t, func(*model) {}, 0) }
@@ -434,6 +485,11 @@
 // runModel runs a series of attempts for each seed. Stewards wait for the leader lease before
 // they replace an unreachable primary.
 func runModel(t *testing.T, prepare func(*model), leaderLease time.Duration) {
+	runModelWith(t, func(m *model, _ *fakeStore) { prepare(m) }, leaderLease)
+}
+
+// runModelWith is runModel with the store of the stewards.
+func runModelWith(t *testing.T, prepare func(*model, *fakeStore), leaderLease time.Duration) {
 	const seeds, attempts = 150, 8
 	log := logrus.New()
 	log.SetOutput(io.Discard)
@@ -441,7 +497,7 @@
 	for seed := range uint64(seeds) {
 		all.Go(func() {
 			m, store := newModel(seed), newFakeStore()
-			prepare(m)
+			prepare(m, store)
 			for i := range attempts {
 				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+i%3)*time.Second)
 				s := New(Config{VM: fmt.Sprint("vm", i%2), Store: store, Dialer: m, Control: m, Promoter: m, LeaderLease: leaderLease, Log: logrus.NewEntry(log)})
