--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -113,6 +113,9 @@
 	m.commit()
 	s := m.servers[m.rand.IntN(len(m.servers))]
 	starts := !m.hasUnreachable() || m.outstanding != nil
+	if m.outstanding != nil && m.rand.IntN(4) == 0 {
+		m.disturbReplicas()
+	}
 	switch m.rand.IntN(40) {
 	case 0, 1:
 		s.notReceiving = !s.notReceiving
@@ -151,6 +154,28 @@
 	}
 }
 
+// disturbReplicas starts a server, restarts a replica, or changes whether one receives.
+func (m *model) disturbReplicas() {
+	s := m.servers[m.rand.IntN(len(m.servers))]
+	switch m.rand.IntN(3) {
+	case 0:
+		if len(m.servers) < 8 && m.primary != nil {
+			fresh := &modelServer{id: string(rune('a' + len(m.servers))), up: true, listed: true, term: m.term, received: m.primary.received, lastLogTerm: m.primary.lastLogTerm}
+			m.servers = append(m.servers, fresh)
+			m.tracef("%s joins", fresh.id)
+		}
+	case 1:
+		if s != m.primary && s.up {
+			s.paused, s.held, s.lastStatus = false, 0, nil
+			s.startCount++
+			m.tracef("%s restarts", s.id)
+		}
+	case 2:
+		s.notReceiving = !s.notReceiving
+		m.tracef("%s not receiving %t", s.id, s.notReceiving)
+	}
+}
+
 // commit makes a commit at the primary and replicates its log.
 func (m *model) commit() {
 	p := m.primary
@@ -366,7 +391,11 @@
 	defer m.mu.Unlock()
 	m.step()
 	o := order{target: server, token: token}
-	switch m.rand.IntN(4) {
+	outcome := m.rand.IntN(4)
+	if m.outstanding != nil && m.rand.IntN(2) == 0 {
+		outcome = 0
+	}
+	switch outcome {
 	case 0:
 		o.at = m.calls + m.rand.IntN(60)
 		m.pendingOrders = append(m.pendingOrders, o)
