Do not repeat an order for a server that lacks acknowledged commits

An order without an answer was repeated whatever became known meanwhile, which made the loss of a commit certain that the late order might not have caused. It is repeated again once the target, or another server in reach, holds what is known to be acknowledged.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -462,6 +462,14 @@
 			switch {
 			case err != nil && !sent:
 				return target, false, err
+			case err != nil && a.isKnownToLackCommits(target):
+				a.log.WithError(err).WithField("backend_server", target.ID).Warn("unanswered order is not repeated")
+				select {
+				case <-ctx.Done():
+					return target, true, err
+				case <-time.After(orderTimeout):
+				}
+				continue
 			case err != nil:
 				// The order may take effect anyway; repeating it settles sooner whether it does.
 				a.log.WithError(err).Warn("no better target than that of the unanswered order is known")
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -56,6 +56,14 @@
 	return target, a.checkHoldsAcknowledged(target)
 }
 
+// isKnownToLackCommits reports whether the target lacks commits that are acknowledged or that
+// another reachable server has received.
+func (a *attempt) isKnownToLackCommits(target *member) bool {
+	return a.checkHoldsAcknowledged(target) != nil || slices.ContainsFunc(a.members, func(m *member) bool {
+		return m.conn != nil && !target.status.Received.AtLeast(m.status.Received)
+	})
+}
+
 // addJoinedServers reads the servers again and returns those that are new to the attempt.
 func (a *attempt) addJoinedServers(ctx context.Context) (joined []*member, err error) {
 	if a.t.RefreshServers == nil {
