Withdraw a target that was announced and not ordered

VMs took the order for outstanding and refused the writes of a primary that nobody replaced, for up to 13 s, if the attempt could not be ended because a replica was out of reach.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -461,6 +461,7 @@
 			next, err := a.recheckTarget(ctx, target, sent)
 			switch {
 			case err != nil && !sent:
+				a.withdrawTarget(ctx)
 				return target, false, err
 			case err != nil && a.isKnownToLackCommits(target):
 				a.log.WithError(err).WithField("backend_server", target.ID).Warn("unanswered order is not repeated")
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -56,6 +56,15 @@
 	return target, a.checkHoldsAcknowledged(target)
 }
 
+// withdrawTarget removes a target from the row that was not ordered: nothing may take effect.
+func (a *attempt) withdrawTarget(ctx context.Context) {
+	next := a.lease.record
+	next.Target = ""
+	if err := a.s.writeRow(ctx, a.lease, next); err != nil {
+		a.log.WithError(err).Warn("target could not be withdrawn")
+	}
+}
+
 // isKnownToLackCommits reports whether the target lacks commits that are acknowledged or that
 // another reachable server has received.
 func (a *attempt) isKnownToLackCommits(target *member) bool {
--- a/internal/steward/recheck_test.go
+++ b/internal/steward/recheck_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"chicoryline/internal/coord"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
 )
@@ -35,3 +36,26 @@
 		t.Errorf("%d orders, %v", n, err)
 	}
 }
+
+// A target that was announced and not ordered was left in the row: VMs refused the writes of a
+// primary that nobody replaced.
+func TestTargetThatIsNotOrderedIsWithdrawn(t *testing.T) {
+	store := newFakeStore()
+	value := `{"holder":"vm1","token":4,"active":true}`
+	store.rows["g"] = coord.Row{Table: Table, Key: "g", Value: []byte(value), Version: 1}
+	store.version = 1
+	g := &fakeGroup{received: map[string]uint64{"b": 7, "c": 7}, down: map[string]bool{"a": true, "d": true}}
+	s, reads := newSteward("vm1", store, g), 0
+	err := s.runTask(context.Background(), Task{
+		Group: "g", Primary: "a", Reason: Silent, OnPrimaryAnswered: func() {}, OnPromoted: func(string) {},
+		RefreshServers: func(context.Context) ([]Server, error) {
+			if reads++; reads == 1 {
+				return serversWithIDs("a", "b", "c"), nil
+			}
+			return serversWithIDs("a", "b", "c", "d"), nil // d has joined and cannot be paused
+		},
+	}, s.cfg.Log)
+	if targets, _ := s.OutstandingTargets("g"); err == nil || len(g.tokens) > 0 || len(targets) > 0 {
+		t.Errorf("%v, %d orders, outstanding %v", err, len(g.tokens), targets)
+	}
+}
