Do not promote a former primary again after an order without an answer

Callers lost acknowledged commits in a planned change: its order got no answer and was executed late, the target led, committed and crashed; the next order was refused, which was taken for a proof that the target had never led, and the former primary was promoted without these commits.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -395,9 +395,9 @@
 	if err != nil && !ordered {
 		return a.abort(err)
 	}
-	if errkind.Is(err, errkind.Fenced) && steppedDown != nil && !a.isEvacuated(steppedDown) && a.s.writeRow(ctx, a.lease, a.lease.record) == nil {
-		// No other steward holds the lease, so the order was refused because the target
-		// does not run.
+	if errkind.Is(err, errkind.Fenced) && steppedDown != nil && len(a.lease.record.Earlier) == 0 && !a.isEvacuated(steppedDown) && a.s.writeRow(ctx, a.lease, a.lease.record) == nil {
+		// No other steward holds the lease, so the order was refused because the target does not
+		// run. After an order without an answer it may have led, and committed.
 		a.log.WithField("backend_server", target.ID).Warn("order refused; promoting the former primary again")
 		target, _, err = a.orderPromotion(ctx, steppedDown, false)
 	}
--- a/internal/steward/recheck_test.go
+++ b/internal/steward/recheck_test.go
@@ -59,3 +59,14 @@
 		t.Errorf("%v, %d orders, outstanding %v", err, len(g.tokens), targets)
 	}
 }
+
+// An order without an answer had been executed, and its target crashed after commits. The former
+// primary was promoted without them, because the next order was refused.
+func TestFormerPrimaryIsNotPromotedAgainAfterAnUnansweredOrder(t *testing.T) {
+	unknown, refused := errkind.New(errkind.PlatformUnknown, "fake"), errkind.New(errkind.Fenced, "fake")
+	g := &fakeGroup{received: map[string]uint64{"a": 7, "b": 7, "c": 7}, primary: "a", answers: []error{unknown, refused}}
+	_, err := runChangeFor(newSteward("vm1", newFakeStore(), g), Leaving)
+	if !errkind.Is(err, errkind.Fenced) || len(g.tokens) != 2 {
+		t.Errorf("%v, %d orders, %v", err, len(g.tokens), g.history())
+	}
+}
