Confirm commits without contact by an answer of the store

Callers at the remaining VMs got an unknown outcome for every commit once the VMs of half of the failure domains were lost, which may happen to any number of them: a majority could never be reached.

A partition cuts off the store as well, so an answer of the store that was asked after the acknowledgement serves instead of a majority. It tells of promotion orders, too.

The position counts as sent in updates from the moment on at which it is set.

--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -15,6 +15,11 @@
 	slowCommitTime = 400 * time.Millisecond
 	// confirmPollInterval is the pause between two looks at what other VMs have received.
 	confirmPollInterval = 20 * time.Millisecond
+	// ordersReadDelay is how long a VM in touch waits for the failure domains before it asks the store:
+	// an urgent update is answered within 100 ms in a single cell, and within 1 s in a larger fleet.
+	ordersReadDelay = 150 * time.Millisecond
+	// ordersReadTimeout bounds one call of the store.
+	ordersReadTimeout = 800 * time.Millisecond
 )
 
 // Contact tells whether what this VM knows reaches the VMs of other failure domains.
@@ -36,6 +41,8 @@
 	slowAt boottime.Time
 	// unconfirmed is the number of acknowledged commits whose callers wait for that.
 	unconfirmed int
+	// ordersRead is the read of the promotion orders in progress, nil if there is none.
+	ordersRead *ordersRead
 }
 
 // startCommit records that a commit or write is sent, and returns its number.
@@ -61,10 +68,10 @@
 // acknowledgeCommit records that the server acknowledged the commit with the number. An error means
 // that its caller must not rely on it.
 func (g *Group) acknowledgeCommit(s *Server, number uint64, sent, deadline boottime.Time, p position.Position) error {
-	acknowledged := boottime.Now()
-	slow := g.isSlow(acknowledged)
+	slow := g.isSlow(boottime.Now())
 	g.endCommit(number)
 	g.ObserveAcknowledged(p)
+	acknowledged := boottime.Now() // updates composed from now on hold the position
 	g.noteCommitted(s)
 	g.confirmLeadership(s, sent)
 	if err := g.awaitConfirmation(slow, acknowledged, deadline); err != nil {
@@ -76,16 +83,18 @@
 	return nil
 }
 
-// awaitConfirmation waits, if there is a reason to, until a majority of the failure domains has
-// received the position of a commit that was acknowledged at the given time. It returns an error if
-// that does not happen before the deadline.
+// awaitConfirmation waits, if there is a reason to, until a commit that was acknowledged at the given
+// time is known to a majority of the failure domains. It returns an error if that does not happen
+// before the deadline.
 //
 // A network partition can separate the primary and this VM from everyone else. The primary then
 // acknowledges commits if a server joins on its side, which the steward on the other side cannot
 // know of. Two signs are looked at: no recent contact with a majority of the failure domains, and
 // slow commits, as those are that were sent before the server joined.
 //
-// Once contact returns after a partition, what this VM knows of promotion orders may be old.
+// Without contact, an answer of the store serves as well: a partition cuts off the store too, and the
+// VMs of the other failure domains may all be lost. It also tells of promotion orders that this VM
+// has missed.
 func (g *Group) awaitConfirmation(slow bool, acknowledged, deadline boottime.Time) error {
 	if g.cfg.Contact == nil {
 		return nil
@@ -96,23 +105,68 @@
 	}
 	g.addUnconfirmed(1)
 	defer g.addUnconfirmed(-1)
-	for !g.cfg.Contact.HasReachedMajoritySince(acknowledged) {
+	var err error
+	for boottime.Now() < deadline {
 		inTouch = inTouch && g.cfg.Contact.IsInTouch()
-		if boottime.Now() >= deadline {
-			return errkind.New(errkind.OutcomeUnknown, "commit of %s is not known to a majority of the failure domains", g.Name)
+		reached := g.cfg.Contact.HasReachedMajoritySince(acknowledged)
+		confirmed := reached && (inTouch || g.cfg.RefreshOrders == nil)
+		if !confirmed && g.cfg.RefreshOrders != nil && (!inTouch || boottime.Since(acknowledged) >= ordersReadDelay) {
+			// Once contact has returned, the orders have to be read after that.
+			since := acknowledged
+			if reached {
+				since = boottime.Now()
+			}
+			err = g.readOrders(since, deadline)
+			confirmed = err == nil
+		}
+		if confirmed {
+			g.endSlow(acknowledged)
+			return nil
 		}
 		time.Sleep(confirmPollInterval)
 	}
-	g.endSlow(acknowledged)
-	if inTouch || g.cfg.RefreshOrders == nil {
-		return nil
-	}
+	return errkind.New(errkind.OutcomeUnknown, "commit of %s is not known to a majority of the failure domains; orders: %v", g.Name, err)
+}
+
+// ordersRead is a read of the promotion orders that several commits may wait for.
+type ordersRead struct {
+	sharedCheck
+	started boottime.Time
+}
+
+// readOrders returns once the store has answered a read of the promotion orders that began at since
+// or later.
+func (g *Group) readOrders(since, deadline boottime.Time) error {
 	ctx, cancel := context.WithTimeout(context.Background(), deadline.Sub(boottime.Now()))
 	defer cancel()
-	if err := g.cfg.RefreshOrders(ctx, g.Name); err != nil {
-		return errkind.New(errkind.OutcomeUnknown, "promotion orders of %s are not known: %v", g.Name, err)
+	for {
+		g.mu.Lock()
+		r := g.commits.ordersRead
+		if r == nil {
+			r = &ordersRead{sharedCheck: sharedCheck{done: make(chan struct{})}, started: boottime.Now()}
+			g.commits.ordersRead = r
+			go g.runOrdersRead(r)
+		}
+		g.mu.Unlock()
+		select {
+		case <-r.done:
+			if r.started >= since {
+				return r.err
+			}
+		case <-ctx.Done():
+			return errkind.New(errkind.PlatformUnknown, "no answer of the store in time")
+		}
 	}
-	return nil
+}
+
+func (g *Group) runOrdersRead(r *ordersRead) {
+	ctx, cancel := context.WithTimeout(context.Background(), ordersReadTimeout)
+	defer cancel()
+	err := g.cfg.RefreshOrders(ctx, g.Name)
+	g.mu.Lock()
+	r.err, g.commits.ordersRead = err, nil
+	g.mu.Unlock()
+	close(r.done)
 }
 
 // endSlow records that other failure domains know of all commits acknowledged up to the given time.
--- a/internal/dispatch/replacing.go
+++ b/internal/dispatch/replacing.go
@@ -24,9 +24,8 @@
 	return answered, nil
 }
 
-// withhold returns the error that replaces the acknowledgement of a commit by a server that is
-// being replaced. The commit does not raise the acknowledged position, which a promoted server
-// must have: its caller does not rely on it.
+// withhold returns the error that replaces the acknowledgement of a commit by a server that is, or
+// may be, replaced.
 func (g *Group) withhold(s *Server, cause error) error {
 	g.noteCommitted(s)
 	g.cfg.Log.WithFields(logrus.Fields{"event": "failover", "group": g.Name, "backend_server": s.Info().ID}).WithError(cause).Warn("acknowledgement withheld")
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -62,8 +62,14 @@
 // RefreshOrders reads the row of the group, for OutstandingTargets.
 func (s *Steward) RefreshOrders(ctx context.Context, group string) error {
 	r, version, _, err := s.readRow(ctx, group)
-	if err == nil {
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	isOld := version < s.observations[group].version
+	s.mu.Unlock()
+	if !isOld { // the answer may have been late
 		s.observeRow(group, r, version)
 	}
-	return err
+	return nil
 }
