Soak with servers that repeat answers; demo and soak check answers and runs

Callers also set values and use prepared statements, and their transactions have several statements. Soak and demo compare each statement that a server runs with what its caller has outstanding, and each answer with its statement. The demo's caller no longer panics on a read without rows.

--- a/cmd/chicoryline/demo.go
+++ b/cmd/chicoryline/demo.go
@@ -55,7 +55,8 @@
 	if err != nil {
 		return err
 	}
-	fmt.Printf("requests=%d served=%d refused=%v stale=%d lost=%d doubled=%d\n", f.Requests, f.Served, f.Refused, f.Stale, f.Lost, f.Doubled)
+	fmt.Printf("requests=%d served=%d refused=%v stale=%d lost=%d doubled=%d mixed=%d unasked=%d\n",
+		f.Requests, f.Served, f.Refused, f.Stale, f.Lost, f.Doubled, f.Mixed, f.Unasked)
 	if f.ViolationCount() > 0 {
 		return errors.Errorf("%d guarantees were violated", f.ViolationCount())
 	}
--- a/internal/demo/onplatform.go
+++ b/internal/demo/onplatform.go
@@ -13,6 +13,7 @@
 
 	"chicoryline/internal/entry"
 	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/linegroup"
 	"chicoryline/internal/standin/world"
 	"chicoryline/platform"
 )
@@ -35,16 +36,20 @@
 	Requests, Served int
 	Refused          map[string]int // by error code
 	// Stale counts reads that missed the session's own write, Lost acknowledged writes that
-	// no server holds, Doubled writes that took effect more than once.
-	Stale, Lost, Doubled int
+	// no server holds, Doubled writes that took effect more than once, Mixed answers that do
+	// not belong to their statement, Unasked runs of statements that no caller waited for.
+	Stale, Lost, Doubled, Mixed, Unasked int
 }
 
 // ViolationCount returns the number of guarantee violations.
-func (f *PlatformFigures) ViolationCount() int { return f.Stale + f.Lost + f.Doubled }
+func (f *PlatformFigures) ViolationCount() int {
+	return f.Stale + f.Lost + f.Doubled + f.Mixed + f.Unasked
+}
 
 // platformRun is a running demo. The mutex guards figures and acknowledged.
 type platformRun struct {
-	world *world.World
+	world       *world.World
+	outstanding *linegroup.Outstanding
 
 	mu           sync.Mutex
 	figures      PlatformFigures
@@ -54,10 +59,11 @@
 // RunOnPlatform runs VM processes against test doubles of the users' platform, all inside
 // this OS process, with a load, a crash of a primary and the withdrawal of a key.
 func RunOnPlatform(ctx context.Context, duration time.Duration, out io.Writer, log *logrus.Entry) (*PlatformFigures, error) {
+	outstanding := linegroup.NewOutstanding()
 	w, err := world.New(world.Options{
 		Groups: 2, Domains: []string{"north", "south", "east"}, VMs: platformVMs, Network: platformNetwork,
 		MaxConnections: 34, Lag: 20 * time.Millisecond, StatementTime: 3 * time.Millisecond, PromotionDelay: 300 * time.Millisecond,
-		KeyRevocationDelay: 5 * time.Second,
+		KeyRevocationDelay: 5 * time.Second, Outstanding: outstanding,
 		Customers: []world.Customer{
 			{Name: "large", Keys: []string{"key-large"}, Rate: 2000, Burst: 2000},
 			{Name: "small", Keys: []string{"key-small"}, Rate: 1000, Burst: 1000},
@@ -74,7 +80,7 @@
 	defer stop()
 	fmt.Fprintf(out, "platform=true failure_domains=3 vms=%d groups=2 backend_servers=6 customers=2\n", platformVMs)
 	time.Sleep(platformSettleTime)
-	r := &platformRun{world: w, acknowledged: map[string]bool{}, figures: PlatformFigures{Refused: map[string]int{}}}
+	r := &platformRun{world: w, outstanding: outstanding, acknowledged: map[string]bool{}, figures: PlatformFigures{Refused: map[string]int{}}}
 	load, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	var callers sync.WaitGroup
@@ -158,6 +164,7 @@
 			time.Sleep(100 * time.Millisecond)
 			continue
 		}
+		c.Observer = r.outstanding
 		for ; ctx.Err() == nil; n++ {
 			if !r.writeAndRead(c, i, n) {
 				break
@@ -187,7 +194,8 @@
 		return false
 	}
 	r.countResult("", a.Code)
-	if a.Code == "" && a.Rows[0] != data {
+	// A read without rows counts as mixed.
+	if a.Code == "" && len(a.Rows) == 1 && a.Rows[0] != data {
 		r.mu.Lock()
 		r.figures.Stale++
 		r.mu.Unlock()
@@ -211,8 +219,10 @@
 	}
 }
 
-// checkWrites compares the acknowledged writes with those that the servers hold.
+// checkWrites compares the acknowledged writes with those that the servers hold, and collects
+// the violations that were seen meanwhile.
 func (r *platformRun) checkWrites() {
+	r.figures.Mixed, r.figures.Unasked = len(r.outstanding.Violations()), r.outstanding.Unasked()
 	committed := map[string]int{}
 	for _, g := range r.world.Groups {
 		for _, w := range g.Committed() {
--- a/internal/standin/linegroup/outstanding.go
+++ b/internal/standin/linegroup/outstanding.go
@@ -10,11 +10,14 @@
 
 // Outstanding compares the statements that servers run with those that callers sent, and the
 // answers that callers receive with their statements. Ids must be unique. It implements
-// lineclient.Observer.
+// lineclient.Observer. The first word of a violation is its kind.
 type Outstanding struct {
 	mu         sync.Mutex
 	statements map[string]*sentStatement
+	// values holds the session values that were acknowledged to callers.
+	values     map[*lineclient.Client]map[string]string
 	violations []string
+	unasked    int
 }
 
 // sentStatement is a statement of a caller and what has become of it.
@@ -30,7 +33,9 @@
 }
 
 // NewOutstanding returns an empty Outstanding.
-func NewOutstanding() *Outstanding { return &Outstanding{statements: map[string]*sentStatement{}} }
+func NewOutstanding() *Outstanding {
+	return &Outstanding{statements: map[string]*sentStatement{}, values: map[*lineclient.Client]map[string]string{}}
+}
 
 // Sent implements lineclient.Observer.
 func (o *Outstanding) Sent(session *lineclient.Client, id, text string) {
@@ -40,23 +45,36 @@
 }
 
 // Answered implements lineclient.Observer. It records a violation unless a success carries the
-// signature of its own statement, and a row if and only if that is a read.
+// signature of its own statement and session values, and a row if and only if that is a read.
 func (o *Outstanding) Answered(id string, a lineclient.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.statements[id]
 	s.succeeded, s.denied = a.Code == "", a.HasNoEffect()
 	kind := kindOf(s.text)
-	if a.Code != "" || kind == "" {
+	switch command, rest := splitWord(s.text); {
+	case a.Code != "":
+		return
+	case command == "SET":
+		name, value := splitWord(rest)
+		o.setValue(s.session, name, value)
+		return
+	case kind == "":
 		return
 	}
-	if signed, _, _ := strings.Cut(a.Signature, "/"); signed != id {
-		o.violations = append(o.violations, fmt.Sprintf("MIXED %s %s succeeded with the signature %q", id, s.text, a.Signature))
+	if want := signature(id, o.values[s.session]); a.Signature != want {
+		o.violations = append(o.violations, fmt.Sprintf("wrong-signature: %s %s succeeded with %q, want %q", id, s.text, a.Signature, want))
 	}
-	// An EXECUTE with data writes; see kindOf.
 	if rows := len(a.Rows); kind == "READ" && rows != 1 || kind != "READ" && rows != 0 {
-		o.violations = append(o.violations, fmt.Sprintf("MIXED %s %s succeeded with %d rows", id, s.text, rows))
+		o.violations = append(o.violations, fmt.Sprintf("wrong-rows: %s %s succeeded with %d rows", id, s.text, rows))
+	}
+}
+
+func (o *Outstanding) setValue(session *lineclient.Client, name, value string) {
+	if o.values[session] == nil {
+		o.values[session] = map[string]string{}
 	}
+	o.values[session][name] = value
 }
 
 // Violations returns what callers observed. The groups report what their servers observed.
@@ -66,15 +84,31 @@
 	return append([]string(nil), o.violations...)
 }
 
+// Unasked returns the number of violations that servers observed when they ran statements.
+func (o *Outstanding) Unasked() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.unasked
+}
+
 // checkRun returns the violation, or "", of running the statement on the connection. committing
 // means that the run commits writes.
 func (o *Outstanding) checkRun(c *conn, id, text string, inTx, committing bool) string {
-	s := c.server
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	problem := o.problemOfRun(c, id, text, inTx, committing)
+	if problem != "" {
+		o.unasked++
+	}
+	return problem
+}
+
+// problemOfRun is checkRun with the mutex held.
+func (o *Outstanding) problemOfRun(c *conn, id, text string, inTx, committing bool) string {
+	s := c.server
 	sent := o.statements[id]
 	if sent == nil {
-		return fmt.Sprintf("UNASKED unknown id: %s %s ran at %s", id, text, s.ID)
+		return fmt.Sprintf("unknown-id: %s %s ran at %s", id, text, s.ID)
 	}
 	if inTx && c.txSession == nil {
 		defer func() { c.txSession = sent.session }()
@@ -83,19 +117,19 @@
 	sent.ranAt[s] = true
 	switch {
 	case withoutName(text) != withoutName(sent.text):
-		return fmt.Sprintf("UNASKED changed text: %s ran as %s, was sent as %s", id, text, sent.text)
+		return fmt.Sprintf("changed-text: %s ran as %s, was sent as %s", id, text, sent.text)
 	// A proxy may run a single read in a transaction of its own.
 	case sent.inTx && !inTx || inTx && !sent.inTx && kindOf(text) != "READ":
-		return fmt.Sprintf("UNASKED transaction: %s %s ran at %s in a transaction: %t, was sent in one: %t", id, text, s.ID, inTx, sent.inTx)
+		return fmt.Sprintf("outside-transaction: %s %s ran at %s in a transaction: %t, was sent in one: %t", id, text, s.ID, inTx, sent.inTx)
 	case inTx && c.txSession != nil && c.txSession != sent.session:
-		return fmt.Sprintf("UNASKED foreign transaction: %s %s ran at %s in the transaction of another session", id, text, s.ID)
+		return fmt.Sprintf("foreign-transaction: %s %s ran at %s in the transaction of another session", id, text, s.ID)
 	case sent.denied && committing:
-		return fmt.Sprintf("UNASKED after denial: %s %s committed at %s, its caller was told that nothing is kept", id, text, s.ID)
+		return fmt.Sprintf("after-denial: %s %s committed at %s, its caller was told that nothing is kept", id, text, s.ID)
 	// A read without a timely answer is sent to a second server; the slower one of the two may
 	// still run it when the caller has the answer of the other. Callers that gave up or were
 	// told that the outcome is unknown leave statements behind as well.
 	case sent.succeeded && !(kindOf(text) == "READ" && elsewhere):
-		return fmt.Sprintf("UNASKED after answer: %s %s ran at %s, its caller had an answer", id, text, s.ID)
+		return fmt.Sprintf("after-answer: %s %s ran at %s, its caller had an answer", id, text, s.ID)
 	}
 	return ""
 }
--- a/soak/callers.go
+++ b/soak/callers.go
@@ -67,8 +67,10 @@
 	group  int
 	rand   *rand.Rand
 	ids    *atomic.Int64
-	// ownAcked is the highest value acknowledged in the current session.
+	// ownAcked is the highest value acknowledged in the current session, prepared whether the
+	// session has prepared statements.
 	ownAcked int
+	prepared bool
 }
 
 // loop runs random operations on successive sessions until stop is set.
@@ -76,13 +78,12 @@
 	value := 0
 	for !stop.Load() {
 		route := []string{"own", "current"}[c.rand.IntN(2)]
-		address := c.run.world.FrontAddress(c.rand.IntN(c.run.world.Options.VMs))
-		session, err := lineclient.Dial(address, fmt.Sprintf("%s-%d", route, c.group), "key-"+strconv.Itoa(c.number%customers), exchangeTimeout)
+		session, err := c.run.dial(c.rand.IntN(c.run.world.Options.VMs), fmt.Sprintf("%s-%d", route, c.group), c.number, exchangeTimeout)
 		if err != nil {
 			time.Sleep(callerPause)
 			continue
 		}
-		c.ownAcked = 0
+		c.ownAcked, c.prepared = 0, false
 		for n := 0; n < 60 && !stop.Load(); n++ {
 			value++
 			if !c.runOperation(session, route, value) {
@@ -97,8 +98,7 @@
 // burst writes continuously, on sessions with the short timeout burstTimeout.
 func (c *caller) burst(stop *atomic.Bool) {
 	for value := 1; !stop.Load(); {
-		address := c.run.world.FrontAddress(c.rand.IntN(c.run.world.Options.VMs))
-		session, err := lineclient.Dial(address, fmt.Sprintf("own-%d", c.group), "key-"+strconv.Itoa(c.number%customers), burstTimeout)
+		session, err := c.run.dial(c.rand.IntN(c.run.world.Options.VMs), fmt.Sprintf("own-%d", c.group), c.number, burstTimeout)
 		if err != nil {
 			time.Sleep(burstPause)
 			continue
@@ -112,22 +112,50 @@
 
 // runOperation runs one random operation. It returns false if the session has to end.
 func (c *caller) runOperation(s *lineclient.Client, route string, value int) bool {
-	switch c.rand.IntN(4) {
-	case 0:
+	switch c.rand.IntN(9) {
+	case 0, 1:
 		return c.write(s, value)
-	case 1:
+	case 2, 3:
 		return c.transaction(s, value)
+	case 4:
+		return c.setUp(s, value)
 	}
 	return c.read(s, route)
 }
 
+// setUp sets a session value and prepares the statements of writeText and readText.
+func (c *caller) setUp(s *lineclient.Client, value int) bool {
+	for _, text := range []string{fmt.Sprintf("SET color %d", value), "PARSE w WRITE shape-w", "PARSE r READ shape-r"} {
+		if a, err := s.Query(c.id(), text); err != nil || a.Code != "" {
+			return false
+		}
+	}
+	c.prepared = true
+	return true
+}
+
+// writeText and readText use the prepared statement every other time.
+func (c *caller) writeText(value int) string {
+	if c.prepared && c.rand.IntN(2) == 0 {
+		return fmt.Sprintf("EXECUTE w %s %d", c.item(), value)
+	}
+	return fmt.Sprintf("WRITE %s %d", c.item(), value)
+}
+
+func (c *caller) readText(item string) string {
+	if c.prepared && c.rand.IntN(2) == 0 {
+		return "EXECUTE r " + item
+	}
+	return "READ " + item
+}
+
 func (c *caller) item() string { return c.run.ledger.itemOf(c.number) }
 
 func (c *caller) id() string { return fmt.Sprintf("s%08d", c.ids.Add(1)) }
 
 func (c *caller) write(s *lineclient.Client, value int) bool {
 	id := c.id()
-	a, err := s.Query(id, fmt.Sprintf("WRITE %s %d", c.item(), value))
+	a, err := s.Query(id, c.writeText(value))
 	return c.recordOutcome(id, value, a, err)
 }
 
@@ -136,10 +164,18 @@
 		return err == nil && a.State == "I"
 	}
 	id := c.id()
-	a, err := s.Query(id, fmt.Sprintf("WRITE %s %d", c.item(), value))
+	a, err := s.Query(id, c.writeText(value))
 	if err != nil {
 		return false
 	}
+	if a.Code == "" && c.rand.IntN(2) == 0 {
+		if a, err = s.Query(c.id(), c.readText(c.item())); err != nil {
+			return false
+		}
+		if a.Code == "" && (len(a.Rows) != 1 || a.Rows[0] != strconv.Itoa(value)) {
+			c.run.ledger.addProblem("write %s of %d reads %v in its transaction", id, value, a.Rows)
+		}
+	}
 	if a.Code != "" || c.rand.IntN(5) == 0 {
 		c.recordRejected(id)
 		a, err := s.Query(c.id(), "ROLLBACK")
@@ -190,7 +226,7 @@
 		least = c.run.ledger.newestAcked(item)
 	}
 	id := c.id()
-	a, err := s.Query(id, "READ "+item)
+	a, err := s.Query(id, c.readText(item))
 	if err != nil {
 		return false
 	}
--- a/soak/main.go
+++ b/soak/main.go
@@ -22,6 +22,7 @@
 	Replaced bool          `long:"replaced-serve" description:"replaced primaries keep serving until they learn of their successor"`
 	Restores bool          `long:"restores" description:"restore the store from backups, in addition to the other faults"`
 	Evacuate bool          `long:"evacuations" description:"evacuate failure domains and withdraw that, in addition to the other faults"`
+	Repeats  bool          `long:"repeats" description:"backend servers write some of their answers twice, in addition to the other faults"`
 	Events   bool          `long:"events" description:"print the faults of all seeds, not only of those with a problem"`
 	Logs     string        `long:"logs" description:"folder for the logs of processes; logs are kept for seeds with a problem"`
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -38,6 +38,7 @@
 	seed         uint64
 	rand         *rand.Rand
 	world        *world.World
+	outstanding  *linegroup.Outstanding
 	ledger       *ledger
 	callers      int
 	folder       string
@@ -74,13 +75,14 @@
 	text := fmt.Sprintf("seed=%d acknowledged=%d denied=%d reads=%d faults=%d problems=%d", r.seed, r.acked, r.rejected, r.reads, len(r.events), len(r.problems))
 	if len(r.problems) > 0 {
 		text += "\n" + r.faults()
-		shown := map[string]int{}
+		count := map[string]int{}
 		for _, p := range r.problems {
 			kind, _, _ := strings.Cut(p, " ")
-			if shown[kind]++; shown[kind] <= maxShownPerKind {
+			if count[kind]++; count[kind] <= maxShownPerKind {
 				text += "\n  " + p
 			}
 		}
+		text += fmt.Sprintf("\n  problems by kind: %v", count)
 	}
 	return text
 }
@@ -159,7 +161,7 @@
 func runSoak(o options, seed uint64) (report, error) {
 	r := &run{
 		options: o, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), ledger: newLedger(),
-		callers: o.Callers, serverProxies: map[string]*proxy{}, departed: map[*linegroup.Server]bool{},
+		outstanding: linegroup.NewOutstanding(), callers: o.Callers, serverProxies: map[string]*proxy{}, departed: map[*linegroup.Server]bool{},
 	}
 	folder, err := os.MkdirTemp(o.Logs, fmt.Sprintf("soak-%d-", seed))
 	if err != nil {
@@ -222,7 +224,7 @@
 		// Concurrent runs need different loopback networks.
 		Network: fmt.Sprintf("%d.%d", 2+os.Getpid()%200, r.seed%250), Lag: 30 * time.Millisecond, StatementTime: 2 * time.Millisecond,
 		PromotionDelay: 300 * time.Millisecond, KeyRevocationDelay: 5 * time.Second, ServerAddress: r.serverAddress,
-		FormerPrimaryServes: r.options.Replaced,
+		FormerPrimaryServes: r.options.Replaced, Outstanding: r.outstanding,
 	}
 	if r.options.Evacuate {
 		o.EvacuateTime = evacuateTime
@@ -235,6 +237,11 @@
 		return err
 	}
 	r.world = standins
+	for _, g := range standins.Groups {
+		for _, s := range g.Servers() {
+			r.repeatAnswers(s)
+		}
+	}
 	for vm := range r.options.VMs {
 		p, err := newProxy(standins.Store.Address())
 		if err != nil {
@@ -283,8 +290,17 @@
 	return nil
 }
 
+// dial opens a session whose statements are compared with those that the servers run.
+func (r *run) dial(vm int, database string, caller int, timeout time.Duration) (*lineclient.Client, error) {
+	c, err := lineclient.Dial(r.world.FrontAddress(vm), database, fmt.Sprint("key-", caller%customers), timeout)
+	if err == nil {
+		c.Observer = r.outstanding
+	}
+	return c, err
+}
+
 func (r *run) acceptsWrite(vm, group int) bool {
-	c, err := lineclient.Dial(r.world.FrontAddress(vm), fmt.Sprintf("own-%d", group), "key-0", exchangeTimeout)
+	c, err := r.dial(vm, fmt.Sprintf("own-%d", group), 0, exchangeTimeout)
 	if err != nil {
 		return false
 	}
@@ -314,6 +330,7 @@
 			count[w.ID]++
 		}
 	}
+	result.problems = append(result.problems, r.outstanding.Violations()...)
 	result.problems = append(result.problems, r.world.Store.Violations()...)
 	for id := range l.acked {
 		if count[id] == 0 {
--- a/soak/series.go
+++ b/soak/series.go
@@ -202,6 +202,7 @@
 				l.run.ledger.addProblem("no new server: %v", err)
 				return
 			}
+			l.run.repeatAnswers(s)
 			if !entry {
 				l.run.runAfter(entryDelay, func() { l.run.world.Show(s) })
 			}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -88,6 +88,14 @@
 	runSeed(t, options{Program: buildProgram(t), VMs: 5, Callers: 8, Evacuate: true}, 1)
 }
 
+// TestRepeatedAnswersAreNotMixed runs single faults and series with backend servers that write
+// some of their answers twice.
+func TestRepeatedAnswersAreNotMixed(t *testing.T) {
+	program := buildProgram(t)
+	runSeed(t, options{Program: program, VMs: 3, Callers: 8, Repeats: true}, 5)
+	runSeed(t, options{Program: program, VMs: 5, Callers: 16, Repeats: true, Series: true}, 6)
+}
+
 func runSeries(t *testing.T, o options, seeds map[uint64]string) {
 	for seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
