Tests of positions and refusals that the repeated answer to a BEGIN hides

Two tests fail on the present code: a bounded read is served with the position of an earlier BEGIN and lacks an older commit, and a read of a transaction runs outside it at a replica that refused BEGIN READ.

--- a/test/platform/repeat_test.go
+++ b/test/platform/repeat_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"chicoryline/internal/standin/linegroup"
 	"chicoryline/internal/standin/world"
 )
 
@@ -96,6 +98,61 @@
 	}
 }
 
+// The position in the repeated answer to an earlier BEGIN was taken for that of the primary at
+// the time of a later one, and a replica without an older commit served a bounded read.
+func TestRepeatedBeginProvesNoPosition(t *testing.T) {
+	f := start(t, oneVM)
+	c := f.dial(0, "bounded-0", "key-large")
+	isBegin := func(_, text string) bool { return text == "BEGIN" }
+	f.holdRepeats(isBegin, isBegin)
+	c.must("READ item")
+	f.lagReplicas()
+	if !f.Groups[0].Commit(linegroup.Write{ID: "direct", Item: "item", Data: "new"}) {
+		t.Fatal("not committed")
+	}
+	time.Sleep(2 * time.Second) // the route allows reads to be 1.5 s old
+	for range 3 {
+		if a := c.do("READ item"); a.Code == "" && (len(a.Rows) != 1 || a.Rows[0] != "new") {
+			t.Errorf("the read returned %v", a.Rows)
+		}
+	}
+}
+
+// The repeated answer to an earlier BEGIN hid that a replica had refused a later one since it
+// lacked the session's own commit, and the reads of the transaction ran there outside one.
+func TestRepeatedBeginDoesNotHideALaggingReplica(t *testing.T) {
+	f := start(t, oneVM)
+	c := f.dial(0, "own-0", "key-large")
+	isBegin := func(_, text string) bool { return strings.HasSuffix(text, "BEGIN READ") }
+	for i, s := range f.Groups[0].Servers() {
+		if i != 1 {
+			s.RefuseStatements(isBegin)
+		}
+	}
+	f.holdRepeats(isBegin, isBegin)
+	c.must("BEGIN READ")
+	c.must("READ item")
+	c.must("COMMIT")
+	f.lagReplicas()
+	c.must("WRITE item new")
+	if c.do("BEGIN READ").Code == "" {
+		for range 2 {
+			if a := c.do("READ item"); a.Code == "" && (len(a.Rows) != 1 || a.Rows[0] != "new") {
+				t.Errorf("the read returned %v", a.Rows)
+			}
+		}
+	}
+}
+
+// lagReplicas stops the replicas of the first group from applying further commits.
+func (f *fleet) lagReplicas() {
+	for _, s := range f.Groups[0].Servers() {
+		if s != f.primary() {
+			s.SetLag(time.Hour)
+		}
+	}
+}
+
 // refuse makes all servers of the first group refuse statements; see Server.RefuseStatements.
 func (f *fleet) refuse(pick func(id, text string) bool) {
 	for _, s := range f.Groups[0].Servers() {
