--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -30,7 +30,7 @@
 	}
 	status := func(m *member) error { return a.runControl(ctx, m, a.s.cfg.Control.Status) }
 	a.poll(counts, status)
-	// A restart has broken the connection, and the first request finds that out.
+	// Servers that could not be reached get a second attempt.
 	a.poll(func(m *member) bool { return m.conn == nil && counts(m) }, status)
 	term := a.nextTerm()
 	for _, m := range a.members {
