--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -250,7 +250,7 @@
 // belong to a statement, and none waits although nothing is due.
 func (c *Conn) Reusable() bool {
 	if raw, ok := c.raw.(interface{ HasInput() bool }); ok && len(c.due) == 0 && raw.HasInput() {
-		c.count(Unsolicited, "nothing", "input", -1)
+		c.count(Unsolicited, "nothing", describeInput(c.raw), -1)
 	}
 	return !c.Repeated()
 }
--- a/internal/answers/report.go
+++ b/internal/answers/report.go
@@ -54,6 +54,14 @@
 	}).Warn("answer did not match its statement")
 }
 
+// describeInput names the message that waits on the connection in the log.
+func describeInput(raw statement.Conn) string {
+	if k, ok := raw.(interface{ InputKind() string }); ok {
+		return "input " + k.InputKind()
+	}
+	return "input"
+}
+
 // describe names an answer in the log.
 func describe(r statement.Result) string {
 	switch {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/juju/errors"
+	gometrics "github.com/rcrowley/go-metrics"
 	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/access"
@@ -159,6 +160,8 @@
 	StatusTable     string
 	// Callers limits what callers take of the process; nil for no limits.
 	Callers *membudget.Budget
+	// Metrics are the adapter's own metrics; nil for none.
+	Metrics gometrics.Registry
 	// NewFront creates the front end that callers connect to.
 	NewFront func(net.Listener, *session.Core, *logrus.Entry) Front
 }
--- a/internal/entry/observer.go
+++ b/internal/entry/observer.go
@@ -150,17 +150,10 @@
 
 func (e *Process) writeMetrics(w http.ResponseWriter, _ *http.Request) {
 	lines := e.platform.Callers.Lines()
-	e.observer.registry.Each(func(name string, m any) {
-		switch m := m.(type) {
-		case gometrics.Counter:
-			if m.Count() > 0 {
-				lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
-			}
-		case gometrics.Histogram:
-			s := m.Snapshot()
-			lines = append(lines, fmt.Sprintf("%s.p50 %.0f", name, s.Percentile(median)), fmt.Sprintf("%s.p99 %.0f", name, s.Percentile(tail)))
-		}
-	})
+	lines = append(lines, registryLines(e.observer.registry)...)
+	if e.platform.Metrics != nil {
+		lines = append(lines, registryLines(e.platform.Metrics)...)
+	}
 	lines = append(lines, fmt.Sprintf("evacuated_domains %d", len(e.evacuatedDomains())))
 	lines = append(lines, fmt.Sprintf("store.lost %d", boolToInt(e.access.IsLost())), fmt.Sprintf("store.withheld %d", e.access.Withheld()))
 	c := e.view.Config()
@@ -194,6 +187,23 @@
 	}
 }
 
+// registryLines returns the metrics of a registry, without counters that are 0.
+func registryLines(registry gometrics.Registry) []string {
+	var lines []string
+	registry.Each(func(name string, m any) {
+		switch m := m.(type) {
+		case gometrics.Counter:
+			if m.Count() > 0 {
+				lines = append(lines, fmt.Sprintf("%s %d", name, m.Count()))
+			}
+		case gometrics.Histogram:
+			s := m.Snapshot()
+			lines = append(lines, fmt.Sprintf("%s.p50 %.0f", name, s.Percentile(median)), fmt.Sprintf("%s.p99 %.0f", name, s.Percentile(tail)))
+		}
+	})
+	return lines
+}
+
 // hasGroup reports whether the configuration names the group. Groups of unrelated entries are
 // not exported, which bounds the number of metrics.
 func hasGroup(c *access.Config, name string) bool {
