Model of the steward: the seed alone decides the course

Concurrent probes drew from the random source in the order in which the scheduler ran them, and waits took real time, so that timeouts fell anywhere.

The series now run in a synctest bubble, with the steward's clock passed in (Config.Now). No two calls run at the same time of that clock: each waits for a time of its own, which depends on the server and the number of the call.

--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -7,7 +7,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"chicoryline/internal/boottime"
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
 	"chicoryline/internal/statement"
@@ -150,7 +149,7 @@
 
 // awaitReplica waits until a replica that counts has received the position.
 func (a *attempt) awaitReplica(ctx context.Context, at position.Position, except *member, counts func(Replica) bool) *member {
-	for start := boottime.Now(); ; time.Sleep(pollInterval) {
+	for start := a.s.now(); ; time.Sleep(pollInterval) {
 		var complete []Replica
 		for _, r := range a.replicas(except) {
 			if r.Received.AtLeast(at) && counts(r) {
@@ -158,10 +157,10 @@
 				complete = append(complete, r)
 			}
 		}
-		if target := ChooseTarget(complete); target != "" && (!a.member(target).Cold || !a.hasWarmReplica(except, counts) || boottime.Since(start) >= warmReplicaTimeout) {
+		if target := ChooseTarget(complete); target != "" && (!a.member(target).Cold || !a.hasWarmReplica(except, counts) || a.s.now().Sub(start) >= warmReplicaTimeout) {
 			return a.member(target)
 		}
-		if boottime.Since(start) >= catchUpTimeout || ctx.Err() != nil {
+		if a.s.now().Sub(start) >= catchUpTimeout || ctx.Err() != nil {
 			return nil
 		}
 		a.pollReplicas(ctx, except)
@@ -210,14 +209,14 @@
 	if err != nil {
 		return nil, err
 	}
-	steppedDown := boottime.Now()
+	steppedDown := a.s.now()
 	if target := a.awaitCompleteReplica(ctx, leader.status.Received, leader); target != nil {
 		return target, nil
 	}
 	a.probeUnreachable(ctx)
 	if a.countUnreachable(ctx) == 0 {
 		target, err := a.secureTarget(ctx, leader)
-		time.Sleep(gossipDelay - boottime.Since(steppedDown))
+		time.Sleep(gossipDelay - a.s.now().Sub(steppedDown))
 		if err == nil && !a.isAcknowledgedComplete(leader.status.Received.Term) {
 			err = errkind.New(errkind.NoPrimary, "an unreachable VM may have seen commits acknowledged")
 		}
@@ -343,7 +342,7 @@
 			}
 		}
 	}
-	for start := boottime.Now(); target != nil && boottime.Since(start) < catchUpTimeout && ctx.Err() == nil; time.Sleep(pollInterval) {
+	for start := a.s.now(); target != nil && a.s.now().Sub(start) < catchUpTimeout && ctx.Err() == nil; time.Sleep(pollInterval) {
 		if IsSafeTarget(a.replicas(except), target.ID) {
 			break
 		}
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -164,7 +164,7 @@
 	// A refused connection counts as an answer.
 	m.addressAnswers = !errkind.Is(err, errkind.Unreachable)
 	if err != nil {
-		m.failedAt = boottime.Now()
+		m.failedAt = a.s.now()
 		return err
 	}
 	m.conn, m.gone, m.paused = conn, false, paused
@@ -392,7 +392,7 @@
 	if m.Missing < GoneTimeout || a.t.IsDomainReachable == nil {
 		return false
 	}
-	for boottime.Since(m.failedAt) < domainObservationTimeout && ctx.Err() == nil && !a.t.IsDomainReachable(m.Server, m.failedAt) {
+	for a.s.now().Sub(m.failedAt) < domainObservationTimeout && ctx.Err() == nil && !a.t.IsDomainReachable(m.Server, m.failedAt) {
 		time.Sleep(pollInterval)
 	}
 	m.gone = a.t.IsDomainReachable(m.Server, m.failedAt) && a.runControl(ctx, m, a.s.cfg.Control.Status) != nil && !m.addressAnswers
--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -76,8 +77,28 @@
 	outstanding func() []string
 	problems    []string
 	trace       []string
+	// turns is the number of calls, by server; "" stands for the platform and the store.
+	turns map[string]int
 }
 
+// await delays a call so that no two calls run at the same time of the bubble's clock, nor at the
+// time of a timeout: the order of concurrent calls depends on the seed alone.
+func (m *model) await(server string) {
+	const period, maxServers = time.Millisecond, 16
+	m.mu.Lock()
+	m.turns[server]++
+	offset := time.Duration(m.turns[server] * maxServers)
+	m.mu.Unlock()
+	if server != "" {
+		offset += time.Duration(server[0] - 'a' + 1)
+	}
+	now := modelNow()
+	time.Sleep(period - time.Duration(now)%period + offset)
+}
+
+// modelNow is the clock of the bubble.
+func modelNow() boottime.Time { return boottime.Time(time.Now().UnixNano()) }
+
 // tracef adds an event to the trace that is printed on failure. The mutex is held.
 func (m *model) tracef(format string, args ...any) {
 	m.trace = append(m.trace, fmt.Sprintf("%d: ", m.calls)+fmt.Sprintf(format, args...))
@@ -90,7 +111,7 @@
 }
 
 func newModel(seed uint64) *model {
-	m := &model{rand: rand.New(rand.NewPCG(seed, seed)), term: 1}
+	m := &model{rand: rand.New(rand.NewPCG(seed, seed)), term: 1, turns: map[string]int{}}
 	for i := range 3 {
 		m.servers = append(m.servers, &modelServer{id: string(rune('a' + i)), up: true, listed: true, term: 1})
 	}
@@ -184,7 +205,7 @@
 	}
 	m.number++
 	p.received, p.lastLogTerm, p.term = m.number, m.term, m.term
-	sent := boottime.Now()
+	sent := modelNow()
 	withheld := m.isWithheld(p)
 	for _, r := range m.servers {
 		if r != p && r.up && !r.paused && !r.notReceiving && !r.servesAsFormer {
@@ -209,7 +230,7 @@
 // their leader lease holds.
 func (m *model) read() {
 	for _, s := range m.servers {
-		if s.servesAsFormer && s.up && boottime.Since(s.provedAt) < m.leaderLease && m.ackedTerm > s.term {
+		if s.servesAsFormer && s.up && modelNow().Sub(s.provedAt) < m.leaderLease && m.ackedTerm > s.term {
 			m.problems = append(m.problems, fmt.Sprintf("call %d: a current read ran at %s, of term %d, while a commit of term %d is acknowledged", m.calls, s.id, s.term, m.ackedTerm))
 		}
 		if s.servesAsFormer && !s.unreachable && m.rand.IntN(5) == 0 {
@@ -299,6 +320,7 @@
 }
 
 func (m *model) Dial(_ context.Context, _, _, id, _ string) (statement.Conn, error) {
+	m.await(id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.step()
@@ -312,10 +334,11 @@
 // control runs a control statement unless the server is unreachable or has restarted since
 // the connection was opened. The answer may be lost after the statement has run.
 func (m *model) control(c statement.Conn, run func(*modelServer) error) (statement.ServerStatus, error) {
+	conn := c.(modelConn)
+	m.await(conn.server.id)
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.step()
-	conn := c.(modelConn)
 	s := conn.server
 	if !s.up || s.unreachable || s.startCount != conn.start {
 		return statement.ServerStatus{}, errkind.New(errkind.Unreachable, "model")
@@ -343,7 +366,7 @@
 		if m.leaderLease == 0 || !p.up || p != m.primary && !p.servesAsFormer {
 			continue
 		}
-		others, now := 0, boottime.Now()
+		others, now := 0, modelNow()
 		var answers []leaderproof.Answer
 		for _, r := range m.servers {
 			if r == p || !r.listed && !r.wasListed {
@@ -394,6 +417,7 @@
 // Promote executes an order at once, after its answer, or never. An order that is not
 // answered may be executed much later.
 func (m *model) Promote(_ context.Context, _, server, _ string, token uint64) error {
+	m.await("")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.step()
@@ -416,6 +440,7 @@
 
 // task returns a task with the state of the group that a VM observes.
 func (m *model) task() Task {
+	m.await("")
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.step()
@@ -440,6 +465,7 @@
 	t.Servers = m.knownServers()
 	if m.outstanding != nil {
 		t.RefreshServers = func(context.Context) ([]Server, error) {
+			m.await("")
 			m.mu.Lock()
 			defer m.mu.Unlock()
 			m.step()
@@ -480,6 +506,7 @@
 func TestNoSeriesOfAttemptsWithServersThatJoinLosesACommit(t *testing.T) {
 	runModelWith(t, func(m *model, store *fakeStore) {
 		vm := newSteward("vm9", store, &fakeGroup{})
+		vm.cfg.Now = modelNow
 		m.outstanding = func() []string {
 			rows, _, err := store.Rows(context.Background(), Table)
 			if err != nil {
@@ -526,31 +553,38 @@
 
 // runModelWith is runModel with the store of the stewards.
 func runModelWith(t *testing.T, prepare func(*model, *fakeStore), leaderLease time.Duration) {
-	const seeds, attempts = 150, 8
+	const seeds = 1500
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) { runSeries(t, seed, prepare, leaderLease) })
+		})
+	}
+}
+
+// runSeries runs the series of attempts of a seed, in a bubble.
+func runSeries(t *testing.T, seed uint64, prepare func(*model, *fakeStore), leaderLease time.Duration) {
+	const attempts = 8
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	var all sync.WaitGroup
-	for seed := range uint64(seeds) {
-		all.Go(func() {
-			m, store := newModel(seed), newFakeStore()
-			prepare(m, store)
-			for i := range attempts {
-				ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+i%3)*time.Second)
-				s := New(Config{VM: fmt.Sprint("vm", i%2), Store: store, Dialer: m, Control: m, Promoter: m, LeaderLease: leaderLease, Log: logrus.NewEntry(log)})
-				s.observations["g"] = observedLongAgo(t, store)
-				task := m.task()
-				err := s.runTask(ctx, task, s.cfg.Log)
-				cancel()
-				for _, p := range m.problems {
-					t.Errorf("seed %d, attempt %d (%s, %v): %s", seed, i, task.Reason, err, p)
-				}
-				m.tracef("attempt %d ended: %s: %v", i, task.Reason, err)
-				if len(m.problems) > 0 {
-					t.Log(strings.Join(m.trace, "\n"))
-					return
-				}
-			}
+	m, store := newModel(seed), newFakeStore()
+	prepare(m, store)
+	for i := range attempts {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+i%3)*time.Second)
+		s := New(Config{
+			VM: fmt.Sprint("vm", i%2), Store: store, Dialer: m, Control: m, Promoter: m, LeaderLease: leaderLease, Now: modelNow, Log: logrus.NewEntry(log),
 		})
+		s.observations["g"] = observedLongAgo(t, store)
+		task := m.task()
+		err := s.runTask(ctx, task, s.cfg.Log)
+		cancel()
+		for _, p := range m.problems {
+			t.Errorf("attempt %d (%s, %v): %s", i, task.Reason, err, p)
+		}
+		m.tracef("attempt %d ended: %s: %v", i, task.Reason, err)
+		if len(m.problems) > 0 {
+			t.Log(strings.Join(m.trace, "\n"))
+			return
+		}
 	}
-	all.Wait()
 }
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -53,7 +53,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.observations[group].orders
-	if boottime.Now() >= o.until {
+	if s.now() >= o.until {
 		return nil, false
 	}
 	return slices.Clone(o.targets), o.answered
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"chicoryline/internal/boottime"
 	"chicoryline/internal/errkind"
 )
 
@@ -85,7 +84,7 @@
 	}
 	for _, s := range servers {
 		if a.member(s.ID) == nil {
-			m := &member{Server: s, failedAt: boottime.Now()}
+			m := &member{Server: s, failedAt: a.s.now()}
 			a.members, joined = append(a.members, m), append(joined, m)
 			a.log.WithField("backend_server", s.ID).Info("server has joined during the change")
 		}
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -120,7 +120,9 @@
 	LeaderLease time.Duration
 	// Eras tracks the era of the store.
 	Eras *coord.Eras
-	Log  *logrus.Entry
+	// Now is the clock, boottime.Now if it is nil.
+	Now func() boottime.Time
+	Log *logrus.Entry
 }
 
 // Steward is a VM's failover coordinator for the database groups. For each group, one VM
@@ -171,9 +173,14 @@
 
 // New returns a steward.
 func New(cfg Config) *Steward {
+	if cfg.Now == nil {
+		cfg.Now = boottime.Now
+	}
 	return &Steward{cfg: cfg, inProgress: map[string]bool{}, observations: map[string]rowObservation{}, lastAttempt: map[string]boottime.Time{}, storeBackoff: newStoreBackoff()}
 }
 
+func (s *Steward) now() boottime.Time { return s.cfg.Now() }
+
 // record is the stored row of a group.
 type record struct {
 	Holder string `json:"holder"`
@@ -243,11 +250,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	last := s.observations[t.Group]
-	held := last.record.Holder != "" && last.record.Holder != s.cfg.VM && boottime.Since(last.at) < leaseDuration
-	if s.inProgress[t.Group] || held || boottime.Since(s.lastAttempt[t.Group]) < minAttemptInterval || s.storeBackoff.Active(boottime.Now()) {
+	held := last.record.Holder != "" && last.record.Holder != s.cfg.VM && s.now().Sub(last.at) < leaseDuration
+	if s.inProgress[t.Group] || held || s.now().Sub(s.lastAttempt[t.Group]) < minAttemptInterval || s.storeBackoff.Active(s.now()) {
 		return false
 	}
-	s.lastAttempt[t.Group] = boottime.Now()
+	s.lastAttempt[t.Group] = s.now()
 	s.inProgress[t.Group] = true
 	go func() {
 		log := s.cfg.Log.WithFields(logrus.Fields{"event": "failover", "group": t.Group, "primary": t.Primary, "reason": string(t.Reason)})
@@ -258,7 +265,7 @@
 		s.mu.Lock()
 		delete(s.inProgress, t.Group)
 		if errkind.Is(err, errkind.Conflict) {
-			s.lastAttempt[t.Group] = boottime.Now().Add(conflictAttemptInterval - minAttemptInterval)
+			s.lastAttempt[t.Group] = s.now().Add(conflictAttemptInterval - minAttemptInterval)
 		}
 		s.mu.Unlock()
 	}()
@@ -270,7 +277,7 @@
 	defer cancel()
 	lease, err := s.acquireLease(ctx, t.Group)
 	s.mu.Lock()
-	s.storeBackoff.record(boottime.Now(), err)
+	s.storeBackoff.record(s.now(), err)
 	s.mu.Unlock()
 	if err != nil {
 		return err
@@ -333,7 +340,7 @@
 
 // checkEraAge returns an error while another VM may hold a lease that the store has lost.
 func (s *Steward) checkEraAge() error {
-	if s.cfg.Eras.IsOlderThan(leaseDuration, boottime.Now()) {
+	if s.cfg.Eras.IsOlderThan(leaseDuration, s.now()) {
 		return nil
 	}
 	return errkind.New(errkind.Conflict, "era %d of the store has just begun, a lease of the era before may be held", s.cfg.Eras.Newest())
@@ -357,11 +364,11 @@
 		if r.Token < last.record.Token || restored && r.Token == last.record.Token {
 			r = last.record
 		}
-		now := boottime.Now()
+		now := s.now()
 		last = rowObservation{version, now, r, last.orders.next(r, version, now)}
 		s.observations[group] = last
 	}
-	return last.record, boottime.Since(last.at)
+	return last.record, s.now().Sub(last.at)
 }
 
 // Change is the state of a group's last primary change, as stored in its row.
@@ -440,7 +447,7 @@
 // renewLease writes the row again if the last write is too old for another steward to be
 // excluded while a command to a server is in flight.
 func (s *Steward) renewLease(ctx context.Context, l *lease) error {
-	if boottime.Since(l.writtenAt) < leaseRenewAge {
+	if s.now().Sub(l.writtenAt) < leaseRenewAge {
 		return nil
 	}
 	return s.writeRow(ctx, l, l.record)
@@ -453,7 +460,7 @@
 	}
 	call, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	sent := boottime.Now()
+	sent := s.now()
 	version, err := s.cfg.Store.Apply(call, coord.Change{
 		If:  []coord.Condition{{Table: Table, Key: l.group, Version: l.version}},
 		Put: []coord.Row{{Table: Table, Key: l.group, Value: value}},
