Nothing proves the lead of a server that is being replaced

What callers saw (model of the steward, replaced primaries that go on serving): current reads at a replaced primary that lacked a commit of its successor. A promotion order had no answer, a server joined and followed the old primary, and its status renewed the leader lease at VMs. The steward pauses such a server and repeats the order, but waits for the lease before its first order only; and the first one may be carried out late in any case.

VMs know from the row that the order is open, and withhold acknowledgements of the old primary. From now on they also take no status, commit or news of another VM for a proof that it leads, until the order is settled. A lease from before the row has expired when the first order is sent. Current reads at the old primary are refused meanwhile, as its writes are.

--- a/internal/dispatch/leadership.go
+++ b/internal/dispatch/leadership.go
@@ -38,7 +38,9 @@
 // steward waits for that time between pausing all replicas and ordering a promotion.
 //
 // Leadership is confirmed by an acknowledged commit, which a replica must have received, and
-// by statuses of replicas as package leaderproof decides.
+// by statuses of replicas as package leaderproof decides. Nothing confirms it while an order may
+// promote another server: a steward that repeats the order does not wait for leases again, and a
+// server that has joined since the first order follows the present primary.
 type leadership struct {
 	// confirmedAt is the latest time at which the server is known to have been the primary,
 	// checkFailedAt is when the last check failed.
@@ -54,8 +56,12 @@
 	Statuses, Failed int64
 }
 
-// confirmLeadership records that the server was the primary at the given time.
+// confirmLeadership records that the server was the primary at the given time, unless it is being
+// replaced.
 func (g *Group) confirmLeadership(s *Server, at boottime.Time) {
+	if _, err := g.checkNotBeingReplaced(s); err != nil {
+		return // callers of commits and checks see the same error
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if s == g.leader {
@@ -66,10 +72,8 @@
 // ObserveLeadership records another VM's confirmation that the server was the primary at the
 // given time.
 func (g *Group) ObserveLeadership(server string, at boottime.Time) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.leader != nil && g.leader.Info().ID == server {
-		g.leadership.confirmedAt = max(g.leadership.confirmedAt, at)
+	if s := g.Leader(); s != nil && s.Info().ID == server {
+		g.confirmLeadership(s, at)
 	}
 }
 
@@ -288,6 +292,10 @@
 		p.isOver = true
 		return false, errkind.New(errkind.NoPrimary, "%s leads term %d, and a commit of term %d is acknowledged", id, term, acknowledged)
 	case finding == leaderproof.Follows:
+		if _, err := g.checkNotBeingReplaced(p.primary); err != nil {
+			p.isOver = true
+			return false, err
+		}
 		p.answers = append(p.answers, a.Answer)
 		if g.extendLease(p.primary, term, earlier, a.Answer) {
 			return true, nil
--- a/internal/dispatch/replacing_test.go
+++ b/internal/dispatch/replacing_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -86,3 +87,24 @@
 		t.Error(err)
 	}
 }
+
+// A server that had joined after an order without an answer confirmed the old primary, which then
+// served current reads after the order had been executed.
+func TestNothingProvesTheLeadOfAServerThatIsBeingReplaced(t *testing.T) {
+	for name, c := range map[string]struct {
+		prove  func(g *Group, a *Server) error
+		target string
+	}{
+		"statuses":           {prove: func(g *Group, a *Server) error { return g.askReplicas(context.Background(), a, "c") }, target: "b"},
+		"commit":             {prove: func(g *Group, a *Server) error { g.confirmLeadership(a, boottime.Now()); return nil }, target: "b"},
+		"news of another VM": {prove: func(g *Group, _ *Server) error { g.ObserveLeadership("a", boottime.Now()); return nil }, target: "b"},
+		"it is the target":   {prove: func(g *Group, a *Server) error { return g.askReplicas(context.Background(), a, "c") }, target: "a"},
+	} {
+		g := leaseGroup(statuses{"a": {Primary: true, Term: 1}, "b": {Term: 1}, "c": {Term: 1}}, "a", "b", "c")
+		g.cfg.OutstandingTargets = func(string) ([]string, bool) { return []string{c.target}, false }
+		err := c.prove(g, g.Leader())
+		if got := g.hasLeaderLease(g.Leader(), boottime.Now()); got != (c.target == "a") {
+			t.Errorf("%s: proved to lead: %t, %v", name, got, err)
+		}
+	}
+}
