--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -286,7 +286,7 @@
 		return nil, errkind.New(errkind.NoPrimary, "timed out before the leader lease of the primary expired")
 	case <-time.After(a.s.cfg.LeaderLease):
 	}
-	return target, a.checkStillPaused(ctx)
+	return target, nil
 }
 
 // probePrimaryAgain reports on the returned channel whether a primary that was unreachable
@@ -458,8 +458,7 @@
 		if err := a.s.writeNextToken(ctx, a.lease, target.ID); err != nil {
 			return target, true, err
 		}
-		// Before the first order, awaitLeaderLeaseExpiry has checked the target.
-		if recheck && (sent || a.s.cfg.LeaderLease == 0) {
+		if recheck {
 			next, err := a.recheckTarget(ctx, target, sent)
 			switch {
 			case err != nil && !sent:
--- a/internal/steward/leader_lease.go
+++ b/internal/steward/leader_lease.go
@@ -11,18 +11,16 @@
 // a server that has joined since was never paused.
 func (a *attempt) checkStillPaused(ctx context.Context) error {
 	term := a.nextTerm()
+	counts := func(m *member) bool { return m.pauseSent && !m.replaced }
 	for _, m := range a.members {
-		if !m.pauseSent || m.replaced {
-			continue
-		}
-		if m.conn == nil || !m.paused {
+		if counts(m) && (m.conn == nil || !m.paused) {
 			return errkind.New(errkind.NoPrimary, "the connection to %s broke after its pause", m.ID)
 		}
-		if err := a.runControl(ctx, m, a.s.cfg.Control.Status); err != nil {
-			return err
-		}
-		if !m.paused || m.status.PausedTerm < term {
-			return errkind.New(errkind.NoPrimary, "%s is no longer paused", m.ID)
+	}
+	a.poll(counts, func(m *member) error { return a.runControl(ctx, m, a.s.cfg.Control.Status) })
+	for _, m := range a.members {
+		if counts(m) && (m.conn == nil || !m.paused || m.status.PausedTerm < term) {
+			return errkind.New(errkind.NoPrimary, "%s is unreachable or no longer paused", m.ID)
 		}
 	}
 	if a.t.RefreshServers == nil {
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -18,6 +18,13 @@
 // lacks what one of them has received. sent reports whether an order of this attempt may be
 // executed.
 func (a *attempt) recheckTarget(ctx context.Context, target *member, sent bool) (*member, error) {
+	if a.s.cfg.LeaderLease > 0 && !sent {
+		// A server that is not paused may have renewed the leader lease: pausing it now is too late.
+		if err := a.checkStillPaused(ctx); err != nil {
+			return nil, err
+		}
+		return target, a.checkHoldsAcknowledged(target)
+	}
 	ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
 	defer cancel()
 	joined, err := a.addJoinedServers(ctx)
