Steward: one loop over members, one comparison with the servers read again

Behaviour unchanged. probeUnreachable and poll had the same loop of goroutines, checkStillPaused and addJoinedServers read and compared the servers in the same way.

--- a/internal/steward/leader_lease.go
+++ b/internal/steward/leader_lease.go
@@ -23,17 +23,9 @@
 			return errkind.New(errkind.NoPrimary, "%s is unreachable or no longer paused", m.ID)
 		}
 	}
-	if a.t.RefreshServers == nil {
-		return nil
+	joined, err := a.readJoinedServers(ctx)
+	if err == nil && len(joined) > 0 {
+		err = errkind.New(errkind.NoPrimary, "%s has joined since the replicas were paused", joined[0].ID)
 	}
-	servers, err := a.t.RefreshServers(ctx)
-	if err != nil {
-		return err
-	}
-	for _, s := range servers {
-		if a.member(s.ID) == nil {
-			return errkind.New(errkind.NoPrimary, "%s has joined since the replicas were paused", s.ID)
-		}
-	}
-	return nil
+	return err
 }
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -104,30 +105,29 @@
 
 // probeUnreachable requests the status of all unreachable servers concurrently.
 func (a *attempt) probeUnreachable(ctx context.Context) {
-	done := make(chan struct{}, len(a.members))
-	n := 0
-	for _, m := range a.members {
-		if m.conn != nil || m.replaced {
-			continue
+	a.forEach(func(m *member) bool { return m.conn == nil && !m.replaced }, func(m *member) {
+		tries := surveyAttempts
+		if m.Missing > 0 || a.isSilentPrimary(m) {
+			tries = 1
 		}
-		n++
-		go func() {
-			defer func() { done <- struct{}{} }()
-			tries := surveyAttempts
-			if m.Missing > 0 || a.isSilentPrimary(m) {
-				tries = 1
+		for range tries {
+			if a.runControl(ctx, m, a.s.cfg.Control.Status) == nil || m.replaced {
+				return
 			}
-			for range tries {
-				if a.runControl(ctx, m, a.s.cfg.Control.Status) == nil || m.replaced {
-					return
-				}
-				time.Sleep(pollInterval)
-			}
-		}()
-	}
-	for range n {
-		<-done
+			time.Sleep(pollInterval)
+		}
+	})
+}
+
+// forEach runs the function for members concurrently and waits for all of them.
+func (a *attempt) forEach(which func(*member) bool, run func(*member)) {
+	var all sync.WaitGroup
+	for _, m := range a.members {
+		if which(m) {
+			all.Go(func() { run(m) })
+		}
 	}
+	all.Wait()
 }
 
 // runControl runs a control statement at a server over a new connection.
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -82,6 +82,17 @@
 
 // addJoinedServers reads the servers again and returns those that are new to the attempt.
 func (a *attempt) addJoinedServers(ctx context.Context) (joined []*member, err error) {
+	servers, err := a.readJoinedServers(ctx)
+	for _, s := range servers {
+		m := &member{Server: s, failedAt: a.s.now()}
+		a.members, joined = append(a.members, m), append(joined, m)
+		a.log.WithField("backend_server", s.ID).Info("server has joined during the change")
+	}
+	return joined, err
+}
+
+// readJoinedServers reads the servers again and returns those that are no members of the attempt.
+func (a *attempt) readJoinedServers(ctx context.Context) (joined []Server, err error) {
 	if a.t.RefreshServers == nil {
 		return nil, nil
 	}
@@ -89,33 +100,14 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, s := range servers {
-		if a.member(s.ID) == nil {
-			m := &member{Server: s, failedAt: a.s.now()}
-			a.members, joined = append(a.members, m), append(joined, m)
-			a.log.WithField("backend_server", s.ID).Info("server has joined during the change")
-		}
-	}
-	return joined, nil
+	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return a.member(s.ID) != nil }), nil
 }
 
 // poll requests the status of servers concurrently.
 func (a *attempt) poll(which func(*member) bool, status func(*member) error) {
-	done := make(chan struct{}, len(a.members))
-	n := 0
-	for _, m := range a.members {
-		if !which(m) {
-			continue
+	a.forEach(which, func(m *member) {
+		if err := status(m); err != nil {
+			a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
 		}
-		n++
-		go func() {
-			defer func() { done <- struct{}{} }()
-			if err := status(m); err != nil {
-				a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
-			}
-		}()
-	}
-	for range n {
-		<-done
-	}
+	})
 }
