--- a/internal/dispatch/acknowledged_test.go
+++ b/internal/dispatch/acknowledged_test.go
@@ -87,34 +87,33 @@
 	}
 }
 
+// scriptedTx returns a transaction that has run one statement.
+func scriptedTx(t *testing.T, g *Group, write bool) *Tx {
+	t.Helper()
+	tx, err := g.Begin(scriptedCall(""))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := tx.Run(scriptedCall("statement"), write); err != nil {
+		t.Fatal(err)
+	}
+	return tx
+}
+
 // Guards against counting positions in other answers: a primary whose commits reach no replica
 // returns them there, and then no replica could ever be promoted.
 func TestOnlyAcknowledgedCommitsRaiseTheAcknowledgedPosition(t *testing.T) {
 	s := &scriptedServer{}
 	g := scriptedGroup(s)
-	run := func(tx *Tx, write bool) {
-		if _, err := tx.Run(scriptedCall("statement"), write); err != nil {
-			t.Fatal(err)
-		}
-	}
-	begin := func() *Tx {
-		tx, err := g.Begin(scriptedCall(""))
-		if err != nil {
-			t.Fatal(err)
-		}
-		return tx
-	}
 	commit := func(tx *Tx) {
 		if _, err := tx.Commit(scriptedCall("commit")); err != nil {
 			t.Fatal(err)
 		}
 	}
-	tx := begin()
-	run(tx, false)
+	tx := scriptedTx(t, g, false)
 	commit(tx)
 	g.wantAcknowledged(t, "a transaction that wrote nothing", 0)
-	tx = begin()
-	run(tx, true)
+	tx = scriptedTx(t, g, true)
 	g.wantAcknowledged(t, "a write that is not committed", 0)
 	commit(tx)
 	g.wantAcknowledged(t, "a commit", 6)
@@ -143,13 +142,7 @@
 
 	s = &scriptedServer{late: "commit"}
 	g = scriptedGroup(s)
-	tx, err := g.Begin(scriptedCall(""))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := tx.Run(scriptedCall("statement"), true); err != nil {
-		t.Fatal(err)
-	}
+	tx := scriptedTx(t, g, true)
 	if _, err := tx.Commit(scriptedCall("commit")); !errkind.Is(err, errkind.OutcomeUnknown) {
 		t.Fatalf("error %v, want an unknown outcome", err)
 	}
--- a/internal/dispatch/confirm_test.go
+++ b/internal/dispatch/confirm_test.go
@@ -40,13 +40,7 @@
 	if _, err := g.Write(shortCall()); !errkind.Is(err, errkind.OutcomeUnknown) {
 		t.Errorf("write without contact: %v, want an unknown outcome", err)
 	}
-	tx, err := g.Begin(scriptedCall(""))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := tx.Run(scriptedCall("statement"), true); err != nil {
-		t.Fatal(err)
-	}
+	tx := scriptedTx(t, g, true)
 	if _, err := tx.Commit(shortCall()); !errkind.Is(err, errkind.OutcomeUnknown) {
 		t.Errorf("commit without contact: %v, want an unknown outcome", err)
 	}
--- a/internal/dispatch/replacing_test.go
+++ b/internal/dispatch/replacing_test.go
@@ -31,13 +31,7 @@
 	g.wantAcknowledged(t, "a withheld write", 0)
 
 	g = replacedDuring(&scriptedServer{}, 2)
-	tx, err := g.Begin(scriptedCall(""))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := tx.Run(scriptedCall("statement"), true); err != nil {
-		t.Fatal(err)
-	}
+	tx := scriptedTx(t, g, true)
 	if _, err := tx.Commit(scriptedCall("commit")); !errkind.Is(err, errkind.OutcomeUnknown) {
 		t.Errorf("commit: %v, want an unknown outcome", err)
 	}
@@ -56,13 +50,7 @@
 	if _, err := g.Write(call); err == nil || errkind.Is(err, errkind.OutcomeUnknown) || s.end > 0 {
 		t.Errorf("write: %v after %d answers", err, s.end)
 	}
-	tx, err := g.Begin(scriptedCall(""))
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := tx.Run(scriptedCall("statement"), true); err != nil {
-		t.Fatal(err)
-	}
+	tx := scriptedTx(t, g, true)
 	if _, err := tx.Commit(scriptedCall("commit")); !errkind.Is(err, errkind.TransactionLost) {
 		t.Errorf("commit: %v", err)
 	}
