--- a/internal/dispatch/confirm.go
+++ b/internal/dispatch/confirm.go
@@ -18,8 +18,6 @@
 	// ordersReadDelay is how long a VM in touch waits for the failure domains before it asks the store:
 	// an urgent update is answered within 100 ms in a single cell, and within 1 s in a larger fleet.
 	ordersReadDelay = 150 * time.Millisecond
-	// ordersReadTimeout bounds one call of the store.
-	ordersReadTimeout = 800 * time.Millisecond
 )
 
 // Contact tells whether what this VM knows reaches the VMs of other failure domains.
@@ -160,9 +158,7 @@
 }
 
 func (g *Group) runOrdersRead(r *ordersRead) {
-	ctx, cancel := context.WithTimeout(context.Background(), ordersReadTimeout)
-	defer cancel()
-	err := g.cfg.RefreshOrders(ctx, g.Name)
+	err := g.cfg.RefreshOrders(context.Background(), g.Name)
 	g.mu.Lock()
 	r.err, g.commits.ordersRead = err, nil
 	g.mu.Unlock()
--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -111,7 +111,8 @@
 	// OutstandingTargets returns the servers of a group whose promotion was ordered and may take
 	// effect from now on, and whether the order was answered. A nil function stands for none.
 	OutstandingTargets func(group string) (targets []string, answered bool)
-	// RefreshOrders reads from the store what OutstandingTargets rests on.
+	// RefreshOrders reads from the store what OutstandingTargets rests on. It limits the time of the
+	// call of the store by itself.
 	RefreshOrders func(ctx context.Context, group string) error
 	// Contact is nil if nobody else has to know of acknowledged commits.
 	Contact Contact
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -59,7 +59,7 @@
 	return slices.Clone(o.targets), o.answered
 }
 
-// RefreshOrders reads the row of the group, for OutstandingTargets.
+// RefreshOrders reads the row of the group, for OutstandingTargets, within storeTimeout.
 func (s *Steward) RefreshOrders(ctx context.Context, group string) error {
 	r, version, _, err := s.readRow(ctx, group)
 	if err != nil {
