--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -104,30 +105,29 @@
 
 // probeUnreachable requests the status of all unreachable servers concurrently.
 func (a *attempt) probeUnreachable(ctx context.Context) {
-	done := make(chan struct{}, len(a.members))
-	n := 0
-	for _, m := range a.members {
-		if m.conn != nil || m.replaced {
-			continue
+	a.forEach(func(m *member) bool { return m.conn == nil && !m.replaced }, func(m *member) {
+		tries := surveyAttempts
+		if m.Missing > 0 || a.isSilentPrimary(m) {
+			tries = 1
 		}
-		n++
-		go func() {
-			defer func() { done <- struct{}{} }()
-			tries := surveyAttempts
-			if m.Missing > 0 || a.isSilentPrimary(m) {
-				tries = 1
+		for range tries {
+			if a.runControl(ctx, m, a.s.cfg.Control.Status) == nil || m.replaced {
+				return
 			}
-			for range tries {
-				if a.runControl(ctx, m, a.s.cfg.Control.Status) == nil || m.replaced {
-					return
-				}
-				time.Sleep(pollInterval)
-			}
-		}()
-	}
-	for range n {
-		<-done
+			time.Sleep(pollInterval)
+		}
+	})
+}
+
+// forEach runs the function for members concurrently and waits for all of them.
+func (a *attempt) forEach(which func(*member) bool, run func(*member)) {
+	var all sync.WaitGroup
+	for _, m := range a.members {
+		if which(m) {
+			all.Go(func() { run(m) })
+		}
 	}
+	all.Wait()
 }
 
 // runControl runs a control statement at a server over a new connection.
@@ -164,7 +164,7 @@
 	// A refused connection counts as an answer.
 	m.addressAnswers = !errkind.Is(err, errkind.Unreachable)
 	if err != nil {
-		m.failedAt = boottime.Now()
+		m.failedAt = a.s.now()
 		return err
 	}
 	m.conn, m.gone, m.paused = conn, false, paused
@@ -392,7 +392,7 @@
 	if m.Missing < GoneTimeout || a.t.IsDomainReachable == nil {
 		return false
 	}
-	for boottime.Since(m.failedAt) < domainObservationTimeout && ctx.Err() == nil && !a.t.IsDomainReachable(m.Server, m.failedAt) {
+	for a.s.now().Sub(m.failedAt) < domainObservationTimeout && ctx.Err() == nil && !a.t.IsDomainReachable(m.Server, m.failedAt) {
 		time.Sleep(pollInterval)
 	}
 	m.gone = a.t.IsDomainReachable(m.Server, m.failedAt) && a.runControl(ctx, m, a.s.cfg.Control.Status) != nil && !m.addressAnswers
--- a/internal/steward/orders.go
+++ b/internal/steward/orders.go
@@ -53,13 +53,13 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o := s.observations[group].orders
-	if boottime.Now() >= o.until {
+	if s.now() >= o.until {
 		return nil, false
 	}
 	return slices.Clone(o.targets), o.answered
 }
 
-// RefreshOrders reads the row of the group, for OutstandingTargets.
+// RefreshOrders reads the row of the group, for OutstandingTargets, within storeTimeout.
 func (s *Steward) RefreshOrders(ctx context.Context, group string) error {
 	r, version, _, err := s.readRow(ctx, group)
 	if err != nil {
--- a/internal/steward/recheck.go
+++ b/internal/steward/recheck.go
@@ -5,7 +5,6 @@
 	"slices"
 	"time"
 
-	"chicoryline/internal/boottime"
 	"chicoryline/internal/errkind"
 )
 
@@ -19,6 +18,13 @@
 // lacks what one of them has received. sent reports whether an order of this attempt may be
 // executed.
 func (a *attempt) recheckTarget(ctx context.Context, target *member, sent bool) (*member, error) {
+	if a.s.cfg.LeaderLease > 0 && !sent {
+		// A server that is not paused may have renewed the leader lease: pausing it now is too late.
+		if err := a.checkStillPaused(ctx); err != nil {
+			return nil, err
+		}
+		return target, a.checkHoldsAcknowledged(target)
+	}
 	ctx, cancel := context.WithTimeout(ctx, recheckTimeout)
 	defer cancel()
 	joined, err := a.addJoinedServers(ctx)
@@ -76,6 +82,17 @@
 
 // addJoinedServers reads the servers again and returns those that are new to the attempt.
 func (a *attempt) addJoinedServers(ctx context.Context) (joined []*member, err error) {
+	servers, err := a.readJoinedServers(ctx)
+	for _, s := range servers {
+		m := &member{Server: s, failedAt: a.s.now()}
+		a.members, joined = append(a.members, m), append(joined, m)
+		a.log.WithField("backend_server", s.ID).Info("server has joined during the change")
+	}
+	return joined, err
+}
+
+// readJoinedServers reads the servers again and returns those that are no members of the attempt.
+func (a *attempt) readJoinedServers(ctx context.Context) (joined []Server, err error) {
 	if a.t.RefreshServers == nil {
 		return nil, nil
 	}
@@ -83,33 +100,14 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, s := range servers {
-		if a.member(s.ID) == nil {
-			m := &member{Server: s, failedAt: boottime.Now()}
-			a.members, joined = append(a.members, m), append(joined, m)
-			a.log.WithField("backend_server", s.ID).Info("server has joined during the change")
-		}
-	}
-	return joined, nil
+	return slices.DeleteFunc(slices.Clone(servers), func(s Server) bool { return a.member(s.ID) != nil }), nil
 }
 
 // poll requests the status of servers concurrently.
 func (a *attempt) poll(which func(*member) bool, status func(*member) error) {
-	done := make(chan struct{}, len(a.members))
-	n := 0
-	for _, m := range a.members {
-		if !which(m) {
-			continue
+	a.forEach(which, func(m *member) {
+		if err := status(m); err != nil {
+			a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
 		}
-		n++
-		go func() {
-			defer func() { done <- struct{}{} }()
-			if err := status(m); err != nil {
-				a.log.WithError(err).WithField("backend_server", m.ID).Warn("server became unreachable")
-			}
-		}()
-	}
-	for range n {
-		<-done
-	}
+	})
 }
