Prove a refusal by answers that cannot be repeats

Callers whose write or commit ran were told that nothing is kept, when a server repeated an earlier refusal together with the answer behind it, in this order: the second passed for the answer to the probe that is sent behind a doubtful refusal. A BEGIN that was refused seemed open if the answers to an earlier one and its probe came again.

An answer without a signature cannot be a repeat if its log position is past that of all answers before on the connection, or if it is the first with its error and state at that position. A refusal is now believed if it or the answer to a probe is such an answer. Otherwise up to four probes are sent, one after the other, and then the outcome is unknown. If another refusal comes behind one that is proved, the proved one is told. Between the answers to BEGIN or STATUS and their probes, one whose position is behind an earlier one's is dropped.

No success needs another message. A second refusal on a connection takes one probe, as before; more only if the log has not moved since a refusal of the same kind.

--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -54,6 +54,12 @@
 	answered, timeLimits, mismatches int64
 	// refused reports that an error was received: another one may be its repeat.
 	refused bool
+	// novelty tells which answers cannot be repeats, novel reports whether the last one cannot.
+	novelty novelty
+	novel   bool
+	// owed reports that a command of the proxy was matched with an answer that may be a repeat, so
+	// that its own may still come. The proof of a later answer ends that.
+	owed bool
 	// begun and asked count the transactions that were to be opened, and the status requests.
 	begun, asked int
 	// doubt is set while an error that may be a repeat is the last answer to the statement that is
@@ -184,6 +190,7 @@
 	switch {
 	case err == nil:
 		c.answered++
+		c.novel = c.novelty.add(r)
 	case statement.IsTimeout(err):
 		c.timeLimits++
 	}
@@ -218,6 +225,7 @@
 	case d.rows != (len(r.Rows) > 0):
 		c.mismatch(WrongRows, d, r, -1)
 	default:
+		c.owed = c.owed || !c.novel
 		return true
 	}
 	return false
@@ -238,6 +246,7 @@
 	}
 	if ago < 0 {
 		c.signatures.add(r.Signature, d.id)
+		c.owed = false
 	}
 	return true
 }
--- a/internal/answers/doubt.go
+++ b/internal/answers/doubt.go
@@ -8,14 +8,21 @@
 // probeName is the name of the statement that probes prepare. No caller's statement has it.
 const probeName = "probe"
 
+// maxProbes bounds the probes whose answers may be repeats until the doubt is given up.
+const maxProbes = 4
+
 // doubt is the state of a statement after an error that may be the repeat of an earlier one. It is
-// settled by the answer of a command that was sent after the statement: the last answer before
-// that one is the statement's.
+// settled by the answer of a command that was sent after the statement, if that answer or the
+// error cannot be a repeat: the last error before it is the statement's.
 type doubt struct {
 	// answer is the last answer that may be the statement's, after the transaction state that
 	// follows from the command that settles the doubt.
 	answer statement.Result
 	after  statement.Status
+	// proved reports that the answer cannot be a repeat. unproved counts the answers of probes that
+	// may be.
+	proved   bool
+	unproved int
 	// probed and ended report that a probe was sent that prepares a statement, or ends the
 	// transaction.
 	probed, ended bool
@@ -33,22 +40,32 @@
 			c.mismatch(WrongState, d, r, -1)
 			return false
 		}
+		c.owed = c.owed || !c.novel
 		return true
 	}
 	if first {
+		c.owed = false
 		return true
 	}
 	if c.doubt == nil {
-		c.doubt = &doubt{}
+		c.doubt = &doubt{answer: r}
 	} else if !c.doubt.probed || c.doubt.ended || r.Status != statement.Failed {
 		// Otherwise it may be that of the probe in a failed transaction.
 		c.mismatch(Refusal, d, r, -1)
 	}
-	c.doubt.answer = r
+	c.owed = c.owed && !c.novel
+	if p := c.doubt; c.novel || !p.proved && !(isPromise(r) && !isPromise(p.answer)) {
+		p.answer, p.proved = r, p.proved || c.novel
+	}
 	c.probe()
 	return false
 }
 
+// isPromise reports whether the error tells the caller that its statement did not run.
+func isPromise(r statement.Result) bool {
+	return errkind.KindOf(r.Err).Answer().Class == errkind.NotRun
+}
+
 // probe sends a command whose answer settles the doubt, unless one was sent behind the statement.
 // It occupies no slot of the server. A failed transaction accepts only its end.
 func (c *Conn) probe() {
@@ -103,10 +120,27 @@
 	case r.Status != state || len(r.Rows) > 0:
 		c.mismatch(Unsigned, d, r, -1)
 		return
+	case !p.proved && (!c.novel || c.owed):
+		c.probeAgain(d, r)
+		return
 	case behind:
 		c.due[1].early = &r
 	}
 	p.settled, p.after = true, r.Status
+	c.owed = !c.novel || c.mismatches > 0
+}
+
+// probeAgain sends another probe after an answer that proves nothing: it may be a repeat, as the
+// error may. The log may have moved on by the answer to the next.
+func (c *Conn) probeAgain(d due, r statement.Result) {
+	c.mismatch(Unproved, d, r, -1)
+	if c.doubt.unproved++; c.doubt.unproved >= maxProbes {
+		c.failed = errkind.New(errkind.OutcomeUnknown, "error that may be a repeat")
+		return
+	}
+	if err := c.raw.Send(c.probeCommand()); err != nil {
+		c.failed = errkind.New(errkind.OutcomeUnknown, "%v", err)
+	}
 }
 
 // dispelDoubt ends the doubt with the signed answer of the statement, and reports whether it may be
@@ -116,7 +150,7 @@
 	if p == nil {
 		return true
 	}
-	c.doubt = nil
+	c.doubt, c.owed = nil, true
 	c.mismatch(Refusal, c.due[0], p.answer, -1)
 	if p.ended && r.Status != statement.Idle {
 		c.failed = errkind.New(errkind.TransactionLost, "rolled back after a repeated error")
--- a/internal/answers/proof.go
+++ b/internal/answers/proof.go
@@ -2,6 +2,7 @@
 
 import (
 	"chicoryline/internal/errkind"
+	"chicoryline/internal/position"
 	"chicoryline/internal/statement"
 )
 
@@ -15,6 +16,8 @@
 type proof struct {
 	// before is the number of probes in front of the command.
 	before int
+	// floor is the highest position of the answers. The true ones do not fall behind it.
+	floor position.Position
 	// received counts all answers, misfits those that fit nowhere.
 	received, misfits int
 	// opened, lost and refused count the answers that fit a success, a success whose transaction
@@ -51,6 +54,13 @@
 func (c *Conn) prove(d due, r statement.Result) {
 	p := d.proof
 	p.received++
+	switch behind := r.Position.Compare(p.floor) < 0; {
+	case !behind:
+		p.floor = r.Position
+	case !r.Position.IsZero():
+		c.misfit(d, r)
+		return
+	}
 	fits := p.fit(&p.opened, r, p.isSuccess(d, r), p.isProbe(r, d.state))
 	fits = p.fit(&p.refused, r, r.Err != nil && r.Status == statement.Idle, p.isProbe(r, 0)) || fits
 	if d.state == statement.InTx {
@@ -63,10 +73,7 @@
 		p.refusal = r
 	}
 	if !fits {
-		p.misfits++
-		c.mismatch(describeReason(d, r), d, r, -1)
-		if d.rows {
-			c.failed = errkind.New(errkind.ProtocolViolation, "status among answers of other commands")
+		if c.misfit(d, r); c.failed != nil {
 			return
 		}
 	}
@@ -78,11 +85,21 @@
 	default:
 		return
 	}
+	c.owed = true
 	if p.received > probes+1 && p.misfits == 0 {
 		c.mismatch(describeReason(d, r), d, r, -1)
 	}
 }
 
+// misfit records an answer that fits nowhere.
+func (c *Conn) misfit(d due, r statement.Result) {
+	d.proof.misfits++
+	c.mismatch(describeReason(d, r), d, r, -1)
+	if d.rows {
+		c.failed = errkind.New(errkind.ProtocolViolation, "status among answers of other commands")
+	}
+}
+
 // fit counts the answer if it is the next one of a sequence: probes before the command, the
 // command, and probes after it.
 func (p *proof) fit(count *int, r statement.Result, command, after bool) bool {
--- a/internal/answers/proof_test.go
+++ b/internal/answers/proof_test.go
@@ -165,3 +165,14 @@
 		})
 	}
 }
+
+// Guards against a transaction that seems open because the answers to a BEGIN and to its probe came
+// again while the present one is refused.
+func TestTwoRepeatsDoNotHideThatBeginIsRefused(t *testing.T) {
+	conn, raw := proofConn(t, begin, "T1 I1", "I1 T1 T1 T1 I1")
+	raw.answers = letters("I2 I2 T1 T1 L2 I2")
+	_ = conn.Send(begin)
+	if got := outcome(conn.Receive(time.Second)); got != "not_eligible" || !conn.Repeated() {
+		t.Errorf("%s, repeats noticed: %v", got, conn.Repeated())
+	}
+}
--- a/internal/answers/report.go
+++ b/internal/answers/report.go
@@ -18,6 +18,8 @@
 	Unsigned Reason = "unsigned"
 	// Refusal is an error where a statement's answer is due that is followed by another answer.
 	Refusal Reason = "refusal"
+	// Unproved is a success that follows an error where each may be a repeat.
+	Unproved Reason = "unproved"
 	// UnknownSignature is a success with a new signature where a command's is due.
 	UnknownSignature Reason = "unknown_signature"
 	// WrongState is a success whose transaction state does not follow from the command.
