PostgreSQL side: number requests, so that a repeated answer misleads no caller

A caller got the answer to another caller's statement, and so did each later one on the connection, when an instance sent an answer a second time: answers were matched with requests by their order alone.

Each request to an instance now begins with a marker, a prepared ROLLBACK that is never executed and whose parameter types are the request's number. Its description echoes them, in front of the request's own answer and within the same ReadyForQuery. Answers that begin otherwise are dropped. A second request for the password at login is ignored.

TestConnectionWithUnreadAnswerIsNotReused began by showing that naive reuse of a connection with an unread answer returns the wrong answer. It no longer does.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
@@ -51,6 +52,9 @@
 	position  position.Position
 	broken    bool
 	lastUse   time.Time
+	// requests counts the requests sent, dropped the answers that were repeats.
+	requests, dropped uint64
+	log               *logrus.Entry
 	// idleTimeout is the server's idle_in_transaction_session_timeout.
 	idleTimeout time.Duration
 }
@@ -73,6 +77,7 @@
 		_ = socket.SetDeadline(deadline)
 	}
 	c := &conn{net: socket, reader: bufio.NewReaderSize(socket, readBufferBytes), prepared: map[string]bool{}, idleTimeout: cfg.IdleTransactionTimeout}
+	c.log = cfg.Log.WithFields(logrus.Fields{"group": cfg.Group.Name, "backend_server": cfg.Instance.ID})
 	if err := c.login(cfg.Credentials); err != nil {
 		_ = socket.Close()
 		return nil, err
@@ -96,11 +101,18 @@
 	if err := front.Flush(); err != nil {
 		return errkind.New(errkind.Unreachable, "startup: %v", err)
 	}
+	asked := false
 	for {
 		message, err := front.Receive()
 		if err != nil {
 			return errkind.New(errkind.Unreachable, "startup: %v", err)
 		}
+		if _, ok := message.(*pgproto3.AuthenticationCleartextPassword); ok {
+			if asked {
+				continue // a repeat
+			}
+			asked = true
+		}
 		done, err := c.handleLoginMessage(front, message, cred)
 		if done || err != nil {
 			return err
@@ -138,11 +150,10 @@
 // and drops all other ParameterStatus messages and notifications.
 func (c *conn) read() (frame, error) {
 	for {
-		f, err := readFrame(c.reader, c.buf)
+		f, err := c.readAny()
 		if err != nil {
 			return nil, err
 		}
-		c.buf = f
 		switch f.kind() {
 		case 'S':
 			c.recordParameter(f.body())
@@ -153,6 +164,15 @@
 	}
 }
 
+// readAny returns the next message.
+func (c *conn) readAny() (frame, error) {
+	f, err := readFrame(c.reader, c.buf)
+	if err == nil {
+		c.buf = f
+	}
+	return f, err
+}
+
 func (c *conn) recordParameter(body []byte) {
 	name := cString(body)
 	if name != positionParameter {
@@ -167,11 +187,18 @@
 func (c *conn) query(sql string, timeout time.Duration) ([]string, error) {
 	_ = c.net.SetDeadline(time.Now().Add(timeout))
 	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
-	data, err := (&pgproto3.Query{String: sql}).Encode(nil)
+	data, err := c.appendMarker(nil)
 	if err != nil {
 		return nil, err
 	}
-	if _, err := c.net.Write(data); err != nil {
+	if data, err = (&pgproto3.Query{String: sql}).Encode(data); err != nil {
+		return nil, err
+	}
+	_, err = c.net.Write(data)
+	if err == nil {
+		err = c.awaitAnswer()
+	}
+	if err != nil {
 		c.broken = true
 		return nil, errkind.New(errkind.Unreachable, "%v", err)
 	}
--- a/internal/pool/exchange.go
+++ b/internal/pool/exchange.go
@@ -25,6 +25,8 @@
 	acks []ack
 	// sent is true if any byte may have reached the server.
 	sent bool
+	// marked is true after the marker was read.
+	marked bool
 	// done is true after ReadyForQuery was read.
 	done bool
 	// readOnlyRefused is true if the server returned SQLSTATE 25006 and no rows.
@@ -49,7 +51,7 @@
 	return nil
 }
 
-// rewrite prepends a Parse for each prepared statement that the connection lacks.
+// rewrite prepends a marker, and a Parse for each prepared statement that the connection lacks.
 // It replaces the Parse of a statement that the connection already has with a Close
 // of a nonexistent statement; its CloseComplete is then forwarded as ParseComplete.
 func (e *exchange) rewrite(args *ExecuteArgs) ([]byte, error) {
@@ -57,7 +59,10 @@
 	if err != nil {
 		return nil, err
 	}
-	out := make([]byte, 0, len(args.Messages)+64)
+	out, err := e.conn.appendMarker(make([]byte, 0, len(args.Messages)+256))
+	if err != nil {
+		return nil, err
+	}
 	pending := map[string]bool{}
 	for _, s := range args.Statements {
 		if e.conn.prepared[s.Name] || pending[s.Name] {
@@ -101,6 +106,13 @@
 // receive appends messages to answer until ReadyForQuery or maxPartBytes.
 func (e *exchange) receive(answer []byte) ([]byte, error) {
 	_ = e.conn.net.SetReadDeadline(e.deadline)
+	if !e.marked {
+		if err := e.conn.awaitAnswer(); err != nil {
+			e.conn.close()
+			return answer, errkind.New(errkind.OutcomeUnknown, "receive: %v", err)
+		}
+		e.marked = true
+	}
 	for len(answer) < maxPartBytes {
 		f, err := e.conn.read()
 		if err != nil {
--- a/internal/pool/frames.go
+++ b/internal/pool/frames.go
@@ -20,6 +20,9 @@
 func (f frame) kind() byte   { return f[0] }
 func (f frame) body() []byte { return f[frameHeader:] }
 
+// isAsynchronous reports whether a server may send the message at any time.
+func (f frame) isAsynchronous() bool { return f.kind() == 'S' || f.kind() == 'A' || f.kind() == 'N' }
+
 // readFrame reads one message into buf, which it reallocates if it is too small.
 func readFrame(r *bufio.Reader, buf []byte) (frame, error) {
 	var head [frameHeader]byte
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -137,7 +137,7 @@
 }
 
 // TestConnectionWithUnreadAnswerIsNotReused first shows that reusing a connection with
-// an unread answer returns that answer to the next request, and then that the pool
+// an unread answer returns the next request its own answer, and then that the pool
 // doesn't reuse such a connection.
 func TestConnectionWithUnreadAnswerIsNotReused(t *testing.T) {
 	f := newFixture(t, 1)
@@ -164,8 +164,8 @@
 		return string(got)
 	}
 	naive := connWithUnreadAnswer()
-	if got := nextAnswer(naive); strings.Contains(got, "second") {
-		t.Fatalf("naive reuse returned the right answer: %q", got)
+	if got := nextAnswer(naive); strings.Contains(got, "first") || !strings.Contains(got, "second") || naive.dropped != 1 {
+		t.Fatalf("naive reuse returned %q, %d answers dropped", got, naive.dropped)
 	}
 	naive.close()
 	f.owner.decrementOpen()
@@ -178,6 +178,9 @@
 	if reply := f.mustExecute(f.query("SELECT 'second'")); !strings.Contains(string(reply.Answer), "second") {
 		t.Fatalf("answer %q", reply.Answer)
 	}
+	if !c.broken {
+		t.Error("the connection with an unread answer was reused")
+	}
 }
 
 // TestClosedConnectionIsNotReused closes the read side of an idle connection, as if the
--- a/internal/standin/repeatconn/repeatconn.go
+++ b/internal/standin/repeatconn/repeatconn.go
@@ -11,6 +11,9 @@
 
 // Fault opens connections on which answers are repeated.
 type Fault struct {
+	// Pick, if not nil, selects the answers that come again in front of the next one, as indexes
+	// below n, the number of answers on the connection so far. It must be safe for concurrent use.
+	Pick func(n int) []int
 	// armed reports that the next answer is repeated.
 	armed atomic.Bool
 }
@@ -34,6 +37,8 @@
 
 	mu              sync.Mutex
 	answer, pending []byte
+	// answers are those of the connection, if the fault picks among them.
+	answers [][]byte
 }
 
 // Write implements net.Conn.
@@ -42,6 +47,12 @@
 	if len(c.answer) > 0 && c.fault.armed.CompareAndSwap(true, false) {
 		c.pending = append(c.pending, c.answer...)
 	}
+	if c.fault.Pick != nil && len(c.answer) > 0 {
+		c.answers = append(c.answers, c.answer)
+		for _, i := range c.fault.Pick(len(c.answers)) {
+			c.pending = append(c.pending, c.answers[i]...)
+		}
+	}
 	c.answer = nil
 	c.mu.Unlock()
 	return c.Conn.Write(b)
