Access: an unknown key is not that of a customer without a name

What callers saw: with one customer entry without a name in the configuration, every key that no customer holds, an empty one included, was admitted to every route, without a limit on the rate; backend servers were told the name "-".

Cause: Authorize looked a key up in the map of keys and the result in the map of customers. The first look-up returns an empty name for an unknown key, which was then found as the nameless customer.

Evidence: TestUnknownKeyIsNotThatOfANamelessCustomer admitted all three of its keys before this change.

An empty name stands for no customer everywhere behind Authorize (rate, startup message), so it is never looked up among the customers.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -190,13 +190,24 @@
 	if !ok {
 		return Route{}, Customer{}, errkind.New(errkind.UnknownRoute, "version %d", c.Version)
 	}
-	customer, ok := c.Customers[c.Keys[key]]
+	customer, ok := c.customerOf(key)
 	if !ok && !route.Public {
 		return route, Customer{}, errkind.New(errkind.Unauthorized, "version %d", c.Version)
 	}
 	return route, customer, nil
 }
 
+// customerOf returns the customer that holds the key. A customer without a name holds none: an
+// empty name stands for no customer.
+func (c *Config) customerOf(key string) (Customer, bool) {
+	name := c.Keys[key]
+	if name == "" {
+		return Customer{}, false
+	}
+	customer, ok := c.Customers[name]
+	return customer, ok
+}
+
 // Recheck returns an error if the key no longer belongs to the customer, or if that cannot be
 // known. customer is empty for a caller that was admitted without a customer's key.
 func (v *View) Recheck(key, customer string) error {
--- a/internal/access/access_test.go
+++ b/internal/access/access_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// Guards against unknown keys that are taken for those of a customer without a name.
+func TestUnknownKeyIsNotThatOfANamelessCustomer(t *testing.T) {
+	v := NewView(time.Minute)
+	c := config(1, map[string]string{"k": "a", "nameless": ""})
+	c.Customers[""] = Customer{}
+	v.Apply(c)
+	v.ConfirmNewest(1, boottime.Now())
+	for _, key := range []string{"unknown", "", "nameless"} {
+		if _, _, err := v.Authorize("db", key); !errkind.Is(err, errkind.Unauthorized) {
+			t.Errorf("key %q: %v", key, err)
+		}
+	}
+}
+
 func TestLeaseExpires(t *testing.T) {
 	v := NewView(time.Second)
 	v.Apply(config(1, map[string]string{"k": "a"}))
