Configuration: entries whose names cannot be sent are left out

What callers and operators saw: a customer "x\r\nQUERY 9 WRITE k v" in the configuration made the startup message to a backend server end within the name, and the rest was a statement of its own that the server ran; "two words" gave a startup message of one field too many; "-" told the server that there is no customer. chicoryline config check found nothing wrong, nor in keys and databases with control characters, which no caller can send.

Cause: decodeConfig checked none of its names, while those of discovery entries are checked.

The entry that has the name is left out, so that one bad entry does not keep a version from coming into force for all. The keys of such a customer and the routes to such a group are left out as well, also where an earlier entry of the same version held the key or the database: nobody gets a foreign identity or an older route. Allowed regions stay as written, as an empty list would allow all. One log line for each version names the entries, and config check reports each as an error.

--- a/internal/access/access.go
+++ b/internal/access/access.go
@@ -81,6 +81,8 @@
 	Groups    map[string]Group
 	// TxIdle is how long a transaction may be idle between statements; 0 means no limit.
 	TxIdle time.Duration
+	// LeftOut describes the entries that are not in force because of their names.
+	LeftOut []string
 }
 
 // View holds the configuration in force. The mutex serializes changes; readers use atomic
--- a/internal/configcheck/configcheck.go
+++ b/internal/configcheck/configcheck.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"chicoryline/internal/access"
@@ -70,6 +69,9 @@
 	ReservedConnections int
 	// DefaultTimeout is the time limit of a statement whose route sets none.
 	DefaultTimeout time.Duration
+	// IsName reports whether a customer or database group of that name can be in force, IsToken
+	// whether a caller can send the name of a database or a key.
+	IsName, IsToken func(string) bool
 }
 
 // checker collects findings.
@@ -90,7 +92,7 @@
 	}
 	c.checkGroups(d, l)
 	c.checkRoutes(d, l)
-	c.checkCustomers(d)
+	c.checkCustomers(d, l)
 	c.checkRegions(d)
 	return c.findings
 }
@@ -104,8 +106,8 @@
 	for _, g := range d.Groups {
 		object := "service " + g.Name
 		switch {
-		case g.Name == "":
-			c.add(Error, Invalid, "service", "a service has no name")
+		case !l.IsName(g.Name):
+			c.add(Error, Invalid, object, "name %.60q cannot be sent to a backend server: the entry and its routes are left out", g.Name)
 		case seen[g.Name]:
 			c.add(Error, NeverMatches, object, "is listed twice; the last entry is used")
 		case !used[g.Name]:
@@ -136,7 +138,7 @@
 			c.add(Error, NeverMatches, object, "database %q is that of route %s as well; the last route is used", r.Database, other)
 		}
 		byDatabase[r.Database] = r.Name
-		if r.Database == "" || strings.ContainsAny(r.Database, " \t\r\n") {
+		if !l.IsToken(r.Database) {
 			c.add(Error, NeverMatches, object, "no caller can name the database %q", r.Database)
 		}
 		if !groups[r.Group] {
@@ -164,12 +166,12 @@
 	}
 }
 
-func (c *checker) checkCustomers(d Document) {
+func (c *checker) checkCustomers(d Document, l Limits) {
 	seen, holder := map[string]bool{}, map[string]string{}
 	for _, customer := range d.Customers {
 		object := "tenant " + customer.Name
-		if customer.Name == "" {
-			c.add(Error, Invalid, "tenant", "a tenant has no name")
+		if !l.IsName(customer.Name) {
+			c.add(Error, Invalid, object, "name %.60q cannot be sent to a backend server: the entry and its keys are left out", customer.Name)
 		} else if seen[customer.Name] {
 			c.add(Error, NeverMatches, object, "is listed twice; the rate of the last entry and the keys of all are used")
 		}
@@ -180,7 +182,7 @@
 		for i, key := range customer.Keys {
 			other, ok := holder[key]
 			switch {
-			case key == "" || strings.ContainsAny(key, " \t\r\n"):
+			case !l.IsToken(key):
 				c.add(Error, NeverMatches, object, "key %d cannot be sent by a caller", i+1)
 			case ok && other == customer.Name:
 				c.add(Warning, NeverMatches, object, "key %d is listed twice", i+1)
--- a/internal/entry/follow.go
+++ b/internal/entry/follow.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"strings"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,6 +18,9 @@
 	"chicoryline/internal/tcp"
 )
 
+// maxLeftOutShown bounds the entries that the line about those left out names.
+const maxLeftOutShown = 10
+
 // followConfig applies new configurations and keeps the present one validated.
 func (e *Process) followConfig(ctx context.Context) {
 	// Evacuations are applied before the configuration and before its proof: a VM that holds a
@@ -38,6 +42,10 @@
 			entry := e.log.WithFields(logrus.Fields{"event": "config", "version": c.Version, "store_version": r.Version, "routes": len(c.Routes), "customers": len(c.Customers)})
 			if e.view.Apply(c) {
 				entry.Info("in force")
+				if len(c.LeftOut) > 0 {
+					shown := strings.Join(c.LeftOut[:min(len(c.LeftOut), maxLeftOutShown)], "; ")
+					entry.WithFields(logrus.Fields{"left_out": len(c.LeftOut), "entries": shown}).Error("entries with invalid names left out")
+				}
 			} else if inForce != nil && c.Version < inForce.Version {
 				entry.WithField("in_force", inForce.Version).Warn("older version read from the store")
 			}
--- a/internal/eventlog/events.go
+++ b/internal/eventlog/events.go
@@ -19,7 +19,7 @@
 	{"stop", "id", "a planned stop began, or the process ended; the answer to a request came after its connection had been interrupted at the end of the stop, or could not be sent then"},
 	{"reload", "changed", "the settings file was read again after SIGHUP; changed tells whether it differs from the running settings"},
 	{"ready", "ready, config_age_ms", "the result of the readiness check changed"},
-	{"config", "version, store_version, in_force, routes, customers", "a configuration came into force, or could not be decoded; or the store holds an older one than the one in force"},
+	{"config", "version, store_version, in_force, routes, customers, left_out, entries", "a configuration came into force, without left_out entries whose names are invalid, of which some are shown, or could not be decoded; or the store holds an older one than the one in force"},
 	{"store_watch", "table, store_version, cause, address", "the watch of a table failed or recovered, or the VM at the address did not relay the changes of the table, so that they were read from the store; a table that is older than the known one is a failure"},
 	{"store_access", "cause", "the VM gets no answers from the store, spaces its calls and leaves the reading to another VM, or gets answers again"},
 	{"store_era", "era, previous, previous_ms", "the store answered for the first time, or for the first time after it was restored from a backup; previous_ms: how long ago the previous era was first observed"},
