Prepared statements: names that callers cannot make collide

What callers could see: an EXECUTE that runs another shape than the one that its session prepared, a writing one with other data or a reading one with other rows. Whoever chooses two shapes with one XXH64 (64 bytes each, found by one multiplication) prepares both on a connection of the customer: each is sent once, the second takes the place of the first at the backend server, and both count as prepared there.

Cause: the name at backend servers was the XXH64 of the shape, while the connection kept its record of prepared statements by name and shape.

TestIdleConnectionsForgetLargeState tested the length of the former record's key and that it depends on the shape; it tests the same of the name that replaces it.

--- a/internal/connset/align.go
+++ b/internal/connset/align.go
@@ -6,8 +6,6 @@
 	"maps"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/statement"
 )
@@ -28,26 +26,18 @@
 	Name     string
 }
 
+// nameBytes is the length of the digest in the name of a prepared statement: callers choose shapes,
+// and two with the same name must not be found.
+const nameBytes = 16
+
 // NewPrepared returns the prepared statement with the given shape.
 func NewPrepared(shape string, readOnly bool) *Prepared {
 	kind := "w"
 	if readOnly {
 		kind = "r"
 	}
-	h := xxhash.Sum64String(shape)
-	sum := []byte{byte(h >> 56), byte(h >> 48), byte(h >> 40), byte(h >> 32), byte(h >> 24), byte(h >> 16), byte(h >> 8), byte(h)}
-	return &Prepared{Shape: shape, ReadOnly: readOnly, Name: kind + hex.EncodeToString(sum)}
-}
-
-// key identifies a prepared statement on a connection. It includes the shape, so that two
-// statements whose names collide are each prepared. A long shape is replaced by its digest, as a
-// connection keeps up to maxPrepared keys.
-func (p *Prepared) key() string {
-	if len(p.Shape) <= sha256.Size {
-		return p.Name + " " + p.Shape
-	}
-	digest := sha256.Sum256([]byte(p.Shape))
-	return p.Name + " " + string(digest[:]) + "/"
+	digest := sha256.Sum256([]byte(shape))
+	return &Prepared{Shape: shape, ReadOnly: readOnly, Name: kind + hex.EncodeToString(digest[:nameBytes])}
 }
 
 // SessionState is what the session at the server must hold for a statement.
@@ -72,7 +62,7 @@
 		}
 	}
 	if p := n.Prepared; p != nil {
-		if _, ok := c.prepared[p.key()]; !ok {
+		if _, ok := c.prepared[p.Name]; !ok {
 			commands = append(commands, statement.Command{Text: texts.Prepare(p.Name, p.Shape, p.ReadOnly)})
 		}
 	}
@@ -136,7 +126,7 @@
 	}
 	maps.Copy(c.values, n.Values)
 	if p := n.Prepared; p != nil {
-		c.prepared[p.key()] = struct{}{}
+		c.prepared[p.Name] = struct{}{}
 	}
 	if begin == nil {
 		return statement.Result{}, nil
--- a/internal/connset/connset_test.go
+++ b/internal/connset/connset_test.go
@@ -476,8 +476,8 @@
 func TestIdleConnectionsForgetLargeState(t *testing.T) {
 	large := strings.Repeat("x", 1<<20)
 	p := NewPrepared(large, true)
-	if n := len(p.key()); n > 100 || p.key() == (&Prepared{Shape: large + "y", Name: p.Name}).key() {
-		t.Errorf("key of %d bytes", n)
+	if n := len(p.Name); n > 100 || p.Name == NewPrepared(large+"y", true).Name {
+		t.Errorf("name of %d bytes", n)
 	}
 	s := New(&fakeDialer{}, "", "", "", 1)
 	c := acquire(t, s, patientRequest)
