Session: statements that do not fit into a message to a backend server are refused

What callers and operators saw: a message of a caller just under 1 MiB is longer on its way to a backend server, where a read gets the position that it waits for and a prepared statement another name. A server that refuses it or closes the connection counted as failing for all callers, each further server as well, and a write by EXECUTE ended with an unknown outcome and an unanswered commit. A PARSE of that length was answered with success, and every EXECUTE after it failed that way in the set-up.

Cause: only the message of the caller was checked against the limit.

Evidence: TestStatementsThatGrowTooLongAreNotSent sent three of its statements and acknowledged the fourth, the PARSE, before this change. Read off code, not run: what a server's refusal leads to (noteFailure, handleMissingAnswer).

The session checks what it passes on longer than it came, before the statement takes a place anywhere, and refuses it with message_too_large, which says that it did not run. Writes, commits and reads within a transaction go out as long as they came.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -29,6 +29,7 @@
 	"chicoryline/internal/peer"
 	"chicoryline/internal/ratelimit"
 	"chicoryline/internal/session"
+	"chicoryline/internal/statement"
 	"chicoryline/internal/steward"
 	"chicoryline/internal/tcp"
 	"chicoryline/internal/timeline"
@@ -143,6 +144,8 @@
 	Eras   *coord.Eras
 	Dialer connset.Dialer
 	Texts  connset.Texts
+	// Fits reports whether a command fits into one message to a backend server.
+	Fits func(statement.Command) bool
 	// Control and Promoter execute primary changes.
 	Control  steward.Control
 	Promoter steward.Promoter
@@ -270,7 +273,7 @@
 	owners.FindIn, owners.Evacuations = e.ownerIn, e.evacuationVersion
 	e.core = &session.Core{Access: e.view, WaitForConfigUntil: e.started.Add(firstConfigTimeout), Limiter: e.rates, Owners: owners, Regions: s.Regions, Router: e.router, Observer: e.observer, Texts: p.Texts, Log: log}
 	p.Callers.LogTo(log)
-	e.core.MaxStateBytes = s.Callers.maxStateBytes()
+	e.core.Fits, e.core.MaxStateBytes = p.Fits, s.Callers.maxStateBytes()
 	e.steward = steward.New(steward.Config{VM: s.VM, Store: e.access.Unpaced(), Dialer: p.Dialer, Control: p.Control, Promoter: p.Promoter, LeaderLease: s.leadershipProofLifetime(), Eras: p.Eras, Log: log})
 	e.view.OnChange(e.configure)
 	p.Eras.LogTo(log)
--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -70,6 +71,9 @@
 	Observer           Observer
 	Texts              connset.Texts
 	Log                *logrus.Entry
+	// Fits reports whether a command fits into one message to a backend server; nil means that every
+	// command does.
+	Fits func(statement.Command) bool
 	// Regions maps failure domains to regions.
 	Regions map[string]string
 	// MaxStateBytes bounds the values and prepared statements of a session; 0 means no limit.
@@ -226,13 +230,17 @@
 		if len(s.prepared) >= maxNames && s.prepared[st.Name] == nil {
 			return s.reject(errkind.New(errkind.MessageTooLarge, "more than %d prepared statements", maxNames))
 		}
+		p := connset.NewPrepared(st.Value, st.ReadOnly)
+		if err := s.checkPrepared(p); err != nil {
+			return s.reject(err)
+		}
 		if err := s.resizeState(preparedSize(s.prepared, st.Name), int64(len(st.Name)+len(st.Value))); err != nil {
 			return s.reject(err)
 		}
 		if s.prepared == nil {
 			s.prepared = map[string]*connset.Prepared{}
 		}
-		s.prepared[st.Name] = connset.NewPrepared(st.Value, st.ReadOnly)
+		s.prepared[st.Name] = p
 	case statement.Deallocate:
 		if err := s.resizeState(preparedSize(s.prepared, st.Name), 0); err != nil {
 			return s.reject(err)
@@ -329,9 +337,33 @@
 		call.Command.Text = s.core.Texts.Execute(p.Name, st.Args)
 		write = !p.ReadOnly
 	}
+	if read := s.tx == nil && !write; read || st.Op == statement.Execute {
+		return call, write, s.checkSize(call.Command, read)
+	}
 	return call, write, nil
 }
 
+// checkSize returns an error if a command that is longer than what the caller sent does not fit into
+// a message to a backend server, with any position before it if waits is set. A server that refuses
+// such a message, or closes the connection, would count as failing.
+func (s *Session) checkSize(c statement.Command, waits bool) error {
+	if waits {
+		c.After = position.Position{Term: math.MaxUint64, Offset: math.MaxUint64}
+	}
+	if s.core.Fits == nil || s.core.Fits(c) {
+		return nil
+	}
+	return errkind.New(errkind.MessageTooLarge, "statement does not fit into a message to a backend server")
+}
+
+// checkPrepared returns an error if the prepared statement cannot be set up at a backend server.
+func (s *Session) checkPrepared(p *connset.Prepared) error {
+	if s.core.Fits == nil {
+		return nil
+	}
+	return s.checkSize(statement.Command{Text: s.core.Texts.Prepare(p.Name, p.Shape, p.ReadOnly)}, false)
+}
+
 // runSingle runs a statement outside a transaction.
 func (s *Session) runSingle(st statement.Statement, arrived boottime.Time) statement.Result {
 	route, customer, err := s.core.Access.Authorize(s.database, s.key)
--- a/internal/session/session_test.go
+++ b/internal/session/session_test.go
@@ -44,6 +44,9 @@
 func (s *server) Begin(bool) string { return "begin" }
 func (s *server) Rollback() string  { return "rollback" }
 
+func (s *server) Execute(name, args string) string          { return name + args }
+func (s *server) Prepare(name, shape string, _ bool) string { return name + shape }
+
 // unlimited admits every operation and ignores the results.
 type unlimited struct{}
 
--- a/internal/session/state_test.go
+++ b/internal/session/state_test.go
@@ -55,3 +55,45 @@
 		t.Errorf("%d bytes are used after the end of the session", m.used)
 	}
 }
+
+// Guards against statements that fit into a message of their caller and not into that to a backend
+// server, where a new name or a position makes them longer.
+func TestStatementsThatGrowTooLongAreNotSent(t *testing.T) {
+	const most = 100
+	for _, c := range []struct {
+		what  string
+		inTx  bool
+		st    statement.Statement
+		sizes [2]int // that fits, and that does not
+	}{
+		{"read", false, statement.Statement{Op: statement.Read}, [2]int{most - 40, most}},
+		{"read in a transaction", true, statement.Statement{Op: statement.Read}, [2]int{most, 0}},
+		{"write", false, statement.Statement{Op: statement.Write}, [2]int{most, 0}},
+		{"execute", false, statement.Statement{Op: statement.Execute, Name: "w"}, [2]int{most - 33, most - 32}},
+		{"execute in a transaction", true, statement.Statement{Op: statement.Execute, Name: "r"}, [2]int{most - 33, most - 32}},
+		{"prepare", false, statement.Statement{Op: statement.Prepare}, [2]int{most - 33, most - 32}},
+	} {
+		for i, size := range c.sizes {
+			s, _, server := newSession(t)
+			s.core.Fits = func(c statement.Command) bool {
+				size := len(c.Text)
+				if !c.After.IsZero() {
+					size += len("18446744073709551615") * 2
+				}
+				return size <= most
+			}
+			s.Handle(statement.Statement{Op: statement.Prepare, Name: "w", Value: "shape"})
+			s.Handle(statement.Statement{Op: statement.Prepare, Name: "r", Value: "shape", ReadOnly: true})
+			if c.inTx {
+				s.Handle(statement.Statement{ID: "0", Op: statement.Begin})
+			}
+			st := c.st
+			text := strings.Repeat("x", size)
+			st.ID, st.Text, st.Value, st.Args = "1", text, text, text
+			r := s.Handle(st)
+			if i == 1 && size > 0 && (!errkind.Is(r.Err, errkind.MessageTooLarge) || len(server.ids) > 0) || i == 0 && errkind.Is(r.Err, errkind.MessageTooLarge) {
+				t.Errorf("%s of %d bytes: %v, sent %v", c.what, size, r.Err, server.ids)
+			}
+		}
+	}
+}
