Session: an empty value counts as a value at the limit of 200

What callers saw: with 200 session values, SET of one that was empty failed with "more than 200 session values", although it is no new one.

Cause: an empty value was taken for an absent one.

Evidence: TestEmptyValueCanBeChangedAtTheLimit failed before this change.

The check asks whether the name is there.

--- a/internal/session/session.go
+++ b/internal/session/session.go
@@ -216,7 +216,7 @@
 	}
 	switch st.Op {
 	case statement.Set:
-		if len(s.values) >= maxNames && s.values[st.Name] == "" {
+		if _, ok := s.values[st.Name]; !ok && len(s.values) >= maxNames {
 			return s.reject(errkind.New(errkind.MessageTooLarge, "more than %d session values", maxNames))
 		}
 		if err := s.resizeState(valueSize(s.values, st.Name), int64(len(st.Name)+len(st.Value))); err != nil {
--- a/internal/session/state_test.go
+++ b/internal/session/state_test.go
@@ -1,6 +1,7 @@
 package session
 
 import (
+	"strconv"
 	"strings"
 	"testing"
 
@@ -97,3 +98,19 @@
 		}
 	}
 }
+
+// Guards against an empty session value that counts as absent.
+func TestEmptyValueCanBeChangedAtTheLimit(t *testing.T) {
+	s := &Session{core: &Core{}}
+	for i := range maxNames {
+		if r := s.Handle(statement.Statement{Op: statement.Set, Name: strconv.Itoa(i)}); r.Err != nil {
+			t.Fatal(r.Err)
+		}
+	}
+	if r := s.Handle(statement.Statement{Op: statement.Set, Name: "0", Value: "x"}); r.Err != nil || s.values["0"] != "x" {
+		t.Errorf("%v, value %q", r.Err, s.values["0"])
+	}
+	if r := s.Handle(statement.Statement{Op: statement.Set, Name: "new"}); !errkind.Is(r.Err, errkind.MessageTooLarge) {
+		t.Errorf("one value too many: %v", r.Err)
+	}
+}
