Explain: values are read as the log quotes them

What operators saw: explain did not find a request whose id holds a character that the log escapes, such as a no-break space or a byte that is no UTF-8, and printed line feeds of a cause as two characters.

Cause: the log quotes values as Go does, and explain undid only \" and \\.

explain unquotes with the counterpart of the function that the logger quotes with. Lines that were cut off keep their last value as it is written.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 
 	"github.com/juju/errors"
@@ -57,21 +58,19 @@
 	return fields
 }
 
-// splitValue splits the text after the first value, which it returns without its quotes.
+// splitValue splits the text after the first value, which it returns without its quotes. A quoted
+// value that the end of the line cuts off is returned as written.
 func splitValue(text string) (value, rest string) {
 	if !strings.HasPrefix(text, `"`) {
 		value, rest, _ = strings.Cut(text, " ")
 		return value, rest
 	}
-	for i := 1; i < len(text); i++ {
-		switch text[i] {
-		case '\\':
-			i++
-		case '"':
-			return strings.NewReplacer(`\"`, `"`, `\\`, `\`).Replace(text[1:i]), text[i+1:]
-		}
+	quoted, err := strconv.QuotedPrefix(text)
+	if err != nil {
+		return text[1:], ""
 	}
-	return text[1:], ""
+	value, _ = strconv.Unquote(quoted) // QuotedPrefix returns a valid literal
+	return value, text[len(quoted):]
 }
 
 // Report is the result of tracing a request.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -5,6 +5,9 @@
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/sirupsen/logrus"
+
+	"chicoryline/internal/eventlog"
 )
 
 const vm1 = `   1.2 vm1 time="2026-01-12T10:39:30.000Z" level=info msg=changed event=primary group=g backend_server=a vm=vm1
@@ -70,3 +73,23 @@
 		}
 	})
 }
+
+// Guards against values that do not come back from the log as they were written: ids that callers
+// choose, and causes with texts of others.
+func FuzzValuesComeBackFromTheLog(f *testing.F) {
+	for _, v := range []string{"plain", "", "a b", `"`, `\`, `\"`, `" id=r2 event=other`, "a\nb", "\r\n", "tab\t", "\x00\x7f", "\xff\xfe", "\u00a0", "\u200b\U0001f600", "ő", "time=x", "a=b"} {
+		f.Add(v, v)
+	}
+	f.Fuzz(func(t *testing.T, id, cause string) {
+		var log strings.Builder
+		fields := logrus.Fields{"event": "statement", "id": id, "cause": cause, "vm": "vm1"}
+		eventlog.New(&log, logrus.InfoLevel).WithFields(fields).Warn("not served")
+		lines, err := Read("1", strings.NewReader(log.String()))
+		if err != nil || len(lines) != 1 {
+			t.Fatalf("%d lines, %v: %q", len(lines), err, log.String())
+		}
+		if got := lines[0].Fields; got["id"] != id || got["cause"] != cause || got["event"] != "statement" || got["vm"] != "vm1" {
+			t.Errorf("%q: id %q, cause %q", log.String(), got["id"], got["cause"])
+		}
+	})
+}
