Logs: long values leave room for the others of their line

What operators saw: a failed statement whose error text, database or id is longer than 4 KiB left a line without its event, id and VM, so that explain could not find it. Callers choose ids and databases, and backend servers the texts of their errors.

Cause: a line is cut at 4 KiB, and its fields are in the order of their names: cause and database come first.

Evidence: TestLongValuesLeaveRoomForTheOthers missed each of these fields with all four long values before this change.

Each value is cut at 1 KiB as it is quoted, before the line is put together.

--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,9 @@
 	// maxLineBytes bounds one line, so that the queue holds at most 4 MiB. Callers choose the ids of
 	// requests and the names of databases, which may be as long as a message.
 	maxLineBytes = 4 << 10
+	// maxValueBytes bounds one quoted value, so that a line has room for the values beside those that
+	// callers and backend servers choose: the id, the database and the text of an error.
+	maxValueBytes = 1 << 10
 	// bufferBytes is the size of the output buffer, and so of one write under load.
 	bufferBytes = 16 << 10
 	// batchDelay is how long the writer waits for more lines before it flushes the buffer.
@@ -85,11 +89,42 @@
 	_ = w.out.Flush()
 }
 
+// formatter shortens the long values of a line.
+type formatter struct{ logrus.Formatter }
+
+// Format implements logrus.Formatter.
+func (f formatter) Format(e *logrus.Entry) ([]byte, error) {
+	short := *e
+	short.Data = make(logrus.Fields, len(e.Data))
+	for key, value := range e.Data {
+		if err, ok := value.(error); ok {
+			value = err.Error()
+		}
+		if text, ok := value.(string); ok {
+			value = shorten(text)
+		}
+		short.Data[key] = value
+	}
+	return f.Formatter.Format(&short)
+}
+
+// shorten returns the text, or so much of its start that the quoted value has at most maxValueBytes.
+func shorten(text string) string {
+	if 4*len(text) <= maxValueBytes { // no byte takes more than 4 quoted
+		return text
+	}
+	text = text[:min(len(text), maxValueBytes)]
+	for len(strconv.Quote(text)) > maxValueBytes {
+		text = text[:len(text)-len(text)/8-1]
+	}
+	return text
+}
+
 // New returns a logger that writes key=value lines to w.
 func New(w io.Writer, level logrus.Level) *logrus.Entry {
 	log := logrus.New()
 	log.SetOutput(w)
 	log.SetLevel(level)
-	log.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	log.SetFormatter(formatter{&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "2006-01-02T15:04:05.000Z07:00"}})
 	return logrus.NewEntry(log)
 }
