Mesh: the name of a cell's leader may contain slashes

What operators saw: in a fleet of several cells whose VMs have names like rack-1/vm/7, the leader of another cell was taken for a VM rack-1 that is not listed, and the VM of the rates of customers with a single home was chosen among such names, differently on each cell.

Cause: the source of a digest is VM/INCARNATION, which was cut at its first slash.

Evidence: TestLeadersOfCellsHaveTheirWholeNames got rack-1 for rack-1/vm/7 before this change. The choice of the home is read off code (distributeLimits), not run.

An incarnation contains no slash, so the last one ends the name.

--- a/internal/mesh/digest.go
+++ b/internal/mesh/digest.go
@@ -2,6 +2,7 @@
 
 import (
 	"strconv"
+	"strings"
 
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/ratelimit"
@@ -165,6 +166,15 @@
 // sourceID identifies this VM and its incarnation as the source of aggregates.
 func (m *Mesh) sourceID() string { return m.cfg.VM + "/" + strconv.FormatUint(m.incarnation, 36) }
 
+// vmOfSource returns the VM of an identification that sourceID made. The name of a VM may contain
+// slashes, the incarnation does not.
+func vmOfSource(source string) string {
+	if i := strings.LastIndexByte(source, '/'); i >= 0 {
+		return source[:i]
+	}
+	return source
+}
+
 // mergeCell adds the update of another cell to an aggregate over cells. held is the age of the
 // update in milliseconds.
 func (n *StateUpdate) mergeCell(o StateUpdate, held int64) {
--- a/internal/mesh/fleet_test.go
+++ b/internal/mesh/fleet_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 
+	"github.com/google/go-cmp/cmp"
+
 	"chicoryline/internal/boottime"
 	"chicoryline/internal/position"
 	"chicoryline/internal/ratelimit"
@@ -174,3 +176,16 @@
 		t.Errorf("reads from %s, want the leader of the cell", vm)
 	}
 }
+
+// Guards against a leader that is taken for another VM because its name contains a slash.
+func TestLeadersOfCellsHaveTheirWholeNames(t *testing.T) {
+	m := leaderWithDigests(3, testUpdate(1, 1))
+	for cell, vm := range map[string]string{"d1/0": "rack-1/vm/7", "d2/0": "vm8"} {
+		d := m.digests[cell]
+		d.Source = New(Config{VM: vm}).sourceID()
+		m.digests[cell] = d
+	}
+	if d := cmp.Diff([]string{"vm0000", "rack-1/vm/7", "vm8"}, m.CellLeaders()); d != "" {
+		t.Error(d)
+	}
+}
--- a/internal/mesh/mesh.go
+++ b/internal/mesh/mesh.go
@@ -20,7 +20,6 @@
 	"math/rand/v2"
 	"net"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -438,8 +437,7 @@
 			continue
 		}
 		if d, ok := m.digests[c.name]; ok && now.Sub(d.receivedAt) < digestTimeout {
-			vm, _, _ := strings.Cut(d.Source, "/")
-			leaders = append(leaders, vm)
+			leaders = append(leaders, vmOfSource(d.Source))
 		}
 	}
 	return leaders
