Pool: a malformed message of a backend server ends its connection, not the process

What callers saw: one ReadyForQuery without a state, ParameterStatus without a zero behind its name or ErrorResponse without one behind a field ended the process, and with it the sessions of all callers of the VM (PostgreSQL side).

Cause: the proxy indexed behind a zero byte that it took for granted.

Evidence: TestMalformedServerMessagesEndTheConnection panicked before this change (index out of range in finish).

readFrame's caller checks the form of the messages that the proxy reads itself; a malformed one breaks the connection, so that no later answer is matched on it.

--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -143,6 +143,9 @@
 			return nil, err
 		}
 		c.buf = f
+		if err := f.check(); err != nil {
+			return nil, err
+		}
 		switch f.kind() {
 		case 'S':
 			c.recordParameter(f.body())
@@ -154,11 +157,11 @@
 }
 
 func (c *conn) recordParameter(body []byte) {
-	name := cString(body)
+	name, value, _ := cutString(body)
 	if name != positionParameter {
 		return
 	}
-	if p, err := position.Parse(cString(body[len(name)+1:])); err == nil {
+	if p, err := position.Parse(cString(value)); err == nil {
 		c.position = p
 	}
 }
@@ -213,11 +216,11 @@
 // errorCode returns the SQLSTATE of an ErrorResponse body.
 func errorCode(body []byte) string {
 	for len(body) > 1 {
-		value := cString(body[1:])
+		value, rest, _ := cutString(body[1:])
 		if body[0] == 'C' {
 			return value
 		}
-		body = body[len(value)+2:]
+		body = rest
 	}
 	return ""
 }
--- a/internal/pool/frames.go
+++ b/internal/pool/frames.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"io"
 
@@ -56,12 +57,46 @@
 	return frames, nil
 }
 
-// cString returns the zero-terminated string at the start of b.
-func cString(b []byte) string {
-	for i, c := range b {
-		if c == 0 {
-			return string(b[:i])
+// check returns an error if a message that the proxy reads itself is malformed.
+func (f frame) check() error {
+	ok := true
+	switch f.kind() {
+	case 'Z':
+		ok = len(f.body()) == 1
+	case 'S':
+		_, value, named := cutString(f.body())
+		_, rest, valued := cutString(value)
+		ok = named && valued && len(rest) == 0
+	case 'E', 'N':
+		ok = hasFields(f.body())
+	}
+	if !ok {
+		return errkind.New(errkind.ProtocolViolation, "malformed message %q of a backend server", f.kind())
+	}
+	return nil
+}
+
+// hasFields reports whether the body is a list of fields, each a byte and a string, with a zero at
+// its end.
+func hasFields(body []byte) bool {
+	for len(body) > 0 && body[0] != 0 {
+		var ok bool
+		if _, body, ok = cutString(body[1:]); !ok {
+			return false
 		}
 	}
-	return string(b)
+	return len(body) == 1
+}
+
+// cutString returns the zero-terminated string at the start of b and what follows it, and whether
+// there is one.
+func cutString(b []byte) (s string, rest []byte, ok bool) {
+	before, rest, ok := bytes.Cut(b, []byte{0})
+	return string(before), rest, ok
+}
+
+// cString returns the zero-terminated string at the start of b.
+func cString(b []byte) string {
+	s, _, _ := cutString(b)
+	return s
 }
