Callers: only statements that a caller has prepared can be named

What callers could do (PostgreSQL side): bind a statement that another caller has prepared on a shared connection, by the name that the proxy made from its text. Without a text of its own the batch counted as a read: a route that only reads ran the other caller's INSERT.

Cause: a name that the caller had not prepared was passed on as it came, into the proxy's own names.

The run on a route that only reads is read off code.

Such a name becomes the one that no statement has, so that the server answers that it does not exist.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -146,11 +146,12 @@
 	return b.statements[len(b.statements)-1].Query
 }
 
-// resolveStatement returns the shared name for a caller's statement name.
+// resolveStatement returns the shared name for a caller's statement name. A name that the caller has
+// not prepared becomes one that no statement has, as it may be the shared name of another caller's.
 func (b *batch) resolveStatement(name string, prepared map[string]pool.Statement) string {
 	s, ok := prepared[name]
 	if !ok {
-		return name
+		return closedStatement
 	}
 	b.statements = append(b.statements, s)
 	return s.Name
