Callers: an execution is classified by the statement of its portal

What callers could do (PostgreSQL side): a batch that binds an INSERT and then a SELECT, and executes the portal of the INSERT, counted as a read. A route that only reads let it pass; elsewhere it went to a replica, which refused it.

Cause: the statement of an execution was taken to be the last one that the batch referred to.

Evidence: TestExecuteIsClassifiedByItsPortal took the portal of the INSERT for a read before this change.

The batch remembers the text that each of its portals was bound to. A portal from an earlier batch exists only in an open transaction and is treated as before.

--- a/internal/caller/batch.go
+++ b/internal/caller/batch.go
@@ -18,7 +18,9 @@
 	statements []pool.Statement
 	// parsedNames holds the shared names of the statements that the batch itself parses.
 	parsedNames map[string]bool
-	classes     []statementClass
+	// portals holds the texts of the statements that the batch binds, by portal.
+	portals map[string]string
+	classes []statementClass
 	// executionCount is the number of statement executions; simple marks a simple query.
 	executionCount int
 	simple         bool
@@ -83,6 +85,10 @@
 	case *pgproto3.Parse:
 		b.addParse(m, prepared)
 	case *pgproto3.Bind:
+		if b.portals == nil {
+			b.portals = map[string]string{}
+		}
+		b.portals[m.DestinationPortal] = prepared[m.PreparedStatement].Query
 		m.PreparedStatement = b.resolveStatement(m.PreparedStatement, prepared)
 		b.steps = append(b.steps, step{kind: 'B'})
 		b.encode(m)
@@ -92,11 +98,11 @@
 			m.Name = b.resolveStatement(name, prepared)
 			b.steps = append(b.steps, step{kind: 'S', sql: prepared[name].Query})
 		} else {
-			b.steps = append(b.steps, step{kind: 'P', sql: b.lastQuery(prepared)})
+			b.steps = append(b.steps, step{kind: 'P', sql: b.queryOf(m.Name)})
 		}
 		b.encode(m)
 	case *pgproto3.Execute:
-		b.addExecute(m, prepared)
+		b.addExecute(m)
 	case *pgproto3.Close:
 		if m.ObjectType == 'S' {
 			delete(prepared, m.Name)
@@ -128,18 +134,22 @@
 	b.encode(m)
 }
 
-// addExecute adds the execution of a portal. Its statement is taken to be the last one that
-// the batch referred to. A portal kept from an earlier batch exists only inside an open
-// transaction and inherits that transaction's class.
-func (b *batch) addExecute(m *pgproto3.Execute, prepared map[string]pool.Statement) {
+// addExecute adds the execution of a portal. A portal kept from an earlier batch exists only inside
+// an open transaction and inherits that transaction's class.
+func (b *batch) addExecute(m *pgproto3.Execute) {
 	if b.executionCount == 0 {
 		b.classes = nil
 	}
-	b.addStatement(b.lastQuery(prepared))
+	b.addStatement(b.queryOf(m.Portal))
 	b.encode(m)
 }
 
-func (b *batch) lastQuery(prepared map[string]pool.Statement) string {
+// queryOf returns the text of the portal's statement. That of a portal from an earlier batch is taken
+// to be the last one that the batch referred to.
+func (b *batch) queryOf(portal string) string {
+	if query, ok := b.portals[portal]; ok {
+		return query
+	}
 	if len(b.statements) == 0 {
 		return ""
 	}
--- a/internal/caller/batch_test.go
+++ b/internal/caller/batch_test.go
@@ -23,3 +23,24 @@
 		}
 	}
 }
+
+// Guards against a write that counts as a read because another portal of the batch reads.
+func TestExecuteIsClassifiedByItsPortal(t *testing.T) {
+	const read, write = "SELECT 1", "INSERT INTO t VALUES (1)"
+	for _, c := range []struct {
+		portal string
+		reads  bool
+	}{{"r", true}, {"w", false}} {
+		b, prepared := &batch{}, map[string]pool.Statement{}
+		for _, m := range []pgproto3.FrontendMessage{
+			&pgproto3.Parse{Name: "w", Query: write}, &pgproto3.Parse{Name: "r", Query: read},
+			&pgproto3.Bind{PreparedStatement: "w", DestinationPortal: "w"}, &pgproto3.Bind{PreparedStatement: "r", DestinationPortal: "r"},
+			&pgproto3.Execute{Portal: c.portal},
+		} {
+			b.addExtended(m, prepared)
+		}
+		if b.all(isRead) != c.reads {
+			t.Errorf("portal %s counts as a read: %t", c.portal, !c.reads)
+		}
+	}
+}
