Owner: an error kind of another version does not end the process

What operators would see: while VMs of two versions run side by side, one refusal of a newer owner with an error kind that the older VM does not have ends the process of the older VM.

Cause: the kind in the reply was used as it came, and the counters of outcomes have none for it.

A kind that this process does not know counts as Internal: nothing is known about the outcome. Errors of other calls between VMs were checked already (peer.decodeError).

--- a/internal/errkind/errkind.go
+++ b/internal/errkind/errkind.go
@@ -197,6 +197,15 @@
 	return kinds
 }
 
+// Received returns the kind that another process sent as a number. One that this process does not
+// know, as it runs another version, is Internal: nothing is known about the outcome.
+func Received(number int) Kind {
+	if number < 0 || number >= int(kindCount) {
+		return Internal
+	}
+	return Kind(number)
+}
+
 // Answer returns the table entry of the kind, or that of Internal for an
 // unknown kind.
 func (k Kind) Answer() Answer {
--- a/internal/owner/owner.go
+++ b/internal/owner/owner.go
@@ -202,7 +202,7 @@
 	case err != nil || !reply.Known:
 		return r, nil, false
 	case reply.Failed:
-		return r, errkind.New(reply.Kind, "%s, at owner %s", reply.Detail, address), true
+		return r, errkind.New(errkind.Received(int(reply.Kind)), "%s, at owner %s", reply.Detail, address), true
 	}
 	return statement.Result{Rows: reply.Rows, Signature: reply.Signature, Position: reply.Position, Status: statement.Idle}, nil, true
 }
--- a/internal/owner/owner_test.go
+++ b/internal/owner/owner_test.go
@@ -61,6 +61,7 @@
 	}{
 		{name: "served", mode: dispatch.ModeWrite, reply: served, handled: true},
 		{name: "refused", mode: dispatch.ModeWrite, reply: refused, handled: true, fails: true, kind: errkind.QueueFull},
+		{name: "refused with a kind of a newer version", mode: dispatch.ModeWrite, reply: RunReply{Known: true, Failed: true, Kind: 200}, handled: true, fails: true, kind: errkind.Internal},
 		{name: "write that certainly did not arrive", mode: dispatch.ModeWrite, err: errkind.New(errkind.Unreachable, "fake")},
 		{name: "write without an answer", mode: dispatch.ModeWrite, err: errkind.New(errkind.OutcomeUnknown, "fake"), handled: true, fails: true, kind: errkind.OutcomeUnknown},
 		{name: "write whose owner failed", mode: dispatch.ModeWrite, err: errkind.New(errkind.Internal, "fake"), handled: true, fails: true, kind: errkind.OutcomeUnknown},
