Backend: the address of an instance is a host and a port

What operators could see (PostgreSQL side): an address in the platform's list that is more than a host and a port sent commands such as fence and promote elsewhere: u:p@127.0.0.9:1 to 127.0.0.9, one without a port to the default port, an empty one to a local socket.

Cause: the address was put into a URL of a connection as it came.

Evidence: TestAddressIsAHostAndAPort dialed for four of its six addresses before this change.

The address is checked as those of discovery entries and VMs are.

--- a/internal/backend/client.go
+++ b/internal/backend/client.go
@@ -13,6 +13,7 @@
 
 	"chicoryline/internal/errkind"
 	"chicoryline/internal/position"
+	"chicoryline/internal/tcp"
 )
 
 const (
@@ -196,7 +197,10 @@
 	if c.conn != nil && !c.conn.IsClosed() {
 		return nil
 	}
-	cfg, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", c.cfg.Address))
+	if err := tcp.CheckAddress(c.cfg.Address); err != nil {
+		return err
+	}
+	cfg, err := pgconn.ParseConfig("postgres://" + c.cfg.Address + "/?sslmode=disable")
 	if err != nil {
 		return errors.Trace(err)
 	}
--- a/internal/backend/client_test.go
+++ b/internal/backend/client_test.go
@@ -90,6 +90,23 @@
 	wantKind(t, err, errkind.Unreachable)
 }
 
+// Guards against an address of the platform's list that names another host behind its end.
+func TestAddressIsAHostAndAPort(t *testing.T) {
+	for _, address := range []string{"127.0.0.1:5432/?host=127.0.0.9&port=1", "127.0.0.1:5432,127.0.0.9:1", "u:p@127.0.0.9:1", "127.0.0.1", "127.0.0.1:65536", ""} {
+		var dialed []string
+		c := backend.NewClient(backend.ClientConfig{ID: "a", Address: address, Dial: func(_ context.Context, _, to string) (net.Conn, error) {
+			dialed = append(dialed, to)
+			return nil, errors.New("not dialed")
+		}})
+		_, err := c.Status(testContext(t))
+		wantKind(t, err, errkind.Unreachable)
+		if len(dialed) > 0 {
+			t.Errorf("%q: dialed %q", address, dialed)
+		}
+		c.Close()
+	}
+}
+
 func TestClientOutcomeUnknown(t *testing.T) {
 	for _, d := range []dbinstance.Direction{dbinstance.CutInbound, dbinstance.CutOutbound} {
 		s, c := start(t, dbinstance.Config{})
