--- a/internal/pool/conn.go
+++ b/internal/pool/conn.go
@@ -167,18 +167,19 @@
 // readAny returns the next message.
 func (c *conn) readAny() (frame, error) {
 	f, err := readFrame(c.reader, c.buf)
-	if err == nil {
-		c.buf = f
+	if err != nil {
+		return nil, err
 	}
-	return f, err
+	c.buf = f
+	return f, f.check()
 }
 
 func (c *conn) recordParameter(body []byte) {
-	name := cString(body)
+	name, value, _ := cutString(body)
 	if name != positionParameter {
 		return
 	}
-	if p, err := position.Parse(cString(body[len(name)+1:])); err == nil {
+	if p, err := position.Parse(cString(value)); err == nil {
 		c.position = p
 	}
 }
@@ -240,11 +241,11 @@
 // errorCode returns the SQLSTATE of an ErrorResponse body.
 func errorCode(body []byte) string {
 	for len(body) > 1 {
-		value := cString(body[1:])
+		value, rest, _ := cutString(body[1:])
 		if body[0] == 'C' {
 			return value
 		}
-		body = body[len(value)+2:]
+		body = rest
 	}
 	return ""
 }
