Stand-ins: rows, shapes and session values are compared byte for byte

A read counted as right with any one row, a prepared statement with any shape, and session values with a comma or a line feed gave signatures that others could give, too. Rows are now compared with those that servers returned for the statement, shapes with what the caller prepared, and signatures escape the values. Whether an EXECUTE is a write follows from what was prepared; a text of blanks is data.

--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"net/url"
 	"sort"
 	"strconv"
 	"strings"
@@ -258,6 +259,7 @@
 				row = w.Data
 			}
 		}
+		c.server.group.recordRow(id, row)
 		return c.applyLostAnswer(answer{rows: []string{row}, signature: sig})
 	}
 	w := Write{ID: id, Customer: c.customer, Item: item, Data: data}
@@ -351,7 +353,7 @@
 func signature(id string, values map[string]string) string {
 	names := make([]string, 0, len(values))
 	for n, v := range values {
-		names = append(names, n+"="+v)
+		names = append(names, url.QueryEscape(n)+"="+url.QueryEscape(v))
 	}
 	sort.Strings(names)
 	return id + "/" + strings.Join(names, ",")
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -276,6 +276,13 @@
 	}
 }
 
+// recordRow records that a server returns the row for a read.
+func (g *Group) recordRow(id, row string) {
+	if g.options.Outstanding != nil {
+		g.options.Outstanding.returned(id, row)
+	}
+}
+
 // replicateTo copies the primary's log to the server and reports whether it did; a fault,
 // a PAUSE or a crash prevents it. Entries that the primary lacks are rolled back. The caller
 // holds the mutex.
--- a/internal/standin/linegroup/outstanding.go
+++ b/internal/standin/linegroup/outstanding.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 
@@ -14,67 +16,116 @@
 type Outstanding struct {
 	mu         sync.Mutex
 	statements map[string]*sentStatement
-	// values holds the session values that were acknowledged to callers.
-	values     map[*lineclient.Client]map[string]string
-	violations []string
-	unasked    int
+	// values and prepared hold the session values and the prepared statements ("READ shape" or
+	// "WRITE shape") that were acknowledged to callers.
+	values, prepared map[*lineclient.Client]map[string]string
+	violations       []string
+	unasked          int
 }
 
 // sentStatement is a statement of a caller and what has become of it.
 type sentStatement struct {
 	session *lineclient.Client
 	text    string
-	inTx    bool
+	// kind is READ, WRITE, COMMIT or "" for the others, prepared what an EXECUTE was prepared as.
+	kind, prepared string
+	inTx           bool
 	// succeeded and denied report the answer that the caller received: a success, or a code
 	// that promises that nothing is kept.
 	succeeded, denied bool
-	// ranAt holds the servers that have run the statement.
+	// ranAt holds the servers that have run the statement, rows what they returned for a read.
 	ranAt map[*Server]bool
+	rows  []string
 }
 
 // NewOutstanding returns an empty Outstanding.
 func NewOutstanding() *Outstanding {
-	return &Outstanding{statements: map[string]*sentStatement{}, values: map[*lineclient.Client]map[string]string{}}
+	return &Outstanding{
+		statements: map[string]*sentStatement{},
+		values:     map[*lineclient.Client]map[string]string{}, prepared: map[*lineclient.Client]map[string]string{},
+	}
 }
 
 // Sent implements lineclient.Observer.
 func (o *Outstanding) Sent(session *lineclient.Client, id, text string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.statements[id] = &sentStatement{session: session, text: text, inTx: session.InTx(), ranAt: map[*Server]bool{}}
+	sent := &sentStatement{session: session, text: text, kind: kindOf(text), inTx: session.InTx(), ranAt: map[*Server]bool{}}
+	if name, isExecute := preparedName(text); isExecute {
+		if shape, known := o.prepared[session][name]; known {
+			sent.prepared = shape
+			sent.kind, _ = splitWord(shape)
+		}
+	}
+	o.statements[id] = sent
 }
 
 // Answered implements lineclient.Observer. It records a violation unless a success carries the
-// signature of its own statement and session values, and a row if and only if that is a read.
+// signature of its own statement and session values, and a row that a server returned for the
+// statement if and only if that is a read.
 func (o *Outstanding) Answered(id string, a lineclient.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.statements[id]
 	s.succeeded, s.denied = a.Code == "", a.HasNoEffect()
-	kind := kindOf(s.text)
 	switch command, rest := splitWord(s.text); {
 	case a.Code != "":
 		return
 	case command == "SET":
 		name, value := splitWord(rest)
-		o.setValue(s.session, name, value)
+		keep(o.values, s.session, name, value)
 		return
-	case kind == "":
+	case command == "PARSE":
+		name, shape := splitWord(rest)
+		keep(o.prepared, s.session, name, shape)
+		return
+	case command == "CLOSE":
+		delete(o.prepared[s.session], rest)
+		return
+	case s.kind == "":
 		return
 	}
 	if want := signature(id, o.values[s.session]); a.Signature != want {
-		o.violations = append(o.violations, fmt.Sprintf("wrong-signature: %s %s succeeded with %q, want %q", id, s.text, a.Signature, want))
+		o.addViolation("wrong-signature: %s %s succeeded with %s, want %s", id, quote(s.text), quote(a.Signature), quote(want))
+	}
+	switch rows := len(a.Rows); {
+	case s.kind == "READ" && rows != 1 || s.kind != "READ" && rows != 0:
+		o.addViolation("wrong-rows: %s %s succeeded with %d rows", id, quote(s.text), rows)
+	case s.kind == "READ" && !slices.Contains(s.rows, a.Rows[0]):
+		o.addViolation("foreign-row: %s %s succeeded with %s, no server returned that", id, quote(s.text), quote(a.Rows[0]))
 	}
-	if rows := len(a.Rows); kind == "READ" && rows != 1 || kind != "READ" && rows != 0 {
-		o.violations = append(o.violations, fmt.Sprintf("wrong-rows: %s %s succeeded with %d rows", id, s.text, rows))
+}
+
+func (o *Outstanding) addViolation(format string, args ...any) {
+	o.violations = append(o.violations, fmt.Sprintf(format, args...))
+}
+
+// keep stores a value of a session under the name.
+func keep(all map[*lineclient.Client]map[string]string, session *lineclient.Client, name, value string) {
+	if all[session] == nil {
+		all[session] = map[string]string{}
 	}
+	all[session][name] = value
 }
 
-func (o *Outstanding) setValue(session *lineclient.Client, name, value string) {
-	if o.values[session] == nil {
-		o.values[session] = map[string]string{}
+// maxQuotedBytes bounds how much of a text a violation shows.
+const maxQuotedBytes = 160
+
+// quote returns a text in quotes, shortened if it is long.
+func quote(text string) string {
+	if len(text) <= maxQuotedBytes {
+		return strconv.Quote(text)
+	}
+	return fmt.Sprintf("%q... (%d bytes)", text[:maxQuotedBytes], len(text))
+}
+
+// returned records that a server returns the row for a read.
+func (o *Outstanding) returned(id, row string) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if sent := o.statements[id]; sent != nil {
+		sent.rows = append(sent.rows, row)
 	}
-	o.values[session][name] = value
 }
 
 // Violations returns what callers observed. The groups report what their servers observed.
@@ -108,7 +159,7 @@
 	s := c.server
 	sent := o.statements[id]
 	if sent == nil {
-		return fmt.Sprintf("unknown-id: %s %s ran at %s", id, text, s.ID)
+		return fmt.Sprintf("unknown-id: %s %s ran at %s", quote(id), quote(text), s.ID)
 	}
 	if inTx && c.txSession == nil {
 		defer func() { c.txSession = sent.session }()
@@ -117,19 +168,21 @@
 	sent.ranAt[s] = true
 	switch {
 	case withoutName(text) != withoutName(sent.text):
-		return fmt.Sprintf("changed-text: %s ran as %s, was sent as %s", id, text, sent.text)
+		return fmt.Sprintf("changed-text: %s ran as %s, was sent as %s", id, quote(text), quote(sent.text))
+	case c.shapeOf(text) != sent.prepared:
+		return fmt.Sprintf("wrong-shape: %s %s ran as %s, was prepared as %s", id, quote(text), quote(c.shapeOf(text)), quote(sent.prepared))
 	// A proxy may run a single read in a transaction of its own.
-	case sent.inTx && !inTx || inTx && !sent.inTx && kindOf(text) != "READ":
-		return fmt.Sprintf("outside-transaction: %s %s ran at %s in a transaction: %t, was sent in one: %t", id, text, s.ID, inTx, sent.inTx)
+	case sent.inTx && !inTx || inTx && !sent.inTx && sent.kind != "READ":
+		return fmt.Sprintf("outside-transaction: %s %s ran at %s in a transaction: %t, was sent in one: %t", id, quote(text), s.ID, inTx, sent.inTx)
 	case inTx && c.txSession != nil && c.txSession != sent.session:
-		return fmt.Sprintf("foreign-transaction: %s %s ran at %s in the transaction of another session", id, text, s.ID)
+		return fmt.Sprintf("foreign-transaction: %s %s ran at %s in the transaction of another session", id, quote(text), s.ID)
 	case sent.denied && committing:
-		return fmt.Sprintf("after-denial: %s %s committed at %s, its caller was told that nothing is kept", id, text, s.ID)
+		return fmt.Sprintf("after-denial: %s %s committed at %s, its caller was told that nothing is kept", id, quote(text), s.ID)
 	// A read without a timely answer is sent to a second server; the slower one of the two may
 	// still run it when the caller has the answer of the other. Callers that gave up or were
 	// told that the outcome is unknown leave statements behind as well.
-	case sent.succeeded && !(kindOf(text) == "READ" && elsewhere):
-		return fmt.Sprintf("after-answer: %s %s ran at %s, its caller had an answer", id, text, s.ID)
+	case sent.succeeded && !(sent.kind == "READ" && elsewhere):
+		return fmt.Sprintf("after-answer: %s %s ran at %s, its caller had an answer", id, quote(text), s.ID)
 	}
 	return ""
 }
@@ -144,6 +197,22 @@
 	return text
 }
 
+// preparedName returns the name of the prepared statement that an EXECUTE runs.
+func preparedName(text string) (name string, isExecute bool) {
+	command, rest := splitWord(text)
+	name, _ = splitWord(rest)
+	return name, command == "EXECUTE"
+}
+
+// shapeOf returns what the statement of an EXECUTE was prepared as on the connection, and "" for
+// other statements.
+func (c *conn) shapeOf(text string) string {
+	if name, isExecute := preparedName(text); isExecute {
+		return c.prepared[name]
+	}
+	return ""
+}
+
 // kindOf returns READ, WRITE or COMMIT for a statement that a server runs, and "" for others.
 // An EXECUTE with data is a write.
 func kindOf(text string) string {
@@ -152,7 +221,7 @@
 	case "READ", "WRITE", "COMMIT":
 		return command
 	case "EXECUTE":
-		if len(strings.Fields(rest)) > 2 {
+		if strings.Count(rest, " ") > 1 {
 			return "WRITE"
 		}
 		return "READ"
