Soak: callers send any bytes that the protocol allows

No caller sent a line feed inside a field, so that the soak could not see that messages end at any of them. Rows are compared with the data that was sent for the item, and a valid statement that is refused as malformed is a finding.

--- a/internal/standin/linetext/linetext.go
+++ b/internal/standin/linetext/linetext.go
@@ -32,17 +32,24 @@
 	`"`, `'`, `=`, `,`, `\`, `\r\n`, `%0d%0a`, "-", "AFTER 9.9 ",
 }
 
+// Mix determines which texts a source generates.
+type Mix struct {
+	// OddPercent is the share of odd texts; the others are short and hold digits and letters only.
+	OddPercent int
+	// WithoutLineFeeds replaces the line feeds of odd texts, to tell their effect from that of
+	// other bytes.
+	WithoutLineFeeds bool
+}
+
 // Source generates texts. It must not be used concurrently.
 type Source struct {
 	rand *rand.Rand
-	// oddPercent is the share of the odd texts.
-	oddPercent int
+	mix  Mix
 }
 
-// New returns a source whose texts are determined by the seeds. oddPercent is the share of odd
-// texts; the others are short and hold digits and letters only.
-func New(seed, stream uint64, oddPercent int) *Source {
-	return &Source{rand: rand.New(rand.NewPCG(seed, stream)), oddPercent: oddPercent}
+// New returns a source whose texts are determined by the seeds and the mix.
+func New(seed, stream uint64, mix Mix) *Source {
+	return &Source{rand: rand.New(rand.NewPCG(seed, stream)), mix: mix}
 }
 
 // Last returns a text for a last field: empty, or one that holds n in decimal.
@@ -80,10 +87,10 @@
 	if !s.isOdd() {
 		return label
 	}
-	return withoutTerminators(strings.ReplaceAll(s.short(label), blank, "\n"))
+	return s.finish(strings.ReplaceAll(s.short(label), blank, "\n"))
 }
 
-func (s *Source) isOdd() bool { return s.rand.IntN(100) < s.oddPercent }
+func (s *Source) isOdd() bool { return s.rand.IntN(100) < s.mix.OddPercent }
 
 func (s *Source) fragment() string { return fragments[s.rand.IntN(len(fragments))] }
 
@@ -94,18 +101,21 @@
 		parts[i] = s.fragment()
 	}
 	at := s.rand.IntN(len(parts) + 1)
-	return withoutTerminators(strings.Join(parts[:at], "") + label + strings.Join(parts[at:], ""))
+	return s.finish(strings.Join(parts[:at], "") + label + strings.Join(parts[at:], ""))
 }
 
 // long returns at most size bytes of the repeated filler around the label.
 func (s *Source) long(label, filler string, size int) string {
 	count := (size - len(label)) / len(filler)
 	before := []int{0, count / 2, count}[s.rand.IntN(3)]
-	return withoutTerminators(strings.Repeat(filler, before) + label + strings.Repeat(filler, count-before))
+	return s.finish(strings.Repeat(filler, before) + label + strings.Repeat(filler, count-before))
 }
 
-// withoutTerminators removes the CR from each CR LF.
-func withoutTerminators(text string) string {
+// finish removes the CR from each CR LF, and line feeds unless the mix has them.
+func (s *Source) finish(text string) string {
+	if s.mix.WithoutLineFeeds {
+		return strings.ReplaceAll(text, "\n", "\v")
+	}
 	for strings.Contains(text, "\r\n") {
 		text = strings.ReplaceAll(text, "\r\n", "\n")
 	}
--- a/internal/standin/linetext/linetext_test.go
+++ b/internal/standin/linetext/linetext_test.go
@@ -14,7 +14,7 @@
 )
 
 func TestTextsFitIntoTheirFields(t *testing.T) {
-	s := New(1, 1, 50)
+	s := New(1, 1, Mix{OddPercent: 50})
 	seen := map[string]int{}
 	for n := range draws {
 		last, inner, kept := s.Last(n), s.Inner("label"), s.Kept(n)
@@ -44,7 +44,7 @@
 }
 
 func TestTextsAreDeterminedByTheirSeed(t *testing.T) {
-	a, b, other := New(1, 2, 50), New(1, 2, 50), New(1, 3, 50)
+	a, b, other := New(1, 2, Mix{OddPercent: 50}), New(1, 2, Mix{OddPercent: 50}), New(1, 3, Mix{OddPercent: 50})
 	same, different := true, false
 	for n := range draws / 10 {
 		x, y, z := a.Last(n), b.Last(n), other.Last(n)
@@ -55,8 +55,19 @@
 	}
 }
 
+func TestNoLineFeedsUnlessInTheMix(t *testing.T) {
+	s := New(1, 1, Mix{OddPercent: 50, WithoutLineFeeds: true})
+	for n := range draws {
+		for _, text := range []string{s.Last(n), s.Inner("label"), s.Kept(n)} {
+			if strings.ContainsAny(text, "\n") {
+				t.Fatalf("%.200q", text)
+			}
+		}
+	}
+}
+
 func TestNoOddTextsUnlessAskedFor(t *testing.T) {
-	s := New(1, 1, 0)
+	s := New(1, 1, Mix{OddPercent: 0})
 	for n := range draws {
 		if last, inner, kept := s.Last(n), s.Inner("label"), s.Kept(n); last != strconv.Itoa(n) || inner != "label" || kept != last {
 			t.Fatalf("%q, %q, %q", last, inner, kept)
--- a/soak/main.go
+++ b/soak/main.go
@@ -23,6 +23,8 @@
 	Restores bool          `long:"restores" description:"restore the store from backups, in addition to the other faults"`
 	Evacuate bool          `long:"evacuations" description:"evacuate failure domains and withdraw that, in addition to the other faults"`
 	Repeats  bool          `long:"repeats" description:"backend servers write some of their answers twice, in addition to the other faults"`
+	OddBytes bool          `long:"odd-bytes" description:"callers send any bytes that the protocol allows, line feeds and words of the protocol among them"`
+	OddNoLF  bool          `long:"odd-no-lf" description:"as odd-bytes, without line feeds"`
 	Events   bool          `long:"events" description:"print the faults of all seeds, not only of those with a problem"`
 	Logs     string        `long:"logs" description:"folder for the logs of processes; logs are kept for seeds with a problem"`
 }
--- a/soak/run.go
+++ b/soak/run.go
@@ -14,6 +14,7 @@
 
 	"chicoryline/internal/standin/lineclient"
 	"chicoryline/internal/standin/linegroup"
+	"chicoryline/internal/standin/linetext"
 	"chicoryline/internal/standin/world"
 	"chicoryline/platform"
 )
@@ -80,6 +81,7 @@
 		count := map[string]int{}
 		for _, p := range r.problems {
 			kind, _, _ := strings.Cut(p, " ")
+			kind = strings.TrimSuffix(kind, ":")
 			if count[kind]++; count[kind] <= maxShownPerKind {
 				text += "\n  " + p
 			}
@@ -161,8 +163,12 @@
 }
 
 func runSoak(o options, seed uint64) (report, error) {
+	mix := linetext.Mix{WithoutLineFeeds: o.OddNoLF}
+	if o.OddBytes || o.OddNoLF {
+		mix.OddPercent = oddPercent
+	}
 	r := &run{
-		options: o, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), ledger: newLedger(),
+		options: o, seed: seed, rand: rand.New(rand.NewPCG(seed, seed)), ledger: newLedger(seed, mix),
 		outstanding: linegroup.NewOutstanding(), callers: o.Callers, serverProxies: map[string]*proxy{}, departed: map[*linegroup.Server]bool{},
 	}
 	folder, err := os.MkdirTemp(o.Logs, fmt.Sprintf("soak-%d-", seed))
@@ -178,7 +184,7 @@
 	var ids atomic.Int64
 	var callers sync.WaitGroup
 	for i := range o.Callers {
-		c := &caller{run: r, number: i, group: i % groups, rand: rand.New(rand.NewPCG(seed, uint64(i))), ids: &ids}
+		c := r.newCaller(i, &ids)
 		callers.Go(func() { c.loop(&stop) })
 	}
 	r.started = time.Now()
@@ -192,7 +198,7 @@
 	}
 	if o.Series {
 		for i := range groups * burstWritersPerGroup {
-			c := &caller{run: r, number: o.Callers + i, group: i % groups, rand: rand.New(rand.NewPCG(seed, uint64(o.Callers+i))), ids: &ids}
+			c := r.newCaller(o.Callers+i, &ids)
 			callers.Go(func() { c.burst(&stop) })
 		}
 		r.series(end)
