--- a/internal/standin/linegroup/conn.go
+++ b/internal/standin/linegroup/conn.go
@@ -1,7 +1,8 @@
 package linegroup
 
 import (
-	"bufio"
+	"crypto/sha256"
+	"errors"
 	"fmt"
 	"net"
 	"sort"
@@ -11,6 +12,7 @@
 	"time"
 
 	"chicoryline/internal/standin/lineclient"
+	"chicoryline/internal/standin/linewire"
 )
 
 // conn is one client connection, used only by the goroutine that serves it.
@@ -33,7 +35,7 @@
 	// writing keeps the messages of answers and of their repeats apart.
 	writing sync.Mutex
 	// held are repeated answers that wait for a later statement.
-	held []string
+	held [][]byte
 }
 
 // answer is the result of one statement.
@@ -47,68 +49,106 @@
 }
 
 // serve handles one connection until it is closed. A connection over the limit is refused
-// at startup.
+// at startup. A message that is too long or is not of the protocol ends the connection and is a
+// violation.
 func (c *conn) serve(overLimit bool) {
 	defer func() {
 		c.net.Close()
 		c.server.withLock(func() { delete(c.server.conns, c) })
 	}()
-	r := bufio.NewReader(c.net)
+	r := linewire.NewReader(c.net)
 	c.state = 'I'
 	first := true
 	for {
-		line, err := r.ReadString('\n')
+		message, err := r.Next()
+		if errors.Is(err, linewire.ErrTooLong) {
+			c.recordBroken("too-long", "")
+		}
 		if err != nil {
 			return
 		}
-		line = strings.TrimRight(line, "\r\n")
 		if c.isUnresponsive() {
 			continue
 		}
 		if first {
 			first = false
-			if !c.handleStartup(line, overLimit) {
+			if !c.handleStartup(message, overLimit) {
 				return
 			}
 			continue
 		}
-		command, rest := splitWord(line)
-		if command != "QUERY" {
+		word, fields := linewire.Split(message, 2)
+		if word != "QUERY" || len(fields) < 2 || fields[0] == "" {
+			if message != "TERMINATE" {
+				c.recordBroken("broken-message", message)
+			}
 			return
 		}
-		id, text := splitWord(rest)
-		c.releaseHeld(id, text)
-		a := c.execute(id, text)
-		if c.isUnresponsive() || a.code == "LOST" {
-			continue
+		if !c.handleQuery(fields[0], fields[1]) {
+			return
 		}
-		message := c.encodeAnswer(a)
-		c.send(message)
-		c.repeat(id, text, message)
 	}
 }
 
+// handleQuery runs and answers one query. It returns false if the connection has to end.
+func (c *conn) handleQuery(id, text string) bool {
+	c.releaseHeld(id, text)
+	a := c.execute(id, text)
+	if c.isUnresponsive() || a.code == "LOST" {
+		return true
+	}
+	answer, err := c.encodeAnswer(a)
+	if err != nil {
+		c.recordBroken("unsendable-answer", err.Error())
+		return false
+	}
+	c.send(answer)
+	c.repeat(id, text, answer)
+	return true
+}
+
+// recordBroken records a violation of the protocol on the connection.
+func (c *conn) recordBroken(problem, message string) {
+	s := c.server
+	s.withLock(func() {
+		s.group.violations = append(s.group.violations, violation{text: fmt.Sprintf("%s: %.200q at %s, connection of %q", problem, message, s.ID, c.customer)})
+	})
+}
+
 func (c *conn) isUnresponsive() bool {
 	unresponsive := false
 	c.server.withLock(func() { unresponsive = c.server.unresponsive || c.ignored })
 	return unresponsive
 }
 
-// handleStartup answers the startup line and reports whether the session was accepted. The
-// line may name the server that the client expects.
-func (c *conn) handleStartup(line string, overLimit bool) bool {
-	f := strings.Fields(line)
+// handleStartup answers the startup message and reports whether the session was accepted. "When
+// sent to an instance, STARTUP carries these fields: the name of the service, who is connecting,
+// and, optionally, the expected id. A wrong name or id is rejected with MOVED."
+func (c *conn) handleStartup(message string, overLimit bool) bool {
+	code := ""
+	word, f := linewire.Split(message, 3)
 	switch {
-	case len(f) < 3 || f[0] != "STARTUP" || f[1] != c.server.group.options.Name || len(f) > 3 && f[3] != c.server.ID:
-		fmt.Fprintf(c.net, "ERROR MOVED %s\r\n", c.server.ID)
-		return false
+	case word != "STARTUP" || len(f) < 2 || f[0] == "" || f[1] == "":
+		c.recordBroken("broken-startup", message)
+		code = "MALFORMED"
+	case f[0] != c.server.group.options.Name || len(f) > 2 && f[2] != c.server.ID:
+		code = "MOVED"
 	case overLimit:
-		fmt.Fprintf(c.net, "ERROR CONNLIMIT %s\r\n", c.server.ID)
+		code = "CONNLIMIT"
+	}
+	answer, err := linewire.Append(nil, "READY", "I", c.position())
+	if code != "" {
+		answer, err = linewire.Append(nil, "ERROR", code, c.server.ID)
+	}
+	if err != nil {
+		c.recordBroken("unsendable-answer", err.Error())
 		return false
 	}
-	c.customer = f[2]
-	fmt.Fprintf(c.net, "READY I %s\r\n", c.position())
-	return true
+	c.send(answer)
+	if code == "" {
+		c.customer = f[1]
+	}
+	return code == ""
 }
 
 func (c *conn) position() (p string) {
@@ -116,43 +156,46 @@
 	return p
 }
 
-func (c *conn) encodeAnswer(a answer) string {
-	var b strings.Builder
+// encodeAnswer returns the messages of an answer: "any number of DATAROW messages, then COMPLETE
+// signature or ERROR code, text, and in every case READY state, position".
+func (c *conn) encodeAnswer(a answer) (b []byte, err error) {
+	add := func(word string, fields ...string) {
+		if err == nil {
+			b, err = linewire.Append(b, word, fields...)
+		}
+	}
 	for _, r := range a.rows {
-		b.WriteString("DATAROW " + r + "\r\n")
+		add("DATAROW", r)
 	}
-	if a.code != "" {
-		b.WriteString("ERROR " + a.code + " " + c.server.ID + "\r\n")
-	} else {
-		if a.signature == "" {
-			a.signature = "-"
-		}
-		b.WriteString("COMPLETE " + a.signature + "\r\n")
+	switch {
+	case a.code != "":
+		add("ERROR", a.code, c.server.ID)
+	case a.signature == "":
+		add("COMPLETE", "-")
+	default:
+		add("COMPLETE", a.signature)
 	}
 	at := a.position
 	if at == "" {
 		at = c.position()
 	}
-	b.WriteString("READY " + string(rune(c.state)) + " " + at + "\r\n")
-	return b.String()
+	add("READY", string(rune(c.state)), at)
+	return b, err
 }
 
-func (c *conn) send(message string) {
+func (c *conn) send(messages []byte) {
 	c.writing.Lock()
 	defer c.writing.Unlock()
-	_, _ = c.net.Write([]byte(message))
+	_, _ = c.net.Write(messages) // the next read returns the error
 }
 
 // execute runs one statement. A leading AFTER makes it fail with LAGGING unless the server has
 // applied the given position.
 func (c *conn) execute(id, text string) answer {
-	after := ""
-	if command, rest := splitWord(text); command == "AFTER" {
-		after, text = splitWord(rest)
-	}
-	command, rest := splitWord(text)
-	c.recordIfBarred(id, command)
-	if c.state == 'E' && command != "ROLLBACK" && command != "COMMIT" {
+	after, text, ok := splitAfter(text)
+	q, valid := parseStatement(text)
+	c.recordIfBarred(id, q.command)
+	if !ok || !valid || c.state == 'E' && q.command != "ROLLBACK" && q.command != "COMMIT" {
 		return answer{code: "MALFORMED"}
 	}
 	if c.isRefused(id, text) {
@@ -161,36 +204,38 @@
 	if after != "" && !c.hasReached(after) {
 		return answer{code: "LAGGING"}
 	}
-	switch command {
+	switch q.command {
 	case "BEGIN":
-		return c.begin(rest == "READ")
+		return c.begin(len(q.fields) > 0)
 	case "ROLLBACK":
 		c.endTransaction()
-		return answer{}
 	case "COMMIT":
 		return c.commit(id, text)
 	case "SET":
-		name, value := splitWord(rest)
-		c.values[name] = value
+		c.values[q.fields[0]] = q.fields[1]
 	case "DISCARD":
 		clear(c.values)
 		clear(c.prepared)
 	case "PARSE":
-		name, shape := splitWord(rest)
-		c.prepared[name] = shape
+		c.prepared[q.fields[0]] = q.fields[1] + " " + q.fields[2]
+	case "CLOSE":
+		if _, ok := c.prepared[q.fields[0]]; !ok {
+			return answer{code: "NOSTMT"}
+		}
+		delete(c.prepared, q.fields[0])
 	case "EXECUTE":
-		name, args := splitWord(rest)
-		shape, ok := c.prepared[name]
-		if !ok {
+		shape, ok := c.prepared[q.fields[0]]
+		switch {
+		case !ok:
 			return answer{code: "NOSTMT"}
+		case !strings.HasPrefix(shape, q.kind()+" "):
+			return answer{code: "MALFORMED"}
 		}
-		return c.executeReadOrWrite(id, text, strings.HasPrefix(shape, "WRITE"), args)
+		return c.executeReadOrWrite(id, text, shape, statement{q.kind(), q.fields[1:]})
 	case "READ", "WRITE":
-		return c.executeReadOrWrite(id, text, command == "WRITE", rest)
-	case "STATUS", "PAUSE", "RESUME", "STEPDOWN":
-		return c.control(command, rest)
+		return c.executeReadOrWrite(id, text, "", q)
 	default:
-		return answer{code: "MALFORMED"}
+		return c.control(q)
 	}
 	return answer{}
 }
@@ -202,18 +247,11 @@
 }
 
 func (c *conn) hasReached(after string) bool {
-	want, have := parsePosition(after), parsePosition(c.position())
+	want, _ := parsePosition(after)
+	have, _ := parsePosition(c.position())
 	return have[0] > want[0] || have[0] == want[0] && have[1] >= want[1]
 }
 
-// parsePosition returns term and number of a position.
-func parsePosition(p string) [2]uint64 {
-	t, n, _ := strings.Cut(p, ".")
-	a, _ := strconv.ParseUint(t, 10, 64)
-	b, _ := strconv.ParseUint(n, 10, 64)
-	return [2]uint64{a, b}
-}
-
 func (c *conn) isPrimary() (primary bool) {
 	c.server.withLock(func() { primary = c.server.actsAsPrimary() })
 	return primary
@@ -232,9 +270,10 @@
 
 func (c *conn) endTransaction() { c.state, c.readOnly, c.writes = 'I', false, nil }
 
-// executeReadOrWrite runs one read or write while occupying a statement slot.
-func (c *conn) executeReadOrWrite(id, text string, write bool, args string) answer {
-	inTx := c.state == 'T'
+// executeReadOrWrite runs one read or write while occupying a statement slot. shape is that of the
+// prepared statement, "" without one.
+func (c *conn) executeReadOrWrite(id, text, shape string, q statement) answer {
+	inTx, write := c.state == 'T', q.command == "WRITE"
 	if write && (c.readOnly || !c.isPrimary()) || inTx && !c.readOnly && !c.isPrimary() {
 		if inTx {
 			c.state = 'E'
@@ -242,8 +281,8 @@
 		return answer{code: "READONLY"}
 	}
 	c.occupySlot()
-	c.server.group.checkRun(c, id, text, inTx, write && !inTx)
-	item, data := splitWord(args)
+	c.server.group.checkRun(c, id, text, shape, inTx, write && !inTx)
+	item := q.fields[0]
 	sig := signature(id, c.values)
 	if !write {
 		row := ""
@@ -258,9 +297,10 @@
 				row = w.Data
 			}
 		}
+		c.server.group.recordRow(id, row)
 		return c.applyLostAnswer(answer{rows: []string{row}, signature: sig})
 	}
-	w := Write{ID: id, Customer: c.customer, Item: item, Data: data}
+	w := Write{ID: id, Customer: c.customer, Item: item, Data: q.fields[1]}
 	if inTx {
 		c.writes = append(c.writes, w)
 		return c.applyLostAnswer(answer{signature: sig})
@@ -276,11 +316,11 @@
 	writes := c.writes
 	c.endTransaction()
 	if len(writes) == 0 {
-		c.server.group.checkRun(c, id, text, true, false)
+		c.server.group.checkRun(c, id, text, "", true, false)
 		return c.applyLostAnswer(answer{signature: signature(id, c.values)})
 	}
 	c.occupySlot()
-	c.server.group.checkRun(c, id, text, true, true)
+	c.server.group.checkRun(c, id, text, "", true, true)
 	return c.commitWrites(writes, signature(id, c.values))
 }
 
@@ -316,12 +356,12 @@
 
 // control runs a control statement. Like the platform, it answers with the unchanged status
 // row if the statement has no effect because of its term or the server's role.
-func (c *conn) control(command, rest string) answer {
-	s := c.server
+func (c *conn) control(q statement) answer {
+	s, command := c.server, q.command
 	term := uint64(0)
-	if command == "PAUSE" || command == "STEPDOWN" {
+	if len(q.fields) > 0 {
 		var err error
-		if term, err = strconv.ParseUint(rest, 10, 64); err != nil {
+		if term, err = strconv.ParseUint(q.fields[0], 10, 64); err != nil {
 			return answer{code: "MALFORMED"}
 		}
 	}
@@ -347,12 +387,25 @@
 }
 
 // signature returns what a statement ran with: its id and the session's values, sorted by
-// name.
+// name. The digest of a name or a value stands for it if it is long or could be taken for
+// something else.
 func signature(id string, values map[string]string) string {
 	names := make([]string, 0, len(values))
 	for n, v := range values {
-		names = append(names, n+"="+v)
+		names = append(names, plain(n)+"="+plain(v))
 	}
 	sort.Strings(names)
 	return id + "/" + strings.Join(names, ",")
 }
+
+// maxPlain is the length in bytes up to which a name or a value stands in a signature itself.
+const maxPlain = 64
+
+// plain returns a short text without separators. Quotes mark digests.
+func plain(s string) string {
+	odd := func(r rune) bool { return r <= ' ' || r > '~' || strings.ContainsRune(`=,/"`, r) }
+	if len(s) <= maxPlain && !strings.ContainsFunc(s, odd) {
+		return s
+	}
+	return fmt.Sprintf(`"%x"`, sha256.Sum256([]byte(s)))
+}
--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -267,15 +267,22 @@
 
 // checkRun records a violation if no caller has asked for the statement that runs on the
 // connection.
-func (g *Group) checkRun(c *conn, id, text string, inTx, committing bool) {
+func (g *Group) checkRun(c *conn, id, text, shape string, inTx, committing bool) {
 	if g.options.Outstanding == nil {
 		return
 	}
-	if problem := g.options.Outstanding.checkRun(c, id, text, inTx, committing); problem != "" {
+	if problem := g.options.Outstanding.checkRun(c, id, text, shape, inTx, committing); problem != "" {
 		g.withLock(func() { g.violations = append(g.violations, violation{text: problem}) })
 	}
 }
 
+// recordRow records the row that a server is about to send as the answer to a read.
+func (g *Group) recordRow(id, row string) {
+	if g.options.Outstanding != nil {
+		g.options.Outstanding.recordRow(id, row)
+	}
+}
+
 // replicateTo copies the primary's log to the server and reports whether it did; a fault,
 // a PAUSE or a crash prevents it. Entries that the primary lacks are rolled back. The caller
 // holds the mutex.
@@ -407,9 +414,3 @@
 	}
 	return data
 }
-
-// splitWord splits a text into its first word and the rest.
-func splitWord(text string) (string, string) {
-	word, rest, _ := strings.Cut(text, " ")
-	return word, rest
-}
--- a/internal/standin/linegroup/repeat.go
+++ b/internal/standin/linegroup/repeat.go
@@ -27,7 +27,7 @@
 }
 
 // repeat writes the answer to the statement again if the server's repeats select it.
-func (c *conn) repeat(id, text, message string) {
+func (c *conn) repeat(id, text string, message []byte) {
 	r := c.repeats()
 	switch {
 	case r.pick == nil || !r.pick(id, text):
--- a/internal/standin/linegroup/repeat_test.go
+++ b/internal/standin/linegroup/repeat_test.go
@@ -1,13 +1,14 @@
 package linegroup
 
 import (
-	"bufio"
 	"fmt"
 	"net"
 	"slices"
 	"strings"
 	"testing"
 	"time"
+
+	"chicoryline/internal/standin/linewire"
 )
 
 // exchangeLines sends the lines to the server in one write and returns the next answers of the
@@ -27,12 +28,12 @@
 	}
 	var got []string
 	answer := ""
-	for r := bufio.NewReader(c); len(got) <= answers; {
-		line, err := r.ReadString('\n')
+	for r := linewire.NewReader(c); len(got) <= answers; {
+		line, err := r.Next()
 		if err != nil {
 			t.Fatalf("%v after %q", err, got)
 		}
-		answer += strings.TrimRight(line, "\r\n") + ";"
+		answer += line + ";"
 		if strings.HasPrefix(line, "READY") {
 			got, answer = append(got, answer), ""
 		}
