--- a/internal/standin/linegroup/group.go
+++ b/internal/standin/linegroup/group.go
@@ -267,19 +267,19 @@
 
 // checkRun records a violation if no caller has asked for the statement that runs on the
 // connection.
-func (g *Group) checkRun(c *conn, id, text string, inTx, committing bool) {
+func (g *Group) checkRun(c *conn, id, text, shape string, inTx, committing bool) {
 	if g.options.Outstanding == nil {
 		return
 	}
-	if problem := g.options.Outstanding.checkRun(c, id, text, inTx, committing); problem != "" {
+	if problem := g.options.Outstanding.checkRun(c, id, text, shape, inTx, committing); problem != "" {
 		g.withLock(func() { g.violations = append(g.violations, violation{text: problem}) })
 	}
 }
 
-// recordRow records that a server returns the row for a read.
+// recordRow records the row that a server is about to send as the answer to a read.
 func (g *Group) recordRow(id, row string) {
 	if g.options.Outstanding != nil {
-		g.options.Outstanding.returned(id, row)
+		g.options.Outstanding.recordRow(id, row)
 	}
 }
 
@@ -414,9 +414,3 @@
 	}
 	return data
 }
-
-// splitWord splits a text into its first word and the rest.
-func splitWord(text string) (string, string) {
-	word, rest, _ := strings.Cut(text, " ")
-	return word, rest
-}
--- a/internal/standin/linegroup/outstanding.go
+++ b/internal/standin/linegroup/outstanding.go
@@ -1,130 +1,125 @@
 package linegroup
 
 import (
+	"errors"
 	"fmt"
 	"slices"
-	"strconv"
-	"strings"
 	"sync"
 
 	"chicoryline/internal/standin/lineclient"
 )
 
 // Outstanding compares the statements that servers run with those that callers sent, and the
-// answers that callers receive with their statements. Ids must be unique. It implements
-// lineclient.Observer. The first word of a violation is its kind.
+// answers that callers receive with their statements and with what servers sent, byte for byte. Ids
+// must be unique. It implements lineclient.Observer and lineclient.FaultObserver. The first word of
+// a violation is its kind.
 type Outstanding struct {
 	mu         sync.Mutex
 	statements map[string]*sentStatement
-	// values and prepared hold the session values and the prepared statements ("READ shape" or
-	// "WRITE shape") that were acknowledged to callers.
-	values, prepared map[*lineclient.Client]map[string]string
-	violations       []string
-	unasked          int
+	// values holds the session values that were acknowledged to callers.
+	values map[*lineclient.Client]map[string]string
+	// prepared holds the prepared statements that were acknowledged to callers, as kind and shape.
+	prepared   map[*lineclient.Client]map[string]string
+	violations []string
+	unasked    int
 }
 
 // sentStatement is a statement of a caller and what has become of it.
 type sentStatement struct {
 	session *lineclient.Client
 	text    string
-	// kind is READ, WRITE, COMMIT or "" for the others, prepared what an EXECUTE was prepared as.
-	kind, prepared string
-	inTx           bool
+	// shape is that of the prepared statement, "" for a statement that is not an EXECUTE.
+	shape string
+	inTx  bool
 	// succeeded and denied report the answer that the caller received: a success, or a code
 	// that promises that nothing is kept.
 	succeeded, denied bool
-	// ranAt holds the servers that have run the statement, rows what they returned for a read.
+	// ranAt holds the servers that have run the statement.
 	ranAt map[*Server]bool
-	rows  []string
+	// rows holds the rows that servers sent as answers to the statement.
+	rows []string
 }
 
 // NewOutstanding returns an empty Outstanding.
 func NewOutstanding() *Outstanding {
-	return &Outstanding{
-		statements: map[string]*sentStatement{},
-		values:     map[*lineclient.Client]map[string]string{}, prepared: map[*lineclient.Client]map[string]string{},
-	}
+	return &Outstanding{statements: map[string]*sentStatement{}, values: map[*lineclient.Client]map[string]string{}, prepared: map[*lineclient.Client]map[string]string{}}
 }
 
 // Sent implements lineclient.Observer.
 func (o *Outstanding) Sent(session *lineclient.Client, id, text string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	sent := &sentStatement{session: session, text: text, kind: kindOf(text), inTx: session.InTx(), ranAt: map[*Server]bool{}}
-	if name, isExecute := preparedName(text); isExecute {
-		if shape, known := o.prepared[session][name]; known {
-			sent.prepared = shape
-			sent.kind, _ = splitWord(shape)
-		}
+	sent := &sentStatement{session: session, text: text, inTx: session.InTx(), ranAt: map[*Server]bool{}}
+	if q, ok := parseStatement(text); ok && q.command == "EXECUTE" {
+		sent.shape = o.prepared[session][q.fields[0]]
 	}
 	o.statements[id] = sent
 }
 
 // Answered implements lineclient.Observer. It records a violation unless a success carries the
-// signature of its own statement and session values, and a row that a server returned for the
-// statement if and only if that is a read.
+// signature of its own statement and session values, and, if and only if that is a read, the row
+// that a server sent for it.
 func (o *Outstanding) Answered(id string, a lineclient.Answer) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.statements[id]
 	s.succeeded, s.denied = a.Code == "", a.HasNoEffect()
-	switch command, rest := splitWord(s.text); {
-	case a.Code != "":
-		return
-	case command == "SET":
-		name, value := splitWord(rest)
-		keep(o.values, s.session, name, value)
-		return
-	case command == "PARSE":
-		name, shape := splitWord(rest)
-		keep(o.prepared, s.session, name, shape)
+	if a.Code != "" {
 		return
-	case command == "CLOSE":
-		delete(o.prepared[s.session], rest)
-		return
-	case s.kind == "":
+	}
+	q, _ := parseStatement(s.text)
+	o.applyToSession(s.session, q)
+	if q.kind() == "" {
 		return
 	}
 	if want := signature(id, o.values[s.session]); a.Signature != want {
-		o.addViolation("wrong-signature: %s %s succeeded with %s, want %s", id, quote(s.text), quote(a.Signature), quote(want))
+		o.violations = append(o.violations, fmt.Sprintf("wrong-signature: %s %.200q succeeded with %.200q, want %.200q", id, s.text, a.Signature, want))
 	}
 	switch rows := len(a.Rows); {
-	case s.kind == "READ" && rows != 1 || s.kind != "READ" && rows != 0:
-		o.addViolation("wrong-rows: %s %s succeeded with %d rows", id, quote(s.text), rows)
-	case s.kind == "READ" && !slices.Contains(s.rows, a.Rows[0]):
-		o.addViolation("foreign-row: %s %s succeeded with %s, no server returned that", id, quote(s.text), quote(a.Rows[0]))
+	case q.kind() == "READ" && rows != 1 || q.kind() != "READ" && rows != 0:
+		o.violations = append(o.violations, fmt.Sprintf("wrong-rows: %s %.200q succeeded with %d rows", id, s.text, rows))
+	case rows == 1 && !slices.Contains(s.rows, a.Rows[0]):
+		o.violations = append(o.violations, fmt.Sprintf("wrong-row: %s %.200q succeeded with %.200q, servers sent %.200q", id, s.text, a.Rows[0], s.rows))
+	}
+	s.rows = nil
+}
+
+// applyToSession keeps the values and prepared statements of a session; q was acknowledged.
+func (o *Outstanding) applyToSession(session *lineclient.Client, q statement) {
+	switch q.command {
+	case "SET":
+		put(o.values, session, q.fields[0], q.fields[1])
+	case "PARSE":
+		put(o.prepared, session, q.fields[0], q.fields[1]+" "+q.fields[2])
+	case "CLOSE":
+		delete(o.prepared[session], q.fields[0])
 	}
 }
 
-func (o *Outstanding) addViolation(format string, args ...any) {
-	o.violations = append(o.violations, fmt.Sprintf(format, args...))
-}
-
-// keep stores a value of a session under the name.
-func keep(all map[*lineclient.Client]map[string]string, session *lineclient.Client, name, value string) {
+func put(all map[*lineclient.Client]map[string]string, session *lineclient.Client, name, value string) {
 	if all[session] == nil {
 		all[session] = map[string]string{}
 	}
 	all[session][name] = value
 }
 
-// maxQuotedBytes bounds how much of a text a violation shows.
-const maxQuotedBytes = 160
-
-// quote returns a text in quotes, shortened if it is long.
-func quote(text string) string {
-	if len(text) <= maxQuotedBytes {
-		return strconv.Quote(text)
+// Fault implements lineclient.FaultObserver.
+func (o *Outstanding) Fault(_ *lineclient.Client, err error) {
+	kind := "broken-answer"
+	if unsolicited := (*lineclient.UnsolicitedError)(nil); errors.As(err, &unsolicited) {
+		kind = "unsolicited"
 	}
-	return fmt.Sprintf("%q... (%d bytes)", text[:maxQuotedBytes], len(text))
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.violations = append(o.violations, kind+": "+err.Error())
 }
 
-// returned records that a server returns the row for a read.
-func (o *Outstanding) returned(id, row string) {
+// recordRow records the row that a server is about to send as the answer to a statement.
+func (o *Outstanding) recordRow(id, row string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	if sent := o.statements[id]; sent != nil {
-		sent.rows = append(sent.rows, row)
+	if s := o.statements[id]; s != nil {
+		s.rows = append(s.rows, row)
 	}
 }
 
@@ -142,12 +137,12 @@
 	return o.unasked
 }
 
-// checkRun returns the violation, or "", of running the statement on the connection. committing
-// means that the run commits writes.
-func (o *Outstanding) checkRun(c *conn, id, text string, inTx, committing bool) string {
+// checkRun returns the violation, or "", of running the statement on the connection. shape is that
+// of the prepared statement, "" without one; committing means that the run commits writes.
+func (o *Outstanding) checkRun(c *conn, id, text, shape string, inTx, committing bool) string {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	problem := o.problemOfRun(c, id, text, inTx, committing)
+	problem := o.problemOfRun(c, id, text, shape, inTx, committing)
 	if problem != "" {
 		o.unasked++
 	}
@@ -155,11 +150,11 @@
 }
 
 // problemOfRun is checkRun with the mutex held.
-func (o *Outstanding) problemOfRun(c *conn, id, text string, inTx, committing bool) string {
+func (o *Outstanding) problemOfRun(c *conn, id, text, shape string, inTx, committing bool) string {
 	s := c.server
 	sent := o.statements[id]
 	if sent == nil {
-		return fmt.Sprintf("unknown-id: %s %s ran at %s", quote(id), quote(text), s.ID)
+		return fmt.Sprintf("unknown-id: %q %.200q ran at %s", id, text, s.ID)
 	}
 	if inTx && c.txSession == nil {
 		defer func() { c.txSession = sent.session }()
@@ -168,63 +163,21 @@
 	sent.ranAt[s] = true
 	switch {
 	case withoutName(text) != withoutName(sent.text):
-		return fmt.Sprintf("changed-text: %s ran as %s, was sent as %s", id, quote(text), quote(sent.text))
-	case c.shapeOf(text) != sent.prepared:
-		return fmt.Sprintf("wrong-shape: %s %s ran as %s, was prepared as %s", id, quote(text), quote(c.shapeOf(text)), quote(sent.prepared))
+		return fmt.Sprintf("changed-text: %s ran as %.200q, was sent as %.200q", id, text, sent.text)
+	case shape != sent.shape:
+		return fmt.Sprintf("other-shape: %s %.200q ran as %.200q, was prepared as %.200q", id, text, shape, sent.shape)
 	// A proxy may run a single read in a transaction of its own.
-	case sent.inTx && !inTx || inTx && !sent.inTx && sent.kind != "READ":
-		return fmt.Sprintf("outside-transaction: %s %s ran at %s in a transaction: %t, was sent in one: %t", id, quote(text), s.ID, inTx, sent.inTx)
+	case sent.inTx && !inTx || inTx && !sent.inTx && kindOf(text) != "READ":
+		return fmt.Sprintf("outside-transaction: %s %.200q ran at %s in a transaction: %t, was sent in one: %t", id, text, s.ID, inTx, sent.inTx)
 	case inTx && c.txSession != nil && c.txSession != sent.session:
-		return fmt.Sprintf("foreign-transaction: %s %s ran at %s in the transaction of another session", id, quote(text), s.ID)
+		return fmt.Sprintf("foreign-transaction: %s %.200q ran at %s in the transaction of another session", id, text, s.ID)
 	case sent.denied && committing:
-		return fmt.Sprintf("after-denial: %s %s committed at %s, its caller was told that nothing is kept", id, quote(text), s.ID)
+		return fmt.Sprintf("after-denial: %s %.200q committed at %s, its caller was told that nothing is kept", id, text, s.ID)
 	// A read without a timely answer is sent to a second server; the slower one of the two may
 	// still run it when the caller has the answer of the other. Callers that gave up or were
 	// told that the outcome is unknown leave statements behind as well.
-	case sent.succeeded && !(sent.kind == "READ" && elsewhere):
-		return fmt.Sprintf("after-answer: %s %s ran at %s, its caller had an answer", id, quote(text), s.ID)
-	}
-	return ""
-}
-
-// withoutName returns the text of a statement without the name of a prepared statement, which
-// proxies may change.
-func withoutName(text string) string {
-	if command, rest := splitWord(text); command == "EXECUTE" {
-		_, args := splitWord(rest)
-		return command + " " + args
-	}
-	return text
-}
-
-// preparedName returns the name of the prepared statement that an EXECUTE runs.
-func preparedName(text string) (name string, isExecute bool) {
-	command, rest := splitWord(text)
-	name, _ = splitWord(rest)
-	return name, command == "EXECUTE"
-}
-
-// shapeOf returns what the statement of an EXECUTE was prepared as on the connection, and "" for
-// other statements.
-func (c *conn) shapeOf(text string) string {
-	if name, isExecute := preparedName(text); isExecute {
-		return c.prepared[name]
-	}
-	return ""
-}
-
-// kindOf returns READ, WRITE or COMMIT for a statement that a server runs, and "" for others.
-// An EXECUTE with data is a write.
-func kindOf(text string) string {
-	command, rest := splitWord(text)
-	switch command {
-	case "READ", "WRITE", "COMMIT":
-		return command
-	case "EXECUTE":
-		if strings.Count(rest, " ") > 1 {
-			return "WRITE"
-		}
-		return "READ"
+	case sent.succeeded && !(kindOf(text) == "READ" && elsewhere):
+		return fmt.Sprintf("after-answer: %s %.200q ran at %s, its caller had an answer", id, text, s.ID)
 	}
 	return ""
 }
