--- a/cmd/chicoryline/demo.go
+++ b/cmd/chicoryline/demo.go
@@ -51,12 +51,15 @@
 
 // onPlatform runs the demonstration on stand-ins of the users' platform.
 func (c *demoCommand) onPlatform(ctx context.Context) error {
-	f, err := demo.RunOnPlatform(ctx, c.Duration, os.Stdout, demoLogger(c.Verbose))
+	f, err := demo.RunOnPlatform(ctx, c.Duration, c.Seed, os.Stdout, demoLogger(c.Verbose))
 	if err != nil {
 		return err
 	}
-	fmt.Printf("requests=%d served=%d refused=%v stale=%d lost=%d doubled=%d mixed=%d unasked=%d\n",
-		f.Requests, f.Served, f.Refused, f.Stale, f.Lost, f.Doubled, f.Mixed, f.Unasked)
+	fmt.Printf("requests=%d served=%d refused=%v stale=%d lost=%d doubled=%d mixed=%d unasked=%d malformed=%d\n",
+		f.Requests, f.Served, f.Refused, f.Stale, f.Lost, f.Doubled, f.Mixed, f.Unasked, f.Malformed)
+	for _, v := range f.Violations {
+		fmt.Printf("violation=%q\n", v)
+	}
 	if f.ViolationCount() > 0 {
 		return errors.Errorf("%d guarantees were violated", f.ViolationCount())
 	}
--- a/internal/demo/onplatform.go
+++ b/internal/demo/onplatform.go
@@ -14,6 +14,7 @@
 	"chicoryline/internal/entry"
 	"chicoryline/internal/standin/lineclient"
 	"chicoryline/internal/standin/linegroup"
+	"chicoryline/internal/standin/linetext"
 	"chicoryline/internal/standin/world"
 	"chicoryline/platform"
 )
@@ -29,6 +30,10 @@
 	// platformSettleTime is the pause between the start of the processes and the load. It lets
 	// the processes discover each other and the customers' token buckets fill.
 	platformSettleTime = 3 * time.Second
+	// refusedPause is the pause of a caller after a refused request.
+	refusedPause = 50 * time.Millisecond
+	// platformOddPercent is the share of the odd texts among those of the callers.
+	platformOddPercent = 25
 )
 
 // PlatformFigures counts what callers observed in the demo on the platform's protocols.
@@ -37,13 +42,24 @@
 	Refused          map[string]int // by error code
 	// Stale counts reads that missed the session's own write, Lost acknowledged writes that
 	// no server holds, Doubled writes that took effect more than once, Mixed answers that do
-	// not belong to their statement, Unasked runs of statements that no caller waited for.
-	Stale, Lost, Doubled, Mixed, Unasked int
+	// not belong to their statement, Unasked runs of statements that no caller waited for,
+	// Malformed valid statements that were refused as malformed.
+	Stale, Lost, Doubled, Mixed, Unasked, Malformed int
+	// Violations describes some of the mixed answers and unasked runs.
+	Violations []string
 }
 
+// maxShownViolations bounds PlatformFigures.Violations for callers and for each group.
+const maxShownViolations = 4
+
 // ViolationCount returns the number of guarantee violations.
 func (f *PlatformFigures) ViolationCount() int {
-	return f.Stale + f.Lost + f.Doubled + f.Mixed + f.Unasked
+	return f.Stale + f.Lost + f.Doubled + f.Mixed + f.Unasked + f.Malformed
+}
+
+// show adds some of the violations to those that are shown.
+func (f *PlatformFigures) show(violations []string) {
+	f.Violations = append(f.Violations, violations[:min(len(violations), maxShownViolations)]...)
 }
 
 // platformRun is a running demo. The mutex guards figures and acknowledged.
@@ -54,11 +70,13 @@
 	mu           sync.Mutex
 	figures      PlatformFigures
 	acknowledged map[string]bool // ids of acknowledged writes
+	seed         uint64
 }
 
 // RunOnPlatform runs VM processes against test doubles of the users' platform, all inside
-// this OS process, with a load, a crash of a primary and the withdrawal of a key.
-func RunOnPlatform(ctx context.Context, duration time.Duration, out io.Writer, log *logrus.Entry) (*PlatformFigures, error) {
+// this OS process, with a load, a crash of a primary and the withdrawal of a key. The callers send
+// any bytes that the protocol allows; the seed determines them.
+func RunOnPlatform(ctx context.Context, duration time.Duration, seed uint64, out io.Writer, log *logrus.Entry) (*PlatformFigures, error) {
 	outstanding := linegroup.NewOutstanding()
 	w, err := world.New(world.Options{
 		Groups: 2, Domains: []string{"north", "south", "east"}, VMs: platformVMs, Network: platformNetwork,
@@ -80,7 +98,7 @@
 	defer stop()
 	fmt.Fprintf(out, "platform=true failure_domains=3 vms=%d groups=2 backend_servers=6 customers=2\n", platformVMs)
 	time.Sleep(platformSettleTime)
-	r := &platformRun{world: w, outstanding: outstanding, acknowledged: map[string]bool{}, figures: PlatformFigures{Refused: map[string]int{}}}
+	r := &platformRun{world: w, outstanding: outstanding, acknowledged: map[string]bool{}, seed: seed, figures: PlatformFigures{Refused: map[string]int{}}}
 	load, cancel := context.WithTimeout(ctx, duration)
 	defer cancel()
 	var callers sync.WaitGroup
@@ -157,7 +175,8 @@
 	if i%4 == 0 {
 		key = "key-small"
 	}
-	for n := 0; ctx.Err() == nil; {
+	texts := linetext.New(r.seed, uint64(i), linetext.Mix{OddPercent: platformOddPercent})
+	for n, sessions := 0, 0; ctx.Err() == nil; sessions++ {
 		c, err := lineclient.Dial(r.world.FrontAddress(i%platformVMs), database, key, platformExchangeTimeout)
 		if err != nil {
 			r.countResult("", "connection")
@@ -165,42 +184,96 @@
 			continue
 		}
 		c.Observer = r.outstanding
-		for ; ctx.Err() == nil; n++ {
-			if !r.writeAndRead(c, i, n) {
-				break
-			}
+		p := &platformCaller{run: r, session: c, texts: texts, number: i}
+		for open := p.setUp(sessions); open && ctx.Err() == nil; n++ {
+			open = p.writeAndRead(n)
 		}
 		c.Close()
 	}
 }
 
-// writeAndRead writes an item and reads it back. It returns false if the session has ended.
-func (r *platformRun) writeAndRead(c *lineclient.Client, caller, n int) bool {
-	id := fmt.Sprintf("w%d-%d", caller, n)
-	item, data := fmt.Sprintf("item%d", caller), fmt.Sprint(n)
-	a, err := c.Query(id, "WRITE "+item+" "+data)
+// platformCaller is one session of a caller.
+type platformCaller struct {
+	run     *platformRun
+	session *lineclient.Client
+	texts   *linetext.Source
+	number  int
+	// writeName and readName are the session's prepared statements.
+	writeName, readName string
+}
+
+// query sends a statement and counts its result. write is the id of the write that a success
+// acknowledges, or empty. It returns false if the connection has failed.
+func (p *platformCaller) query(id, text, write string) (lineclient.Answer, bool) {
+	a, err := p.session.Query(id, text)
 	if err != nil {
-		r.countResult("", "connection")
-		return false
+		p.run.countResult("", "connection")
+		return a, false
 	}
-	r.countResult(id, a.Code)
-	if a.Code != "" {
-		time.Sleep(50 * time.Millisecond)
-		return true
+	p.run.countResult(write, a.Code)
+	// The end of a transaction may come after that of a lost one.
+	if a.Code == "MALFORMED" && text != "COMMIT" {
+		p.run.countMalformed(id, text)
 	}
-	a, err = c.Query("r"+id, "READ "+item)
-	if err != nil {
-		r.countResult("", "connection")
+	return a, true
+}
+
+// setUp sets a value and prepares the statements of the caller's nth session. It returns false if
+// the session has to end.
+func (p *platformCaller) setUp(n int) bool {
+	p.writeName, p.readName = p.texts.Inner("w"), p.texts.Inner("r")
+	for i, text := range []string{
+		"SET " + p.texts.Inner("color") + " " + p.texts.Kept(n),
+		"PARSE " + p.writeName + " WRITE " + p.texts.Kept(n), "PARSE " + p.readName + " READ " + p.texts.Kept(n),
+	} {
+		if a, ok := p.query(fmt.Sprintf("s%d-%d-%d", p.number, n, i), text, ""); !ok || a.Code != "" {
+			time.Sleep(refusedPause)
+			return false
+		}
+	}
+	return true
+}
+
+// writeAndRead writes an item and reads it back. It returns false if the session has to end.
+func (p *platformCaller) writeAndRead(n int) bool {
+	id := fmt.Sprintf("w%d-%d", p.number, n)
+	item, data := p.texts.Inner(fmt.Sprintf("item%d", p.number)), p.texts.Last(n)
+	write, read := "WRITE "+item+" "+data, "READ "+item
+	if n%2 == 0 {
+		write, read = "EXECUTE "+p.writeName+" "+item+" "+data, "EXECUTE "+p.readName+" "+item
+	}
+	a, ok := p.write(id, write, n%5 == 0)
+	if !ok {
 		return false
 	}
-	r.countResult("", a.Code)
+	if a.Code != "" {
+		time.Sleep(refusedPause)
+		return a.State == "I"
+	}
+	a, ok = p.query("r"+id, read, "")
 	// A read without rows counts as mixed.
-	if a.Code == "" && len(a.Rows) == 1 && a.Rows[0] != data {
-		r.mu.Lock()
-		r.figures.Stale++
-		r.mu.Unlock()
+	if ok && a.Code == "" && len(a.Rows) == 1 && a.Rows[0] != data {
+		p.run.mu.Lock()
+		p.run.figures.Stale++
+		p.run.mu.Unlock()
 	}
-	return true
+	return ok && a.State == "I"
+}
+
+// write runs a write, on its own or in a transaction, and returns the answer that determines its
+// outcome.
+func (p *platformCaller) write(id, text string, inTransaction bool) (lineclient.Answer, bool) {
+	if !inTransaction {
+		return p.query(id, text, id)
+	}
+	a, ok := p.query("b"+id, "BEGIN", "")
+	if !ok || a.Code != "" {
+		return a, ok
+	}
+	if a, ok = p.query(id, text, ""); !ok || a.Code != "" {
+		return a, ok
+	}
+	return p.query("c"+id, "COMMIT", id)
 }
 
 // countResult counts a request by its error code; id is the id of a write and empty for
@@ -219,12 +292,25 @@
 	}
 }
 
+// countMalformed counts a valid statement that was refused as malformed.
+func (r *platformRun) countMalformed(id, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.figures.Malformed++
+	if r.figures.Malformed <= maxShownViolations {
+		r.figures.Violations = append(r.figures.Violations, fmt.Sprintf("refused-as-malformed: %s %.80q", id, text))
+	}
+}
+
 // checkWrites compares the acknowledged writes with those that the servers hold, and collects
 // the violations that were seen meanwhile.
 func (r *platformRun) checkWrites() {
-	r.figures.Mixed, r.figures.Unasked = len(r.outstanding.Violations()), r.outstanding.Unasked()
+	mixed := r.outstanding.Violations()
+	r.figures.Mixed, r.figures.Unasked = len(mixed), r.outstanding.Unasked()
+	r.figures.show(mixed)
 	committed := map[string]int{}
 	for _, g := range r.world.Groups {
+		r.figures.show(g.Violations())
 		for _, w := range g.Committed() {
 			committed[w.ID]++
 		}
--- a/internal/demo/onplatform_test.go
+++ b/internal/demo/onplatform_test.go
@@ -12,7 +12,7 @@
 func TestPlatformDemoHasNoViolations(t *testing.T) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	f, err := RunOnPlatform(context.Background(), 3*time.Second, io.Discard, logrus.NewEntry(log))
+	f, err := RunOnPlatform(context.Background(), 3*time.Second, 1, io.Discard, logrus.NewEntry(log))
 	if err != nil {
 		t.Fatal(err)
 	}
