--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -96,6 +96,12 @@
 	runSeed(t, options{Program: program, VMs: 5, Callers: 16, Repeats: true, Series: true}, 6)
 }
 
+// TestTextsWithLineFeedsAreNotSplit runs single faults with callers that send any bytes that the
+// protocol allows.
+func TestTextsWithLineFeedsAreNotSplit(t *testing.T) {
+	runSeed(t, options{Program: buildProgram(t), VMs: 3, Callers: 8, OddBytes: true}, 45001)
+}
+
 func runSeries(t *testing.T, o options, seeds map[uint64]string) {
 	for seed := range seeds {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
