Answers: a full server's refusal of a read is given out without proof

Callers of a full server whose log does not move saw it from the third refusal of a connection on: neither the error nor a probe's answer can be told from a repeat, so the read waited for four probes and ended as a broken answer, which counts against the server as a failure and not as a refusal.

The proof guards a promise that nothing of the statement is kept. A read outside a transaction of its caller keeps nothing, whether it ran or not, so a BUSY for it is true in either case. After one probe that proves nothing, it is given out; the connection is unusable from then on, since the answer of the read may still come. It was closed before, too. Writes, transactions and other errors are matched as before.

--- a/internal/answers/conn.go
+++ b/internal/answers/conn.go
@@ -83,6 +83,8 @@
 	// state is the transaction state after a success, 0 if it stays as it is.
 	state statement.Status
 	rows  bool
+	// read reports that the statement is a read outside a transaction of its caller.
+	read bool
 	// proof is set if probes were sent around the command, because the success of an earlier one may
 	// come again.
 	proof *proof
@@ -130,7 +132,7 @@
 	defer c.leave()
 	sent := make([]statement.Command, 0, len(commands)+probes)
 	for _, m := range commands {
-		d := due{id: m.ID, state: m.State, rows: m.Rows}
+		d := due{id: m.ID, state: m.State, rows: m.Rows, read: m.Read}
 		d.proof = c.newProof(d)
 		c.due = append(c.due, d)
 		if d.proof == nil {
--- a/internal/answers/doubt.go
+++ b/internal/answers/doubt.go
@@ -121,7 +121,11 @@
 		c.mismatch(Unsigned, d, r, -1)
 		return
 	case !p.proved && (!c.novel || c.owed):
-		c.probeAgain(d, r)
+		if d.read && errkind.Is(p.answer.Err, errkind.QueueFull) {
+			c.refuseRead(d, r)
+		} else {
+			c.probeAgain(d, r)
+		}
 		return
 	case behind:
 		c.due[1].early = &r
@@ -130,6 +134,15 @@
 	c.owed = !c.novel || c.mismatches > 0
 }
 
+// refuseRead settles the doubt of a read that a full server refused, although the error may be a
+// repeat: a read keeps nothing, whether it ran or not. The connection is unusable after it, as the
+// answer of the read may still come.
+func (c *Conn) refuseRead(d due, r statement.Result) {
+	c.mismatch(Unproved, d, r, -1)
+	c.doubt.settled, c.doubt.after = true, r.Status
+	c.failed = errkind.New(errkind.AnswerIncomplete, "refusal of a read that may be a repeat")
+}
+
 // probeAgain sends another probe after an answer that proves nothing: it may be a repeat, as the
 // error may. The log may have moved on by the answer to the next.
 func (c *Conn) probeAgain(d due, r statement.Result) {
--- a/internal/dispatch/read.go
+++ b/internal/dispatch/read.go
@@ -254,7 +254,7 @@
 		return r, err, false
 	}
 	command := call.Command
-	command.After = need
+	command.After, command.Read = need, true
 	if err := g.checkSend(s, call); err != nil {
 		c.Release()
 		return r, err, false
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -391,7 +391,9 @@
 			return statement.Result{}, err
 		}
 		sent := boottime.Now()
-		err = c.Start(call.Command, statement.Command{Text: g.cfg.Texts.Rollback(), State: statement.Idle})
+		command := call.Command
+		command.Read = true
+		err = c.Start(command, statement.Command{Text: g.cfg.Texts.Rollback(), State: statement.Idle})
 		var r statement.Result
 		if err == nil {
 			r, err = receive(c, call.remaining())
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -77,6 +77,8 @@
 	State Status
 	// Rows reports that a success of a command without an ID has rows.
 	Rows bool
+	// Read reports that the command is a read outside a transaction of its caller.
+	Read bool
 }
 
 // Conn is a connection to a backend server on behalf of one customer. It must not be used
