Callers: statements end where PostgreSQL ends them

Whoever chooses a simple query chose where the proxy saw its statements end. It took a comment to end at a line feed only, a quote behind any word that ends in e for a string with escapes, a dollar sign inside an identifier for the start of a quote, a doubled quote in a string with escapes for its end, and did not know strings that go on in a further line, tags with other letters, or the vertical tab as white space. So "SELECT 1 --<CR>; PREPARE p AS ..." counted as one read: what needs a connection of its own ran on a pooled one, where the next session finds it (a statement with the marker's name makes all its requests fail), and "--<CR>COMMIT" ended a transaction without the proxy's knowledge. The other way round, a COMMIT inside a string seemed to be a statement.

The texts are now split by the server's documented rules for identifiers, strings, dollar quotes and comments. Servers with standard_conforming_strings off split differently still.

--- a/internal/caller/classify.go
+++ b/internal/caller/classify.go
@@ -162,17 +162,16 @@
 	return c == '_' || c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9'
 }
 
+// whiteSpace is what servers skip between words.
+const whiteSpace = " \t\r\n\f\v"
+
 // skipBlank removes leading white space and comments.
 func skipBlank(sql string) string {
 	for {
-		trimmed := strings.TrimLeft(sql, " \t\r\n\f")
+		trimmed := strings.TrimLeft(sql, whiteSpace)
 		switch {
 		case strings.HasPrefix(trimmed, "--"):
-			_, rest, found := strings.Cut(trimmed, "\n")
-			if !found {
-				return ""
-			}
-			sql = rest
+			sql = trimmed[lineLen(trimmed):]
 		case strings.HasPrefix(trimmed, "/*"):
 			sql = skipComment(trimmed)
 		default:
@@ -224,17 +223,29 @@
 	return append(list, sql)
 }
 
-// skipToken returns the index after the quoted text, comment or byte at i.
+// lineLen returns the length of the first line, without its end. Servers end a comment at a carriage
+// return alone, too.
+func lineLen(s string) int {
+	if n := strings.IndexAny(s, "\r\n"); n >= 0 {
+		return n
+	}
+	return len(s)
+}
+
+// skipToken returns the index after the quoted text, identifier, comment or byte at i.
 func skipToken(sql string, i int) int {
 	rest := sql[i:]
 	switch {
 	case rest[0] == '\'' || rest[0] == '"':
-		return i + quotedLen(rest, i > 0 && (sql[i-1] == 'e' || sql[i-1] == 'E'))
-	case strings.HasPrefix(rest, "--"):
-		if n := strings.IndexByte(rest, '\n'); n >= 0 {
-			return i + n
+		return i + quotedLen(rest, false)
+	case isIdentifierStart(rest[0]):
+		n := identifierLen(rest)
+		if strings.EqualFold(rest[:n], "e") && strings.HasPrefix(rest[n:], "'") {
+			return i + n + escapedLen(rest[n:])
 		}
-		return len(sql)
+		return i + n
+	case strings.HasPrefix(rest, "--"):
+		return i + lineLen(rest)
 	case strings.HasPrefix(rest, "/*"):
 		return len(sql) - len(skipComment(rest))
 	case rest[0] == '$':
@@ -243,12 +254,29 @@
 	return i + 1
 }
 
+// isIdentifierStart reports whether an identifier, or the tag of a dollar quote, can begin with the byte.
+func isIdentifierStart(c byte) bool {
+	return isWordByte(c) && (c < '0' || c > '9') || c >= 0x80
+}
+
+// identifierLen returns the length of the identifier that s starts with. It may contain dollar signs.
+func identifierLen(s string) int {
+	n := 1
+	for n < len(s) && (isWordByte(s[n]) || s[n] >= 0x80 || s[n] == '$') {
+		n++
+	}
+	return n
+}
+
+// quotedLen returns the length of the quoted text that s starts with. A doubled quote is part of it.
 func quotedLen(s string, escapes bool) int {
 	quote := s[0]
 	for i := 1; i < len(s); i++ {
 		switch {
 		case escapes && s[i] == '\\':
 			i++
+		case s[i] == quote && i+1 < len(s) && s[i+1] == quote:
+			i++
 		case s[i] == quote:
 			return i + 1
 		}
@@ -256,11 +284,39 @@
 	return len(s)
 }
 
+// escapedLen returns the length of the string with escapes that s starts with, from its quote on. It
+// goes on in a further quote behind white space with the end of a line.
+func escapedLen(s string) int {
+	for n := 0; ; {
+		n += quotedLen(s[n:], true)
+		next := skipLines(s, n)
+		if next == len(s) || s[next] != '\'' || !strings.ContainsAny(s[n:next], "\r\n") {
+			return n
+		}
+		n = next
+	}
+}
+
+// skipLines returns the index after the white space and line comments at i.
+func skipLines(s string, i int) int {
+	for i < len(s) {
+		switch {
+		case strings.IndexByte(whiteSpace, s[i]) >= 0:
+			i++
+		case strings.HasPrefix(s[i:], "--"):
+			i += lineLen(s[i:])
+		default:
+			return i
+		}
+	}
+	return i
+}
+
 // dollarLen returns the length of the dollar-quoted string that s starts with, or 1 if there
 // is none.
 func dollarLen(s string) int {
 	end := 1
-	for end < len(s) && isWordByte(s[end]) {
+	for end < len(s) && (isIdentifierStart(s[end]) || end > 1 && isWordByte(s[end])) {
 		end++
 	}
 	if end >= len(s) || s[end] != '$' {
--- a/internal/caller/classify_test.go
+++ b/internal/caller/classify_test.go
@@ -52,6 +52,41 @@
 	}
 }
 
+// Guards against statements that a server finds in a query and the proxy takes for a comment or a quoted
+// text, or the other way round.
+func TestStatementsEndWhereServersEndThem(t *testing.T) {
+	for sql, want := range map[string]int{
+		"SELECT 1 -- x\r; PREPARE p AS SELECT 1":         2,
+		"-- x\rCOMMIT":                                   1,
+		"SELECT date'\\'; PREPARE p AS SELECT 1; --'":    2,
+		`SELECT e"\"; PREPARE p AS SELECT 1; --"`:        2,
+		"SELECT x$a$; PREPARE p AS SELECT 1; --$a$":      2,
+		"SELECT é$a$; PREPARE p AS SELECT 1; --$a$":      2,
+		"SELECT $1$; PREPARE p AS SELECT 1; --$1$":       2,
+		"SELECT $é$ ; COMMIT; $é$":                       1,
+		`SELECT E'it''s \'; COMMIT; '`:                   1,
+		"SELECT e'a'\n'\\''; PREPARE p AS SELECT 1; --'": 2,
+		"SELECT E'a' -- x\n'\\'; COMMIT; '":              1,
+		`SELECT E'a' '\'; COMMIT; --'`:                   2,
+		`SELECT 'a''; b' "c""; d"`:                       1,
+	} {
+		list := splitStatements(sql)
+		if len(list) != want {
+			t.Errorf("%q: %d statements, want %d: %q", sql, len(list), want, list)
+		}
+	}
+	for _, sql := range []string{"-- x\rCOMMIT", "\vCOMMIT"} {
+		if c := classify(sql); !c.end {
+			t.Errorf("%q: %+v", sql, c)
+		}
+	}
+	for _, sql := range []string{"-- x\rPREPARE p AS SELECT 1", "/* x */ -- y\r\nLISTEN x"} {
+		if classify(sql).rejectReason == "" {
+			t.Errorf("%q was not rejected", sql)
+		}
+	}
+}
+
 func TestSplitSet(t *testing.T) {
 	for _, sql := range []string{"SET chicoryline.session = 'tok'", "set chicoryline.session to 'tok';", "SET chicoryline.session='tok'"} {
 		name, value, ok := splitSet(sql)
