Review case 8: primaries are lost after replicas have left, and all processes are killed

A replica has left as planned, the primary is lost for good one second later, and the final fault kills all processes. The steward refuses for ever to promote one of the remaining instances, which hold the whole log.

--- a/review/rig/callers.go
+++ b/review/rig/callers.go
@@ -116,3 +116,92 @@
 	w.in.Logf("answers to callers: %v; the database holds %d writes", w.codes, len(holds))
 	return lost, twice, refused
 }
+
+// Served is how many requests of an interval were served.
+type Served struct{ Sent, OK int }
+
+// Share returns the part of the requests that were served.
+func (s Served) Share() float64 { return float64(s.OK) / float64(max(s.Sent, 1)) }
+
+// Mix sends reads and writes on the three routes of a group through all machines. The mutex guards the
+// fields below it.
+type Mix struct {
+	in   *Installation
+	stop atomic.Bool
+	all  sync.WaitGroup
+	next atomic.Int64
+
+	mu       sync.Mutex
+	requests []sentRequest
+}
+
+type sentRequest struct {
+	at time.Duration
+	ok bool
+}
+
+// StartMix starts n callers.
+func (i *Installation) StartMix(n int, group string) *Mix {
+	m := &Mix{in: i}
+	for k := range n {
+		m.all.Go(func() { m.run(k, group) })
+	}
+	return m
+}
+
+func (m *Mix) run(k int, group string) {
+	kinds := []string{"primary", "bounded_staleness", "read_your_writes"}
+	for n := k; !m.stop.Load(); n++ {
+		kind := kinds[n%len(kinds)]
+		at := time.Since(m.in.started)
+		c, err := lineclient.Dial(m.in.machines[n%len(m.in.machines)].Front(), kind+"-"+group, "key-a", 2*time.Second)
+		if err != nil {
+			m.note(at, false)
+			time.Sleep(100 * time.Millisecond)
+			continue
+		}
+		for range 5 {
+			id := fmt.Sprintf("m%05d", m.next.Add(1))
+			text := "READ item" + fmt.Sprint(k)
+			if kind != "bounded_staleness" && m.next.Load()%3 == 0 {
+				text = fmt.Sprintf("WRITE item%d %s", k, id)
+			}
+			at := time.Since(m.in.started)
+			a, err := c.Query(id, text)
+			m.note(at, err == nil && a.Code == "")
+			if err != nil {
+				break
+			}
+			time.Sleep(60 * time.Millisecond)
+		}
+		c.Close()
+	}
+}
+
+func (m *Mix) note(at time.Duration, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.requests = append(m.requests, sentRequest{at, ok})
+}
+
+// Stop ends the callers.
+func (m *Mix) Stop() {
+	m.stop.Store(true)
+	m.all.Wait()
+}
+
+// Between returns what became of the requests that were sent in an interval.
+func (m *Mix) Between(from, to time.Time) (s Served) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, r := range m.requests {
+		if at := m.in.started.Add(r.at); at.Before(from) || !at.Before(to) {
+			continue
+		}
+		s.Sent++
+		if r.ok {
+			s.OK++
+		}
+	}
+	return s
+}
--- a/review/rig/installation.go
+++ b/review/rig/installation.go
@@ -417,3 +417,31 @@
 	os.RemoveAll(i.folder)
 	i.record.Close()
 }
+
+// Leave ends an instance as planned: its entry goes with it.
+func (i *Installation) Leave(s *Instance) {
+	i.mu.Lock()
+	i.gone[s] = true
+	i.mu.Unlock()
+	s.Crash()
+	i.Store.Delete("servers", s.ID)
+}
+
+// RestartAll kills all processes and starts them again after the given time.
+func (i *Installation) RestartAll(down time.Duration) error {
+	for _, m := range i.machines {
+		m.Signal(syscall.SIGKILL)
+	}
+	for _, m := range i.machines {
+		<-m.Done()
+	}
+	i.Logf("all processes have been killed")
+	time.Sleep(down)
+	for _, m := range i.machines {
+		if err := m.Start(); err != nil {
+			return err
+		}
+	}
+	i.Logf("all processes have been started again")
+	return nil
+}
