Steward: replicas that leave are retired, so that their end holds up no promotion

Cause: whether an ended server may have been the only holder of a commit was found out after its end, from an answer of the primary or from what all VMs remember. The logs of the case show both missing: "2 servers besides the primary are unreachable" until the entries count as gone, then "server ... is gone and may have held commits that ... lacks", with acknowledged=0/0. Refuted: a stale entry of the lost primary (the attempts name it as the primary), a lease in the way (taken every 300 ms), replicas that differ (both state the same position).

Fix: a steward pauses a replica 2 s before its announced end, waits until a replica that stays has its log, and records in the group's row what it has: its log bound. In a failover each server out of reach needs a log bound that the target has; a retired server is not waited for. The bound needs neither the primary nor a VM's memory. It is void after a promotion, a restart or a RESUME of the server. If commits get no answer, retired replicas are resumed.

TestServerWithoutEntryStaysKnownToStewards expects the new field: its server is leaving, and since when is not known.

--- a/internal/dispatch/server.go
+++ b/internal/dispatch/server.go
@@ -237,6 +237,20 @@
 	return s.info.Leaving && (s.lastNotLeaving == 0 || now.Sub(s.lastNotLeaving) >= leaveTime-leaveMargin)
 }
 
+// EndsFrom returns the earliest time at which a leaving server may end, 0 if it is not leaving. It is
+// the time at which the server was discovered if the time of the announcement is not known.
+func (s *Server) EndsFrom(leaveTime time.Duration) boottime.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case !s.info.Leaving:
+		return 0
+	case s.lastNotLeaving == 0:
+		return s.knownSince
+	}
+	return s.lastNotLeaving.Add(leaveTime)
+}
+
 // isEligible reports whether the server can be asked and may have applied the position.
 func (s *Server) isEligible(need position.Position, now boottime.Time) bool {
 	s.mu.Lock()
--- a/internal/entry/evacuation.go
+++ b/internal/entry/evacuation.go
@@ -292,13 +292,12 @@
 
 // changePrimary begins the primary change, unless an evacuation may make it impossible and the pause
 // since the last attempt is too short. What the steward does not begin is no attempt: another VM
-// holds the lease, or the store gives no answers.
-func (e *Process) changePrimary(ctx context.Context, g *dispatch.Group, task steward.Task) {
+// holds the lease, or the store gives no answers. It reports whether an attempt was begun.
+func (e *Process) changePrimary(ctx context.Context, g *dispatch.Group, task steward.Task) bool {
 	s := &e.evacuation
 	if !g.IsChangeHindered() {
 		delete(s.attempts, g.Name)
-		e.steward.Start(ctx, task)
-		return
+		return e.steward.Start(ctx, task)
 	}
 	pace := s.attempts[g.Name]
 	if pace == nil {
@@ -309,9 +308,11 @@
 		s.attempts[g.Name] = pace
 	}
 	if pace.Active(boottime.Now()) || task.Reason == steward.Leaving && e.rank(g.Name) > maxHinderedRank {
-		return
+		return false
 	}
-	if e.steward.Start(ctx, task) {
+	begun := e.steward.Start(ctx, task)
+	if begun {
 		pace.Fail(boottime.Now())
 	}
+	return begun
 }
--- a/internal/entry/supervise.go
+++ b/internal/entry/supervise.go
@@ -24,6 +24,7 @@
 func (e *Process) supervise(ctx context.Context) {
 	demoted := map[string]boottime.Time{}
 	var hold leaseHold
+	departures := departurePace{}
 	every(ctx, superviseInterval, func() {
 		if e.leaving.Load() {
 			return
@@ -34,8 +35,8 @@
 			e.probeFormerServers(ctx, g)
 			e.demoteReplaced(ctx, g, demoted)
 			e.renewLeadershipProof(g)
-			if task, ok := e.failoverTask(g); ok && mayTakeLease {
-				e.changePrimary(ctx, g, task)
+			if task, ok := e.failoverTask(g); ok && mayTakeLease && departures.allows(task, boottime.Now()) && e.changePrimary(ctx, g, task) {
+				departures.note(task, boottime.Now())
 			}
 		}
 	})
@@ -90,7 +91,7 @@
 		return steward.Task{}, false
 	}
 	observed := steward.Observation{
-		Now: boottime.Now(), Changing: h.PromotionPending, Known: h.Primary != "", Unseen: h.LastPrimary == "", Leaving: h.Leaving, UnknownSince: h.Since,
+		Now: boottime.Now(), DepartingSince: e.departingSince(g, h.LastPrimary), Changing: h.PromotionPending, Known: h.Primary != "", Unseen: h.LastPrimary == "", Leaving: h.Leaving, UnknownSince: h.Since,
 		Answered: h.LastAnswer, FailingSince: h.FailingSince, Committed: h.LastCommit, StuckSince: h.StuckSince,
 		UnfinishedSince: e.steward.UnfinishedSince(g.Name),
 	}
@@ -151,17 +152,18 @@
 	var list []steward.Server
 	add := func(info dispatch.ServerInfo, missing time.Duration) {
 		list = append(list, steward.Server{
-			ID: info.ID, Address: info.Address, Domain: info.Domain, Leaving: info.Leaving, Missing: missing,
+			ID: info.ID, Address: info.Address, Domain: info.Domain, Started: info.Started, Leaving: info.Leaving, Missing: missing,
 		})
 	}
 	for _, s := range current {
 		add(s.Info(), s.MissingFor())
-		list[len(list)-1].Cold = s.IsCold()
+		last := &list[len(list)-1]
+		last.Cold, last.Departing = s.IsCold(), e.departsFrom(s) != 0
 	}
 	for _, f := range former {
 		add(f.ServerInfo, boottime.Since(f.Since))
 		last := &list[len(list)-1]
-		last.ConfirmedGone, last.Position = f.Gone, f.Position
+		last.ConfirmedGone, last.Position, last.Departing = f.Gone, f.Position, f.Leaving
 	}
 	return list
 }
--- a/internal/entry/supervise_test.go
+++ b/internal/entry/supervise_test.go
@@ -44,7 +44,7 @@
 				t.Error("the missing entry is not reported")
 			}
 			s.Missing = 0
-			if want := (steward.Server{ID: "g1", Address: "127.0.0.1:1", Domain: "north", Leaving: true}); *s != want {
+			if want := (steward.Server{ID: "g1", Address: "127.0.0.1:1", Domain: "north", Leaving: true, Departing: true}); *s != want {
 				t.Errorf("former server %+v, want %+v", *s, want)
 			}
 			if !task.IsDomainReachable(*s, boottime.Now()) {
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -42,6 +42,9 @@
 
 // execute changes the primary, or completes an earlier unfinished change.
 func (a *attempt) execute(ctx context.Context) error {
+	if a.t.Reason == Departing && !a.lease.unfinished {
+		return a.abort(nil)
+	}
 	leader := a.currentPrimary()
 	if leader == nil {
 		a.presumePrimary()
@@ -49,7 +52,7 @@
 	if p := a.member(a.t.Primary); p != nil && p.isAnswering() && (a.t.Reason == Silent || p.conn == nil) {
 		return a.abort(a.primaryAnsweredError())
 	}
-	if leader == nil && a.t.Reason == Unfinished {
+	if leader == nil && (a.t.Reason == Unfinished || a.t.Reason == Departing) {
 		// Paused replicas stay paused: an unreachable primary may still run.
 		return errkind.New(errkind.NoPrimary, "no reachable server is primary")
 	}
@@ -70,7 +73,7 @@
 			a.t.OnPromoted(leader.ID)
 		}
 		return a.abort(errkind.New(errkind.Conflict, "%s is primary already", leader.ID))
-	case a.t.Reason == Unfinished:
+	case a.t.Reason == Unfinished, a.t.Reason == Departing:
 		return a.abort(nil)
 	case a.t.Reason == CommitStuck && a.restoreReplication(ctx, leader):
 		a.t.OnPrimaryAnswered()
@@ -110,7 +113,7 @@
 	if !a.awaitPrimary(ctx, leader) {
 		return errkind.New(errkind.NoPrimary, "%s is not primary after the order that fences older ones", leader.ID)
 	}
-	a.lease.pendingTargets = nil
+	a.lease.pendingTargets, a.lease.record.Retired = nil, nil // an order may have been executed before
 	if err := a.s.markOrdered(ctx, a.lease); err != nil {
 		return err
 	}
@@ -136,6 +139,10 @@
 // Load pattern: a steward stalls, or loses the store, after it paused the replicas. Commits
 // get no answer although the primary is healthy.
 func (a *attempt) restoreReplication(ctx context.Context, leader *member) bool {
+	if err := a.unretire(ctx); err != nil {
+		a.log.WithError(err).Warn("leaving servers stay retired")
+		return false
+	}
 	a.resume(ctx, func(m *member) bool { return m.conn != nil })
 	return a.awaitReplica(ctx, leader.status.Received, leader, func(r Replica) bool { return !a.member(r.ID).unlisted }) != nil
 }
@@ -236,10 +243,10 @@
 	return leader, nil
 }
 
-// failOver returns the successor of an unreachable primary. It fails if another server is
-// unreachable too: that server may be the only one with an acknowledged commit, or may
-// receive further commits. A server that has ended receives none, but held those that it had
-// acknowledged together with the primary.
+// failOver returns the successor of an unreachable primary. Each acknowledged commit is on another
+// server, too. Servers in reach are compared. One out of reach must receive nothing more, and the
+// successor must have everything up to its log bound; without a bound, everything that VMs have
+// seen acknowledged, if that is complete.
 func (a *attempt) failOver(ctx context.Context) (*member, error) {
 	if n := a.countUnreachable(ctx); n > 0 {
 		return nil, errkind.New(errkind.NoPrimary, "%d servers besides the primary are unreachable", n)
@@ -253,8 +260,11 @@
 		return nil, err
 	}
 	for _, m := range a.members {
-		covered := m.ConfirmedGone && target.status.Received.AtLeast(m.Position)
-		if m.ID != a.t.Primary && m.hasEnded() && !covered && !a.isAcknowledgedComplete(target.status.Received.Term) {
+		if m.conn != nil || m.ID == a.t.Primary {
+			continue
+		}
+		bound, isBounded := a.logBound(m)
+		if !(isBounded && target.status.Received.AtLeast(bound)) && !a.isAcknowledgedComplete(target.status.Received.Term) {
 			return nil, errkind.New(errkind.NoPrimary, "server %s is gone and may have held commits that %s lacks", m.ID, target.ID)
 		}
 	}
@@ -410,6 +420,7 @@
 	}
 	a.log.WithField("backend_server", target.ID).Info("promoted")
 	a.t.OnPromoted(target.ID)
+	a.lease.record.Retired = nil // the promotion ends their pauses
 	if !a.hasUnresumedMember() {
 		return a.s.markFinished(ctx, a.lease)
 	}
@@ -440,7 +451,7 @@
 
 func (a *attempt) hasUnresumedMember() bool {
 	for _, m := range a.members {
-		if m.pauseSent && !m.replaced {
+		if m.pauseSent && !m.replaced && !a.isRetired(m) {
 			return true
 		}
 	}
@@ -517,7 +528,8 @@
 	return false
 }
 
-// abort ends a change without an order and resumes the replicas. If one earlier order may
+// abort ends a change without an order, retires replicas that are about to end and resumes the
+// others. If one earlier order may
 // still be executed, only the server that it names is resumed; if several may, none is. The
 // change stays unfinished as long as a replica may be paused.
 func (a *attempt) abort(cause error) error {
@@ -529,6 +541,7 @@
 		}
 		return cause
 	}
+	a.retireDeparting(ctx)
 	a.resume(ctx, a.mayNeedResume)
 	if a.hasUnresumedMember() || slices.ContainsFunc(a.members, a.mayBePausedUnreachable) {
 		return cause
--- a/internal/steward/decide.go
+++ b/internal/steward/decide.go
@@ -52,11 +52,13 @@
 	Committed, StuckSince boottime.Time
 	// UnfinishedSince is when an unfinished primary change last made observable progress.
 	UnfinishedSince boottime.Time
+	// DepartingSince is when a leaving replica that is not retired came close to its end.
+	DepartingSince boottime.Time
 	// Rank is the number of reachable VMs that precede this one in the group's order.
 	Rank int
 }
 
-// Reason is why a primary is replaced.
+// Reason is why a steward makes an attempt, usually to replace the primary.
 type Reason string
 
 const (
@@ -66,9 +68,11 @@
 	Silent      Reason = "primary does not answer"
 	CommitStuck Reason = "commits get no answer"
 	Unfinished  Reason = "an earlier change is not finished"
+	// Departing is the reason of an attempt that leaves the primary as it is.
+	Departing Reason = "a leaving replica may end"
 )
 
-// Decide returns the reason to replace the primary now, or None.
+// Decide returns the reason for an attempt now, or None.
 func Decide(o Observation) Reason {
 	wait := time.Duration(o.Rank) * RankDelay
 	missingTimeout := MissingTimeout
@@ -88,10 +92,18 @@
 		return CommitStuck
 	case o.UnfinishedSince != 0 && o.Now.Sub(o.UnfinishedSince) >= leaseDuration+wait:
 		return Unfinished
+	case o.isPrimaryHealthy() && o.DepartingSince != 0 && o.Now.Sub(o.DepartingSince) >= wait:
+		return Departing
 	}
 	return None
 }
 
+// isPrimaryHealthy reports whether nothing indicates that the primary has to be replaced soon. An
+// attempt for another reason would delay that.
+func (o Observation) isPrimaryHealthy() bool {
+	return o.Known && !o.Leaving && o.FailingSince <= o.Answered && o.StuckSince <= o.Committed
+}
+
 // GoneTimeout is how long the entry of a server that does not answer has to be missing
 // before the server counts as gone. Entries that expired during an outage of the store are
 // restored within 2 s.
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -69,9 +69,6 @@
 // isAnswering reports whether the server itself accepted or refused the last connection.
 func (m *member) isAnswering() bool { return m.addressAnswers && !m.unlisted && !m.replaced }
 
-// hasEnded reports whether the server counts as no longer running. Its log is lost.
-func (m *member) hasEnded() bool { return m.gone || m.replaced }
-
 func (m *member) closeConn() {
 	if m.conn != nil {
 		m.conn.Close()
@@ -95,9 +92,13 @@
 	}
 	a.probeUnreachable(ctx)
 	a.demoteFormerPrimaries(ctx)
+	a.dropVoidRetired()
 	fields := logrus.Fields{"acknowledged": a.acknowledged().String()}
 	for _, m := range a.members {
 		fields["server_"+m.ID] = m.describe()
+		if bound, ok := a.logBound(m); ok {
+			fields["bound_"+m.ID] = bound.String()
+		}
 	}
 	a.log.WithFields(fields).Info("servers asked")
 	return nil
@@ -107,7 +108,7 @@
 func (a *attempt) probeUnreachable(ctx context.Context) {
 	a.forEach(func(m *member) bool { return m.conn == nil && !m.replaced }, func(m *member) {
 		tries := surveyAttempts
-		if m.Missing > 0 || a.isSilentPrimary(m) {
+		if m.Missing > 0 || a.isSilentPrimary(m) || a.isRetired(m) {
 			tries = 1
 		}
 		for range tries {
@@ -213,7 +214,7 @@
 	switch {
 	case a.isSilentPrimary(m):
 		wait = silentDialTimeout
-	case m.Missing > 0:
+	case m.Missing > 0, a.isRetired(m):
 		wait = missingDialTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
@@ -279,9 +280,9 @@
 }
 
 // mayNeedResume reports whether this steward, or an earlier one that did not finish, may
-// have paused the server.
+// have paused the server. A retired server stays paused.
 func (a *attempt) mayNeedResume(m *member) bool {
-	return m.pauseSent || a.lease.unfinished && m.conn != nil
+	return (m.pauseSent || a.lease.unfinished && m.conn != nil) && !a.isRetired(m)
 }
 
 // nextTerm returns the term of the next promotion. A commit of a later term than those of the
@@ -335,7 +336,7 @@
 	var presumed *member
 	for _, m := range a.members {
 		switch {
-		case m.conn != nil, m.ConfirmedGone:
+		case m.conn != nil, a.isBounded(m):
 		case presumed != nil:
 			return
 		default:
@@ -369,11 +370,11 @@
 }
 
 // countUnreachable counts the servers other than the primary that do not answer and may
-// hold or receive commits.
+// receive commits, or hold commits without a log bound.
 func (a *attempt) countUnreachable(ctx context.Context) int {
 	n := 0
 	for _, m := range a.members {
-		if m.conn == nil && !m.replaced && m.ID != a.t.Primary && !a.isGone(ctx, m) {
+		if m.conn == nil && !m.replaced && m.ID != a.t.Primary && !a.isBounded(m) && !a.isGone(ctx, m) {
 			n++
 		}
 	}
@@ -402,5 +403,5 @@
 // mayBePausedUnreachable reports whether the server is unreachable and may have been paused
 // by an earlier steward.
 func (a *attempt) mayBePausedUnreachable(m *member) bool {
-	return a.lease.unfinished && m.conn == nil && !m.replaced && !m.gone && !m.ConfirmedGone
+	return a.lease.unfinished && m.conn == nil && !m.replaced && !m.gone && !m.ConfirmedGone && !a.isRetired(m)
 }
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -38,8 +38,8 @@
 	controlTimeout = 500 * time.Millisecond
 	// surveyAttempts is the number of attempts to reach a server that has a discovery entry.
 	surveyAttempts = 3
-	// missingDialTimeout bounds the dial to a server without a discovery entry, which may be
-	// gone. It covers several handshakes and the wait for a busy slot.
+	// missingDialTimeout bounds the dial to a server without a discovery entry or a retired one,
+	// which may be gone. It covers several handshakes and the wait for a busy slot.
 	missingDialTimeout = 300 * time.Millisecond
 	// gossipDelay is how long VMs take to report the positions that they saw acknowledged:
 	// state updates are sent twice a second, and one may be lost.
@@ -78,6 +78,10 @@
 type Server struct {
 	ID, Address, Domain string
 	Leaving             bool
+	// Departing reports that the server is leaving and may end within a few seconds.
+	Departing bool
+	// Started is the start time that the server states, in Unix milliseconds, 0 if it states none.
+	Started int64
 	// Cold reports that the server is slow because it has started or come back recently.
 	Cold bool
 	// Missing is how long the server's discovery entry has been missing, 0 if it exists.
@@ -193,6 +197,8 @@
 	Ordered bool `json:"ordered,omitempty"`
 	// Earlier lists the servers named by earlier orders that were not answered.
 	Earlier []string `json:"earlier,omitempty"`
+	// Retired lists the leaving replicas that stay paused until they end.
+	Retired []retiredServer `json:"retired,omitempty"`
 }
 
 // unansweredTargets returns the servers named by orders that may still be executed.
@@ -208,7 +214,7 @@
 
 func (r record) equal(o record) bool {
 	return r.Holder == o.Holder && r.Token == o.Token && r.Active == o.Active && r.Target == o.Target &&
-		r.Ordered == o.Ordered && slices.Equal(r.Earlier, o.Earlier)
+		r.Ordered == o.Ordered && slices.Equal(r.Earlier, o.Earlier) && slices.Equal(r.Retired, o.Retired)
 }
 
 // Task describes one primary change.
@@ -335,6 +341,10 @@
 	l := &lease{group: group, version: version, era: era, previousHolder: old.Holder, unfinished: old.Active}
 	l.pendingTargets = old.unansweredTargets()
 	l.record = record{Holder: s.cfg.VM, Token: max(old.Token, firstToken(era)), Active: true, Earlier: l.pendingTargets}
+	for _, r := range old.Retired {
+		r.Era = era // this VM observed the entry in its own era
+		l.record.Retired = append(l.record.Retired, r)
+	}
 	return l, s.writeNextToken(ctx, l, "")
 }
 
@@ -431,6 +441,7 @@
 	if era := r.Token >> tokenEraBits; era > row.Version.Era() {
 		return record{}, errkind.New(errkind.Internal, "token %d of era %d in a row of era %d", r.Token, era, row.Version.Era())
 	}
+	r.Retired = r.retiredIn(row.Version)
 	return r, nil
 }
 
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"slices"
@@ -64,6 +65,17 @@
 	return s.version, nil
 }
 
+// put writes the row of the group g.
+func (s *fakeStore) put(t *testing.T, r record) {
+	t.Helper()
+	value, err := json.Marshal(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.version++
+	s.rows["g"] = coord.Row{Table: Table, Key: "g", Version: s.version, Value: value}
+}
+
 // fakeGroup simulates the servers of a group and the platform that promotes them. It records
 // events in order.
 type fakeGroup struct {
