Steward: a promotion retires departing replicas again before it ends

Cause: a promotion ends the pause of a retired replica, so the row drops its log bound. The next attempt came only after claimTimeout: VMs take a change of primary to be in progress for 3 s after the order (trace: promoted at 9.2 s, next attempt of any kind after 12 s; the replica ended at 11.0 s).

Fix: the attempt that promoted retires the replicas that are about to end, after it has resumed the others and while it holds the lease. Replicas are retired 4 s before their end in place of 2 s.

TestDepartingReplicaIsRetiredAgainAfterAPromotion and TestPromotionRetiresDepartingReplicasAgain. Without the change the log of the former showed 3 s from the promotion to the retirement.

--- a/internal/entry/departure.go
+++ b/internal/entry/departure.go
@@ -11,7 +11,7 @@
 
 // departureMargin is how long before its earliest end a leaving replica is retired: several
 // attempts, and a short outage of the store.
-const departureMargin = 2 * time.Second
+const departureMargin = 4 * time.Second
 
 // departsFrom returns since when the server counts as about to end, 0 if it does not.
 func (e *Process) departsFrom(s *dispatch.Server) boottime.Time {
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -391,7 +391,8 @@
 	return best
 }
 
-// promote orders the promotion and resumes the other replicas once the target is primary.
+// promote orders the promotion and resumes the other replicas once the target is primary. Those that
+// are about to end are retired again.
 // An order that was sent has to be completed, so it runs under its own deadline. If the
 // order is refused, a primary that stepped down is promoted again.
 func (a *attempt) promote(target, steppedDown *member) error {
@@ -421,7 +422,7 @@
 	a.log.WithField("backend_server", target.ID).Info("promoted")
 	a.t.OnPromoted(target.ID)
 	a.lease.record.Retired = nil // the promotion ends their pauses
-	if !a.hasUnresumedMember() {
+	if !a.hasUnresumedMember() && !slices.ContainsFunc(a.members, a.mayRetire) {
 		return a.s.markFinished(ctx, a.lease)
 	}
 	if err := a.s.markOrdered(ctx, a.lease); err != nil {
@@ -430,9 +431,14 @@
 	if !a.awaitPrimary(ctx, target) {
 		return errkind.New(errkind.NoPrimary, "%s was promoted but is not primary; the other replicas stay paused", target.ID)
 	}
+	for _, m := range a.members {
+		m.paused = false // the promotion ended the pauses
+	}
 	if target.status.PausedTerm == 0 {
-		target.paused, target.pauseSent = false, false // the promotion ended its pause
+		target.pauseSent = false
 	}
+	a.resume(ctx, func(m *member) bool { return a.mayNeedResume(m) && !m.Departing })
+	a.retireDeparting(ctx)
 	a.resume(ctx, a.mayNeedResume)
 	if a.hasUnresumedMember() {
 		return errkind.New(errkind.Unreachable, "a replica could not be resumed")
--- a/internal/steward/model_test.go
+++ b/internal/steward/model_test.go
@@ -38,6 +38,10 @@
 	// listed reports that the server has a discovery entry, wasListed that it had one once.
 	listed, wasListed bool
 	startCount        int
+	// departing servers have announced their end, ended ones never start again. goneAt is the end of
+	// the group's log when an ended one was found gone, 0 before.
+	departing, ended bool
+	goneAt           uint64
 	// servesAsFormer reports that the server was replaced and continues as the primary of its
 	// term. term is the newest term that it has observed. provedAt is the start of its leader
 	// lease at VMs, and lastStatus what they know of it as a replica.
@@ -72,6 +76,8 @@
 	ackedTerm    uint64
 	// joins makes servers join and restart at any time, instead of only while all are reachable.
 	joins bool
+	// departs makes replicas announce their end and end. calm stops all events but commits.
+	departs, calm bool
 	// vm observes the row of the group. As long as a promotion may take effect, VMs withhold
 	// acknowledgements of other servers than its target, and take nothing for a proof that those
 	// lead: a call to promote that got no answer may be executed seconds later, and until then the
@@ -137,7 +143,16 @@
 	m.prove()
 	m.read()
 	m.commit()
+	if m.calm {
+		return
+	}
+	if m.departs {
+		m.depart()
+	}
 	s := m.servers[m.rand.IntN(len(m.servers))]
+	if s.ended {
+		return
+	}
 	starts := !m.hasUnreachable() || m.joins
 	if m.joins && m.rand.IntN(4) == 0 {
 		m.disturbReplicas()
@@ -364,7 +379,7 @@
 		return statement.ServerStatus{}, err
 	}
 	m.tracef("%s answers at %d, paused %t, was %t, primary %t", s.id, s.received, s.paused, before.paused, s == m.primary)
-	if m.rand.IntN(30) == 0 {
+	if m.rand.IntN(30) == 0 && !m.calm {
 		return statement.ServerStatus{}, errkind.New(errkind.Unreachable, "model: answer lost")
 	}
 	return m.statusOf(s), nil
@@ -443,6 +458,9 @@
 	if m.joins && m.rand.IntN(2) == 0 {
 		outcome = 0
 	}
+	if m.calm {
+		outcome = 2
+	}
 	switch outcome {
 	case 0:
 		o.at = m.calls + m.rand.IntN(60)
@@ -487,6 +505,12 @@
 		m.step()
 		return m.knownServers(), nil
 	}
+	if m.calm {
+		if m.primary != nil && m.primary.up {
+			t.Primary, t.Reason = m.primary.id, Departing
+		}
+		return t
+	}
 	if m.wereAllListed() && m.rand.IntN(5) == 0 {
 		// All VMs have restarted: they know the roster, but no primary and no acknowledged commit.
 		m.observedAcked = 0
@@ -496,6 +520,9 @@
 	if m.primary != nil {
 		t.Primary = m.primary.id
 		t.Reason = []Reason{Leaving, CommitStuck, Unfinished}[m.rand.IntN(3)]
+		if m.departs && m.rand.IntN(2) == 0 {
+			t.Reason = Departing
+		}
 		if !m.primary.up || m.primary.unreachable {
 			t.Reason = Silent
 		}
@@ -506,11 +533,16 @@
 // knownServers returns the servers that have, or had, an entry. The mutex is held.
 func (m *model) knownServers() (list []Server) {
 	for _, s := range m.servers {
+		known := Server{ID: s.id, Started: int64(s.startCount), Leaving: s.departing, Departing: s.departing}
+		if s.goneAt > 0 {
+			known.ConfirmedGone, known.Position = true, position.Position{Term: 1, Offset: s.goneAt}
+		}
 		switch {
 		case s.listed:
-			list = append(list, Server{ID: s.id})
+			list = append(list, known)
 		case s.wasListed:
-			list = append(list, Server{ID: s.id, Missing: time.Minute})
+			known.Missing = time.Minute
+			list = append(list, known)
 		}
 	}
 	return list
@@ -568,15 +600,11 @@
 	const attempts = 8
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	store := newFakeStore()
-	m := newModel(seed, store)
+	m := newModel(seed, newFakeStore())
 	prepare(m)
 	for i := range attempts {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Duration(1+i%3)*time.Second)
-		s := New(Config{
-			VM: fmt.Sprint("vm", i%2), Store: store, Dialer: m, Control: m, Promoter: m, LeaderLease: leaderLease, Now: modelNow, Log: logrus.NewEntry(log),
-		})
-		s.observations["g"] = observedLongAgo(t, store)
+		s := m.newSteward(t, i%2, leaderLease, log)
 		task := m.task()
 		err := s.runTask(ctx, task, s.cfg.Log)
 		cancel()
@@ -589,4 +617,16 @@
 			return
 		}
 	}
+	if m.departs {
+		m.checkRecovery(t, log)
+	}
+}
+
+// newSteward returns the steward of a VM that has followed the table and has just started.
+func (m *model) newSteward(t *testing.T, vm int, leaderLease time.Duration, log *logrus.Logger) *Steward {
+	s := New(Config{
+		VM: fmt.Sprint("vm", vm), Store: m.store, Dialer: m, Control: m, Promoter: m, LeaderLease: leaderLease, Now: modelNow, Log: logrus.NewEntry(log),
+	})
+	s.observations["g"] = observedLongAgo(t, m.store)
+	return s
 }
--- a/internal/steward/retire.go
+++ b/internal/steward/retire.go
@@ -95,18 +95,21 @@
 // replica that stays has what they have. The others are left to be resumed. The record has to be
 // written before the attempt ends.
 func (a *attempt) retireDeparting(ctx context.Context) {
-	if !slices.ContainsFunc(a.members, a.staysAsReplica) {
-		return
-	}
-	var departing []*member
-	for _, m := range a.members {
-		if a.mayRetire(m) && (m.paused || a.pause(ctx, m) == nil) {
-			departing = append(departing, m)
-		}
+	departing := slices.DeleteFunc(slices.Clone(a.members), func(m *member) bool { return !a.mayRetire(m) })
+	departing = a.awaitHeldByStaying(ctx, departing)
+	departing = slices.DeleteFunc(departing, func(m *member) bool { return !m.paused && a.pause(ctx, m) != nil })
+	for _, m := range a.awaitHeldByStaying(ctx, departing) {
+		a.addRetired(retiredServer{ID: m.ID, Started: m.Started, Term: a.nextTerm() - 1, Position: m.status.Received, Era: a.lease.era})
+		a.log.WithFields(logrus.Fields{"backend_server": m.ID, "received": m.status.Received.String()}).Info("leaving server is retired")
 	}
-	isHeld := func(m *member) bool { return a.isHeldByStaying(m.status.Received) }
-	for start := a.s.now(); a.s.now().Sub(start) < catchUpTimeout && ctx.Err() == nil; time.Sleep(pollInterval) {
-		if !slices.ContainsFunc(departing, func(m *member) bool { return !isHeld(m) }) {
+}
+
+// awaitHeldByStaying returns those of the servers whose log is on a replica that stays, too. It gives
+// these replicas catchUpTimeout to receive it.
+func (a *attempt) awaitHeldByStaying(ctx context.Context, departing []*member) (held []*member) {
+	isMissing := func(m *member) bool { return !a.isHeldByStaying(m.status.Received) }
+	for start := a.s.now(); slices.ContainsFunc(departing, isMissing); time.Sleep(pollInterval) {
+		if a.s.now().Sub(start) >= catchUpTimeout || ctx.Err() != nil || !slices.ContainsFunc(a.members, a.staysAsReplica) {
 			break
 		}
 		a.poll(a.staysAsReplica, func(m *member) error {
@@ -115,14 +118,13 @@
 		})
 	}
 	for _, m := range departing {
-		log := a.log.WithFields(logrus.Fields{"backend_server": m.ID, "received": m.status.Received.String()})
-		if !isHeld(m) {
-			log.Warn("leaving server is not retired, no replica that stays has its log")
+		if !isMissing(m) {
+			held = append(held, m)
 			continue
 		}
-		a.addRetired(retiredServer{ID: m.ID, Started: m.Started, Term: a.nextTerm() - 1, Position: m.status.Received, Era: a.lease.era})
-		log.Info("leaving server is retired")
+		a.log.WithFields(logrus.Fields{"backend_server": m.ID, "received": m.status.Received.String()}).Warn("no replica that stays has the log of the leaving server")
 	}
+	return held
 }
 
 // addRetired adds an entry to the record, which keeps the newest maxRetired.
@@ -133,7 +135,7 @@
 
 // mayRetire reports whether the server is a reachable replica that is about to end and not retired.
 func (a *attempt) mayRetire(m *member) bool {
-	return m.Departing && m.conn != nil && !m.unlisted && !m.status.Primary && m.ID != a.t.Primary && !a.isRetired(m)
+	return m.Departing && m.conn != nil && !m.unlisted && !m.status.Primary && !a.isRetired(m)
 }
 
 // staysAsReplica reports whether the server is a reachable replica that is not leaving, and that
--- a/internal/steward/retire_test.go
+++ b/internal/steward/retire_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,6 +101,9 @@
 		"other leaves as well":  func(_ *fakeGroup, servers []Server) { servers[1].Leaving = true },
 		"other does not answer": func(g *fakeGroup, _ []Server) { g.down = map[string]bool{"b": true} },
 		"other is paused":       func(g *fakeGroup, _ []Server) { g.hold("b", 2) },
+		"commit before the pause": func(g *fakeGroup, _ []Server) {
+			g.beforePause = func(string) { g.received["c"] = 8 }
+		},
 	} {
 		g, servers := departingGroup()
 		change(g, servers)
@@ -142,6 +147,31 @@
 	}
 }
 
+// A promotion ends the pause of a retired replica. It was not retired again for 3 s, and the next loss
+// of a primary left the group without one for good (soak --departures --seed 61001).
+func TestPromotionRetiresDepartingReplicasAgain(t *testing.T) {
+	for _, reason := range []Reason{Leaving, Silent} {
+		g, servers := departingGroup()
+		g.received["d"], g.countsTerms = 7, true
+		servers = append(servers, Server{ID: "d"})
+		s := newSteward("vm1", newFakeStore(), g)
+		if _, err := runAttempt(s, Departing, 7, servers...); err != nil {
+			t.Fatal(err)
+		}
+		if reason == Silent {
+			g.down = map[string]bool{"a": true}
+		}
+		if done, err := runAttempt(s, reason, 7, servers...); err != nil || done == "" || !s.IsRetired("g", "c", 3) {
+			t.Errorf("%s: %q, %v, retired %t", reason, done, err, s.IsRetired("g", "c", 3))
+		}
+		history := g.history()
+		leads, pause := slices.IndexFunc(history, func(event string) bool { return strings.HasSuffix(event, " leads") }), slices.Index(history, "pause c at 3")
+		if leads < 0 || pause < leads || slices.Contains(history, "resume c") {
+			t.Errorf("%s: %v", reason, history)
+		}
+	}
+}
+
 // Guards against an entry that outlives the promotion that ended the pause.
 func TestPromotionEndsRetirements(t *testing.T) {
 	g, servers := departingGroup()
@@ -149,6 +179,7 @@
 	if _, err := runAttempt(s, Departing, 7, servers...); err != nil {
 		t.Fatal(err)
 	}
+	servers[2].Departing = false
 	if done, err := runAttempt(s, Leaving, 7, servers...); err != nil || done != "b" || s.IsRetired("g", "c", 3) {
 		t.Errorf("%q, %v, retired %t", done, err, s.IsRetired("g", "c", 3))
 	}
--- a/internal/steward/steward_test.go
+++ b/internal/steward/steward_test.go
@@ -93,6 +93,11 @@
 	reused map[string]bool
 	// held holds the terms of the pauses.
 	held map[string]uint64
+	// beforePause is called with the server before each pause takes effect.
+	beforePause func(server string)
+	// countsTerms makes each promotion begin a new term, as on the platform; term is the present one.
+	countsTerms bool
+	term        uint64
 }
 
 // fakeConn is a connection to a server of the group.
@@ -146,7 +151,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	id := c.(fakeConn).server
-	return statement.ServerStatus{Primary: g.primary == id, Term: 1, PausedTerm: g.held[id], Received: position.Position{Term: 1, Offset: g.received[id]}}
+	return statement.ServerStatus{Primary: g.primary == id, Term: max(g.term, 1), PausedTerm: g.held[id], Received: position.Position{Term: 1, Offset: g.received[id]}}
 }
 
 func (g *fakeGroup) Status(c statement.Conn, _ time.Duration) (statement.ServerStatus, error) {
@@ -156,6 +161,9 @@
 func (g *fakeGroup) Pause(c statement.Conn, term uint64, _ time.Duration) (statement.ServerStatus, error) {
 	id := c.(fakeConn).server
 	g.recordEvent("pause %s at %d", id, term)
+	if g.beforePause != nil {
+		g.beforePause(id)
+	}
 	g.hold(id, term)
 	return g.status(c), nil
 }
@@ -207,6 +215,9 @@
 		defer g.mu.Unlock()
 		g.primary = server
 		delete(g.held, server)
+		if g.countsTerms {
+			g.term = max(g.term, 1) + 1
+		}
 		g.events = append(g.events, server+" leads")
 	})
 	return nil
--- a/test/platform/departure_test.go
+++ b/test/platform/departure_test.go
@@ -1,6 +1,7 @@
 package platform_test
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
@@ -49,3 +50,41 @@
 	f.eventually("promotion", func() bool { p := f.primary(); return p != nil && p != primary })
 	f.awaitWrite(0)
 }
+
+// retiredTerm returns the term in which the steward's row lists the server as retired, 0 if it does
+// not.
+func (f *fleet) retiredTerm(s *linegroup.Server) uint64 {
+	var row struct {
+		Retired []struct {
+			ID   string `json:"id"`
+			Term uint64 `json:"term"`
+		} `json:"retired"`
+	}
+	if value := f.Store.Rows("stewards")[f.Groups[0].Name()]; value != nil {
+		if err := json.Unmarshal(value, &row); err != nil {
+			f.t.Fatal(err)
+		}
+	}
+	for _, r := range row.Retired {
+		if r.ID == s.ID {
+			return r.Term
+		}
+	}
+	return 0
+}
+
+// A promotion ends the pause of a replica that is about to end. It was not retired again for 3 s, and
+// the next loss of a primary left the group without one for good (soak --departures --seed 61001).
+func TestDepartingReplicaIsRetiredAgainAfterAPromotion(t *testing.T) {
+	f := start(t)
+	primary, leaving := f.primary(), f.Groups[0].Servers()[2]
+	f.addServer(true)
+	f.awaitWrite(0)
+	leaving.StartDraining()
+	f.PublishEntry(leaving)
+	f.eventually("retired", func() bool { return f.retiredTerm(leaving) == 1 })
+	primary.Crash()
+	f.PublishEntry(primary)
+	f.eventually("promotion", func() bool { p := f.primary(); return p != nil && p != primary })
+	f.eventually("retired again", func() bool { return f.retiredTerm(leaving) == 2 })
+}
