Soak: departures, lost primaries and a kill of all processes

--departures lets a replica of each group leave as planned, after a new one has joined, then the primaries are lost for good and all processes are killed, at once or one after the other.

--- a/soak/main.go
+++ b/soak/main.go
@@ -22,6 +22,7 @@
 	Replaced bool          `long:"replaced-serve" description:"replaced primaries keep serving until they learn of their successor"`
 	Restores bool          `long:"restores" description:"restore the store from backups, in addition to the other faults"`
 	Evacuate bool          `long:"evacuations" description:"evacuate failure domains and withdraw that, in addition to the other faults"`
+	Depart   bool          `long:"departures" description:"in each group, a replica leaves as planned, then the primary is lost and all processes are killed, in addition to the other faults"`
 	Repeats  bool          `long:"repeats" description:"backend servers write some of their answers twice, in addition to the other faults"`
 	OddBytes bool          `long:"odd-bytes" description:"callers send any bytes that the protocol allows, line feeds and words of the protocol among them"`
 	OddNoLF  bool          `long:"odd-no-lf" description:"as odd-bytes, without line feeds"`
--- a/soak/run.go
+++ b/soak/run.go
@@ -196,6 +196,9 @@
 	if o.Evacuate {
 		r.wg.Go(func() { r.evacuations(end) })
 	}
+	if o.Depart {
+		r.wg.Go(r.departures)
+	}
 	if o.Series {
 		for i := range groups * burstWritersPerGroup {
 			c := r.newCaller(o.Callers+i, &ids)
