Steward: a retirement waits for nobody else, and keeps the newest promotion in the row

The store began to refuse in that time, the row could not be written, the replica ended, and after the loss of the primary and a kill of all processes the group stayed without a primary. An attempt that leaves the primary as it is now tries each server once.

By reading: an attempt that orders nothing empties the target in the row, from which VMs that start learn who was promoted last. Each replica that left would have done so. A retirement now puts the target back (TestRetirementKeepsTheNewestPromotionInTheRow), and VMs that see it and know the server as their primary do not take a promotion to be pending, which would hold up a failover for 3 s.

--- a/internal/dispatch/group.go
+++ b/internal/dispatch/group.go
@@ -410,7 +410,7 @@
 	if s == nil {
 		return
 	}
-	if s != g.successor {
+	if s != g.successor && s != g.leader {
 		g.successor, g.successorSince = s, boottime.Now()
 		s.promotionOrdered()
 	}
--- a/internal/steward/attempt.go
+++ b/internal/steward/attempt.go
@@ -20,7 +20,7 @@
 	log     *logrus.Entry
 	members []*member
 	// otherPrimary is the server that was found to be primary already, so that no change is
-	// needed; empty if there is none.
+	// needed, or that the newest order named before; empty if there is none.
 	otherPrimary string
 	// settleContext returns the context in which an attempt that was begun is completed.
 	settleContext func() (context.Context, context.CancelFunc)
@@ -43,6 +43,7 @@
 // execute changes the primary, or completes an earlier unfinished change.
 func (a *attempt) execute(ctx context.Context) error {
 	if a.t.Reason == Departing && !a.lease.unfinished {
+		a.otherPrimary = a.lease.previousTarget
 		return a.abort(nil)
 	}
 	leader := a.currentPrimary()
@@ -391,10 +392,9 @@
 	return best
 }
 
-// promote orders the promotion and resumes the other replicas once the target is primary. Those that
-// are about to end are retired again.
-// An order that was sent has to be completed, so it runs under its own deadline. If the
-// order is refused, a primary that stepped down is promoted again.
+// promote orders the promotion and resumes the other replicas once the target is primary; those that
+// are about to end are retired again. An order that was sent has to be completed, so it runs under
+// its own deadline. If the order is refused, a primary that stepped down is promoted again.
 func (a *attempt) promote(target, steppedDown *member) error {
 	if a.isEvacuated(target) {
 		return a.abort(errkind.New(errkind.NoPrimary, "failure domain %s of %s was evacuated meanwhile", target.Domain, target.ID))
@@ -535,9 +535,8 @@
 }
 
 // abort ends a change without an order, retires replicas that are about to end and resumes the
-// others. If one earlier order may
-// still be executed, only the server that it names is resumed; if several may, none is. The
-// change stays unfinished as long as a replica may be paused.
+// others. If one earlier order may still be executed, only the server that it names is resumed; if
+// several may, none is. The change stays unfinished as long as a replica may be paused.
 func (a *attempt) abort(cause error) error {
 	ctx, cancel := a.settleContext()
 	defer cancel()
--- a/internal/steward/member.go
+++ b/internal/steward/member.go
@@ -108,7 +108,7 @@
 func (a *attempt) probeUnreachable(ctx context.Context) {
 	a.forEach(func(m *member) bool { return m.conn == nil && !m.replaced }, func(m *member) {
 		tries := surveyAttempts
-		if m.Missing > 0 || a.isSilentPrimary(m) || a.isRetired(m) {
+		if a.mayBeGone(m) || a.isSilentPrimary(m) {
 			tries = 1
 		}
 		for range tries {
@@ -209,12 +209,18 @@
 	return m.ID == a.t.Primary && (a.t.Reason == Silent || a.t.Reason == Missing)
 }
 
+// mayBeGone reports whether the attempt should not wait long for the server: it may have ended, or
+// the attempt changes nothing if it does not answer.
+func (a *attempt) mayBeGone(m *member) bool {
+	return m.Missing > 0 || a.isRetired(m) || a.t.Reason == Departing
+}
+
 func (a *attempt) dial(ctx context.Context, m *member, id string) (statement.Conn, error) {
 	wait := controlTimeout
 	switch {
 	case a.isSilentPrimary(m):
 		wait = silentDialTimeout
-	case m.Missing > 0, a.isRetired(m):
+	case a.mayBeGone(m):
 		wait = missingDialTimeout
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait)
--- a/internal/steward/retire_test.go
+++ b/internal/steward/retire_test.go
@@ -172,6 +172,20 @@
 	}
 }
 
+// Guards against a retirement that makes VMs that start forget which server was promoted last.
+func TestRetirementKeepsTheNewestPromotionInTheRow(t *testing.T) {
+	g, servers := departingGroup()
+	store := newFakeStore()
+	store.put(t, record{Holder: "vm1", Token: 4, Target: "a", Ordered: true})
+	s := newSteward("vm1", store, g)
+	if _, err := runAttempt(s, Departing, 7, servers...); err != nil || !s.IsRetired("g", "c", 3) {
+		t.Fatal(err)
+	}
+	if change, err := s.Observe(store.rows["g"]); err != nil || change.Primary != "a" || change.InProgress {
+		t.Errorf("%+v, %v", change, err)
+	}
+}
+
 // Guards against an entry that outlives the promotion that ended the pause.
 func TestPromotionEndsRetirements(t *testing.T) {
 	g, servers := departingGroup()
--- a/internal/steward/steward.go
+++ b/internal/steward/steward.go
@@ -38,8 +38,8 @@
 	controlTimeout = 500 * time.Millisecond
 	// surveyAttempts is the number of attempts to reach a server that has a discovery entry.
 	surveyAttempts = 3
-	// missingDialTimeout bounds the dial to a server without a discovery entry or a retired one,
-	// which may be gone. It covers several handshakes and the wait for a busy slot.
+	// missingDialTimeout bounds the dial to a server that may be gone, as it has no discovery entry
+	// or is retired. It covers several handshakes and the wait for a busy slot.
 	missingDialTimeout = 300 * time.Millisecond
 	// gossipDelay is how long VMs take to report the positions that they saw acknowledged:
 	// state updates are sent twice a second, and one may be lost.
@@ -319,6 +319,8 @@
 	unfinished bool
 	// pendingTargets are the servers named by earlier orders that may still be executed.
 	pendingTargets []string
+	// previousTarget is the server that the last finished change promoted, empty if none is known.
+	previousTarget string
 }
 
 // acquireLease takes over the group's row and advances its token. A row that is older than the
@@ -340,6 +342,9 @@
 	}
 	l := &lease{group: group, version: version, era: era, previousHolder: old.Holder, unfinished: old.Active}
 	l.pendingTargets = old.unansweredTargets()
+	if !old.Active {
+		l.previousTarget = old.Target
+	}
 	l.record = record{Holder: s.cfg.VM, Token: max(old.Token, firstToken(era)), Active: true, Earlier: l.pendingTargets}
 	for _, r := range old.Retired {
 		r.Era = era // this VM observed the entry in its own era
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -36,6 +36,13 @@
 	1002: "two VMs gave out the same token, because the row with the last one was lost",
 }
 
+// departureRegressions are seeds of departures that left a group without a primary in the past, with
+// the cause.
+var departureRegressions = map[uint64]string{
+	61001: "a promotion ended the pause of a leaving replica, which was not retired again before it ended",
+	61004: "the steward waited so long for a primary that did not answer that the store refused the row",
+}
+
 const shortLength = 8 * time.Second
 
 // buildProgram builds the program under test and returns its path.
@@ -83,6 +90,12 @@
 	runSeries(t, options{Program: buildProgram(t), VMs: 5, Callers: 16, Series: true, Restores: true}, restoreRegressions)
 }
 
+// TestDepartedReplicasKeepNoGroupWithoutAPrimary runs single faults while replicas leave, primaries
+// are lost and all processes are killed.
+func TestDepartedReplicasKeepNoGroupWithoutAPrimary(t *testing.T) {
+	runSeries(t, options{Program: buildProgram(t), VMs: 5, Callers: 8, Depart: true}, departureRegressions)
+}
+
 // TestEvacuatedDomainsGetNoStatements runs single faults while domains are evacuated.
 func TestEvacuatedDomainsGetNoStatements(t *testing.T) {
 	runSeed(t, options{Program: buildProgram(t), VMs: 5, Callers: 8, Evacuate: true}, 1)
