--- a/internal/steward/decide_test.go
+++ b/internal/steward/decide_test.go
@@ -33,6 +33,11 @@
 		{"fails for all, another VM precedes", Observation{Known: true, FailingSince: ago(SuspectTimeout), Answered: ago(2 * time.Second), Rank: 2}, None},
 		{"commits are stuck", Observation{Known: true, Answered: now, StuckSince: ago(StuckCommitTimeout), Committed: ago(time.Minute)}, CommitStuck},
 		{"commits are stuck for this VM only", Observation{Known: true, Answered: now, StuckSince: ago(StuckCommitTimeout), Committed: ago(time.Millisecond)}, None},
+		{"a replica may end", Observation{Known: true, Answered: now, DepartingSince: ago(time.Millisecond)}, Departing},
+		{"a replica may end, another VM precedes", Observation{Known: true, Answered: now, DepartingSince: ago(time.Millisecond), Rank: 1}, None},
+		{"a replica may end, the primary fails", Observation{Known: true, FailingSince: ago(time.Millisecond), Answered: ago(time.Second), DepartingSince: ago(time.Second)}, None},
+		{"a replica may end, commits are stuck", Observation{Known: true, Answered: now, StuckSince: ago(time.Millisecond), Committed: ago(time.Second), DepartingSince: ago(time.Second)}, None},
+		{"a replica may end, the primary leaves", Observation{Known: true, Leaving: true, UnknownSince: ago(time.Millisecond), Rank: 1, DepartingSince: ago(time.Second)}, None},
 		{"a change is in progress", Observation{Changing: true, Known: true, FailingSince: ago(time.Minute)}, None},
 	} {
 		c.o.Now = now
